--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load programs and slope measurements."""
--- /dev/null
+++ b/src/threadramp/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module a command, registered with the application."""
--- /dev/null
+++ b/src/threadramp/client/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for trainers, callers and operators."""
--- /dev/null
+++ b/src/threadramp/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, resources and the findings that checking them collects."""
--- /dev/null
+++ b/src/threadramp/core/__init__.py
@@ -0,0 +1,1 @@
+"""State machines without I/O, clock or threads."""
--- /dev/null
+++ b/src/threadramp/core/swap.py
@@ -0,0 +1,201 @@
+"""What one engine serves: verified versions, orders under way, and which labels are possible."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+ORDER_BACKOFF_MIN_S = 0.2
+ORDER_BACKOFF_MAX_S = 10.0
+READ_INTERVAL_S = 2.0  # an engine that obeys a late order is noticed within this time
+HISTORY_LENGTH = 64
+REVISION_SHIFT = 42  # wall clock milliseconds take 41 bits until the year 2039
+
+
+@dataclass(frozen=True)
+class Order:
+    """Order the engine to load a version."""
+
+    model: str
+    version: int
+    fence: int
+
+
+@dataclass(frozen=True)
+class ReadVersions:
+    """Ask the engine what it serves."""
+
+
+@dataclass(frozen=True)
+class Served:
+    """One version that the engine may have served from a time on."""
+
+    since: float
+    version: int
+
+
+@dataclass(frozen=True)
+class ModelState:
+    """What is known of one model at the engine.
+
+    :param verified: the version that a read-back confirmed, none if not known
+    :param ordered: the version of an order under way, none if there is none
+    :param next_order: monotonic time before which no order is sent
+    """
+
+    verified: int | None = None
+    ordered: int | None = None
+    next_order: float = 0.0
+    backoff_s: float = ORDER_BACKOFF_MIN_S
+    history: tuple[Served, ...] = ()
+
+
+class SwapRecord:
+    """The sidecar's own record of its engine's versions.
+
+    :param started_ms: wall clock at the sidecar's start, the lower part of each order's number
+    :ivar generation: raised whenever the served version may have changed
+    """
+
+    def __init__(self, started_ms: int) -> None:
+        self.started_ms = started_ms
+        self.models: dict[str, ModelState] = {}
+        self.boot = ""
+        self.generation = 0
+        self.next_read = 0.0
+        self.fence_floor = 0
+
+    def verified(self) -> dict[str, int]:
+        """Return the verified versions by model."""
+        return {
+            model: state.verified
+            for model, state in self.models.items()
+            if state.verified is not None
+        }
+
+    def due(
+        self, declared: dict[str, int], revision: int, now: float
+    ) -> list[Order | ReadVersions]:
+        """Return what to do towards the declared versions.
+
+        :param declared: version by model
+        :param revision: of the configuration that declares them
+        """
+        unread = any(self._state(model).verified is None for model in declared)
+        read_after = ORDER_BACKOFF_MIN_S if unread else READ_INTERVAL_S
+        if now >= self.next_read:
+            self.next_read = now + read_after
+            return [ReadVersions()]
+        fence = max((revision << REVISION_SHIFT) + self.started_ms, self.fence_floor)
+        return [
+            Order(model, version, fence)
+            for model, version in sorted(declared.items())
+            if self._needs_order(model, version, now)
+        ]
+
+    def order_sent(self, order: Order, now: float) -> None:
+        """Note that an order is about to leave: from now on both versions are possible."""
+        state = self._state(order.model)
+        self.generation += 1
+        self.models[order.model] = ModelState(
+            verified=state.verified,
+            ordered=order.version,
+            next_order=now + state.backoff_s,
+            backoff_s=min(state.backoff_s * 2, ORDER_BACKOFF_MAX_S),
+            history=_note(state.history, now, order.version),
+        )
+
+    def order_ended(self, model: str, accepted: bool, now: float, engine_fence: int = 0) -> None:
+        """Note an order's answer; either way only a read-back says what is served.
+
+        :param accepted: whether the engine said that it had loaded the version
+        :param engine_fence: the number that the engine holds, if it refused an older one
+        """
+        state = self._state(model)
+        self.generation += 1
+        self.fence_floor = max(self.fence_floor, engine_fence)
+        self.models[model] = ModelState(
+            verified=None,
+            next_order=state.next_order,
+            backoff_s=state.backoff_s,
+            history=state.history,
+        )
+        self.next_read = now
+        del accepted  # a swap that claims success is verified like one that failed
+
+    def versions_read(self, boot: str, served: dict[str, int | None], now: float) -> None:
+        """Note what the engine says that it serves.
+
+        :param boot: the engine's start mark
+        :param served: version by model, none where it does not know
+        """
+        if boot != self.boot:
+            self.boot = boot
+            self.generation += 1
+        for model in {*served, *self.models}:
+            self._note_read(model, served.get(model), now)
+
+    def lost_time(self, now: float) -> None:
+        """Note that this process was frozen: nothing is verified any more."""
+        self.distrust(now)
+
+    def distrust(self, now: float) -> None:
+        """Forget all verified versions; a read-back comes next."""
+        self.generation += 1
+        self.next_read = now
+        for model, state in self.models.items():
+            self.models[model] = ModelState(
+                ordered=state.ordered,
+                next_order=state.next_order,
+                backoff_s=state.backoff_s,
+                history=state.history,
+            )
+
+    def may_start(self, model: str, names_versions: bool) -> bool:
+        """Return whether new work for a model may be sent to the engine."""
+        state = self._state(model)
+        if state.verified is None:
+            return False
+        return names_versions or state.ordered is None
+
+    def is_possible(self, model: str, version: int, since: float) -> bool:
+        """Return whether a piece produced after ``since`` can be of ``version``."""
+        state = self._state(model)
+        before = [item for item in state.history if item.since <= since]
+        after = [item for item in state.history if item.since > since]
+        # The newest order before may still have been under way, so its predecessor counts too.
+        possible = before[-2:] + after
+        return any(item.version == version for item in possible)
+
+    def _needs_order(self, model: str, version: int, now: float) -> bool:
+        state = self._state(model)
+        if state.ordered is not None or now < state.next_order:
+            return False
+        return state.verified != version
+
+    def _note_read(self, model: str, version: int | None, now: float) -> None:
+        state = self._state(model)
+        if version != state.verified:
+            self.generation += 1
+        history = state.history
+        if version is not None:
+            history = _note(history, now, version)
+        settled = version is not None and version == state.verified
+        self.models[model] = ModelState(
+            verified=version,
+            ordered=state.ordered,
+            next_order=state.next_order,
+            backoff_s=ORDER_BACKOFF_MIN_S if settled else state.backoff_s,
+            history=history,
+        )
+
+    def _state(self, model: str) -> ModelState:
+        return self.models.get(model, ModelState())
+
+
+def _note(history: tuple[Served, ...], now: float, version: int) -> tuple[Served, ...]:
+    if history and history[-1].version == version:
+        return history
+    return (*history, Served(now, version))[-HISTORY_LENGTH:]
+
+
+__all__ = ["Order", "ReadVersions", "SwapRecord"]
--- /dev/null
+++ b/src/threadramp/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon: HTTP for callers, trainers and operators."""
--- /dev/null
+++ b/src/threadramp/gateway/calls.py
@@ -0,0 +1,240 @@
+"""Callers' calls: read, bound, routed, sent, answered."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from threadramp.core.call import Call, CallMachine, Failure, Finish, Send
+from threadramp.core.keys import Answer
+from threadramp.gateway.sender import Outgoing, Sender, Stream
+from threadramp.gateway.state import now
+from threadramp.wire import headers
+from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError, bad_request
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from threadramp.config.resources import Pool
+    from threadramp.core.keys import Binding
+    from threadramp.gateway.keys import KeyBinder
+    from threadramp.gateway.state import GatewayState
+
+DEFAULT_DEADLINE_MS = 10_000
+MAX_DEADLINE_MS = 3_600_000
+MS_PER_S = 1000
+DEFAULT_CLASS = "interactive"
+RANKS = {"interactive": 0, "internal": 1, "batch": 2}
+BINDING_HEADER = "X-Binding"
+END_MARK = b"data: [DONE]"
+ERROR_EVENT = b"event: error"
+LINE_BLOCK = 4096
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request as it came in.
+
+    :param headers: the request's headers that threadramp reads
+    """
+
+    pool: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    arrived: float
+
+    def text(self, name: str) -> str:
+        """Return a header, empty if it is not there."""
+        return self.headers.get(name, "")
+
+
+@dataclass(frozen=True)
+class CallerAnswer:
+    """A whole answer for a caller."""
+
+    answer: Answer
+    request_id: str
+    endpoint: str
+    replayed: bool = False
+
+
+@dataclass(frozen=True)
+class CallerStream:
+    """A streamed answer for a caller."""
+
+    lines: Iterator[bytes]
+    request_id: str
+    endpoint: str
+
+
+class Calls:
+    """Takes callers' calls through the gateway."""
+
+    def __init__(self, state: GatewayState, binder: KeyBinder) -> None:
+        self.state = state
+        self.binder = binder
+        self.sender = Sender(state.seal.token, state.settings.threads)
+
+    def run(self, request: CallerRequest) -> CallerAnswer | CallerStream:
+        """Run a call.
+
+        :raises RefusedError: with the final refusal, as soon as it is known
+        """
+        pool = self.state.chain.get("pool", request.pool)
+        if pool is None:
+            message = f"no pool {request.pool!r} is declared"
+            raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
+        call = self._call(request, pool)
+        machine = CallMachine(
+            call, self.state.members, self.state.routing, self.state.retries, self.state.outstanding
+        )
+        return self._drive(machine, request)
+
+    def _drive(self, machine: CallMachine, request: CallerRequest) -> CallerAnswer | CallerStream:
+        action = machine.start(now())
+        while isinstance(action, Send):
+            if action.pause_s:
+                time.sleep(action.pause_s)
+            result = self._send(machine, action, request)
+            if isinstance(result, CallerAnswer | CallerStream):
+                return result
+            if isinstance(result, Failure):
+                self.state.metrics.count("send_failed", result.name.lower())
+                action = machine.failed(result, now())
+            else:
+                if result.reason is Reason.SENDER_BEHIND:
+                    self.state.wake.set()
+                action = machine.refused(result, now())
+        self._count_refusal(action)
+        raise RefusedError(action.refusal)
+
+    def _count_refusal(self, action: Finish) -> None:
+        refusal = action.refusal
+        self.state.metrics.count("refused", f"{refusal.reason.value}:{refusal.outcome.value}")
+
+    def _send(
+        self, machine: CallMachine, action: Send, request: CallerRequest
+    ) -> CallerAnswer | CallerStream | Refusal | Failure:
+        call = machine.call
+        name = action.member.name
+        self.state.opened(name, 1)
+        streaming = False
+        try:
+            result = self.sender.send(self._outgoing(call, action, request))
+            if isinstance(result, Stream):
+                streaming = True
+                lines = self._lines(result, name)
+                return CallerStream(lines, call.request_id, name)
+        finally:
+            if not streaming:
+                self.state.opened(name, -1)
+        if isinstance(result, Answer):
+            return CallerAnswer(result, call.request_id, name)
+        return result
+
+    def _outgoing(self, call: Call, action: Send, request: CallerRequest) -> Outgoing:
+        name = action.member.name
+        sent = {
+            headers.REQUEST_ID: call.request_id,
+            headers.ATTEMPT: str(action.attempt),
+            headers.DEADLINE_MS: str(int(action.time_left_s * MS_PER_S)),
+            headers.PRIORITY: str(call.rank),
+            headers.REVISION: str(self.state.chain.revision),
+            headers.REFUSALS_SEEN: str(call.arrived_refusals.get(name, 0)),
+            "Content-Type": request.text("Content-Type") or "application/json",
+        }
+        if call.binding is not None:
+            sent[BINDING_HEADER] = msgspec.json.encode(call.binding).decode()
+        return Outgoing(
+            request.method,
+            action.member.spec.sidecar_http,
+            f"/v1/call{request.path}",
+            sent,
+            request.body,
+            action.time_left_s,
+        )
+
+    def _lines(self, stream: Stream, endpoint: str) -> Iterator[bytes]:
+        """Pass a stream on; without its end mark it ends in an error event, never silently."""
+        tail = b""
+        try:
+            for block in stream.response.stream(LINE_BLOCK):
+                tail = (tail + block)[-LINE_BLOCK:]
+                yield block
+            if END_MARK not in tail and ERROR_EVENT not in tail:
+                yield _broken_event()
+        except Exception:  # noqa: BLE001 - whatever broke the stream, the caller is told
+            yield _broken_event()
+        finally:
+            stream.response.close()
+            self.state.opened(endpoint, -1)
+
+    def _call(self, request: CallerRequest, pool: Pool) -> Call:
+        refusals = self.state.refusals_known(request.pool)
+        deadline_ms = _number(request, headers.DEADLINE_MS, DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS)
+        repeatable = _flag(request, headers.REPEATABLE, pool.repeatable or pool.type == "model")
+        first_send = request.text(headers.ATTEMPT) == "1"
+        binding = self._binding(request, repeatable, first_send)
+        own_key = request.text(headers.TICKET) or request.text(headers.IDEMPOTENCY_KEY)
+        return Call(
+            request_id=request.text(headers.REQUEST_ID) or uuid.uuid4().hex,
+            pool=request.pool,
+            repeatable=repeatable,
+            rank=self._rank(request),
+            deadline=request.arrived + deadline_ms / MS_PER_S,
+            binding=binding,
+            first_send=first_send or not own_key,
+            arrived_refusals=refusals,
+        )
+
+    def _binding(
+        self, request: CallerRequest, repeatable: bool, first_send: bool
+    ) -> Binding | None:
+        ticket = request.text(headers.TICKET)
+        if ticket:
+            return self.binder.read_ticket(ticket, request.pool)
+        key = request.text(headers.IDEMPOTENCY_KEY)
+        if key:
+            return self.binder.assign(key, request.pool, first_send)
+        return None if repeatable else self.binder.mint(request.pool)
+
+    def _rank(self, request: CallerRequest) -> int:
+        name = request.text(headers.PRIORITY) or DEFAULT_CLASS
+        declared = self.state.chain.get("priority", name)
+        if declared is not None:
+            return declared.rank
+        if name not in RANKS:
+            raise bad_request(f"header {headers.PRIORITY}", f"unknown class {name!r}")
+        return RANKS[name]
+
+
+def _number(request: CallerRequest, name: str, default: int, most: int) -> int:
+    text = request.text(name)
+    if not text:
+        return default
+    if not text.isdigit() or not 0 < int(text) <= most:
+        raise bad_request(f"header {name}", f"expected a whole number from 1 to {most}")
+    return int(text)
+
+
+def _flag(request: CallerRequest, name: str, default: bool) -> bool:
+    text = request.text(name).lower()
+    if not text:
+        return default
+    if text not in ("true", "false"):
+        raise bad_request(f"header {name}", "expected true or false")
+    return text == "true"
+
+
+def _broken_event() -> bytes:
+    refusal = Refusal.unknown(Reason.BROKEN_ANSWER, "the stream ended without its end mark", 1)
+    return ERROR_EVENT + b"\ndata: " + msgspec.json.encode({"error": refusal}) + b"\n\n"
+
+
+__all__ = ["CallerAnswer", "CallerRequest", "CallerStream", "Calls"]
--- /dev/null
+++ b/src/threadramp/gateway/keys.py
@@ -0,0 +1,153 @@
+"""Bindings of idempotency keys: tickets, and assignments for callers' own keys."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from threadramp.core.keys import Binding
+from threadramp.gateway.state import now
+from threadramp.platform.kv import ABSENT, KvUnavailableError
+from threadramp.policy.routing import rendezvous
+from threadramp.wire.outcomes import (
+    DEFAULT_RETRY_AFTER_S,
+    Outcome,
+    Reason,
+    Refusal,
+    RefusedError,
+    bad_request,
+)
+from threadramp.wire.seal import digest
+
+if TYPE_CHECKING:
+    from threadramp.core.membership import Member
+    from threadramp.gateway.state import GatewayState
+
+KEYS_PREFIX = "threadramp/keys/"
+KEY_ATTEMPTS = 3
+LEASE_RENEW_S = 3600.0  # a new lease is granted this often; a granted one is never renewed
+DEFAULT_WINDOW_S = 86_400.0
+MAX_KEY_LENGTH = 256
+
+
+@dataclass(frozen=True)
+class HeldLease:
+    """A lease that assignments of the next hour go with."""
+
+    lease: str
+    granted: float
+
+
+class KeyBinder:
+    """Binds keys to sidecar incarnations."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self.state = state
+        self.lease: HeldLease | None = None
+
+    def mint(self, pool: str) -> Binding:
+        """Make a new key, bound to an available sidecar of the pool.
+
+        :raises RefusedError: if the pool has none
+        """
+        members = self._available(pool, Outcome.NOT_RUN)
+        member = self.state.routing.choose(members, self.state.outstanding)
+        return self._bind(secrets.token_hex(12), pool, member)
+
+    def ticket(self, binding: Binding) -> str:
+        """Return a binding as a signed text for the caller."""
+        body = msgspec.msgpack.encode(binding)
+        return base64.urlsafe_b64encode(self.state.seal.wrap(body)).decode()
+
+    def read_ticket(self, text: str, pool: str) -> Binding:
+        """Return the binding of a ticket.
+
+        :raises RefusedError: if it is not one of this fleet's, or another pool's
+        """
+        try:
+            body = self.state.seal.unwrap(base64.urlsafe_b64decode(text))
+        except (binascii.Error, ValueError):
+            body = None
+        if body is None:
+            raise bad_request("header X-Ticket", "not a ticket of this fleet")
+        binding = msgspec.msgpack.decode(body, type=Binding)
+        if pool and binding.pool != pool:
+            raise bad_request("header X-Ticket", f"it is for pool {binding.pool!r}")
+        return binding
+
+    def assign(self, key: str, pool: str, first_send: bool) -> Binding:
+        """Return the binding of a caller's own key, by one atomic create.
+
+        :raises RefusedError: if the key-value service does not answer or the budget is spent
+        """
+        if not 0 < len(key) <= MAX_KEY_LENGTH:
+            raise bad_request("header Idempotency-Key", f"1 to {MAX_KEY_LENGTH} characters")
+        if self.state.configuration.regressed:
+            message = "the key-value service has forgotten writes; an operator has to confirm"
+            raise self._refused(Reason.KEYS_SUSPENDED, message, first_send)
+        if not self.state.key_writes.take(now()):
+            message = "the budget of key writes is spent"
+            raise self._refused(Reason.WRITE_BUDGET, message, first_send)
+        name = f"{pool}/{key}"
+        outcome = Outcome.NOT_RUN if first_send else Outcome.UNKNOWN
+        members = {member.name: member for member in self._available(pool, outcome)}
+        member = members[rendezvous(name, list(members))[0]]
+        wanted = self._bind(name, pool, member)
+        for _ in range(KEY_ATTEMPTS):
+            try:
+                return self._create(wanted)
+            except KvUnavailableError:
+                self.state.metrics.count("kv_unavailable", "keys")
+        message = "the key-value service does not answer"
+        raise self._refused(Reason.PLATFORM_OUT, message, first_send)
+
+    def find(self, key: str, pool: str) -> Binding | None:
+        """Return the assignment of a caller's own key, none if there seems to be none.
+
+        :raises KvUnavailableError: if the key-value service does not answer
+        """
+        held = self.state.kv.get(_assignment_key(f"{pool}/{key}"))
+        return msgspec.json.decode(held.value, type=Binding) if held.value else None
+
+    def _create(self, wanted: Binding) -> Binding:
+        """Create the assignment or take the one that is there; repeating it is safe."""
+        value = msgspec.json.encode(wanted)
+        key = _assignment_key(wanted.key)
+        result = self.state.kv.swap(key, ABSENT, value, self._lease())
+        return msgspec.json.decode(result.current.value, type=Binding)
+
+    def _lease(self) -> str:
+        """Return a lease of at least the window's length; nobody has to keep it alive."""
+        held = self.lease
+        if held is None or now() - held.granted > LEASE_RENEW_S:
+            lease = self.state.kv.lease(DEFAULT_WINDOW_S + 2 * LEASE_RENEW_S)
+            held = HeldLease(lease, now())
+            self.lease = held
+        return held.lease
+
+    def _available(self, pool: str, outcome: Outcome) -> list[Member]:
+        members = [member for member in self.state.members(pool) if member.is_available]
+        if not members:
+            message = f"no endpoint of pool {pool!r} takes calls"
+            raise RefusedError(Refusal(Reason.NO_ENDPOINT, outcome, message, DEFAULT_RETRY_AFTER_S))
+        return members
+
+    def _bind(self, key: str, pool: str, member: Member) -> Binding:
+        return Binding(key, pool, member.name, member.report.incarnation, member.report.epoch)
+
+    def _refused(self, reason: Reason, message: str, first_send: bool) -> RefusedError:
+        """Of a key that may have been sent before, nothing is known here."""
+        outcome = Outcome.NOT_RUN if first_send else Outcome.UNKNOWN
+        return RefusedError(Refusal(reason, outcome, message, DEFAULT_RETRY_AFTER_S))
+
+
+def _assignment_key(name: str) -> str:
+    return KEYS_PREFIX + digest(name.encode())
+
+
+__all__ = ["KeyBinder"]
--- /dev/null
+++ b/src/threadramp/gateway/settle.py
@@ -0,0 +1,103 @@
+"""Settles what became of a request, as far as it can be settled."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from threadramp.core.keys import KeyState
+from threadramp.platform.kv import KvUnavailableError
+from threadramp.wire.messages import KeyAnswer, KeyQuery
+from threadramp.wire.outcomes import DEFAULT_RETRY_AFTER_S, Outcome, Reason, Refusal, RefusedError
+
+if TYPE_CHECKING:
+    from threadramp.core.keys import Binding
+    from threadramp.gateway.keys import KeyBinder
+    from threadramp.gateway.state import GatewayState
+
+QUERY_TIMEOUT_S = 1.0
+OUTCOMES_PREFIX = "threadramp/outcomes/"
+
+_OUTCOMES = {
+    KeyState.RAN.value: Outcome.RAN,
+    KeyState.REFUSED.value: Outcome.NOT_RUN,
+    KeyState.RUNNING.value: Outcome.UNKNOWN,
+    KeyState.UNKNOWN.value: Outcome.UNKNOWN,
+}
+
+
+class Settlement(msgspec.Struct, frozen=True):
+    """What is known of a request.
+
+    :param state: the sidecar's word for it, ``unseen`` or ``gone``
+    """
+
+    outcome: str
+    state: str
+    endpoint: str
+
+
+class Settler:
+    """Asks the one sidecar that a key is bound to."""
+
+    def __init__(self, state: GatewayState, binder: KeyBinder) -> None:
+        self.state = state
+        self.binder = binder
+
+    def settle(self, key: str, pool: str) -> Settlement:
+        """Return what is known.
+
+        :param key: a ticket, or with ``pool`` a caller's own key
+        :raises RefusedError: if nobody can be asked now
+        """
+        binding = self._binding(key, pool)
+        endpoint = self.state.chain.get("endpoint", binding.endpoint)
+        if endpoint is None:
+            return self._gone(binding)
+        address = endpoint.sidecar_sync
+        query = KeyQuery(binding.key)
+        reply = self.state.sync.exchange({address: query}, QUERY_TIMEOUT_S).get(address)
+        if not isinstance(reply, KeyAnswer):
+            raise _try_later("the sidecar that holds this key does not answer")
+        if reply.incarnation != binding.incarnation:
+            return self._gone(binding)
+        if not reply.state:
+            return Settlement(Outcome.UNKNOWN.value, "unseen", binding.endpoint)
+        return Settlement(_OUTCOMES[reply.state].value, reply.state, binding.endpoint)
+
+    def _binding(self, key: str, pool: str) -> Binding:
+        if not pool:
+            return self.binder.read_ticket(key, "")
+        try:
+            binding = self.binder.find(key, pool)
+        except KvUnavailableError as error:
+            raise _try_later("the key-value service does not answer") from error
+        if binding is None:
+            message = "no assignment of this key is known"
+            raise RefusedError(Refusal.unknown(Reason.NOT_FOUND, message, DEFAULT_RETRY_AFTER_S))
+        return binding
+
+    def _gone(self, binding: Binding) -> Settlement:
+        """Look for the note that a planned stop leaves."""
+        try:
+            held = self.state.kv.get(outcomes_key(binding.endpoint, binding.incarnation))
+        except KvUnavailableError as error:
+            raise _try_later("the key-value service does not answer") from error
+        outcomes = msgspec.json.decode(held.value, type=dict[str, str]) if held.value else None
+        if outcomes is None:
+            return Settlement(Outcome.UNKNOWN.value, "gone", binding.endpoint)
+        state = outcomes.get(binding.key, KeyState.REFUSED.value)
+        return Settlement(_OUTCOMES[state].value, state, binding.endpoint)
+
+
+def outcomes_key(endpoint: str, incarnation: str) -> str:
+    """Return where a planned stop of a sidecar notes its keys' outcomes."""
+    return f"{OUTCOMES_PREFIX}{endpoint}/{incarnation}"
+
+
+def _try_later(message: str) -> RefusedError:
+    return RefusedError(Refusal.unknown(Reason.PLATFORM_OUT, message, DEFAULT_RETRY_AFTER_S))
+
+
+__all__ = ["Settlement", "Settler", "outcomes_key"]
--- /dev/null
+++ b/src/threadramp/gateway/state.py
@@ -0,0 +1,102 @@
+"""What the threads of one gateway share."""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from random import Random
+from typing import TYPE_CHECKING
+
+from threadramp.core.chain import Chain
+from threadramp.core.marks import StepMarks
+from threadramp.core.membership import Membership
+from threadramp.gateway.configuration import Configuration
+from threadramp.platform.kv import KvClient
+from threadramp.policy.retries import RetryBudget, TokenBucket
+from threadramp.policy.routing import ROUTINGS
+from threadramp.policy.subset import gateway_subset
+from threadramp.report.metrics import Metrics
+from threadramp.wire.seal import Seal
+from threadramp.wire.sync import SyncClient
+
+if TYPE_CHECKING:
+    from threadramp.config.settings import Settings
+    from threadramp.core.membership import Member
+
+DEFAULT_ROUTING = "two_choice"
+KEY_WRITE_BURST_S = 2.0
+
+
+class GatewayState:
+    """A gateway's soft state; all of it can be rebuilt by asking others.
+
+    :ivar lock: held around membership and marks
+    :ivar wake: set when the next beat should not wait
+    :ivar stopping: set while open requests finish before a planned stop
+    :ivar stopped: set when the background threads should end
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        own = settings.gateway
+        self.settings = own
+        self.auth = settings.auth
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.seal = Seal(settings.auth.fleet_key)
+        self.lock = threading.RLock()
+        self.wake = threading.Event()
+        self.stopping = threading.Event()
+        self.stopped = threading.Event()
+        self.chain = Chain()
+        self.marks = StepMarks()
+        self.membership = Membership()
+        self.kv = KvClient(settings.platform.kv, settings.platform.kv_timeout_s)
+        self.configuration = Configuration(self.chain, self.kv, self.configuration_changed)
+        self.sync = SyncClient(self.seal)
+        self.metrics = Metrics("threadramp_gateway")
+        self.random = Random(own.index)
+        self.routing = ROUTINGS[DEFAULT_ROUTING](self.random)
+        self.retries = RetryBudget()
+        burst = max(1.0, own.key_writes_per_s * KEY_WRITE_BURST_S)
+        self.key_writes = TokenBucket(own.key_writes_per_s, burst, now())
+        self.outstanding: dict[str, int] = {}
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> GatewayState:
+        """Build the state from checked settings."""
+        return cls(settings)
+
+    def configuration_changed(self) -> None:
+        """Take over a new revision, and beat at once so that it spreads."""
+        endpoints = self.chain.of_kind("endpoint")
+        own = self.settings
+        wanted = set()
+        for pool in {spec.pool for spec in endpoints.values()}:
+            names = [name for name, spec in endpoints.items() if spec.pool == pool]
+            wanted.update(gateway_subset(names, own.index, own.count, own.coverage))
+        with self.lock:
+            self.membership.declare({name: endpoints[name] for name in wanted})
+        self.wake.set()
+
+    def members(self, pool: str) -> list[Member]:
+        """Return the members of a pool."""
+        with self.lock:
+            return self.membership.of_pool(pool)
+
+    def refusals_known(self, pool: str) -> dict[str, int]:
+        """Return the refusals known by endpoint; taken when a call arrives."""
+        members = self.members(pool)
+        return {member.name: member.report.refusals for member in members if member.report}
+
+    def opened(self, endpoint: str, change: int) -> None:
+        """Count a call to an endpoint that begins (1) or ends (-1)."""
+        with self.lock:
+            self.outstanding[endpoint] = self.outstanding.get(endpoint, 0) + change
+
+
+def now() -> float:
+    """Return the monotonic time in seconds; it goes on while the process is stopped."""
+    return time.monotonic()
+
+
+__all__ = ["GatewayState", "now"]
--- /dev/null
+++ b/src/threadramp/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform runs: key-value service and box list."""
--- /dev/null
+++ b/src/threadramp/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions that the core asks: routing, placement, retries, staleness."""
--- /dev/null
+++ b/src/threadramp/policy/reserve.py
@@ -0,0 +1,59 @@
+"""How many slots a sidecar keeps free for calls while rollouts run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RESERVES: dict[str, type[ReservePolicy]] = {}
+
+
+def reserve_policy(name: str) -> Callable[[type[ReservePolicy]], type[ReservePolicy]]:
+    """Register a reserve policy under a name."""
+
+    def register(cls: type[ReservePolicy]) -> type[ReservePolicy]:
+        RESERVES[name] = cls
+        return cls
+
+    return register
+
+
+class ReservePolicy:
+    """Base of the reserve policies: keep nothing free."""
+
+    def arrived(self, now: float) -> None:
+        """Note the arrival of a call."""
+
+    def slots(self, slots: int, running: int, now: float) -> int:
+        """Return how many free slots a new rollout must leave."""
+        return 0
+
+
+@reserve_policy("none")
+class NoReserve(ReservePolicy):
+    """Keep nothing free; rollouts give way when a call waits."""
+
+
+@reserve_policy("recent")
+class RecentReserve(ReservePolicy):
+    """Keep one slot free for a while after a call has arrived.
+
+    :param hold_s: how long after an arrival
+    """
+
+    def __init__(self, hold_s: float = 2.0) -> None:
+        self.hold_s = hold_s
+        self.last = float("-inf")
+
+    def arrived(self, now: float) -> None:
+        """Note the arrival of a call."""
+        self.last = now
+
+    def slots(self, slots: int, running: int, now: float) -> int:
+        """Return how many free slots a new rollout must leave."""
+        return 1 if slots > 1 and now - self.last < self.hold_s else 0
+
+
+__all__ = ["NoReserve", "RESERVES", "RecentReserve", "ReservePolicy", "reserve_policy"]
--- /dev/null
+++ b/src/threadramp/policy/routing.py
@@ -0,0 +1,85 @@
+"""Which endpoint a call goes to."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from random import Random
+
+    from threadramp.core.membership import Member
+
+ROUTINGS: dict[str, type[Routing]] = {}
+
+
+def routing(name: str) -> Callable[[type[Routing]], type[Routing]]:
+    """Register a routing under a name."""
+
+    def register(cls: type[Routing]) -> type[Routing]:
+        ROUTINGS[name] = cls
+        return cls
+
+    return register
+
+
+class Routing:
+    """Base of the routings.
+
+    :param random: a seeded source
+    """
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+
+    def choose(self, candidates: Sequence[Member], outstanding: dict[str, int]) -> Member:
+        """Return one of the candidates, of which there is at least one.
+
+        :param outstanding: calls that this gateway has open, by endpoint
+        """
+        raise NotImplementedError
+
+
+@routing("round_robin")
+class RoundRobin(Routing):
+    """Each endpoint in turn."""
+
+    def __init__(self, random: Random) -> None:
+        super().__init__(random)
+        self.turn = 0
+
+    def choose(self, candidates: Sequence[Member], outstanding: dict[str, int]) -> Member:
+        """Return the candidate whose turn it is."""
+        self.turn += 1
+        return candidates[self.turn % len(candidates)]
+
+
+@routing("two_choice")
+class TwoChoice(Routing):
+    """The less loaded of two drawn at random, by the sidecars' own counts."""
+
+    def choose(self, candidates: Sequence[Member], outstanding: dict[str, int]) -> Member:
+        """Return the candidate with the shorter expected wait."""
+        pair = self.random.sample(candidates, min(2, len(candidates)))
+        return min(pair, key=lambda member: _load(member, outstanding.get(member.name, 0)))
+
+
+def rendezvous(key: str, names: Sequence[str]) -> list[str]:
+    """Return ``names`` in the order in which ``key`` prefers them."""
+
+    def weight(name: str) -> bytes:
+        return blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+
+    return sorted(names, key=weight, reverse=True)
+
+
+def _load(member: Member, outstanding: int) -> float:
+    report = member.report
+    if report is None:
+        return float(outstanding)
+    reported = report.running + report.queued
+    return max(outstanding, reported) / max(1, report.slots)
+
+
+__all__ = ["ROUTINGS", "RoundRobin", "Routing", "TwoChoice", "rendezvous"]
--- /dev/null
+++ b/src/threadramp/policy/subset.py
@@ -0,0 +1,44 @@
+"""Which endpoints a gateway beats to, and which ones a trainer's steps use."""
+
+from __future__ import annotations
+
+from math import ceil
+from random import Random
+from typing import TYPE_CHECKING
+
+from threadramp.policy.routing import rendezvous
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+SMALL_POOL = 32  # up to here everybody talks to everybody
+SHARD_MARGIN = 1.5  # a trainer's shard is this much larger than an even share
+
+
+def gateway_subset(names: Sequence[str], index: int, count: int, coverage: int) -> list[str]:
+    """Return the endpoints of one pool that gateway ``index`` of ``count`` beats to.
+
+    In each of ``coverage`` rounds the endpoints are shuffled by the round's number and cut into
+    ``count`` even parts, so each endpoint hears from about ``coverage`` gateways and each gateway
+    has the same number of endpoints.
+    """
+    ordered = sorted(names)
+    if len(ordered) <= SMALL_POOL or count <= coverage:
+        return ordered
+    chosen: set[str] = set()
+    for round_number in range(coverage):
+        shuffled = list(ordered)
+        Random(round_number).shuffle(shuffled)
+        chosen.update(shuffled[index % count :: count])
+    return sorted(chosen)
+
+
+def trainer_shard(trainer: str, names: Sequence[str], trainers: int) -> list[str]:
+    """Return the endpoints on which a trainer's steps run; every gateway computes the same."""
+    if len(names) <= SMALL_POOL:
+        return sorted(names)
+    share = ceil(SHARD_MARGIN * len(names) / max(1, trainers))
+    return rendezvous(trainer, sorted(names))[: max(SMALL_POOL, share)]
+
+
+__all__ = ["gateway_subset", "trainer_shard"]
--- /dev/null
+++ b/src/threadramp/report/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, histograms and the service-level burn report."""
--- /dev/null
+++ b/src/threadramp/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon: the only way to its endpoint."""
--- /dev/null
+++ b/src/threadramp/sidecar/reconciler.py
@@ -0,0 +1,75 @@
+"""Brings the engine to the declared weight versions and notices when it is not there."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.core.swap import Order
+from threadramp.report.log import log_state
+from threadramp.sidecar.state import now
+
+if TYPE_CHECKING:
+    from threadramp.sidecar.state import SidecarState
+
+TICK_S = 0.1
+
+
+class Reconciler:
+    """One thread that orders and reads back, and one that only watches the clock."""
+
+    def __init__(self, state: SidecarState) -> None:
+        self.state = state
+        self.core = state.core
+        self.stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start both threads."""
+        threading.Thread(target=self._reconcile, name="reconciler", daemon=True).start()
+        threading.Thread(target=self._watch_clock, name="clock", daemon=True).start()
+
+    def stop(self) -> None:
+        """End both threads."""
+        self.stopped.set()
+
+    def _watch_clock(self) -> None:
+        while not self.stopped.wait(TICK_S):
+            with self.state.lock:
+                self.core.observe(now())
+
+    def _reconcile(self) -> None:
+        while not self.stopped.wait(TICK_S):
+            with self.state.lock:
+                serves_models = bool(self.core.declared_versions())
+                due = self.core.orders_due(now()) if serves_models else []
+            for action in due:
+                if isinstance(action, Order):
+                    self._order(action)
+                else:
+                    self._read()
+
+    def _order(self, order: Order) -> None:
+        with self.state.lock:
+            self.core.swap.order_sent(order, now())
+        log_state("order_sent", model=order.model, version=order.version, fence=order.fence)
+        accepted, fence = self.state.engine.order(order)
+        self.state.metrics.count("order", "accepted" if accepted else "failed")
+        with self.state.lock:
+            self.core.swap.order_ended(order.model, accepted, now(), fence)
+        self._read()
+
+    def _read(self) -> None:
+        read = self.state.engine.versions()
+        with self.state.work:
+            before = self.core.swap.verified()
+            if read is None:
+                self.core.swap.versions_read(self.core.swap.boot, {}, now())
+            else:
+                self.core.swap.versions_read(read.boot, read.weights, now())
+            after = self.core.swap.verified()
+            self.state.work.notify_all()
+        if before != after:
+            log_state("verified", before=before, after=after)
+
+
+__all__ = ["Reconciler"]
--- /dev/null
+++ b/src/threadramp/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the processes and the transports that carry them."""
--- /dev/null
+++ b/src/threadramp/wire/headers.py
@@ -0,0 +1,35 @@
+"""Names of the HTTP headers that threadramp reads and writes."""
+
+from __future__ import annotations
+
+REQUEST_ID = "X-Request-Id"
+ATTEMPT = "X-Attempt"
+DEADLINE_MS = "X-Deadline-Ms"
+PRIORITY = "X-Priority"
+REPEATABLE = "X-Repeatable"
+TICKET = "X-Ticket"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+OUTCOME = "X-Outcome"
+REVISION = "X-Revision"
+REFUSALS_SEEN = "X-Refusals-Seen"
+BODY_DIGEST = "X-Body-Digest"
+REPLAYED = "X-Replayed"
+ENDPOINT = "X-Endpoint"
+QUEUE = "X-Load"
+
+__all__ = [
+    "ATTEMPT",
+    "BODY_DIGEST",
+    "DEADLINE_MS",
+    "ENDPOINT",
+    "IDEMPOTENCY_KEY",
+    "OUTCOME",
+    "PRIORITY",
+    "QUEUE",
+    "REFUSALS_SEEN",
+    "REPEATABLE",
+    "REPLAYED",
+    "REQUEST_ID",
+    "REVISION",
+    "TICKET",
+]
--- /dev/null
+++ b/src/threadramp/wire/http.py
@@ -0,0 +1,172 @@
+"""What the daemons share of CherryPy: server set-up, bodies, typed refusals."""
+
+from __future__ import annotations
+
+import functools
+import threading
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+import msgspec
+
+from threadramp.config.findings import FindingsError
+from threadramp.wire.headers import OUTCOME
+from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_HEADER_BYTES = 16_384
+SOCKET_QUEUE = 256
+SHUTDOWN_TIMEOUT_S = 5
+JSON_TYPE = "application/json"
+
+
+def start_http(root: object, listen: str, threads: int, max_body_bytes: int) -> None:
+    """Serve ``root`` in this process.
+
+    :param listen: ``ip:port``
+    """
+    host, _, port = listen.partition(":")
+    cherrypy.config.update(
+        {
+            "environment": "production",
+            "engine.autoreload.on": False,
+            "checker.on": False,
+            "log.screen": False,
+            "server.socket_host": host,
+            "server.socket_port": int(port),
+            "server.thread_pool": threads,
+            "server.socket_queue_size": SOCKET_QUEUE,
+            "server.max_request_body_size": max_body_bytes,
+            "server.max_request_header_size": MAX_HEADER_BYTES,
+            "server.shutdown_timeout": SHUTDOWN_TIMEOUT_S,
+        }
+    )
+    config = {
+        "/": {
+            "request.dispatch": cherrypy.dispatch.MethodDispatcher(),
+            "request.process_request_body": False,
+            "tools.trailing_slash.on": False,
+            "tools.open_requests.on": True,
+        }
+    }
+    cherrypy.tree.mount(root, "/", config)
+    cherrypy.log.access_log.disabled = True
+    cherrypy.engine.start()
+
+
+class OpenRequests(cherrypy.Tool):
+    """Counts the requests that are open, a streamed answer's end included."""
+
+    def __init__(self) -> None:
+        super().__init__("on_start_resource", self.begin, name="open_requests")
+        self.lock = threading.Lock()
+        self.count = 0
+
+    def _setup(self) -> None:
+        super()._setup()
+        cherrypy.request.hooks.attach("on_end_request", self.end)
+
+    def begin(self) -> None:
+        """Count a request that begins."""
+        with self.lock:
+            self.count += 1
+
+    def end(self) -> None:
+        """Count a request that has ended."""
+        with self.lock:
+            self.count -= 1
+
+
+cherrypy.tools.open_requests = OpenRequests()
+
+
+def open_requests() -> int:
+    """Return how many requests are open."""
+    return cherrypy.tools.open_requests.count
+
+
+def stop_http() -> None:
+    """Stop serving."""
+    cherrypy.engine.exit()
+
+
+def read_body(limit: int) -> bytes:
+    """Read the request's body.
+
+    :param limit: most bytes that are accepted
+    :raises RefusedError: if it is longer
+    """
+    length = cherrypy.request.headers.get("Content-Length")
+    if length is not None and int(length) > limit:
+        raise _too_large(limit)
+    body = cherrypy.request.rfile.read(limit + 1 if length is None else int(length))
+    if len(body) > limit:
+        raise _too_large(limit)
+    return body
+
+
+def header(name: str, default: str = "") -> str:
+    """Return a request header."""
+    return cherrypy.request.headers.get(name, default)
+
+
+def answer_json(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> bytes:
+    """Answer with JSON."""
+    return answer_bytes(msgspec.json.encode(value), status, JSON_TYPE, headers)
+
+
+def answer_bytes(
+    body: bytes, status: int, content_type: str, headers: dict[str, str] | None = None
+) -> bytes:
+    """Answer with a whole body."""
+    cherrypy.response.status = status
+    cherrypy.response.headers["Content-Type"] = content_type
+    cherrypy.response.headers["Content-Length"] = str(len(body))
+    for name, value in (headers or {}).items():
+        cherrypy.response.headers[name] = value
+    return body
+
+
+def answer_refusal(refusal: Refusal, headers: dict[str, str] | None = None) -> bytes:
+    """Answer with a typed refusal, at once."""
+    extra = {OUTCOME: refusal.outcome.value, **(headers or {})}
+    if refusal.retry_after_s:
+        extra["Retry-After"] = str(refusal.retry_after_s)
+    return answer_json({"error": refusal}, refusal.status, extra)
+
+
+def edge(handler: Callable[..., Any]) -> Callable[..., Any]:
+    """Turn the typed errors of a handler into answers."""
+
+    @functools.wraps(handler)
+    def handle(*args: Any, **kwargs: Any) -> Any:
+        try:
+            return handler(*args, **kwargs)
+        except RefusedError as error:
+            return answer_refusal(error.refusal)
+        except FindingsError as error:
+            refusal = Refusal(Reason.FINDINGS, Outcome.NOT_RUN, "the change was not accepted")
+            body = {"error": refusal, "findings": error.findings}
+            return answer_json(body, refusal.status, {OUTCOME: Outcome.NOT_RUN.value})
+
+    return handle
+
+
+def _too_large(limit: int) -> RefusedError:
+    message = f"the body is longer than {limit} bytes"
+    return RefusedError(Refusal(Reason.TOO_LARGE, Outcome.NOT_RUN, message, place="body"))
+
+
+__all__ = [
+    "answer_bytes",
+    "answer_json",
+    "answer_refusal",
+    "edge",
+    "header",
+    "open_requests",
+    "read_body",
+    "start_http",
+    "stop_http",
+]
--- /dev/null
+++ b/src/threadramp/wire/messages.py
@@ -0,0 +1,265 @@
+"""Messages of the sync exchange between gateways and sidecars."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages; the tag names the type on the wire."""
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """One accepted change of configuration.
+
+    :param spec: the resource's new specification, or none if it was deleted
+    """
+
+    revision: int
+    change_id: str
+    kind: str
+    name: str
+    spec: dict[str, Any] | None
+
+
+class SnapshotEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One resource of a snapshot, with the revision at which it last changed."""
+
+    kind: str
+    name: str
+    revision: int
+    spec: dict[str, Any]
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The whole configuration at one revision."""
+
+    revision: int
+    entries: tuple[SnapshotEntry, ...]
+
+
+class StepMark(msgspec.Struct, frozen=True, array_like=True):
+    """Which steps of a trainer's run are closed: all up to ``mark``, and ``beyond``."""
+
+    trainer: str
+    run: str
+    mark: int
+    beyond: tuple[int, ...] = ()
+
+
+class EndpointReport(msgspec.Struct, frozen=True, array_like=True):
+    """What holds at one endpoint, as its sidecar reports it.
+
+    :param epoch: the sidecar's count of key epochs, see :mod:`threadramp.core.keys`
+    :param refusals: the sidecar's count of refused keys
+    :param leaving: whether it takes no new work
+    :param weights: verified versions by model; a model that is not there is not verified
+    """
+
+    endpoint: str
+    incarnation: str
+    revision: int
+    epoch: int
+    refusals: int
+    leaving: bool
+    slots: int
+    running: int
+    queued: int
+    rollouts: int
+    weights: dict[str, int]
+    problems: tuple[str, ...] = ()
+
+
+class SyncRequest(Message, frozen=True):
+    """A gateway's beat: what it has, so that the sidecar sends what is missing."""
+
+    sender: str
+    revision: int
+    changes: tuple[Change, ...] = ()
+    snapshot: Snapshot | None = None
+    marks: tuple[StepMark, ...] = ()
+    marks_seen: int = -1
+
+
+class SyncReply(Message, frozen=True):
+    """A sidecar's answer to a beat.
+
+    :param marks_count: the sidecar's count of changes to its marks
+    """
+
+    report: EndpointReport
+    changes: tuple[Change, ...] = ()
+    snapshot: Snapshot | None = None
+    marks: tuple[StepMark, ...] = ()
+    marks_count: int = 0
+
+
+class StepKey(msgspec.Struct, frozen=True, array_like=True):
+    """A step of one run of a trainer."""
+
+    trainer: str
+    run: str
+    step: int
+
+
+class CallStamp(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Orders the calls for one step: a later one supersedes an earlier one.
+
+    :param number: the trainer's own count of calls for the step
+    :param started_ms: wall clock of the gateway, a tie break only
+    """
+
+    number: int
+    started_ms: int
+    nonce: str
+
+
+class SampleSpec(msgspec.Struct, frozen=True, array_like=True):
+    """A sample that a sidecar is asked to produce."""
+
+    sample: str
+    prompt: str
+    max_tokens: int
+    seed: int
+    attempt: int
+
+
+class Piece(msgspec.Struct, frozen=True, array_like=True):
+    """A run of tokens that one weight version produced."""
+
+    version: int
+    tokens: int
+
+
+class SampleStatus(msgspec.Struct, frozen=True, array_like=True):
+    """A finished sample that a sidecar holds."""
+
+    sample: str
+    attempt: int
+    oldest: int
+    newest: int
+
+
+class RunningStatus(msgspec.Struct, frozen=True, array_like=True):
+    """A sample that a sidecar has queued or is producing."""
+
+    sample: str
+    attempt: int
+    tokens: int
+    oldest: int
+
+
+class SamplePayload(msgspec.Struct, frozen=True, array_like=True):
+    """A finished sample with its text and labels."""
+
+    sample: str
+    attempt: int
+    text: str
+    pieces: tuple[Piece, ...]
+
+    @property
+    def oldest(self) -> int:
+        """Return the oldest version that produced any of it."""
+        return min(piece.version for piece in self.pieces)
+
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """Return all versions that produced it, in ascending order."""
+        return tuple(sorted({piece.version for piece in self.pieces}))
+
+
+class StepPoll(Message, frozen=True):
+    """A gateway's exchange about one step: submit, cancel, fetch and ask."""
+
+    key: StepKey
+    call: CallStamp
+    revision: int
+    model: str
+    oldest_allowed: int
+    submit: tuple[SampleSpec, ...] = ()
+    cancel: tuple[str, ...] = ()
+    fetch: tuple[str, ...] = ()
+
+
+class StepPollReply(Message, frozen=True):
+    """What a sidecar holds of a step."""
+
+    finished: tuple[SampleStatus, ...] = ()
+    running: tuple[RunningStatus, ...] = ()
+    payloads: tuple[SamplePayload, ...] = ()
+    refused: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+class StepRefused(Message, frozen=True):
+    """A sidecar takes nothing for this call.
+
+    :param reason: a value of :class:`threadramp.wire.outcomes.Reason`
+    """
+
+    reason: str
+    lot: str = ""
+    changes: tuple[Change, ...] = ()
+    snapshot: Snapshot | None = None
+
+
+class CloseStep(Message, frozen=True):
+    """The trainer has the lot; the step is closed for ever."""
+
+    key: StepKey
+    lot: str
+
+
+class StepClosed(Message, frozen=True):
+    """A sidecar has closed the step."""
+
+    key: StepKey
+
+
+class KeyQuery(Message, frozen=True):
+    """Ask what became of an idempotency key."""
+
+    key: str
+
+
+class KeyAnswer(Message, frozen=True):
+    """What a sidecar knows of a key.
+
+    :param state: a value of :class:`threadramp.core.keys.KeyState`, empty if it has none
+    """
+
+    incarnation: str
+    state: str
+
+
+Request = SyncRequest | StepPoll | CloseStep | KeyQuery
+Reply = SyncReply | StepPollReply | StepRefused | StepClosed | KeyAnswer
+
+__all__ = [
+    "CallStamp",
+    "Change",
+    "CloseStep",
+    "EndpointReport",
+    "KeyAnswer",
+    "KeyQuery",
+    "Message",
+    "Piece",
+    "Reply",
+    "Request",
+    "RunningStatus",
+    "SamplePayload",
+    "SampleSpec",
+    "SampleStatus",
+    "Snapshot",
+    "SnapshotEntry",
+    "StepClosed",
+    "StepKey",
+    "StepMark",
+    "StepPoll",
+    "StepPollReply",
+    "StepRefused",
+    "SyncReply",
+    "SyncRequest",
+]
--- /dev/null
+++ b/src/threadramp/wire/sync.py
@@ -0,0 +1,136 @@
+"""Carry messages between gateways and sidecars over pynng request and reply sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from typing import TYPE_CHECKING
+
+import msgspec
+from pynng import Rep0, Req0
+from pynng.exceptions import Closed, NNGException
+
+from threadramp.wire.messages import Reply, Request
+from threadramp.wire.seal import Seal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NO_RESEND_MS = 3_600_000  # the request itself is repeated by whoever still wants the answer
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1000
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+_requests = msgspec.msgpack.Decoder(Request)
+_replies = msgspec.msgpack.Decoder(Reply)
+_encoder = msgspec.msgpack.Encoder()
+
+
+class SyncClient:
+    """Exchanges messages with many sidecars at once from one thread."""
+
+    def __init__(self, seal: Seal) -> None:
+        self.seal = seal
+        self.loop = asyncio.new_event_loop()
+        self.sockets: dict[str, Req0] = {}
+        self.thread = threading.Thread(target=self.loop.run_forever, name="sync", daemon=True)
+        self.thread.start()
+
+    def exchange(self, requests: dict[str, Request], timeout_s: float) -> dict[str, Reply]:
+        """Send each address its request and collect what comes back in time.
+
+        :param requests: by ``ip:port``
+        :returns: replies by address; one that did not answer in time is not there
+        """
+        work = self._exchange_all(requests, timeout_s)
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+
+    def forget(self, address: str) -> None:
+        """Close the socket to an address that is no longer wanted."""
+        self.loop.call_soon_threadsafe(self._close, address)
+
+    def close(self) -> None:
+        """Close all sockets and end the thread."""
+        for address in list(self.sockets):
+            self.forget(address)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+    def _close(self, address: str) -> None:
+        socket = self.sockets.pop(address, None)
+        if socket is not None:
+            socket.close()
+
+    async def _exchange_all(
+        self, requests: dict[str, Request], timeout_s: float
+    ) -> dict[str, Reply]:
+        tasks = [self._exchange_one(address, body, timeout_s) for address, body in requests.items()]
+        answers = await asyncio.gather(*tasks)
+        pairs = zip(requests, answers, strict=True)
+        return {address: reply for address, reply in pairs if reply is not None}
+
+    async def _exchange_one(self, address: str, request: Request, timeout_s: float) -> Reply | None:
+        socket = self.sockets.get(address)
+        if socket is None:
+            socket = Req0(resend_time=NO_RESEND_MS)
+            socket.reconnect_time_min = RECONNECT_MIN_MS
+            socket.reconnect_time_max = RECONNECT_MAX_MS
+            socket.recv_max_size = MAX_MESSAGE_BYTES
+            socket.dial(f"tcp://{address}", block=False)
+            self.sockets[address] = socket
+        context = socket.new_context()
+        try:
+            sealed = self.seal.wrap(_encoder.encode(request))
+            async with asyncio.timeout(timeout_s):
+                await context.asend(sealed)
+                answer = await context.arecv()
+            body = self.seal.unwrap(answer)
+            return None if body is None else _replies.decode(body)
+        except (TimeoutError, NNGException, msgspec.DecodeError):
+            return None
+        finally:
+            context.close()
+
+
+class SyncServer:
+    """Answers messages at one address from a few threads.
+
+    :param handle: turns a request into its reply
+    """
+
+    def __init__(
+        self, address: str, seal: Seal, handle: Callable[[Request], Reply], threads: int
+    ) -> None:
+        self.seal = seal
+        self.handle = handle
+        self.socket = Rep0(listen=f"tcp://{address}")
+        self.socket.recv_max_size = MAX_MESSAGE_BYTES
+        self.rejected = 0
+        self.threads = [
+            threading.Thread(target=self._serve, name=f"sync-{number}", daemon=True)
+            for number in range(threads)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.socket.close()
+
+    def _serve(self) -> None:
+        context = self.socket.new_context()
+        while True:
+            try:
+                body = self.seal.unwrap(context.recv())
+                if body is None:
+                    self.rejected += 1  # not of this fleet: no reply, its sender times out
+                    continue
+                reply = self.handle(_requests.decode(body))
+                context.send(self.seal.wrap(_encoder.encode(reply)))
+            except Closed:
+                return
+            except (NNGException, msgspec.DecodeError):
+                self.rejected += 1
+
+
+__all__ = ["SyncClient", "SyncServer"]
--- /dev/null
+++ b/tests/core/test_keys.py
@@ -0,0 +1,76 @@
+from __future__ import annotations
+
+import pytest
+
+from threadramp.core.keys import Answer, Binding, KeyTable, Replay, Run, Wait
+from threadramp.wire.outcomes import Outcome, Reason, Refusal
+
+WINDOW_S = 80.0  # an epoch is ten seconds
+ANSWER = Answer(200, "text/plain", b"done")
+
+
+@pytest.fixture
+def table() -> KeyTable:
+    return KeyTable("bank-0", "inc-1", WINDOW_S, max_keys=3, max_answers=2, now=0.0)
+
+
+def bind(key: str, incarnation: str = "inc-1", epoch: int = 0) -> Binding:
+    return Binding(key, "bank", "bank-0", incarnation, epoch)
+
+
+def test_key_runs_once_and_is_answered_from_memory(table: KeyTable) -> None:
+    assert table.begin(bind("a"), "d", 0, 1.0) == Run()
+    assert table.begin(bind("a"), "d", 0, 1.0) == Wait()
+    table.finish("a", ANSWER, keep=True)
+    assert table.begin(bind("a"), "d", 0, 2.0) == Replay(ANSWER)
+
+
+def test_key_of_another_incarnation_is_never_run(table: KeyTable) -> None:
+    decision = table.begin(bind("a", incarnation="inc-0"), "d", 0, 1.0)
+    assert decision.reason is Reason.INCARNATION_GONE
+    assert decision.outcome is Outcome.UNKNOWN
+
+
+def test_key_with_another_body_is_refused(table: KeyTable) -> None:
+    table.begin(bind("a"), "d", 0, 1.0)
+    assert table.begin(bind("a"), "other", 0, 1.0).reason is Reason.KEY_REUSED
+
+
+def test_key_past_its_window_is_refused_and_forgotten(table: KeyTable) -> None:
+    table.begin(bind("a"), "d", 0, 1.0)
+    table.finish("a", ANSWER, keep=True)
+    decision = table.begin(bind("a"), "d", 0, WINDOW_S + 1)
+    assert isinstance(decision, Refusal)
+    assert decision.reason is Reason.KEY_EXPIRED
+    assert table.entries == {}
+
+
+def test_refused_key_does_not_run_for_a_request_that_arrived_before(table: KeyTable) -> None:
+    refusal = table.refuse(bind("a"), Reason.OVERLOADED, "full", 1.0)
+    assert refusal.outcome is Outcome.NOT_RUN
+    late = table.begin(bind("a"), "d", 0, 2.0)  # its gateway knew of no refusal when it came
+    assert late.reason is Reason.KEY_REFUSED
+    assert table.begin(bind("a"), "d", table.refusals, 3.0) == Run()
+
+
+def test_running_key_is_never_called_not_run(table: KeyTable) -> None:
+    table.begin(bind("a"), "d", 0, 1.0)
+    assert table.refuse(bind("a"), Reason.LEAVING, "leaving", 2.0).outcome is Outcome.UNKNOWN
+
+
+def test_full_table_refuses_and_evicts_no_key_that_ran(table: KeyTable) -> None:
+    for key in ("a", "b", "c"):
+        table.begin(bind(key), "d", 0, 1.0)
+        table.finish(key, ANSWER, keep=True)
+    refusal = table.begin(bind("x"), "d", 0, 2.0)
+    assert (refusal.reason, refusal.outcome) == (Reason.KEYS_FULL, Outcome.NOT_RUN)
+    oldest = table.begin(bind("a"), "d", 0, 2.0)
+    assert oldest.reason is Reason.ANSWER_NOT_KEPT  # two answers are kept, all keys are
+    assert oldest.outcome is Outcome.RAN
+
+
+def test_refused_keys_make_room_and_stay_refused(table: KeyTable) -> None:
+    for key in ("a", "b", "c"):
+        table.refuse(bind(key), Reason.OVERLOADED, "full", 1.0)
+    assert table.begin(bind("x"), "d", table.refusals, 2.0) == Run()
+    assert table.begin(bind("a"), "d", 0, 2.0).outcome is Outcome.NOT_RUN
