Prove at most once under kills, freezes and platform outages; mend three faults it found

Cause: the promise had code but no proof.

Found and mended, each seen to fail first: - A gateway that had just started and had no configuration yet answered the resend of a transfer that ran with "not run" (pool not found). What a gateway says before it has asked the sidecar is now "unknown" for a key, unless the caller says that it is the first send.

A planned stop leaves a note of its keys, so that a resend gets a definite word.

--- a/src/threadramp/config/settings.py
+++ b/src/threadramp/config/settings.py
@@ -51,6 +51,8 @@
     :param sync_interval_s: seconds between two beats to a sidecar
     :param sync_timeout_s: seconds after which a beat counts as lost
     :param key_writes_per_s: budget of assignment writes for callers' own keys
+    :param seeds: sync addresses of some sidecars, from which a gateway that starts while the
+        key-value service is out learns the configuration
     :param max_body_bytes: longest request body that is read
     :param max_step_samples: most samples that one step may ask for
     """
@@ -65,6 +67,7 @@
     sync_interval_s: float = 1.0
     sync_timeout_s: float = 1.0
     key_writes_per_s: float = 50.0
+    seeds: tuple[str, ...] = ()
     max_body_bytes: int = 4_194_304
     max_step_samples: int = 8192
 
--- a/src/threadramp/core/call.py
+++ b/src/threadramp/core/call.py
@@ -39,7 +39,7 @@
 
     :param deadline: monotonic time by which the caller wants its answer
     :param first_send: whether no request with this key was ever sent before
-    :param arrived_refusals: refusals known by endpoint when the call arrived
+    :param refusal_seen: number of the key's refusal that the caller has seen, 0 for none
     """
 
     request_id: str
@@ -49,7 +49,7 @@
     deadline: float
     binding: Binding | None
     first_send: bool
-    arrived_refusals: dict[str, int]
+    refusal_seen: int
 
 
 @dataclass(frozen=True)
--- a/src/threadramp/core/keys.py
+++ b/src/threadramp/core/keys.py
@@ -5,10 +5,11 @@
 clocks are compared: a binding names the epoch in which it was made and is refused once
 ``EPOCHS_PER_WINDOW`` epochs have passed, and a used key is remembered for just as long.
 
-A refusal ("not run") of a key also refuses every request for the key that a gateway received
-before the refusal: each request carries how many refusals its gateway knew of when it arrived.
-A full table drops its refused keys and refuses by that count alone; a key that ran is never evicted
-before its window is over.
+A refusal ("not run") of a key closes it: an earlier send of the same request may still be on its
+way, in a gateway that was frozen or in a buffer that nobody has read, and must not run after its
+caller was told so. Each refusal has a number; the key runs after all only for a request that shows
+the number, which none that was sent before the refusal can. A full table drops its refused keys and
+refuses by number alone; a key that ran is never evicted before its window is over.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from threadramp.wire.outcomes import DEFAULT_RETRY_AFTER_S, Outcome, Reason, Refusal
 
 EPOCHS_PER_WINDOW = 8
+CLOSED = "this key was refused; send it with the refusal's number, or take a new key"
 
 
 class Binding(msgspec.Struct, frozen=True, array_like=True):
@@ -55,13 +57,13 @@
 class KeyEntry:
     """What is remembered of one key.
 
-    :param refusals: requests that knew of fewer refusals than this are refused
+    :param refusal: number of the newest refusal; only a request that shows it is run
     """
 
     epoch: int
     body_digest: str
     state: KeyState
-    refusals: int = 0
+    refusal: int = 0
     answer: Answer | None = None
 
 
@@ -118,10 +120,10 @@
         """Return the epoch at ``now``."""
         return int((now - self.started) / self.epoch_s)
 
-    def begin(self, binding: Binding, body_digest: str, refusals_seen: int, now: float) -> Decision:
+    def begin(self, binding: Binding, body_digest: str, refusal_seen: int, now: float) -> Decision:
         """Decide on a request with a key.
 
-        :param refusals_seen: the refusals that its gateway knew of when the request arrived
+        :param refusal_seen: number of the refusal that the request shows, 0 for none
         """
         if (binding.endpoint, binding.incarnation) != (self.endpoint, self.incarnation):
             return Refusal.unknown(
@@ -132,10 +134,10 @@
         entry = self.entries.get(binding.key)
         if entry is not None and entry.state is not KeyState.REFUSED:
             return self._resend(entry, body_digest)
-        if entry is not None and refusals_seen < entry.refusals:
-            return self.refuse(binding, Reason.KEY_REFUSED, "refused before; come back", now)
+        if entry is not None and refusal_seen != entry.refusal:
+            return self.refuse(binding, Reason.KEY_REFUSED, CLOSED, now)
         if entry is None:
-            refusal = self._refuse_new(binding, refusals_seen, now)
+            refusal = self._refuse_new(binding, refusal_seen, now)
             if refusal is not None:
                 return refusal
         self.entries[binding.key] = KeyEntry(binding.epoch, body_digest, KeyState.RUNNING)
@@ -149,11 +151,12 @@
         self.refusals += 1
         if entry is not None or self._has_room():
             self.entries[binding.key] = KeyEntry(
-                binding.epoch, "", KeyState.REFUSED, refusals=self.refusals
+                binding.epoch, "", KeyState.REFUSED, refusal=self.refusals
             )
         else:
             self.refused_floor = self.refusals  # stands for the entry that has no room
-        return Refusal.not_run(reason, message, DEFAULT_RETRY_AFTER_S)
+        refusal = Refusal.not_run(reason, message, DEFAULT_RETRY_AFTER_S)
+        return replace(refusal, number=self.refusals)
 
     def withdraw(self, binding: Binding, reason: Reason, message: str, now: float) -> Refusal:
         """Refuse a key that was to run, before a byte of it left."""
@@ -180,10 +183,6 @@
         entry = self.entries.get(key)
         return None if entry is None else entry.state
 
-    def outcomes(self) -> dict[str, str]:
-        """Return the state of each key, for the note that a planned stop leaves."""
-        return {key: entry.state.value for key, entry in self.entries.items()}
-
     def _resend(self, entry: KeyEntry, body_digest: str) -> Decision:
         if entry.body_digest != body_digest:
             return Refusal.unknown(Reason.KEY_REUSED, "this key was used with another body")
@@ -197,10 +196,10 @@
             return Refusal(Reason.ANSWER_NOT_KEPT, Outcome.RAN, "it ran; its answer is not kept")
         return Replay(entry.answer)
 
-    def _refuse_new(self, binding: Binding, refusals_seen: int, now: float) -> Refusal | None:
+    def _refuse_new(self, binding: Binding, refusal_seen: int, now: float) -> Refusal | None:
         if self.epoch(now) >= binding.epoch + EPOCHS_PER_WINDOW:
             return Refusal.unknown(Reason.KEY_EXPIRED, "this key is past its window")
-        if refusals_seen < self.refused_floor or not self._has_room():
+        if refusal_seen < self.refused_floor or not self._has_room():
             return self.refuse(binding, Reason.KEYS_FULL, "too many keys are in use", now)
         return None
 
--- a/src/threadramp/core/sidecar.py
+++ b/src/threadramp/core/sidecar.py
@@ -46,7 +46,7 @@
 
     :param time_left_s: seconds until the caller wants its answer
     :param revision: of the gateway that sent it
-    :param refusals_seen: refusals of this sidecar that the gateway knew of when the call arrived
+    :param refusal_seen: number of the key's refusal that the caller has seen, 0 for none
     :param model: the model it asks for, empty at a plain service
     """
 
@@ -56,7 +56,7 @@
     revision: int
     binding: Binding | None
     body_digest: str
-    refusals_seen: int
+    refusal_seen: int
     model: str = ""
 
 
@@ -145,13 +145,13 @@
         self.observe(now)
         binding = request.binding
         if binding is not None and self._is_decided(binding):
-            return self.keys.begin(binding, request.body_digest, request.refusals_seen, now)
+            return self.keys.begin(binding, request.body_digest, request.refusal_seen, now)
         deadline = now + request.time_left_s - self.freeze.unseen_wait_s(now)
         refusal = self._refuse_call(request, deadline, now)
         if refusal is not None:
             return self._refuse(binding, refusal, now)
         if binding is not None:
-            decision = self.keys.begin(binding, request.body_digest, request.refusals_seen, now)
+            decision = self.keys.begin(binding, request.body_digest, request.refusal_seen, now)
             if not isinstance(decision, Run):
                 return decision
         offered = self.admission.offer(request.call, request.rank, deadline, now)
@@ -306,7 +306,6 @@
             incarnation=self.incarnation,
             revision=self.chain.revision,
             epoch=self.keys.epoch(now),
-            refusals=self.keys.refusals,
             leaving=self.leaving,
             slots=self.settings.slots,
             running=len(self.admission.running),
--- a/src/threadramp/gateway/beats.py
+++ b/src/threadramp/gateway/beats.py
@@ -54,9 +54,20 @@
         """Beat until the gateway stops."""
         while not self.state.stopped.is_set():
             self.state.wake.clear()
+            if self.state.chain.revision == 0:
+                self.ask_seeds()
             self.beat()
             self.state.wake.wait(self.state.settings.sync_interval_s)
 
+    def ask_seeds(self) -> None:
+        """Learn the configuration from some sidecars."""
+        request = SyncRequest(self.state.settings.name, self.state.chain.revision)
+        requests = dict.fromkeys(self.state.settings.seeds, request)
+        replies = self.state.sync.exchange(requests, self.state.settings.sync_timeout_s)
+        for reply in replies.values():
+            if isinstance(reply, SyncReply):
+                self.state.configuration.apply(reply.changes, reply.snapshot)
+
     def beat(self) -> None:
         """Beat once to every sidecar."""
         with self.state.lock:
--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -4,12 +4,12 @@
 
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from threadramp.core.call import Call, CallMachine, Failure, Finish, Send
+from threadramp.core.call import Call, CallMachine, Failure, Send
 from threadramp.core.keys import Answer
 from threadramp.gateway.sender import Outgoing, Sender, Stream
 from threadramp.gateway.state import now
@@ -22,12 +22,15 @@
     from threadramp.config.resources import Pool
     from threadramp.core.keys import Binding
     from threadramp.gateway.keys import KeyBinder
+    from threadramp.gateway.settle import Settler
     from threadramp.gateway.state import GatewayState
 
 DEFAULT_DEADLINE_MS = 10_000
 MAX_DEADLINE_MS = 3_600_000
 MS_PER_S = 1000
+MAX_REFUSAL = 2**53
 DEFAULT_CLASS = "interactive"
+FIRST_ATTEMPT = "1"
 RANKS = {"interactive": 0, "internal": 1, "batch": 2}
 BINDING_HEADER = "X-Binding"
 END_MARK = b"data: [DONE]"
@@ -76,9 +79,10 @@
 class Calls:
     """Takes callers' calls through the gateway."""
 
-    def __init__(self, state: GatewayState, binder: KeyBinder) -> None:
+    def __init__(self, state: GatewayState, binder: KeyBinder, settler: Settler) -> None:
         self.state = state
         self.binder = binder
+        self.settler = settler
         self.sender = Sender(state.seal.token, state.settings.threads)
 
     def run(self, request: CallerRequest) -> CallerAnswer | CallerStream:
@@ -86,16 +90,22 @@
 
         :raises RefusedError: with the final refusal, as soon as it is known
         """
-        pool = self.state.chain.get("pool", request.pool)
-        if pool is None:
-            message = f"no pool {request.pool!r} is declared"
-            raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
-        call = self._call(request, pool)
+        try:
+            call = self._read(request)
+        except RefusedError as error:
+            raise RefusedError(_careful(request, error.refusal)) from error
         machine = CallMachine(
             call, self.state.members, self.state.routing, self.state.retries, self.state.outstanding
         )
         return self._drive(machine, request)
 
+    def _read(self, request: CallerRequest) -> Call:
+        pool = self.state.chain.get("pool", request.pool)
+        if pool is None:
+            message = f"no pool {request.pool!r} is declared"
+            raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
+        return self._call(request, pool)
+
     def _drive(self, machine: CallMachine, request: CallerRequest) -> CallerAnswer | CallerStream:
         action = machine.start(now())
         while isinstance(action, Send):
@@ -111,12 +121,14 @@
                 if result.reason is Reason.SENDER_BEHIND:
                     self.state.wake.set()
                 action = machine.refused(result, now())
-        self._count_refusal(action)
-        raise RefusedError(action.refusal)
+        raise RefusedError(self._last_word(machine.call, action.refusal))
 
-    def _count_refusal(self, action: Finish) -> None:
-        refusal = action.refusal
+    def _last_word(self, call: Call, refusal: Refusal) -> Refusal:
+        """Return the refusal, made definite where the key's sidecar has left a note."""
+        if refusal.reason is Reason.INCARNATION_GONE and call.binding is not None:
+            refusal = self.settler.refusal_for_gone(call.binding) or refusal
         self.state.metrics.count("refused", f"{refusal.reason.value}:{refusal.outcome.value}")
+        return refusal
 
     def _send(
         self, machine: CallMachine, action: Send, request: CallerRequest
@@ -139,14 +151,13 @@
         return result
 
     def _outgoing(self, call: Call, action: Send, request: CallerRequest) -> Outgoing:
-        name = action.member.name
         sent = {
             headers.REQUEST_ID: call.request_id,
             headers.ATTEMPT: str(action.attempt),
             headers.DEADLINE_MS: str(int(action.time_left_s * MS_PER_S)),
             headers.PRIORITY: str(call.rank),
             headers.REVISION: str(self.state.chain.revision),
-            headers.REFUSALS_SEEN: str(call.arrived_refusals.get(name, 0)),
+            headers.REFUSAL: str(call.refusal_seen),
             "Content-Type": request.text("Content-Type") or "application/json",
         }
         if call.binding is not None:
@@ -176,11 +187,10 @@
             self.state.opened(endpoint, -1)
 
     def _call(self, request: CallerRequest, pool: Pool) -> Call:
-        refusals = self.state.refusals_known(request.pool)
         deadline_ms = _number(request, headers.DEADLINE_MS, DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS)
         repeatable = _flag(request, headers.REPEATABLE, pool.repeatable or pool.type == "model")
-        first_send = request.text(headers.ATTEMPT) == "1"
-        binding = self._binding(request, repeatable, first_send)
+        first_send = request.text(headers.ATTEMPT) == FIRST_ATTEMPT
+        binding = self._binding(request, repeatable)
         own_key = request.text(headers.TICKET) or request.text(headers.IDEMPOTENCY_KEY)
         return Call(
             request_id=request.text(headers.REQUEST_ID) or uuid.uuid4().hex,
@@ -190,18 +200,16 @@
             deadline=request.arrived + deadline_ms / MS_PER_S,
             binding=binding,
             first_send=first_send or not own_key,
-            arrived_refusals=refusals,
+            refusal_seen=_number(request, headers.REFUSAL, 0, MAX_REFUSAL),
         )
 
-    def _binding(
-        self, request: CallerRequest, repeatable: bool, first_send: bool
-    ) -> Binding | None:
+    def _binding(self, request: CallerRequest, repeatable: bool) -> Binding | None:
         ticket = request.text(headers.TICKET)
         if ticket:
             return self.binder.read_ticket(ticket, request.pool)
         key = request.text(headers.IDEMPOTENCY_KEY)
         if key:
-            return self.binder.assign(key, request.pool, first_send)
+            return self.binder.assign(key, request.pool)
         return None if repeatable else self.binder.mint(request.pool)
 
     def _rank(self, request: CallerRequest) -> int:
@@ -214,6 +222,17 @@
         return RANKS[name]
 
 
+def _careful(request: CallerRequest, refusal: Refusal) -> Refusal:
+    """Return what may be said before a sidecar was asked.
+
+    A key may have run through an earlier send, unless the caller says that this is the first.
+    """
+    keyed = request.text(headers.TICKET) or request.text(headers.IDEMPOTENCY_KEY)
+    if not keyed or request.text(headers.ATTEMPT) == FIRST_ATTEMPT:
+        return refusal
+    return replace(refusal, outcome=Outcome.UNKNOWN)
+
+
 def _number(request: CallerRequest, name: str, default: int, most: int) -> int:
     text = request.text(name)
     if not text:
--- a/src/threadramp/gateway/configuration.py
+++ b/src/threadramp/gateway/configuration.py
@@ -51,6 +51,7 @@
     """This process's chain and its ways to the key-value service.
 
     :param changed: called after the revision rose
+    :ivar informed: whether the configuration was learned from anybody since the start
     :ivar regressed: whether the service has forgotten accepted changes and was not confirmed since
     """
 
@@ -61,6 +62,7 @@
         self.lock = threading.RLock()
         self.head = Head()
         self.head_version = ABSENT
+        self.informed = False
         self.regressed = False
         self.stale_reads = 0
 
@@ -69,6 +71,7 @@
         with self.lock:
             rose = snapshot is not None and self.chain.restore(snapshot)
             rose = self.chain.apply(changes) or rose
+            self.informed = self.informed or rose
         if rose:
             self.changed()
 
@@ -79,6 +82,7 @@
             if head.revision < self.chain.revision:
                 self.stale_reads += 1
                 return
+            self.informed = True
             self.head = head
             self.head_version = held.version
             missing = head.snapshot > self.chain.revision
--- a/src/threadramp/gateway/daemon.py
+++ b/src/threadramp/gateway/daemon.py
@@ -44,9 +44,10 @@
         signal.signal(signal.SIGTERM, lambda *_: self.stop.set())
         signal.signal(signal.SIGINT, lambda *_: self.stop.set())
         binder = KeyBinder(self.state)
-        calls = Calls(self.state, binder)
+        settler = Settler(self.state, binder)
+        calls = Calls(self.state, binder, settler)
         steps = Steps(self.state)
-        root = gateway_root(self.state, calls, binder, Settler(self.state, binder), steps)
+        root = gateway_root(self.state, calls, binder, settler, steps)
         own = self.settings
         start_http(root, own.listen, own.threads, own.max_body_bytes)
         self.background.start()
--- a/src/threadramp/gateway/keys.py
+++ b/src/threadramp/gateway/keys.py
@@ -16,7 +16,6 @@
 from threadramp.policy.routing import rendezvous
 from threadramp.wire.outcomes import (
     DEFAULT_RETRY_AFTER_S,
-    Outcome,
     Reason,
     Refusal,
     RefusedError,
@@ -55,7 +54,7 @@
 
         :raises RefusedError: if the pool has none
         """
-        members = self._available(pool, Outcome.NOT_RUN)
+        members = self._available(pool)
         member = self.state.routing.choose(members, self.state.outstanding)
         return self._bind(secrets.token_hex(12), pool, member)
 
@@ -80,7 +79,7 @@
             raise bad_request("header X-Ticket", f"it is for pool {binding.pool!r}")
         return binding
 
-    def assign(self, key: str, pool: str, first_send: bool) -> Binding:
+    def assign(self, key: str, pool: str) -> Binding:
         """Return the binding of a caller's own key, by one atomic create.
 
         :raises RefusedError: if the key-value service does not answer or the budget is spent
@@ -89,13 +88,12 @@
             raise bad_request("header Idempotency-Key", f"1 to {MAX_KEY_LENGTH} characters")
         if self.state.configuration.regressed:
             message = "the key-value service has forgotten writes; an operator has to confirm"
-            raise self._refused(Reason.KEYS_SUSPENDED, message, first_send)
+            raise _refused(Reason.KEYS_SUSPENDED, message)
         if not self.state.key_writes.take(now()):
             message = "the budget of key writes is spent"
-            raise self._refused(Reason.WRITE_BUDGET, message, first_send)
+            raise _refused(Reason.WRITE_BUDGET, message)
         name = f"{pool}/{key}"
-        outcome = Outcome.NOT_RUN if first_send else Outcome.UNKNOWN
-        members = {member.name: member for member in self._available(pool, outcome)}
+        members = {member.name: member for member in self._available(pool)}
         member = members[rendezvous(name, list(members))[0]]
         wanted = self._bind(name, pool, member)
         for _ in range(KEY_ATTEMPTS):
@@ -104,7 +102,7 @@
             except KvUnavailableError:
                 self.state.metrics.count("kv_unavailable", "keys")
         message = "the key-value service does not answer"
-        raise self._refused(Reason.PLATFORM_OUT, message, first_send)
+        raise _refused(Reason.PLATFORM_OUT, message)
 
     def find(self, key: str, pool: str) -> Binding | None:
         """Return the assignment of a caller's own key, none if there seems to be none.
@@ -130,20 +128,19 @@
             self.lease = held
         return held.lease
 
-    def _available(self, pool: str, outcome: Outcome) -> list[Member]:
+    def _available(self, pool: str) -> list[Member]:
         members = [member for member in self.state.members(pool) if member.is_available]
         if not members:
             message = f"no endpoint of pool {pool!r} takes calls"
-            raise RefusedError(Refusal(Reason.NO_ENDPOINT, outcome, message, DEFAULT_RETRY_AFTER_S))
+            raise _refused(Reason.NO_ENDPOINT, message)
         return members
 
     def _bind(self, key: str, pool: str, member: Member) -> Binding:
         return Binding(key, pool, member.name, member.report.incarnation, member.report.epoch)
 
-    def _refused(self, reason: Reason, message: str, first_send: bool) -> RefusedError:
-        """Of a key that may have been sent before, nothing is known here."""
-        outcome = Outcome.NOT_RUN if first_send else Outcome.UNKNOWN
-        return RefusedError(Refusal(reason, outcome, message, DEFAULT_RETRY_AFTER_S))
+
+def _refused(reason: Reason, message: str) -> RefusedError:
+    return RefusedError(Refusal.not_run(reason, message, DEFAULT_RETRY_AFTER_S))
 
 
 def _assignment_key(name: str) -> str:
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -37,6 +37,7 @@
     headers.REPEATABLE,
     headers.TICKET,
     headers.IDEMPOTENCY_KEY,
+    headers.REFUSAL,
     "Content-Type",
 )
 LINES_TYPE = "application/x-ndjson"
@@ -291,8 +292,8 @@
 
     def GET(self) -> bytes:  # noqa: N802
         """Say whether to send requests here."""
-        stopping = self.state.stopping.is_set()
-        return answer_json({"ok": not stopping}, 503 if stopping else 200)
+        ready = self.state.configuration.informed and not self.state.stopping.is_set()
+        return answer_json({"ok": ready}, 200 if ready else 503)
 
 
 class Node:
--- a/src/threadramp/gateway/settle.py
+++ b/src/threadramp/gateway/settle.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from threadramp.core.keys import KeyState
+from threadramp.core.outcomes import OutcomeNote, outcomes_key
 from threadramp.platform.kv import KvUnavailableError
 from threadramp.wire.messages import KeyAnswer, KeyQuery
 from threadramp.wire.outcomes import DEFAULT_RETRY_AFTER_S, Outcome, Reason, Refusal, RefusedError
@@ -17,8 +18,6 @@
     from threadramp.gateway.state import GatewayState
 
 QUERY_TIMEOUT_S = 1.0
-OUTCOMES_PREFIX = "threadramp/outcomes/"
-
 _OUTCOMES = {
     KeyState.RAN.value: Outcome.RAN,
     KeyState.REFUSED.value: Outcome.NOT_RUN,
@@ -78,26 +77,37 @@
             raise RefusedError(Refusal.unknown(Reason.NOT_FOUND, message, DEFAULT_RETRY_AFTER_S))
         return binding
 
+    def refusal_for_gone(self, binding: Binding) -> Refusal | None:
+        """Return the definite word on a key whose sidecar has stopped, none if there is none."""
+        try:
+            settlement = self._gone(binding)
+        except RefusedError:
+            return None
+        if settlement.outcome == Outcome.RAN.value:
+            return Refusal(Reason.ANSWER_NOT_KEPT, Outcome.RAN, "it ran; its answer is not kept")
+        if settlement.outcome == Outcome.NOT_RUN.value:
+            return Refusal.not_run(
+                Reason.INCARNATION_GONE, "its sidecar stopped without running it"
+            )
+        return None
+
     def _gone(self, binding: Binding) -> Settlement:
         """Look for the note that a planned stop leaves."""
         try:
             held = self.state.kv.get(outcomes_key(binding.endpoint, binding.incarnation))
         except KvUnavailableError as error:
             raise _try_later("the key-value service does not answer") from error
-        outcomes = msgspec.json.decode(held.value, type=dict[str, str]) if held.value else None
-        if outcomes is None:
+        if not held.value:
             return Settlement(Outcome.UNKNOWN.value, "gone", binding.endpoint)
-        state = outcomes.get(binding.key, KeyState.REFUSED.value)
-        return Settlement(_OUTCOMES[state].value, state, binding.endpoint)
-
-
-def outcomes_key(endpoint: str, incarnation: str) -> str:
-    """Return where a planned stop of a sidecar notes its keys' outcomes."""
-    return f"{OUTCOMES_PREFIX}{endpoint}/{incarnation}"
+        note = OutcomeNote.from_bytes(held.value)
+        state = note.state(binding.key)
+        if state is None:
+            return Settlement(Outcome.UNKNOWN.value, "gone", binding.endpoint)
+        return Settlement(_OUTCOMES[state.value].value, state.value, binding.endpoint)
 
 
 def _try_later(message: str) -> RefusedError:
     return RefusedError(Refusal.unknown(Reason.PLATFORM_OUT, message, DEFAULT_RETRY_AFTER_S))
 
 
-__all__ = ["Settlement", "Settler", "outcomes_key"]
+__all__ = ["Settlement", "Settler"]
--- a/src/threadramp/gateway/state.py
+++ b/src/threadramp/gateway/state.py
@@ -83,11 +83,6 @@
         with self.lock:
             return self.membership.of_pool(pool)
 
-    def refusals_known(self, pool: str) -> dict[str, int]:
-        """Return the refusals known by endpoint; taken when a call arrives."""
-        members = self.members(pool)
-        return {member.name: member.report.refusals for member in members if member.report}
-
     def opened(self, endpoint: str, change: int) -> None:
         """Count a call to an endpoint that begins (1) or ends (-1)."""
         with self.lock:
--- a/src/threadramp/sidecar/daemon.py
+++ b/src/threadramp/sidecar/daemon.py
@@ -8,7 +8,9 @@
 import uuid
 from typing import TYPE_CHECKING
 
+from threadramp.core.outcomes import OutcomeNote, outcomes_key
 from threadramp.core.sidecar import SidecarCore
+from threadramp.platform.kv import ABSENT, KvClient, KvUnavailableError
 from threadramp.report.log import log_state
 from threadramp.sidecar.calls import CallRunner
 from threadramp.sidecar.reconciler import Reconciler
@@ -33,6 +35,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings.sidecar
+        self.kv = KvClient(settings.platform.kv, settings.platform.kv_timeout_s)
         self.seal = Seal(settings.auth.fleet_key)
         incarnation = uuid.uuid4().hex[:12]
         started_ms = int(time.time() * MS_PER_S)
@@ -81,11 +84,25 @@
         with self.state.lock:
             core.stopping = True
         log_state("sidecar_draining", endpoint=self.settings.endpoint)
-        calls_until = now() + self.settings.stop_grace_s
         self._wait_until(
-            lambda: not core.admission.running and not core.admission.rollouts, calls_until
+            lambda: not core.admission.running and not core.admission.rollouts,
+            now() + self.settings.stop_grace_s,
         )
-        self._wait_until(lambda: not core.samples.steps, now() + self.settings.buffer_grace_s)
+        self._leave_note()
+        self._wait_until(lambda: not core.samples.held(), now() + self.settings.buffer_grace_s)
+
+    def _leave_note(self) -> None:
+        """Note what became of the keys, so that a resend after the stop gets a definite word."""
+        core = self.state.core
+        with self.state.lock:
+            if not core.keys.entries:
+                return
+            note = OutcomeNote.from_keys(core.keys)
+        key = outcomes_key(self.settings.endpoint, core.incarnation)
+        try:
+            self.kv.swap(key, ABSENT, note.to_bytes(), self.kv.lease(self.settings.key_window_s))
+        except KvUnavailableError as error:
+            log_state("note_lost", error=str(error))
 
     def _wait_until(self, done, deadline: float) -> None:
         while now() < deadline:
--- a/src/threadramp/sidecar/resources.py
+++ b/src/threadramp/sidecar/resources.py
@@ -90,7 +90,7 @@
             revision=_number(headers.REVISION),
             binding=_binding(header(BINDING)),
             body_digest=digest(body),
-            refusals_seen=_number(headers.REFUSALS_SEEN),
+            refusal_seen=_number(headers.REFUSAL),
             model=_chat_body(body).model if chat else "",
         )
         request_id = header(headers.REQUEST_ID)
--- a/src/threadramp/wire/headers.py
+++ b/src/threadramp/wire/headers.py
@@ -11,7 +11,7 @@
 IDEMPOTENCY_KEY = "Idempotency-Key"
 OUTCOME = "X-Outcome"
 REVISION = "X-Revision"
-REFUSALS_SEEN = "X-Refusals-Seen"
+REFUSAL = "X-Refusal"
 BODY_DIGEST = "X-Body-Digest"
 REPLAYED = "X-Replayed"
 ENDPOINT = "X-Endpoint"
@@ -26,7 +26,7 @@
     "OUTCOME",
     "PRIORITY",
     "QUEUE",
-    "REFUSALS_SEEN",
+    "REFUSAL",
     "REPEATABLE",
     "REPLAYED",
     "REQUEST_ID",
--- a/src/threadramp/wire/http.py
+++ b/src/threadramp/wire/http.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from threadramp.config.findings import FindingsError
-from threadramp.wire.headers import OUTCOME
+from threadramp.wire.headers import OUTCOME, REFUSAL
 from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError
 
 if TYPE_CHECKING:
@@ -134,6 +134,8 @@
     extra = {OUTCOME: refusal.outcome.value, **(headers or {})}
     if refusal.retry_after_s:
         extra["Retry-After"] = str(refusal.retry_after_s)
+    if refusal.number:
+        extra[REFUSAL] = str(refusal.number)
     return answer_json({"error": refusal}, refusal.status, extra)
 
 
--- a/src/threadramp/wire/messages.py
+++ b/src/threadramp/wire/messages.py
@@ -53,7 +53,6 @@
     """What holds at one endpoint, as its sidecar reports it.
 
     :param epoch: the sidecar's count of key epochs, see :mod:`threadramp.core.keys`
-    :param refusals: the sidecar's count of refused keys
     :param leaving: whether it takes no new work
     :param weights: verified versions by model; a model that is not there is not verified
     """
@@ -62,7 +61,6 @@
     incarnation: str
     revision: int
     epoch: int
-    refusals: int
     leaving: bool
     slots: int
     running: int
--- a/src/threadramp/wire/outcomes.py
+++ b/src/threadramp/wire/outcomes.py
@@ -78,6 +78,7 @@
 
     :param outcome: whether the request ran, as far as is known
     :param retry_after_s: seconds after which to come back; 0 if that will not help
+    :param number: of a key's refusal; the same key runs only with this number in ``X-Refusal``
     :param place: the part of the request that is at fault, if one is
     """
 
@@ -86,6 +87,7 @@
     message: str
     retry_after_s: int = 0
     place: str = ""
+    number: int = 0
 
     @property
     def status(self) -> int:
--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -45,12 +45,14 @@
     assert table.entries == {}
 
 
-def test_refused_key_does_not_run_for_a_request_that_arrived_before(table: KeyTable) -> None:
+def test_refused_key_runs_only_for_a_request_that_shows_the_refusal(table: KeyTable) -> None:
     refusal = table.refuse(bind("a"), Reason.OVERLOADED, "full", 1.0)
     assert refusal.outcome is Outcome.NOT_RUN
-    late = table.begin(bind("a"), "d", 0, 2.0)  # its gateway knew of no refusal when it came
+    late = table.begin(bind("a"), "d", 0, 2.0)  # sent before the refusal was
     assert late.reason is Reason.KEY_REFUSED
-    assert table.begin(bind("a"), "d", table.refusals, 3.0) == Run()
+    older = table.begin(bind("a"), "d", refusal.number, 2.0)  # the newest number is asked for
+    assert older.reason is Reason.KEY_REFUSED
+    assert table.begin(bind("a"), "d", older.number, 3.0) == Run()
 
 
 def test_running_key_is_never_called_not_run(table: KeyTable) -> None:
--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,137 @@
+"""Steps that several scenario files share."""
+
+from __future__ import annotations
+
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import pytest
+from pytest_bdd import given, parsers, when
+from tools.fleet import Fleet, wait_for
+
+from tests.scenarios.world import World
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+CALLERS = 32
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[World]:
+    """A scenario's world; all processes end with it."""
+    with Fleet(tmp_path) as fleet, ThreadPoolExecutor(CALLERS) as pool:
+        made = World(fleet, pool)
+        yield made
+        fleet.close()  # so that no caller waits on
+
+
+@given(parsers.parse("a bank of {gateways:d} gateways and {services:d} workers"))
+def bank(world: World, gateways: int, services: int) -> None:
+    world.start(gateways, services=services)
+
+
+@given(parsers.parse("a bank of {gateways:d} gateways and {services:d} worker"))
+def bank_of_one(world: World, gateways: int, services: int) -> None:
+    world.start(gateways, services=services)
+
+
+@given(parsers.parse("a rollout fleet of {gateways:d} gateways and {engines:d} engines"))
+def rollout_fleet(world: World, gateways: int, engines: int) -> None:
+    world.start(gateways, engines=engines)
+
+
+@given(parsers.parse("each transfer takes {seconds:f} s"))
+def transfer_time(world: World, seconds: float) -> None:
+    for name in world.services():
+        world.fleet.fault(name, work_s=seconds)
+
+
+@given("the key-value service is out")
+@when("the key-value service is out")
+def kv_out(world: World) -> None:
+    world.fleet.fault("kv", outage=True)
+
+
+@when("the key-value service is back")
+def kv_back(world: World) -> None:
+    world.fleet.fault("kv", outage=False, delay_s=0.0)
+
+
+@given(parsers.parse("the key-value service loses the next {count:d} answers after the write"))
+@when(parsers.parse("the key-value service loses the next {count:d} answers after the write"))
+def kv_loses(world: World, count: int) -> None:
+    world.fleet.fault("kv", lose_answers=count)
+
+
+@when(parsers.parse("gateway {number:d} is killed"))
+def kill_gateway(world: World, number: int) -> None:
+    world.fleet.processes[f"gateway-{number}"].kill()
+
+
+@when(parsers.parse("gateway {number:d} is frozen"))
+def freeze_gateway(world: World, number: int) -> None:
+    world.fleet.processes[f"gateway-{number}"].freeze()
+
+
+@when(parsers.parse("gateway {number:d} wakes up"))
+def wake_gateway(world: World, number: int) -> None:
+    world.fleet.processes[f"gateway-{number}"].wake()
+
+
+@when(parsers.parse("gateway {number:d} is started again"))
+def restart_gateway(world: World, number: int) -> None:
+    world.fleet.restart(f"gateway-{number}")
+
+
+@when(parsers.parse("the sidecar of {endpoint} is killed"))
+def kill_sidecar(world: World, endpoint: str) -> None:
+    world.fleet.processes[f"sidecar-{endpoint}"].kill()
+
+
+@when(parsers.parse("the sidecar of {endpoint} is frozen"))
+def freeze_sidecar(world: World, endpoint: str) -> None:
+    world.fleet.processes[f"sidecar-{endpoint}"].freeze()
+
+
+@when(parsers.parse("the sidecar of {endpoint} wakes up"))
+def wake_sidecar(world: World, endpoint: str) -> None:
+    world.fleet.processes[f"sidecar-{endpoint}"].wake()
+
+
+@when(parsers.parse("the sidecar of {endpoint} is started again"))
+def restart_sidecar(world: World, endpoint: str) -> None:
+    world.fleet.restart(f"sidecar-{endpoint}")
+
+
+@when(parsers.parse("the sidecar of {endpoint} is asked to stop"))
+def stop_sidecar(world: World, endpoint: str) -> None:
+    world.fleet.processes[f"sidecar-{endpoint}"].ask_to_stop()
+
+
+@when(parsers.parse("the sidecar of {endpoint} has stopped"))
+def sidecar_stopped(world: World, endpoint: str) -> None:
+    assert world.fleet.processes[f"sidecar-{endpoint}"].wait() == 0
+
+
+@when(parsers.parse("{seconds:f} s pass"))
+def time_passes(seconds: float) -> None:
+    # Not a wait for a result: the failure itself has to last this long.
+    import time
+
+    time.sleep(seconds)
+
+
+@when(parsers.parse("every gateway sees {endpoint} in service again"))
+def seen_again(world: World, endpoint: str) -> None:
+    world.fleet.wait_in_service({}, endpoint)
+
+
+@when(parsers.parse("{count:d} transfers run at the workers"))
+def transfers_run(world: World, count: int) -> None:
+    def running() -> bool:
+        seen = [world.fleet.record(name)["running"] for name in world.services()]
+        return sum(seen) >= count
+
+    wait_for(running, f"{count} transfers run")
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -28,6 +28,7 @@
     for number in range(3):
         fleet.endpoint(EndpointPlan(f"engine-{number}", "llm"))
     fleet.endpoint(EndpointPlan("bank-0", "bank", kind="service"))
+    fleet.wait_ready()
     say(f"started {len(fleet.processes)} processes: {', '.join(fleet.processes)}")
     trainers = {"assistant-trainer": {"model": MODEL, "pool": "llm", "staleness_bound": 1}}
     path = fleet.document(trainers, {MODEL: 1})
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -134,6 +134,7 @@
         self.endpoints: dict[str, EndpointPlan] = {}
         self.http = PoolManager(retries=False, maxsize=16)
         self.gateway_names: list[str] = []
+        self.probes: dict[str, str] = {}
 
     def __enter__(self) -> Fleet:
         """Return the fleet itself."""
@@ -159,7 +160,7 @@
         self.addresses[name] = address
         text = msgspec.json.encode(options or {}).decode()
         self._start(name, ["standin", kind, address, "--options", text])
-        wait_for(lambda: self._answers(f"http://{address}/faults"), f"{name} answers")
+        self.probes[name] = f"http://{address}/faults"
         return address
 
     def platform(self) -> None:
@@ -178,9 +179,7 @@
             path = self._settings(name, {"gateway": own})
             self.gateway_names.append(name)
             self._start(name, ["gateway", str(path)])
-        for name in self.gateway_names:
-            address = self.addresses[name]
-            wait_for(lambda at=address: self._answers(f"http://{at}/healthz"), f"{name} answers")
+            self.probes[name] = f"http://{address}/metrics"
 
     def endpoint(self, plan: EndpointPlan) -> None:
         """Start an endpoint's stand-in and its sidecar, without declaring it."""
@@ -201,7 +200,18 @@
         } | plan.sidecar
         path = self._settings(name, {"sidecar": own})
         self._start(name, ["sidecar", str(path)])
-        wait_for(lambda: self._answers(f"http://{http}/healthz"), f"{name} answers")
+        self.probes[name] = f"http://{http}/healthz"
+
+    def wait_ready(self) -> None:
+        """Wait until every process that was started answers."""
+        for name, url in self.probes.items():
+            if self.processes[name].is_running:
+                wait_for(lambda at=url: self._answers(at), f"{name} answers")
+
+    def restart(self, name: str) -> None:
+        """Start a process again that has ended, with its settings and addresses."""
+        self.processes[name].start()
+        wait_for(lambda: self._answers(self.probes[name]), f"{name} answers again")
 
     def document(self, trainers: dict[str, dict[str, Any]], models: dict[str, int]) -> Path:
         """Write a file that declares all endpoints and return its path."""
