Prove whole lots and true labels under failure

Cause: steps and labels had code but no proof. The stand-in engine writes version and prompt into each token, so a label, the own answer and a resumed text are checked against the text itself.

Found and mended: a gateway that had just started answered a trainer "not found" (final) before it had learned the configuration; it now says "not ready" with Retry-After, and so to callers.

Ruled out: a client that retries on "not found", since a wrong name would then never be told.

--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -100,10 +100,7 @@
         return self._drive(machine, request)
 
     def _read(self, request: CallerRequest) -> Call:
-        pool = self.state.chain.get("pool", request.pool)
-        if pool is None:
-            message = f"no pool {request.pool!r} is declared"
-            raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
+        pool = self.state.declared("pool", request.pool)
         return self._call(request, pool)
 
     def _drive(self, machine: CallMachine, request: CallerRequest) -> CallerAnswer | CallerStream:
--- a/src/threadramp/gateway/state.py
+++ b/src/threadramp/gateway/state.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from threadramp.core.chain import Chain
 from threadramp.core.marks import StepMarks
@@ -17,6 +17,13 @@
 from threadramp.policy.routing import ROUTINGS
 from threadramp.policy.subset import gateway_subset
 from threadramp.report.metrics import Metrics
+from threadramp.wire.outcomes import (
+    DEFAULT_RETRY_AFTER_S,
+    Outcome,
+    Reason,
+    Refusal,
+    RefusedError,
+)
 from threadramp.wire.seal import Seal
 from threadramp.wire.sync import SyncClient
 
@@ -78,6 +85,20 @@
             self.membership.declare({name: endpoints[name] for name in wanted})
         self.wake.set()
 
+    def declared(self, kind: str, name: str) -> Any:
+        """Return the typed specification of a declared resource.
+
+        :raises RefusedError: if it is not declared, or not known yet after the start
+        """
+        spec = self.chain.get(kind, name)
+        if spec is not None:
+            return spec
+        if not self.configuration.informed:
+            message = "this gateway has not learned the configuration yet"
+            raise RefusedError(Refusal.not_run(Reason.NOT_READY, message, DEFAULT_RETRY_AFTER_S))
+        message = f"no {kind} {name!r} is declared"
+        raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
+
     def members(self, pool: str) -> list[Member]:
         """Return the members of a pool."""
         with self.lock:
--- a/src/threadramp/gateway/steps.py
+++ b/src/threadramp/gateway/steps.py
@@ -36,7 +36,6 @@
 )
 from threadramp.wire.outcomes import (
     DEFAULT_RETRY_AFTER_S,
-    Outcome,
     Reason,
     Refusal,
     RefusedError,
@@ -72,7 +71,7 @@
 
         :raises RefusedError: if the step can not begin
         """
-        spec = self._trainer(trainer)
+        spec = self.state.declared("trainer", trainer)
         key = StepKey(trainer, request.run, step)
         self._check_open(key)
         assembly = self._assembly(key, spec, request)
@@ -84,7 +83,7 @@
         :returns: how many sidecars know
         :raises RefusedError: if no sidecar could be told
         """
-        spec = self._trainer(trainer)
+        spec = self.state.declared("trainer", trainer)
         key = StepKey(trainer, request.run, step)
         with self.state.lock:
             self.state.marks.close(key)
@@ -99,13 +98,6 @@
         self.state.metrics.count("steps_closed", trainer)
         return told
 
-    def _trainer(self, trainer: str) -> Trainer:
-        spec = self.state.chain.get("trainer", trainer)
-        if spec is None:
-            message = f"no trainer {trainer!r} is declared"
-            raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
-        return spec
-
     def _shard(self, trainer: str, spec: Trainer) -> dict[str, Endpoint]:
         endpoints = self.state.chain.of_kind("endpoint")
         names = [name for name, item in endpoints.items() if item.pool == spec.pool]
--- a/src/threadramp/standins/engine.py
+++ b/src/threadramp/standins/engine.py
@@ -1,7 +1,8 @@
 """Stand-in for a model engine.
 
-Each token of its text names the version that produced it (``t3v7`` is the fourth token, by version
-7), so a label can be checked against the text itself.
+Each token of its text names the version that produced it and the prompt (``t3v7p1f2e`` is the
+fourth token, by version 7, of the prompt with that tag), so a label can be checked against
+the text.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 from urllib3.exceptions import HTTPError
 
 from threadramp.standins.server import Request, Response, StandIn, standin
+from threadramp.wire.seal import digest
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -127,6 +129,7 @@
     def _stream(self, body: dict[str, Any], request_id: str) -> Iterator[bytes]:
         prompt = "\n".join(message["content"] for message in body["messages"])
         model = body["model"]
+        tag = prompt_tag(prompt)
         length = _length(body.get("seed", 0), body["max_tokens"])
         done = body.get("resume_text", "").count(" ")
         cut_at = done + (length - done) // 2 if self.use_up("truncate") else length
@@ -137,7 +140,7 @@
             self._prefill(prompt)
             for number in range(done, cut_at):
                 time.sleep(self.faults["token_s"] * (1 + BATCH_SLOWDOWN * (self.running - 1)))
-                yield self._event(shown_id, number, self.weights.get(model))
+                yield self._event(shown_id, number, self.weights.get(model), tag)
             if cut_at == length:
                 yield b"data: [DONE]\n\n"
         finally:
@@ -155,19 +158,24 @@
         if not hit:
             time.sleep(self.options.get("prefill_s", DEFAULT_PREFILL_S))
 
-    def _event(self, request_id: str, number: int, version: int | None) -> bytes:
+    def _event(self, request_id: str, number: int, version: int | None, tag: str) -> bytes:
         self.counts["tokens"] += 1
-        text = f"t{number}v{version} "
+        text = f"t{number}v{version}p{tag} "
         event: dict[str, Any] = {"id": request_id, "choices": [{"delta": {"content": text}}]}
         if self.faults["names_versions"]:
             event["weight_version"] = version
         return b"data: " + msgspec.json.encode(event) + b"\n\n"
 
 
+def prompt_tag(prompt: str) -> str:
+    """Return the tag by which a token names its prompt."""
+    return digest(prompt.encode())[:4]
+
+
 def _length(seed: int, max_tokens: int) -> int:
     """Return a long-tailed length; the same seed always gives the same."""
     drawn = Random(seed).lognormvariate(0.0, LENGTH_SIGMA) * LENGTH_MEDIAN * max_tokens
     return max(1, min(max_tokens, int(drawn)))
 
 
-__all__ = ["ModelEngine"]
+__all__ = ["ModelEngine", "prompt_tag"]
--- a/src/threadramp/wire/outcomes.py
+++ b/src/threadramp/wire/outcomes.py
@@ -29,6 +29,7 @@
     DEADLINE = "deadline"
     ENDPOINT_FAILED = "endpoint_failed"
     BROKEN_ANSWER = "broken_answer"
+    NOT_READY = "not_ready"
     PLATFORM_OUT = "platform_out"
     WRITE_BUDGET = "write_budget"
     KEY_REUSED = "key_reused"
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -6,10 +6,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from pytest_bdd import given, parsers, when
+from pytest_bdd import given, parsers, then, when
 from tools.fleet import Fleet, wait_for
 
-from tests.scenarios.world import World
+from tests.scenarios.lots import Trainer
+from tests.scenarios.world import MODEL, World
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -37,11 +38,6 @@
     world.start(gateways, services=services)
 
 
-@given(parsers.parse("a rollout fleet of {gateways:d} gateways and {engines:d} engines"))
-def rollout_fleet(world: World, gateways: int, engines: int) -> None:
-    world.start(gateways, engines=engines)
-
-
 @given(parsers.parse("each transfer takes {seconds:f} s"))
 def transfer_time(world: World, seconds: float) -> None:
     for name in world.services():
@@ -135,3 +131,68 @@
         return sum(seen) >= count
 
     wait_for(running, f"{count} transfers run")
+
+
+@given(parsers.parse("a rollout fleet of {gateways:d} gateways and {engines:d} engines"))
+def rollout_fleet(world: World, gateways: int, engines: int) -> None:
+    world.start(gateways, engines=engines)
+
+
+@given(
+    parsers.parse(
+        "a rollout fleet of {gateways:d} gateways and {engines:d} engines that name no versions"
+    )
+)
+def unnamed_fleet(world: World, gateways: int, engines: int) -> None:
+    world.start(
+        gateways,
+        engines=engines,
+        engine={"names_versions": False},
+        spec={"names_versions": False},
+    )
+
+
+@given(parsers.parse("a trainer with steps of {samples:d} samples"), target_fixture="trainer")
+def trainer(world: World, samples: int) -> Trainer:
+    return Trainer.from_world(world, samples, max_tokens=200, bound=1)
+
+
+@when(parsers.parse("the trainer asks for step {step:d}"))
+def asks(trainer: Trainer, step: int) -> None:
+    trainer.begin(step)
+
+
+@when("some samples of the step are finished")
+def some_finished(world: World, trainer: Trainer) -> None:
+    runs = sum(world.fleet.record(name)["runs"] for name in world.engines())
+
+    def more_runs() -> bool:
+        now = sum(world.fleet.record(name)["runs"] for name in world.engines())
+        return now >= runs + trainer.samples // 2
+
+    wait_for(more_runs, "half of the samples were begun")
+
+
+@when("the trainer publishes new weights")
+def publishes(trainer: Trainer) -> None:
+    trainer.publish()
+
+
+@when(parsers.parse("the trainer acknowledges step {step:d}"))
+def acknowledges(trainer: Trainer, step: int) -> None:
+    trainer.client.acknowledge(trainer.lots[step])
+
+
+@then(parsers.parse("the trainer has the whole lot of step {step:d}"))
+def has_lot(trainer: Trainer, step: int) -> None:
+    assert trainer.running.result().step == step
+
+
+@then(parsers.parse("every engine serves version {version:d} in the end"))
+def all_serve(world: World, version: int) -> None:
+    def served() -> bool:
+        shown = [world.fleet.record(name)["weights"].get(MODEL) for name in world.engines()]
+        return set(shown) == {version}
+
+    wait_for(served, f"every engine serves {version}")
+    world.fleet.wait_in_service({MODEL: version})
