Prove configuration, leaving, planned stops and own answers under failure

Cause: these promises had code but no proof. Nineteen scenarios: operators racing, the service out right after acceptance, a gateway cut from it, lost answers to writes, reads from an older copy, a restore from an older copy, restarts during an outage; drain, late box list and planned stops under load and in the middle of a step; crossed and cut answers and streams under concurrent calls; bad input.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -81,6 +81,11 @@
     world.fleet.restart(f"gateway-{number}")
 
 
+@when(parsers.parse("gateway {number:d} is asked to stop"))
+def stop_gateway(world: World, number: int) -> None:
+    world.fleet.processes[f"gateway-{number}"].ask_to_stop()
+
+
 @when(parsers.parse("the sidecar of {endpoint} is killed"))
 def kill_sidecar(world: World, endpoint: str) -> None:
     world.fleet.processes[f"sidecar-{endpoint}"].kill()
@@ -107,10 +112,47 @@
 
 
 @when(parsers.parse("the sidecar of {endpoint} has stopped"))
+@then(parsers.parse("the sidecar of {endpoint} has stopped"))
 def sidecar_stopped(world: World, endpoint: str) -> None:
     assert world.fleet.processes[f"sidecar-{endpoint}"].wait() == 0
 
 
+@when(parsers.parse("the endpoint {endpoint} is drained through gateway {gateway:d}"))
+def drain(world: World, endpoint: str, gateway: int) -> None:
+    world.set_drain(endpoint, gateway, drained=True)
+
+
+@when(parsers.parse("the drain of {endpoint} is undone through gateway {gateway:d}"))
+def undrain(world: World, endpoint: str, gateway: int) -> None:
+    world.set_drain(endpoint, gateway, drained=False)
+
+
+@when(parsers.parse('a caller takes a ticket for transfer "{name}"'))
+def takes_ticket(world: World, name: str) -> None:
+    world.ticket(name)
+
+
+@when(parsers.parse('a caller sends transfer "{name}" through gateway {gateway:d}'))
+def sends(world: World, name: str, gateway: int) -> None:
+    world.send(name, gateway)
+
+
+@when(
+    parsers.parse(
+        'a caller sends transfer "{name}" through gateway {gateway:d} '
+        "with a deadline of {deadline:f} s"
+    )
+)
+def sends_with_deadline(world: World, name: str, gateway: int, deadline: float) -> None:
+    world.send(name, gateway, deadline_s=deadline, patience_s=deadline)
+
+
+@given(parsers.parse("the engines spoil the next {count:d} streams"))
+def spoil(world: World, count: int) -> None:
+    for name in world.engines():
+        world.fleet.fault(name, cross=count, truncate=count)
+
+
 @when(parsers.parse("{seconds:f} s pass"))
 def time_passes(seconds: float) -> None:
     # Not a wait for a result: the failure itself has to last this long.
--- a/tests/scenarios/test_at_most_once.py
+++ b/tests/scenarios/test_at_most_once.py
@@ -24,16 +24,6 @@
 RACING_SHARE = 0.3
 
 
-@when(parsers.parse('a caller takes a ticket for transfer "{name}"'))
-def takes_ticket(world: World, name: str) -> None:
-    world.ticket(name)
-
-
-@when(parsers.parse('a caller sends transfer "{name}" through gateway {gateway:d}'))
-def sends(world: World, name: str, gateway: int) -> None:
-    world.send(name, gateway)
-
-
 @when(
     parsers.parse(
         'a caller sends transfer "{name}" through gateway {gateway:d} '
@@ -44,16 +34,6 @@
     assert world.send(name, gateway, patience_s=patience).result().outcome == LOST
 
 
-@when(
-    parsers.parse(
-        'a caller sends transfer "{name}" through gateway {gateway:d} '
-        "with a deadline of {deadline:f} s"
-    )
-)
-def sends_with_deadline(world: World, name: str, gateway: int, deadline: float) -> None:
-    world.send(name, gateway, deadline_s=deadline, patience_s=deadline)
-
-
 @when(parsers.parse('the caller sends transfer "{name}" through gateway {gateway:d}'))
 def resends(world: World, name: str, gateway: int) -> None:
     world.send(name, gateway).result()
@@ -78,29 +58,6 @@
         wait(sends)
 
 
-@when(parsers.parse("the endpoint {endpoint} is drained through gateway {gateway:d}"))
-def drain(world: World, endpoint: str, gateway: int) -> None:
-    set_drain(world, endpoint, gateway, drained=True)
-
-
-@when(parsers.parse("the drain of {endpoint} is undone through gateway {gateway:d}"))
-def undrain(world: World, endpoint: str, gateway: int) -> None:
-    set_drain(world, endpoint, gateway, drained=False)
-
-
-def set_drain(world: World, endpoint: str, gateway: int, drained: bool) -> None:
-    operator = world.fleet.operator(f"gateway-{gateway}")
-    held = operator.get("endpoint", endpoint)
-    revision = operator.put("endpoint", endpoint, held["spec"] | {"drain": drained})
-    deadline = time.monotonic() + 30
-    while time.monotonic() < deadline:
-        seen = {item.name: item.revision for item in operator.status().endpoints}
-        if seen[endpoint] >= revision:
-            return
-        time.sleep(0.05)
-    raise AssertionError(f"{endpoint} is not at revision {revision}")
-
-
 @when(
     parsers.parse("{count:d} transfers are sent and resent under faults drawn from seed {seed:d}")
 )
--- a/tests/scenarios/test_labels.py
+++ b/tests/scenarios/test_labels.py
@@ -25,12 +25,6 @@
         world.fleet.fault(name, ignore_fence=True, late_orders=1, late_s=2.0)
 
 
-@given(parsers.parse("the engines spoil the next {count:d} streams"))
-def spoil(world: World, count: int) -> None:
-    for name in world.engines():
-        world.fleet.fault(name, cross=count, truncate=count)
-
-
 @when(parsers.parse("{engine} comes back with version {version:d}"))
 def comes_back(world: World, engine: str, version: int) -> None:
     world.fleet.fault(engine, set_weights={MODEL: version})
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from tools.fleet import EndpointPlan, Fleet
+from tools.fleet import EndpointPlan, Fleet, wait_for
 from urllib3.exceptions import HTTPError
 
 from threadramp.client.http import refusal_of
@@ -72,6 +72,9 @@
         for index in range(services):
             fleet.endpoint(EndpointPlan(f"bank-{index}", BANK, "service", sidecar=own))
         fleet.wait_ready()
+        seeds = [fleet.addresses[f"sync-{name}"] for name in fleet.endpoints]
+        for name in fleet.gateway_names:
+            fleet.resettle(name, seeds=seeds)  # from which it learns when it is started again
         models = {MODEL: 1} if engines else {}
         trainer = {"model": MODEL, "pool": MODELS, "staleness_bound": bound}
         path = fleet.document({TRAINER: trainer} if engines else {}, models)
@@ -122,6 +125,18 @@
         refusal, _ = refusal_of(response.data)
         return Sent(refusal.outcome.value, refusal.reason.value, response.data)
 
+    def set_drain(self, endpoint: str, gateway: int, drained: bool) -> None:
+        """Declare or take back a drain and wait until the sidecar has it."""
+        operator = self.fleet.operator(f"gateway-{gateway}")
+        held = operator.get("endpoint", endpoint)
+        revision = operator.put("endpoint", endpoint, held["spec"] | {"drain": drained})
+
+        def in_force() -> bool:
+            seen = {item.name: item.revision for item in operator.status().endpoints}
+            return seen[endpoint] >= revision
+
+        wait_for(in_force, f"{endpoint} is at revision {revision}")
+
     def runs(self, name: str) -> int:
         """Return how often a transfer ran, at all workers together."""
         return self.all_runs().get(name, 0)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -135,6 +135,7 @@
         self.http = PoolManager(retries=False, maxsize=16)
         self.gateway_names: list[str] = []
         self.probes: dict[str, str] = {}
+        self.gateway_settings: dict[str, dict[str, Any]] = {}
 
     def __enter__(self) -> Fleet:
         """Return the fleet itself."""
@@ -178,6 +179,7 @@
             own |= {"count": count, "threads": 48, "sync_interval_s": 0.5} | settings
             path = self._settings(name, {"gateway": own})
             self.gateway_names.append(name)
+            self.gateway_settings[name] = own
             self._start(name, ["gateway", str(path)])
             self.probes[name] = f"http://{address}/metrics"
 
@@ -208,6 +210,17 @@
             if self.processes[name].is_running:
                 wait_for(lambda at=url: self._answers(at), f"{name} answers")
 
+    def resettle(self, name: str, kv: str = "", **settings: Any) -> None:
+        """Write a gateway's settings anew; in force when it is started again.
+
+        :param kv: address of the key-value service, if not the fleet's
+        """
+        known = self.addresses["kv"]
+        self.addresses["kv"] = kv or known
+        self.gateway_settings[name] |= settings
+        self._settings(name, {"gateway": self.gateway_settings[name]})
+        self.addresses["kv"] = known
+
     def restart(self, name: str) -> None:
         """Start a process again that has ended, with its settings and addresses."""
         self.processes[name].start()
