Let a gateway that is behind catch up from the sidecar that told it

Cause: a sidecar refuses a gateway that is behind; the gateway waited for its next beat and spent its retry budget on that, and a keyed call could end as "not run" on a word that the sidecar had not recorded. Found by reading. Ruled out: sending the changes in the refusal's body, which would carry the configuration through the callers' path.

Change: the gateway asks that sidecar for what it lacks and sends the call again, outside the retry budget; such a refusal is never the last word on a key.

--- a/src/threadramp/core/call.py
+++ b/src/threadramp/core/call.py
@@ -105,10 +105,12 @@
     def refused(self, refusal: Refusal, now: float) -> Send | Finish:
         """Decide after a sidecar's refusal."""
         self.last = refusal
+        if refusal.reason is Reason.SENDER_BEHIND:  # no word on the key; the gateway catches up
+            more = self.attempts < MAX_ATTEMPTS
+            return self._next(now, pause_s=0.0) if more else Finish(self._final(refusal))
         self.sidecar_word = refusal
         if self.call.binding is not None:
-            again = refusal.reason is Reason.SENDER_BEHIND
-            return self._again(now) if again else Finish(self._final(refusal))
+            return Finish(self._final(refusal))
         if refusal.outcome is Outcome.UNKNOWN:
             self.may_have_run = True
         return self._again(now)
--- a/src/threadramp/gateway/beats.py
+++ b/src/threadramp/gateway/beats.py
@@ -15,7 +15,7 @@
 from threadramp.wire.messages import StepMark, SyncReply, SyncRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from threadramp.core.membership import Member
     from threadramp.gateway.state import GatewayState
@@ -55,19 +55,10 @@
         while not self.state.stopped.is_set():
             self.state.wake.clear()
             if self.state.chain.revision == 0:
-                self.ask_seeds()
+                learn_from(self.state, self.state.settings.seeds)
             self.beat()
             self.state.wake.wait(self.state.settings.sync_interval_s)
 
-    def ask_seeds(self) -> None:
-        """Learn the configuration from some sidecars."""
-        request = SyncRequest(self.state.settings.name, self.state.chain.revision)
-        requests = dict.fromkeys(self.state.settings.seeds, request)
-        replies = self.state.sync.exchange(requests, self.state.settings.sync_timeout_s)
-        for reply in replies.values():
-            if isinstance(reply, SyncReply):
-                self.state.configuration.apply(reply.changes, reply.snapshot)
-
     def beat(self) -> None:
         """Beat once to every sidecar."""
         with self.state.lock:
@@ -181,6 +172,18 @@
                 self.state.metrics.count("kv_unavailable", "marks")
 
 
+def learn_from(state: GatewayState, addresses: Sequence[str]) -> None:
+    """Ask some sidecars for the changes that this gateway lacks, without waiting for a beat.
+
+    :param addresses: their sync addresses
+    """
+    request = SyncRequest(state.settings.name, state.chain.revision)
+    replies = state.sync.exchange(dict.fromkeys(addresses, request), state.settings.sync_timeout_s)
+    for reply in replies.values():
+        if isinstance(reply, SyncReply):
+            state.configuration.apply(reply.changes, reply.snapshot)
+
+
 def read_marks(state: GatewayState, trainer: str) -> None:
     """Take over what the key-value service knows of a trainer's closed steps.
 
@@ -219,4 +222,4 @@
     return marks
 
 
-__all__ = ["Background", "read_marks"]
+__all__ = ["Background", "learn_from", "read_marks"]
--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -11,6 +11,7 @@
 
 from threadramp.core.call import Call, CallMachine, Failure, Send
 from threadramp.core.keys import Answer
+from threadramp.gateway.beats import learn_from
 from threadramp.gateway.sender import Outgoing, Sender, Stream
 from threadramp.gateway.state import now
 from threadramp.wire import headers
@@ -116,7 +117,7 @@
                 action = machine.failed(result, now())
             else:
                 if result.reason is Reason.SENDER_BEHIND:
-                    self.state.wake.set()
+                    learn_from(self.state, [action.member.spec.sidecar_sync])
                 action = machine.refused(result, now())
         raise RefusedError(self._last_word(machine.call, action.refusal))
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HOST = "127.0.0.1"
+HOST = "127.0.0.2"  # outgoing connections take their ports at 127.0.0.1, never one of these
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 90.0
 POLL_S = 0.05
@@ -38,11 +38,18 @@
 CALLER_TOKEN = "local-caller"
 
 
+_given: set[str] = set()
+
+
 def free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    """Return a loopback address that is free and was not given out before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            address = f"{HOST}:{probe.getsockname()[1]}"
+        if address not in _given:
+            _given.add(address)
+            return address
 
 
 def wait_for(condition: Callable[[], Any], what: str, timeout_s: float = READY_TIMEOUT_S) -> Any:
--- /dev/null
+++ b/tools/prove.py
@@ -0,0 +1,331 @@
+"""Show that each proof fails without its mechanism: ``make prove``.
+
+Each entry takes one mechanism out of a copy of the tree and runs the scenario that should notice.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("src", "tests", "tools", "pyproject.toml")
+TIMEOUT_S = 240
+AT_ONCE = 2
+
+
+@dataclass(frozen=True)
+class Edit:
+    """One replacement in one file."""
+
+    path: str
+    old: str
+    new: str
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A mechanism that is taken out, and the scenario that should notice."""
+
+    name: str
+    test: str
+    edits: tuple[Edit, ...]
+
+
+KEYS = "src/threadramp/core/keys.py"
+CALLS = "src/threadramp/gateway/calls.py"
+SAMPLES = "src/threadramp/core/samples.py"
+STEPS = "src/threadramp/gateway/steps.py"
+ENGINE = "src/threadramp/sidecar/engine.py"
+ROLLOUTS = "src/threadramp/sidecar/rollouts.py"
+SIDECAR = "src/threadramp/core/sidecar.py"
+MEMBERSHIP = "src/threadramp/core/membership.py"
+BEATS = "src/threadramp/gateway/beats.py"
+CONFIGURATION = "src/threadramp/gateway/configuration.py"
+NOT_REFUSED = (
+    "if entry is not None and entry.state is not KeyState.REFUSED:\n            return self._r"
+)
+
+REMOVALS = (
+    Removal(
+        "memory of used keys",
+        "resent_through_another_gateway",
+        (
+            Edit(KEYS, NOT_REFUSED, NOT_REFUSED.replace("if entry", "if False and entry")),
+            Edit(SIDECAR, 'or state not in (None, "refused")', "or False"),
+        ),
+    ),
+    Removal(
+        "binding to one incarnation",
+        "sidecar_is_killed_between",
+        (
+            Edit(KEYS, "if (binding.endpoint, binding.incarnation) !=", "if False and () !="),
+            Edit(
+                "src/threadramp/core/call.py",
+                "report.incarnation != binding.incarnation",
+                "False",
+            ),
+            Edit(SIDECAR, "binding.incarnation != self.incarnation or", "False or"),
+        ),
+    ),
+    Removal(
+        "number of a key's refusal",
+        "old_gateway_that_wakes_up",
+        (Edit(KEYS, "refusal_seen != entry.refusal", "False"),),
+    ),
+    Removal(
+        "a gateway's care before a sidecar was asked",
+        "resend_of_an_own_key",
+        (Edit(CALLS, "return replace(refusal, outcome=Outcome.UNKNOWN)", "return refusal"),),
+    ),
+    Removal(
+        "note of a planned stop",
+        "planned_stop_leaves",
+        (Edit("src/threadramp/sidecar/daemon.py", "        self._leave_note()\n", ""),),
+    ),
+    Removal(
+        "a later call supersedes",
+        "same_step_is_sent",
+        (Edit(SAMPLES, "if poll.call < step.call:", "if False:"),),
+    ),
+    Removal(
+        "closed steps stay closed",
+        "acknowledgement_is_lost",
+        (
+            Edit(SAMPLES, "if self.marks.is_closed(poll.key):", "if False:"),
+            Edit(STEPS, "        if closed:\n", "        if False:\n"),
+        ),
+    ),
+    Removal(
+        "closed steps are kept by the platform",
+        "acknowledgement_is_lost",
+        (Edit(BEATS, "write_mark(self.state, mark)", "pass"),),
+    ),
+    Removal(
+        "samples of a lost sidecar run elsewhere",
+        "sidecar_is_killed_while",
+        (
+            Edit(
+                "src/threadramp/core/step.py",
+                "if place.endpoint != name}",
+                "if True}",
+            ),
+        ),
+    ),
+    Removal(
+        "labels by piece",
+        "weights_are_published_during",
+        (
+            Edit(
+                ROLLOUTS,
+                "version = chunk.weight_version if named else before.version",
+                "version = self.core.swap.verified().get(task.model)",
+            ),
+        ),
+    ),
+    Removal(
+        "read-back after a sample without named versions",
+        "names_no_versions_is_restarted",
+        (
+            Edit(
+                ROLLOUTS,
+                "        if not named and self._read_mark(task) != before:\n"
+                "            self.state.metrics",
+                "        if False:\n            self.state.metrics",
+            ),
+        ),
+    ),
+    Removal(
+        "freshness by the newest published version",
+        "published_twice",
+        (
+            Edit(
+                STEPS,
+                "newest = max(request.version, published.version if published else 0)",
+                "newest = request.version",
+            ),
+        ),
+    ),
+    Removal(
+        "verification of swaps",
+        "swaps_fail_partway",
+        (
+            Edit(
+                "src/threadramp/core/swap.py",
+                "        return state.verified != version\n",
+                "        return state.verified != version and state.backoff_s < 0.3\n",
+            ),
+        ),
+    ),
+    Removal(
+        "own answers by request id",
+        "services_cross",
+        (Edit(ENGINE, "if echoed != request_id:", "if False:"),),
+    ),
+    Removal(
+        "whole answers by length",
+        "services_cross",
+        (
+            Edit(
+                ENGINE,
+                "                preload_content=preload,\n",
+                "                preload_content=preload,\n"
+                "                enforce_content_length=False,\n",
+            ),
+            Edit(
+                "src/threadramp/standins/service.py",
+                "return Response(200, response.body,",
+                "return Response(200, response.body[:-9],",
+            ),
+        ),
+    ),
+    Removal(
+        "own streams by request id",
+        "engines_cross_and_cut",
+        (
+            Edit(ENGINE, "if chunk.id != request_id:", "if False:"),
+            Edit(
+                "src/threadramp/standins/engine.py",
+                "tag = prompt_tag(prompt)",
+                "tag = prompt_tag(prompt if not self.faults['cross'] else 'x')",
+            ),
+        ),
+    ),
+    Removal(
+        "the revision at which a resource must stand",
+        "two_operators_race",
+        (Edit(CONFIGURATION, "edit.expected is not None and", "False and"),),
+    ),
+    Removal(
+        "changes spread through sidecars",
+        "cut_from_the_service",
+        (
+            Edit(
+                BEATS,
+                "        self.state.configuration.apply(reply.changes, reply.snapshot)\n"
+                "        with self.state.lock:",
+                "        with self.state.lock:",
+            ),
+        ),
+    ),
+    Removal(
+        "a lower revision is never applied",
+        "answers_from_an_older_copy",
+        (
+            Edit(
+                CONFIGURATION,
+                "            if head.revision < self.chain.revision:\n",
+                "            if head.revision < self.chain.revision:\n"
+                "                self.chain.revision = head.revision\n",
+            ),
+        ),
+    ),
+    Removal(
+        "repair of a service that forgot",
+        "restored_from_an_older",
+        (Edit(CONFIGURATION, "        self._repair(head, current.version)\n", ""),),
+    ),
+    Removal(
+        "an operator's drain",
+        "operator_drains",
+        (
+            Edit(SIDECAR, "or endpoint is None or endpoint.drain", "or endpoint is None"),
+            Edit(MEMBERSHIP, "return self.spec.drain or", "return"),
+        ),
+    ),
+    Removal(
+        "the box list's word",
+        "box_list_says_late",
+        (Edit(MEMBERSHIP, "or self.box_leaving or", "or"),),
+    ),
+    Removal(
+        "a sidecar's planned stop waits",
+        "asked_to_stop_while_a_transfer",
+        (
+            Edit(
+                "src/threadramp/sidecar/daemon.py",
+                "not core.admission.running and not core.admission.rollouts",
+                "True",
+            ),
+        ),
+    ),
+    Removal(
+        "a gateway's planned stop waits",
+        "gateway_is_asked_to_stop_in",
+        (
+            Edit(
+                "src/threadramp/gateway/daemon.py",
+                "while open_requests() and",
+                "while False and",
+            ),
+        ),
+    ),
+)
+
+
+def run(removal: Removal) -> tuple[bool, str]:
+    """Run a scenario without its mechanism.
+
+    :returns: whether it failed as it should, and what it printed
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            target = copy / name
+            if source.is_dir():
+                shutil.copytree(source, target, ignore=shutil.ignore_patterns("__pycache__"))
+            else:
+                shutil.copy(source, target)
+        for edit in removal.edits:
+            apply(copy / edit.path, edit)
+        command = [sys.executable, "-m", "pytest", "tests/scenarios", "-x", "-k", removal.test]
+        environment = os.environ | {"PYTHONPATH": str(copy / "src")}
+        try:
+            done = subprocess.run(
+                command,
+                cwd=copy,
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired:
+            return True, f"no end within {TIMEOUT_S} s"
+        errors = [line[4:] for line in done.stdout.splitlines() if line.startswith("E   ")]
+        return done.returncode == 1, errors[0].strip() if errors else done.stdout[-200:].strip()
+
+
+def apply(path: Path, edit: Edit) -> None:
+    """Apply an edit.
+
+    :raises ValueError: if the place is not there exactly once
+    """
+    text = path.read_text()
+    if text.count(edit.old) != 1:
+        raise ValueError(f"{edit.path}: {edit.old!r} stands {text.count(edit.old)} times")
+    path.write_text(text.replace(edit.old, edit.new))
+
+
+def main() -> int:
+    """Run all removals, or those whose name has a word of the command line."""
+    words = sys.argv[1:]
+    chosen = [item for item in REMOVALS if not words or any(word in item.name for word in words)]
+    unnoticed = 0
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for removal, (failed, printed) in zip(chosen, pool.map(run, chosen), strict=True):
+            unnoticed += not failed
+            verdict = "fails" if failed else "PASSES ALL THE SAME"
+            print(f"without {removal.name}: {removal.test} {verdict}: {printed[:150]}", flush=True)
+    print(f"{len(chosen) - unnoticed} noticed, {unnoticed} not noticed")
+    return 1 if unnoticed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
