Ask about a step within a rate; index samples by endpoint; spread loads; ask for steps ahead

Cause: slopes measured for the target size. A gateway that assembles a step asked 450 sidecars ten times a second, and each reply went over all 2,048 samples.

--- a/bench/load.py
+++ b/bench/load.py
@@ -1,5 +1,8 @@
 """Seeded open-loop load on real processes before stand-ins; paired runs of two policies.
 
+A change is ``NAME=VALUE`` of the table ``policy`` of the settings, or ``ahead=N`` for trainers that
+ask for N steps before their turn.
+
 ``python -m bench.load --deployment banking --change tail=second_attempt --pairs 5``
 """
 
@@ -16,15 +19,19 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
 from tools.fleet import EndpointPlan, Fleet
 from urllib3.exceptions import HTTPError
 
 from threadramp.client.errors import ClientError, RequestRefusedError
+from threadramp.client.prefetch import LotPrefetcher, StepPlan
 from threadramp.client.trainer import GroupRequest
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 MODEL_POOL = "models"
 APP_POOL = "app"
 GROUP_SIZE = 8
@@ -39,6 +46,7 @@
     "reserve": "none",
     "lookahead": 0.0,
 }
+NUMBERS = ("lookahead", "ahead")
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -106,7 +114,8 @@
         self, deployment: Deployment, policy: dict[str, Any], seed: int, seconds: float, fault: str
     ) -> None:
         self.deployment = deployment
-        self.policy = policy
+        self.ahead = int(policy.get("ahead", 0))
+        self.policy = {name: value for name, value in policy.items() if name != "ahead"}
         self.random = Random(seed)
         self.seconds = seconds
         self.fault = fault
@@ -155,14 +164,9 @@
         """Take step after step; new weights after every second one."""
         plan = self.deployment
         client = fleet.trainer(name, 1)
-        step = 0
-        while time.monotonic() < self.until:
-            groups = [
-                GroupRequest(f"g{index}", f"{name} {step} {index}", GROUP_SIZE, plan.max_tokens)
-                for index in range(plan.samples // GROUP_SIZE)
-            ]
-            begun = time.monotonic()
-            lot = client.step(step, self.versions[name], groups, 120)
+        prefetcher = LotPrefetcher(client, lambda: self.versions[name], self.ahead, 120)
+        begun = time.monotonic()
+        for lot in prefetcher.lots(self._plans(name)):
             waited = time.monotonic() - begun
             client.acknowledge(lot)
             with self.tally.lock:
@@ -174,10 +178,21 @@
                     self.versions[name] - min(sample.versions) for sample in lot.samples
                 ]
             time.sleep(plan.train_s)
-            step += 1
-            if step % 2 == 0:
+            if lot.step % 2:
                 self.versions[name] += 1
                 client.publish(name, self.versions[name])
+            begun = time.monotonic()
+
+    def _plans(self, name: str) -> Iterator[StepPlan]:
+        plan = self.deployment
+        step = 0
+        while time.monotonic() < self.until:
+            groups = [
+                GroupRequest(f"g{index}", f"{name} {step} {index}", GROUP_SIZE, plan.max_tokens)
+                for index in range(plan.samples // GROUP_SIZE)
+            ]
+            yield StepPlan(step, tuple(groups))
+            step += 1
 
     def _call_all(self, fleet: Fleet) -> None:
         """Send calls by a day's shape, whether or not earlier ones have ended."""
@@ -285,7 +300,7 @@
     policy = dict(BASELINE)
     for text in texts:
         name, _, value = text.partition("=")
-        policy[name] = float(value) if name == "lookahead" else value
+        policy[name] = float(value) if name in NUMBERS else value
     return policy
 
 
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,253 @@
+"""Slopes behind ``docs/CAPACITY.md``: what one more peer, change, endpoint or sample costs.
+
+``python -m bench.slopes`` prints one table; each slope is measured at three sizes at least.
+"""
+
+from __future__ import annotations
+
+import resource
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import msgspec
+from tools.fleet import free_address
+
+from threadramp.config.settings import SidecarSettings
+from threadramp.core.chain import Chain
+from threadramp.core.head import Head, encode_snapshot
+from threadramp.core.keys import Binding, KeyTable
+from threadramp.core.membership import Membership
+from threadramp.core.sidecar import SidecarCore
+from threadramp.core.step import SampleProgress, StepAssembly
+from threadramp.policy.placement import LeastLoaded
+from threadramp.policy.subset import gateway_subset
+from threadramp.policy.tail import TAILS
+from threadramp.wire.messages import (
+    CallStamp,
+    Change,
+    Piece,
+    RunningStatus,
+    SamplePayload,
+    SampleSpec,
+    StepKey,
+    StepPollReply,
+    SyncRequest,
+)
+from threadramp.wire.seal import TAG_BYTES, Seal
+from threadramp.wire.sync import SyncClient, SyncServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TARGET_ENDPOINTS = 2700
+TARGET_GATEWAYS = 350
+COVERAGE = 3
+MODELS = ("a", "b", "c")
+BEATS = 20
+MS = 1000
+KB = 1024
+
+
+def report(name: str, size: int, value: float, unit: str) -> None:
+    """Print one figure."""
+    print(f"{name:46} {size:7d} {value:12.4f} {unit}", flush=True)
+
+
+def processor_ms(work: Callable[[], object], times: int) -> float:
+    """Return the processor time of one run of ``work`` in milliseconds."""
+    begun = time.process_time()
+    for _ in range(times):
+        work()
+    return (time.process_time() - begun) / times * MS
+
+
+def allocated_kb(build: Callable[[], object]) -> float:
+    """Return the memory that ``build`` leaves allocated, in KB."""
+    tracemalloc.start()
+    kept = build()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size / KB
+
+
+def endpoint_change(index: int, revision: int) -> Change:
+    """Return the change that declares an endpoint."""
+    spec = {
+        "pool": "models",
+        "data_centre": f"dc-{index % 16}",
+        "address": f"10.{index // 250}.{index % 250}.10:8000",
+        "sidecar_http": f"10.{index // 250}.{index % 250}.10:7001",
+        "sidecar_sync": f"10.{index // 250}.{index % 250}.10:7002",
+        "slots": 16,
+        "checks_orders": False,
+        "names_versions": True,
+        "drain": False,
+    }
+    return Change(revision, f"change-{revision:012d}", "endpoint", f"models-{index}", spec)
+
+
+def fleet_chain(endpoints: int) -> Chain:
+    """Return the configuration of a fleet."""
+    chain = Chain()
+    pool = {"type": "model", "models": list(MODELS), "repeatable": False, "echoes_request_id": True}
+    changes = [Change(1, "change-pool", "pool", "models", pool)]
+    for number, model in enumerate(MODELS):
+        changes.append(Change(2 + number, f"w{number}", "weights", model, {"version": 1}))
+    first = len(changes) + 1
+    changes += [endpoint_change(index, first + index) for index in range(endpoints)]
+    chain.apply(changes)
+    return chain
+
+
+def sidecar_core(chain: Chain | None = None) -> SidecarCore:
+    """Return a sidecar's core, with a fleet's configuration if one is given."""
+    settings = SidecarSettings(
+        "models-0", "10.0.0.10:8000", "10.0.0.10:7001", "10.0.0.10:7002", "d"
+    )
+    core = SidecarCore(settings, "incarnation0", 1, 0.0)
+    if chain is not None:
+        core.chain.restore(chain.snapshot())
+        core.swap.versions_read("boot", dict.fromkeys(MODELS, 1), 0.0)
+    return core
+
+
+def message_bytes(message: object) -> int:
+    """Return a message's length on the wire, its tag included."""
+    return len(msgspec.msgpack.encode(message)) + TAG_BYTES
+
+
+def measure_beats() -> None:
+    """A beat between a gateway and its sidecars, over sockets, both ends in this process."""
+    core = sidecar_core(fleet_chain(100))
+    request = SyncRequest("gateway-123", core.chain.revision, marks_seen=0)
+    reply = core.handle(request, 1.0)
+    report("beat: request", 1, message_bytes(request), "bytes")
+    report("beat: reply", 1, message_bytes(reply), "bytes")
+    seal = Seal("key")
+    for peers in (8, 32, 128):
+        client = SyncClient(seal)
+        servers = {free_address(): sidecar_core() for _ in range(peers)}
+        sockets = [
+            SyncServer(address, seal, lambda message, at=server: at.handle(message, 1.0), 1)
+            for address, server in servers.items()
+        ]
+        requests = dict.fromkeys(servers, request)
+        client.exchange(requests, 5.0)
+        spent = processor_ms(lambda at=client, sent=requests: at.exchange(sent, 5.0), BEATS)
+        report("beat: processor time of both ends, a peer", peers, spent / peers, "ms")
+        for socket in sockets:
+            socket.close()
+        client.close()
+
+
+def measure_changes() -> None:
+    """A change of configuration at a gateway and at a sidecar."""
+    for endpoints in (300, 900, TARGET_ENDPOINTS):
+        chain = fleet_chain(endpoints)
+        membership = Membership()
+
+        def apply_one(at: Chain = chain, members: Membership = membership) -> None:
+            at.apply([endpoint_change(at.revision % 100, at.revision + 1)])
+            specs = at.of_kind("endpoint")
+            mine = gateway_subset(list(specs), 7, TARGET_GATEWAYS, COVERAGE)
+            members.declare({name: specs[name] for name in mine})
+
+        report("change: processor time at a gateway", endpoints, processor_ms(apply_one, 20), "ms")
+
+        def apply_only(at: Chain = chain) -> None:
+            at.apply([endpoint_change(at.revision % 100, at.revision + 1)])
+
+        report("change: processor time at a sidecar", endpoints, processor_ms(apply_only, 50), "ms")
+        report("change: on the wire", endpoints, message_bytes(endpoint_change(7, 9999)), "bytes")
+        kept = allocated_kb(lambda at=endpoints: fleet_chain(at))
+        report("configuration: memory", endpoints, kept / KB, "MB")
+        snapshot = len(encode_snapshot(chain.snapshot())) / KB
+        report("configuration: snapshot in the service", endpoints, snapshot, "KB")
+    changes = tuple(endpoint_change(index, index) for index in range(64))
+    report("configuration: longest head", 64, len(Head(64, 0, changes).to_bytes()) / KB, "KB")
+
+
+def step_assembly(samples: int, shard: int) -> StepAssembly:
+    """Return a step's assembly over a shard."""
+    made = {
+        f"trainer/run-1/17/g{index // 8}/{index % 8}": SampleProgress(
+            SampleSpec(f"trainer/run-1/17/g{index // 8}/{index % 8}", "p" * 200, 256, index, 0),
+            f"g{index // 8}",
+            index % 8,
+        )
+        for index in range(samples)
+    }
+    endpoints = {f"models-{index}": 16 for index in range(shard)}
+    stamp = CallStamp(1, 0, "nonce")
+    key = StepKey("trainer", "run-1", 17)
+    return StepAssembly(
+        key, stamp, "a", made, endpoints, LeastLoaded(), TAILS["wait"](), 1, polls_per_s=1e9
+    )
+
+
+def measure_steps() -> None:
+    """A step at its gateway: one exchange with every endpoint of the shard that has samples."""
+    for samples, shard in ((256, 56), (1024, 225), (2048, 450)):
+        step = step_assembly(samples, shard)
+        held: dict[str, list[str]] = {}
+        sizes = []
+
+        def exchange(at: StepAssembly = step, given: dict = held, seen: list = sizes) -> None:
+            for name, poll in at.polls(9, time.monotonic()).items():
+                given.setdefault(name, []).extend(spec.sample for spec in poll.submit)
+                statuses = [RunningStatus(sample, 1, 55, 1) for sample in given[name]]
+                reply = StepPollReply(running=tuple(statuses))
+                seen.append(message_bytes(poll) + message_bytes(reply))
+                at.replied(name, reply)
+
+        exchange()
+        exchange()
+        sizes.clear()
+        spent = processor_ms(exchange, 5)
+        polls = max(1, len(sizes) // 5)
+        report("step: processor time, a question", samples, spent / polls, "ms")
+        report("step: on the wire, a question", samples, sum(sizes) / len(sizes), "bytes")
+        kept = allocated_kb(lambda count=samples, at=shard: step_assembly(count, at))
+        report("step: memory at its gateway", samples, kept / KB, "MB")
+
+
+def measure_held() -> None:
+    """Finished samples and used keys held at a sidecar."""
+    for samples in (100, 1000, 4000):
+
+        def build(count: int = samples) -> list:
+            piece = Piece(1, 256)
+            texts = [f"{index:04d}" * 256 for index in range(count)]
+            return [
+                SamplePayload(f"trainer/run-1/17/g/{index}", 1, text, (piece,))
+                for index, text in enumerate(texts)
+            ]
+
+        report("held sample of 1 KB of text: memory", samples, allocated_kb(build) / samples, "KB")
+    for keys in (1000, 10_000, 50_000):
+
+        def fill(count: int = keys) -> KeyTable:
+            table = KeyTable("e", "i", 86_400.0, 200_000, 4096, 0.0)
+            for index in range(count):
+                table.begin(Binding(f"key-{index:012d}", "p", "e", "i", 0), "d" * 32, 0, 1.0)
+                table.finish(f"key-{index:012d}", None, keep=False)
+            return table
+
+        report("used key: memory", keys, allocated_kb(fill) / keys, "KB")
+
+
+def main() -> None:
+    """Measure all slopes."""
+    print(f"{'slope':46} {'size':>7} {'figure':>12}")
+    measure_beats()
+    measure_changes()
+    measure_steps()
+    measure_held()
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB
+    report("peak memory of this program", 1, peak, "MB")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/threadramp/client/operator.py
+++ b/src/threadramp/client/operator.py
@@ -11,6 +11,7 @@
 from threadramp.client.errors import RequestRefusedError, UnreachableError
 from threadramp.client.http import Api, checked
 from threadramp.core.burn import ObjectiveRecord
+from threadramp.wire.headers import CHANGE_ID
 from threadramp.wire.outcomes import Outcome
 from threadramp.wire.status import FleetStatus
 
@@ -70,7 +71,7 @@
         self, method: str, kind: str, name: str, spec: dict[str, Any] | None, revision: int | None
     ) -> int:
         change_id = uuid.uuid4().hex
-        sent = {"X-Change-Id": change_id}
+        sent = {CHANGE_ID: change_id}
         if revision == 0:
             sent["If-None-Match"] = "*"
         elif revision is not None:
--- a/src/threadramp/client/trainer.py
+++ b/src/threadramp/client/trainer.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import threading
 import time
+import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +13,7 @@
 
 from threadramp.client.errors import LotError, RequestRefusedError, UnreachableError
 from threadramp.client.http import Api, checked
+from threadramp.wire.headers import CHANGE_ID
 from threadramp.wire.lots import (
     EndLine,
     ErrorLine,
@@ -57,6 +60,7 @@
         self.run = run
         self.staleness_bound = staleness_bound
         self.calls = 0
+        self.lock = threading.Lock()
 
     def step(
         self,
@@ -76,8 +80,7 @@
         deadline = time.monotonic() + deadline_s
         reason = "deadline"
         while (left := deadline - time.monotonic()) > 0:
-            self.calls += 1
-            request = StepRequest(self.run, version, tuple(groups), left, self.calls)
+            request = StepRequest(self.run, version, tuple(groups), left, self._next_call())
             try:
                 return self._receive(step, request, on_progress)
             except RequestRefusedError as error:
@@ -103,14 +106,28 @@
                 time.sleep(RETRY_PAUSE_S)
         raise UnreachableError(f"step {lot.step} could not be acknowledged")
 
-    def publish(self, model: str, version: int) -> int:
-        """Publish new weights of a model.
+    def publish(self, model: str, version: int, deadline_s: float = 60.0) -> int:
+        """Publish new weights of a model; say it again while the platform is out.
 
         :returns: the revision of the configuration that names them
+        :raises RequestRefusedError: if they are not valid, or the deadline passed
         """
+        deadline = time.monotonic() + deadline_s
         path = f"/v1/resources/weights/{model}"
-        response = self.api.ask("PUT", path, {"version": version})
-        return msgspec.json.decode(response.data)["revision"]
+        sent = {CHANGE_ID: uuid.uuid4().hex}  # so that saying it again changes nothing twice
+        while True:
+            try:
+                response = self.api.ask("PUT", path, {"version": version}, headers=sent)
+                return msgspec.json.decode(response.data)["revision"]
+            except RequestRefusedError as error:
+                if not error.refusal.retry_after_s or time.monotonic() > deadline:
+                    raise
+            time.sleep(RETRY_PAUSE_S)
+
+    def _next_call(self) -> int:
+        with self.lock:
+            self.calls += 1
+            return self.calls
 
     def _receive(
         self, step: int, request: StepRequest, on_progress: Callable[[int, int], None] | None
--- a/src/threadramp/config/settings.py
+++ b/src/threadramp/config/settings.py
@@ -54,6 +54,7 @@
     :param threads: HTTP worker threads
     :param sync_interval_s: seconds between two beats to a sidecar
     :param sync_timeout_s: seconds after which a beat counts as lost
+    :param step_polls_per_s: exchanges a second about a running step that only ask
     :param key_writes_per_s: budget of assignment writes for callers' own keys
     :param seeds: sync addresses of some sidecars, from which a gateway that starts while the
         key-value service is out learns the configuration
@@ -70,6 +71,7 @@
     threads: int = 64
     sync_interval_s: float = 1.0
     sync_timeout_s: float = 1.0
+    step_polls_per_s: float = 100.0
     key_writes_per_s: float = 50.0
     seeds: tuple[str, ...] = ()
     max_body_bytes: int = 4_194_304
@@ -86,6 +88,8 @@
     :param max_keys: most keys that are remembered
     :param max_answer_bytes: longest answer that is kept for a resend
     :param freeze_limit_s: a gap of the clock above this counts as a freeze
+    :param load_spread_s: time over which the fleet's loads of new weights are spread, so that the
+        weight store's rate is not exceeded; 0 for a small fleet
     :param stop_grace_s: longest wait for running work at a planned stop
     :param buffer_grace_s: longest wait for buffered samples to be fetched at a planned stop
     """
@@ -101,6 +105,7 @@
     max_keys: int = 200_000
     max_answer_bytes: int = 65_536
     freeze_limit_s: float = 2.0
+    load_spread_s: float = 0.0
     stop_grace_s: float = 60.0
     buffer_grace_s: float = 30.0
     max_body_bytes: int = 4_194_304
@@ -142,7 +147,7 @@
     routing: str = "two_choice"
     placement: str = "least_loaded"
     tail: str = "wait"
-    reserve: str = "recent"
+    reserve: str = "none"
     lookahead: float = 0.0
 
     def findings(self, place: str) -> list[Finding]:
--- a/src/threadramp/core/sidecar.py
+++ b/src/threadramp/core/sidecar.py
@@ -14,6 +14,7 @@
 from threadramp.core.samples import SampleBuffer
 from threadramp.core.swap import SwapRecord
 from threadramp.policy.reserve import RESERVES
+from threadramp.policy.routing import rank_share
 from threadramp.wire.messages import (
     CloseStep,
     EndpointReport,
@@ -37,7 +38,7 @@
 
 MAX_QUEUE = 256
 MAX_KEPT_ANSWERS = 4096
-DEFAULT_RESERVE = "recent"
+DEFAULT_RESERVE = "none"
 
 
 @dataclass(frozen=True)
@@ -89,7 +90,8 @@
         self.chain = Chain()
         self.marks = StepMarks()
         self.samples = SampleBuffer(self.marks)
-        self.swap = SwapRecord(started_ms)
+        share = rank_share(settings.endpoint)
+        self.swap = SwapRecord(started_ms, share * settings.load_spread_s)
         self.freeze = FreezeDetector(settings.freeze_limit_s, now)
         self.admission = Admission(settings.slots, MAX_QUEUE, RESERVES[reserve]())
         self.keys = KeyTable(
--- a/src/threadramp/core/step.py
+++ b/src/threadramp/core/step.py
@@ -19,6 +19,8 @@
     from threadramp.wire.messages import CallStamp, StepKey, StepPollReply
 
 MISSES_UNTIL_LOST = 3
+DEFAULT_POLLS_PER_S = 100.0
+IDLE_POLL_S = 1.0  # between two questions to an endpoint that has no running samples
 FETCH_BATCH = 32  # payloads asked of one sidecar in one exchange
 
 
@@ -54,13 +56,19 @@
 
 @dataclass
 class EndpointProgress:
-    """One endpoint of the step's shard."""
+    """One endpoint of the step's shard.
+
+    :ivar running: samples that it has not finished
+    :ivar placed: all samples of which an attempt was placed there
+    """
 
     slots: int
     heard: bool = False
     misses: int = 0
     leaving: bool = False
+    next_poll: float = float("-inf")
     running: set[str] = field(default_factory=set)
+    placed: set[str] = field(default_factory=set)
 
     @property
     def is_usable(self) -> bool:
@@ -89,6 +97,8 @@
 
     :param shard: slots by endpoint
     :param oldest_allowed: the oldest version that a delivered sample may name
+    :param polls_per_s: exchanges a second that have nothing to submit, cancel or fetch; the fewer
+        endpoints still have samples, the more often each is asked
     """
 
     def __init__(
@@ -101,6 +111,7 @@
         placement: Placement,
         tail: TailPolicy,
         oldest_allowed: int,
+        polls_per_s: float = DEFAULT_POLLS_PER_S,
     ) -> None:
         self.key = key
         self.call = call
@@ -110,6 +121,7 @@
         self.placement = placement
         self.tail = tail
         self.oldest_allowed = oldest_allowed
+        self.polls_per_s = polls_per_s
         self.withdrawals: list[Withdrawal] = []
         self.cancels: dict[str, list[str]] = {name: [] for name in shard}
         self.asked = False
@@ -136,12 +148,12 @@
             self.cancels[name] = []
 
     def polls(self, revision: int, now: float) -> dict[str, StepPoll]:
-        """Return the next exchange with each endpoint of the shard."""
+        """Return the next exchange with each endpoint that is due or has something to do."""
         submits = self._place(now) if self.asked else {}
         fetches = self._fetches()
         self.asked = True
         polls = {}
-        for name in self.endpoints:
+        for name in self._due({*submits, *fetches}, now):
             cancel = tuple(self.cancels[name])
             self.cancels[name] = []
             polls[name] = StepPoll(
@@ -218,14 +230,18 @@
         return digest("\n".join(parts).encode())
 
     def _forget(self, name: str) -> None:
-        self.endpoints[name].running.clear()
-        for sample in self.samples.values():
+        endpoint = self.endpoints[name]
+        endpoint.running.clear()
+        for placed in endpoint.placed:
+            sample = self.samples[placed]
             sample.attempts = {place for place in sample.attempts if place.endpoint != name}
             for place in [place for place in sample.finished if place.endpoint == name]:
                 del sample.finished[place]
+        endpoint.placed.clear()
 
     def _note_attempt(self, name: str, sample_id: str, attempt: int) -> None:
         sample = self.samples[sample_id]
+        self.endpoints[name].placed.add(sample_id)
         sample.attempts.add(Place(name, attempt))
         sample.last_attempt = max(sample.last_attempt, attempt)
 
@@ -290,6 +306,7 @@
         place = Place(room.endpoint, sample.last_attempt)
         sample.attempts.add(place)
         self.endpoints[room.endpoint].running.add(sample.spec.sample)
+        self.endpoints[room.endpoint].placed.add(sample.spec.sample)
         return SampleSpec(
             sample.spec.sample,
             sample.spec.prompt,
@@ -298,6 +315,20 @@
             sample.last_attempt,
         )
 
+    def _due(self, busy: set[str], now: float) -> list[str]:
+        awaited = [name for name, endpoint in self.endpoints.items() if self._is_awaited(endpoint)]
+        interval_s = len(awaited) / self.polls_per_s
+        due = []
+        for name, endpoint in self.endpoints.items():
+            idle_s = interval_s if name in awaited else IDLE_POLL_S
+            if name in busy or self.cancels[name] or now >= endpoint.next_poll:
+                endpoint.next_poll = now + idle_s
+                due.append(name)
+        return due
+
+    def _is_awaited(self, endpoint: EndpointProgress) -> bool:
+        return bool(endpoint.running) or not endpoint.heard or endpoint.misses > 0
+
     def _fetches(self) -> dict[str, list[str]]:
         fetches: dict[str, list[str]] = {}
         if not self.is_whole:
--- a/src/threadramp/core/swap.py
+++ b/src/threadramp/core/swap.py
@@ -53,11 +53,15 @@
     """The sidecar's own record of its engine's versions.
 
     :param started_ms: wall clock at the sidecar's start, the lower part of each order's number
+    :param delay_s: this engine's share of the time over which a fleet's loads are spread
     :ivar generation: raised whenever the served version may have changed
     """
 
-    def __init__(self, started_ms: int) -> None:
+    def __init__(self, started_ms: int, delay_s: float = 0.0) -> None:
         self.started_ms = started_ms
+        self.delay_s = delay_s
+        self.wanted: dict[str, int] = {}
+        self.wanted_since: dict[str, float] = {}
         self.models: dict[str, ModelState] = {}
         self.boot = ""
         self.generation = 0
@@ -80,6 +84,7 @@
         :param declared: version by model
         :param revision: of the configuration that declares them
         """
+        self._note_wanted(declared, now)
         unread = any(self._state(model).verified is None for model in declared)
         read_after = ORDER_BACKOFF_MIN_S if unread else READ_INTERVAL_S
         if now >= self.next_read:
@@ -170,8 +175,16 @@
         state = self._state(model)
         if state.ordered is not None or now < state.next_order:
             return False
+        if now < self.wanted_since[model] + self.delay_s:
+            return False
         return state.verified != version
 
+    def _note_wanted(self, declared: dict[str, int], now: float) -> None:
+        for model, version in declared.items():
+            if self.wanted.get(model) != version:
+                self.wanted[model] = version
+                self.wanted_since[model] = now
+
     def _note_read(self, model: str, version: int | None, now: float) -> None:
         state = self._state(model)
         if version != state.verified:
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -41,7 +41,6 @@
     "Content-Type",
 )
 LINES_TYPE = "application/x-ndjson"
-CHANGE_ID = "X-Change-Id"
 OPERATOR = "operator"
 TRAINER = "trainer"
 CALLER = "caller"
@@ -245,11 +244,13 @@
         self.gate.check(*roles)
 
     def _edit(self, kind: str, name: str, spec: dict | None) -> bytes:
-        change_id = header(CHANGE_ID) or uuid.uuid4().hex
+        change_id = header(headers.CHANGE_ID) or uuid.uuid4().hex
         edit = Edit(change_id, kind, name, spec, _expected())
         change = self.state.configuration.edit(edit)
         body = {"revision": change.revision, "change_id": change.change_id}
-        return answer_json(body, headers={"ETag": f'"{change.revision}"', CHANGE_ID: change_id})
+        return answer_json(
+            body, headers={"ETag": f'"{change.revision}"', headers.CHANGE_ID: change_id}
+        )
 
 
 class ChangeResource(Resource):
--- a/src/threadramp/gateway/steps.py
+++ b/src/threadramp/gateway/steps.py
@@ -143,6 +143,7 @@
             PLACEMENTS[self.state.policy.placement](),
             TAILS[self.state.policy.tail](),
             self._oldest_allowed(spec, request),
+            self.state.settings.step_polls_per_s,
         )
 
     def _room(self, endpoint: Endpoint) -> int:
--- a/src/threadramp/policy/routing.py
+++ b/src/threadramp/policy/routing.py
@@ -74,6 +74,11 @@
     return sorted(names, key=weight, reverse=True)
 
 
+def rank_share(name: str) -> float:
+    """Return a number from 0 to 1 by a name, spread evenly over many names."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest()) / 2**32
+
+
 def _load(member: Member, outstanding: int) -> float:
     report = member.report
     if report is None:
@@ -82,4 +87,4 @@
     return max(outstanding, reported) / max(1, report.slots)
 
 
-__all__ = ["ROUTINGS", "RoundRobin", "Routing", "TwoChoice", "rendezvous"]
+__all__ = ["ROUTINGS", "RoundRobin", "Routing", "TwoChoice", "rank_share", "rendezvous"]
--- a/src/threadramp/wire/headers.py
+++ b/src/threadramp/wire/headers.py
@@ -9,6 +9,7 @@
 REPEATABLE = "X-Repeatable"
 TICKET = "X-Ticket"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+CHANGE_ID = "X-Change-Id"
 OUTCOME = "X-Outcome"
 REVISION = "X-Revision"
 REFUSAL = "X-Refusal"
@@ -20,6 +21,7 @@
 __all__ = [
     "ATTEMPT",
     "BODY_DIGEST",
+    "CHANGE_ID",
     "DEADLINE_MS",
     "ENDPOINT",
     "IDEMPOTENCY_KEY",
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from pynng import Rep0, Req0
+from pynng import Context, Rep0, Req0
 from pynng.exceptions import Closed, NNGException
 
 from threadramp.wire.messages import Reply, Request
@@ -33,6 +33,7 @@
         self.seal = seal
         self.loop = asyncio.new_event_loop()
         self.sockets: dict[str, Req0] = {}
+        self.contexts: dict[str, list[Context]] = {}
         self.thread = threading.Thread(target=self.loop.run_forever, name="sync", daemon=True)
         self.thread.start()
 
@@ -58,6 +59,8 @@
 
     def _close(self, address: str) -> None:
         socket = self.sockets.pop(address, None)
+        for context in self.contexts.pop(address, []):
+            context.close()
         if socket is not None:
             socket.close()
 
@@ -78,7 +81,10 @@
             socket.recv_max_size = MAX_MESSAGE_BYTES
             socket.dial(f"tcp://{address}", block=False)
             self.sockets[address] = socket
-        context = socket.new_context()
+            self.contexts[address] = []
+        free = self.contexts[address]
+        # A context whose request timed out is used again: its next request voids the last.
+        context = free.pop() if free else socket.new_context()
         try:
             sealed = self.seal.wrap(_encoder.encode(request))
             async with asyncio.timeout(timeout_s):
@@ -89,7 +95,7 @@
         except (TimeoutError, NNGException, msgspec.DecodeError):
             return None
         finally:
-            context.close()
+            free.append(context)
 
 
 class SyncServer:
@@ -106,19 +112,21 @@
         self.socket = Rep0(listen=f"tcp://{address}")
         self.socket.recv_max_size = MAX_MESSAGE_BYTES
         self.rejected = 0
+        self.contexts = [self.socket.new_context() for _ in range(threads)]
         self.threads = [
-            threading.Thread(target=self._serve, name=f"sync-{number}", daemon=True)
-            for number in range(threads)
+            threading.Thread(target=self._serve, args=(context,), name="sync", daemon=True)
+            for context in self.contexts
         ]
         for thread in self.threads:
             thread.start()
 
     def close(self) -> None:
         """Stop listening."""
+        for context in self.contexts:
+            context.close()
         self.socket.close()
 
-    def _serve(self) -> None:
-        context = self.socket.new_context()
+    def _serve(self, context: Context) -> None:
         while True:
             try:
                 body = self.seal.unwrap(context.recv())
--- a/tests/core/test_state_machines.py
+++ b/tests/core/test_state_machines.py
@@ -252,6 +252,7 @@
                 delivered.remove(withdrawn.sample)
         assert len(delivered) == len(set(delivered))
     for _ in range(40):  # with no more faults the step becomes whole
+        now += 1
         for index in range(3):
             run_all(index)
         exchange(lost=-1)
