Write the pages for newcomers, operators, callers and trainers

Cause: the product had no docs beyond two commands. Change: README with a tour, glossary, operators' page with every state, refusal and exit code, the HTTP interface with 20 examples that a test runs in order. Measured: all 20 examples answer with the status that the page gives. Ruled out: an OpenAPI file, which needs a generator that the style asks to avoid.

--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -33,7 +33,6 @@
 DEFAULT_CLASS = "interactive"
 FIRST_ATTEMPT = "1"
 RANKS = {"interactive": 0, "internal": 1, "batch": 2}
-BINDING_HEADER = "X-Binding"
 END_MARK = b"data: [DONE]"
 ERROR_EVENT = b"event: error"
 LINE_BLOCK = 4096
@@ -159,7 +158,7 @@
             "Content-Type": request.text("Content-Type") or "application/json",
         }
         if call.binding is not None:
-            sent[BINDING_HEADER] = msgspec.json.encode(call.binding).decode()
+            sent[headers.BINDING] = msgspec.json.encode(call.binding).decode()
         return Outgoing(
             request.method,
             action.member.spec.sidecar_http,
--- a/src/threadramp/sidecar/resources.py
+++ b/src/threadramp/sidecar/resources.py
@@ -27,7 +27,6 @@
     from threadramp.wire.seal import Seal
 
 STREAM_TYPE = "text/event-stream"
-BINDING = "X-Binding"
 MS_PER_S = 1000
 
 
@@ -88,7 +87,7 @@
             rank=_number(headers.PRIORITY),
             time_left_s=_number(headers.DEADLINE_MS) / MS_PER_S,
             revision=_number(headers.REVISION),
-            binding=_binding(header(BINDING)),
+            binding=_binding(header(headers.BINDING)),
             body_digest=digest(body),
             refusal_seen=_number(headers.REFUSAL),
             model=_chat_body(body).model if chat else "",
@@ -197,7 +196,7 @@
     try:
         return msgspec.json.decode(text, type=Binding)
     except msgspec.DecodeError as error:
-        raise bad_request(f"header {BINDING}", str(error)) from error
+        raise bad_request(f"header {headers.BINDING}", str(error)) from error
 
 
 def _chat_body(body: bytes) -> ChatBody:
@@ -226,4 +225,4 @@
     return b"data: " + msgspec.json.encode(own) + b"\n\n"
 
 
-__all__ = ["BINDING", "sidecar_root"]
+__all__ = ["sidecar_root"]
--- a/src/threadramp/wire/headers.py
+++ b/src/threadramp/wire/headers.py
@@ -9,6 +9,7 @@
 REPEATABLE = "X-Repeatable"
 TICKET = "X-Ticket"
 IDEMPOTENCY_KEY = "Idempotency-Key"
+BINDING = "X-Binding"
 CHANGE_ID = "X-Change-Id"
 OUTCOME = "X-Outcome"
 REVISION = "X-Revision"
@@ -20,6 +21,7 @@
 
 __all__ = [
     "ATTEMPT",
+    "BINDING",
     "BODY_DIGEST",
     "CHANGE_ID",
     "DEADLINE_MS",
--- /dev/null
+++ b/tests/scenarios/test_http_page.py
@@ -0,0 +1,43 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from tools.fleet import CALLER_TOKEN, OPERATOR_TOKEN, TRAINER_TOKEN, EndpointPlan
+
+from tests.scenarios.world import MODEL, MODELS, TRAINER
+
+if TYPE_CHECKING:
+    from tests.scenarios.world import World
+
+PAGE = Path(__file__).parent.parent.parent / "docs" / "HTTP.md"
+EXAMPLE = re.compile(
+    r"```http\n(?P<method>\w+) (?P<path>\S+) as (?P<role>\w+)\n(?P<rest>.*?)```\n"
+    r"Answers `(?P<status>\d+)`",
+    re.DOTALL,
+)
+TOKENS = {"caller": CALLER_TOKEN, "trainer": TRAINER_TOKEN, "operator": OPERATOR_TOKEN}
+EXAMPLES = 20
+
+
+def test_each_example_of_the_page_answers_as_it_says(world: World) -> None:
+    fleet = world.fleet
+    fleet.platform()
+    fleet.gateways(1)
+    fleet.endpoint(EndpointPlan("engine-0", MODELS))
+    fleet.endpoint(EndpointPlan("bank-0", "bank", "service"))
+    fleet.wait_ready()
+    trainer = {"model": MODEL, "pool": MODELS, "staleness_bound": 1}
+    fleet.cli("apply", str(fleet.document({TRAINER: trainer}, {MODEL: 1})))
+    fleet.wait_in_service({MODEL: 1})
+    examples = list(EXAMPLE.finditer(PAGE.read_text()))
+    assert len(examples) == EXAMPLES
+    for example in examples:
+        *lines, last = example["rest"].strip("\n").split("\n")
+        body = last if last.startswith("{") else None
+        headers = dict(line.split(": ", 1) for line in lines)
+        headers["Authorization"] = f"Bearer {TOKENS[example['role']]}"
+        url = fleet.urls()[0] + example["path"]
+        answer = fleet.http.request(example["method"], url, body=body, headers=headers, timeout=60)
+        assert answer.status == int(example["status"]), (example[0], answer.data)
