--- a/src/threadramp/sidecar/engine.py
+++ b/src/threadramp/sidecar/engine.py
@@ -59,11 +59,13 @@
     """One event of a streamed chat completion.
 
     :param weight_version: version that produced it; none if the engine does not know or say
+    :param tokens: how many tokens it carries
     """
 
     id: str
     choices: tuple[Choice, ...]
     weight_version: int | None = None
+    tokens: int = 1
 
     @property
     def text(self) -> str:
--- a/src/threadramp/sidecar/rollouts.py
+++ b/src/threadramp/sidecar/rollouts.py
@@ -105,7 +105,7 @@
         self, task: SampleTask, chunk: Chunk, version: int | None, since: float
     ) -> Verdict:
         with self.state.lock:
-            verdict = self.core.rollout_piece(task, chunk.text, 1, version, since)
+            verdict = self.core.rollout_piece(task, chunk.text, chunk.tokens, version, since)
             if version is None or not self.core.swap.is_possible(task.model, version, since):
                 self.core.swap.distrust(now())
         if verdict is Verdict.PAUSE:
--- a/src/threadramp/standins/server.py
+++ b/src/threadramp/standins/server.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable, Iterable
 
 THREADS = 96
+BACKLOG = 256
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 429: "Too Many Requests", 500: "Error"}
 STANDINS: dict[str, type[StandIn]] = {}
 
@@ -80,7 +81,9 @@
     def serve(self, listen: str) -> None:
         """Serve until the process is ended."""
         host, _, port = listen.partition(":")
-        server = Server((host, int(port)), self._wsgi, numthreads=THREADS)
+        server = Server(
+            (host, int(port)), self._wsgi, numthreads=THREADS, request_queue_size=BACKLOG
+        )
         server.safe_start()
 
     def answer(self, request: Request) -> Response:
