Do not trust old reports; prove lapsed windows and leases, and faults that come twice

Cause: a scenario that freezes a gateway past the lease it holds found that, on waking, it bound a new key by a report from before the freeze, whose epoch the sidecar no longer honoured: the first send came to "unknown" and the key was lost. Ruled out: asking the sidecar before each binding, a round trip for each ticket. Change: a report older than three seconds and three beats does not count, so the gateway refuses (not run, come back) until its next beat. The key window is a setting of gateways too, and leases follow it. Further scenarios: both sidecars frozen past the window, the sidecar frozen twice, gateway and sidecar killed twice, the service out twice with a change between.

--- a/src/threadramp/config/settings.py
+++ b/src/threadramp/config/settings.py
@@ -55,6 +55,7 @@
     :param sync_interval_s: seconds between two beats to a sidecar
     :param sync_timeout_s: seconds after which a beat counts as lost
     :param step_polls_per_s: exchanges a second about a running step that only ask
+    :param key_window_s: seconds for which an own key binds; the same as the sidecars'
     :param key_writes_per_s: budget of assignment writes for callers' own keys
     :param seeds: sync addresses of some sidecars, from which a gateway that starts while the
         key-value service is out learns the configuration
@@ -72,6 +73,7 @@
     sync_interval_s: float = 1.0
     sync_timeout_s: float = 1.0
     step_polls_per_s: float = 100.0
+    key_window_s: float = 86_400.0
     key_writes_per_s: float = 50.0
     seeds: tuple[str, ...] = ()
     max_body_bytes: int = 4_194_304
--- a/src/threadramp/core/membership.py
+++ b/src/threadramp/core/membership.py
@@ -10,7 +10,6 @@
     from threadramp.wire.messages import EndpointReport
 
 MISSES_UNTIL_SUSPECT = 2
-SUSPECT_PROBE_S = 1.0
 
 
 @dataclass(frozen=True)
@@ -79,13 +78,16 @@
             leaves = self._box_leaves(member.spec)
             self.members[name] = replace(member, box_leaving=leaves)
 
-    def of_pool(self, pool: str) -> list[Member]:
-        """Return the members of a pool."""
-        return [member for member in list(self.members.values()) if member.spec.pool == pool]
+    def of_pool(self, pool: str, oldest: float) -> list[Member]:
+        """Return the members of a pool.
 
-    def available(self, pool: str) -> list[Member]:
-        """Return the members of a pool that take new work."""
-        return [member for member in self.of_pool(pool) if member.is_available]
+        :param oldest: monotonic time before which a report no longer counts
+        """
+        return [
+            member if member.heard >= oldest else replace(member, misses=MISSES_UNTIL_SUSPECT)
+            for member in self.members.values()
+            if member.spec.pool == pool
+        ]
 
     def _box_leaves(self, spec: Endpoint) -> bool:
         host, _, _ = spec.address.partition(":")
--- a/src/threadramp/gateway/keys.py
+++ b/src/threadramp/gateway/keys.py
@@ -29,14 +29,13 @@
 
 KEYS_PREFIX = "threadramp/keys/"
 KEY_ATTEMPTS = 3
-LEASE_RENEW_S = 3600.0  # a new lease is granted this often; a granted one is never renewed
-DEFAULT_WINDOW_S = 86_400.0
+LEASE_SHARE = 1 / 24  # of the window, after which a new lease is granted; none is ever renewed
 MAX_KEY_LENGTH = 256
 
 
 @dataclass(frozen=True)
 class HeldLease:
-    """A lease that assignments of the next hour go with."""
+    """A lease that assignments of the next while go with."""
 
     lease: str
     granted: float
@@ -121,10 +120,12 @@
 
     def _lease(self) -> str:
         """Return a lease of at least the window's length; nobody has to keep it alive."""
+        window_s = self.state.settings.key_window_s
         held = self.lease
-        if held is None or now() - held.granted > LEASE_RENEW_S:
-            lease = self.state.kv.lease(DEFAULT_WINDOW_S + 2 * LEASE_RENEW_S)
-            held = HeldLease(lease, now())
+        if held is None or now() - held.granted > window_s * LEASE_SHARE:
+            asked = now()  # before the call, since this process may pause during it
+            lease = self.state.kv.lease(window_s * (1 + 2 * LEASE_SHARE))
+            held = HeldLease(lease, asked)
             self.lease = held
         return held.lease
 
--- a/src/threadramp/gateway/state.py
+++ b/src/threadramp/gateway/state.py
@@ -33,6 +33,8 @@
     from threadramp.config.settings import Settings
     from threadramp.core.membership import Member
 
+BASE_REPORT_AGE_S = 3.0
+BEATS_PER_REPORT_AGE = 3
 KEY_WRITE_BURST_S = 2.0
 
 
@@ -103,9 +105,10 @@
         raise RefusedError(Refusal(Reason.NOT_FOUND, Outcome.NOT_RUN, message, place="path"))
 
     def members(self, pool: str) -> list[Member]:
-        """Return the members of a pool."""
+        """Return the members of a pool; what is old, as after a freeze, is not trusted."""
+        oldest = now() - BASE_REPORT_AGE_S - BEATS_PER_REPORT_AGE * self.settings.sync_interval_s
         with self.lock:
-            return self.membership.of_pool(pool)
+            return self.membership.of_pool(pool, oldest)
 
     def record_burn(self, objective: str, good: float, bad: float) -> None:
         """Count events of an objective."""
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from threadramp.config.resources import Endpoint
+from threadramp.core.membership import Membership
+from threadramp.wire.messages import EndpointReport
+
+SPEC = Endpoint("pool", "dc", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+REPORT = EndpointReport("e", "i", 1, 0, False, 8, 0, 0, 0, {})
+
+
+@pytest.fixture
+def membership() -> Membership:
+    made = Membership()
+    made.declare({"e": SPEC})
+    made.heard("e", REPORT, now=10.0)
+    return made
+
+
+def is_available(membership: Membership, oldest: float = 0.0) -> bool:
+    return membership.of_pool("pool", oldest)[0].is_available
+
+
+def test_endpoint_is_available_once_it_is_declared_and_heard(membership: Membership) -> None:
+    assert is_available(membership)
+    unheard = Membership()
+    unheard.declare({"e": SPEC})
+    assert not is_available(unheard)
+
+
+def test_any_one_word_of_leaving_is_enough(membership: Membership) -> None:
+    membership.boxes_leave(frozenset({"127.0.0.1"}))
+    assert not is_available(membership)
+    membership.boxes_leave(frozenset())
+    membership.declare({"e": replace(SPEC, drain=True)})
+    assert not is_available(membership)
+    membership.declare({"e": SPEC})
+    leaving = EndpointReport("e", "i", 1, 0, True, 8, 0, 0, 0, {})
+    membership.heard("e", leaving, now=11.0)
+    assert not is_available(membership)
+
+
+def test_missed_beats_and_old_reports_do_not_count(membership: Membership) -> None:
+    assert not is_available(membership, oldest=10.5)
+    membership.missed("e")
+    assert is_available(membership)
+    membership.missed("e")
+    assert not is_available(membership)
+    membership.heard("e", REPORT, now=12.0)
+    assert is_available(membership)
+
+
+def test_moved_endpoint_is_heard_anew(membership: Membership) -> None:
+    membership.declare({"e": replace(SPEC, sidecar_sync="127.0.0.1:9")})
+    assert not is_available(membership)
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -101,6 +101,47 @@
     Then all sends of transfer "t1" have ended
     And transfer "t1" ran 0 times
 
+  Scenario: The sidecar is frozen twice, with resends through both gateways
+    Given a bank of 2 gateways and 1 worker
+    And each transfer takes 0.3 s
+    When a caller takes a ticket for transfer "t1"
+    And the sidecar of bank-0 is frozen
+    And a caller sends transfer "t1" through gateway 0
+    And 2.5 s pass
+    And the sidecar of bank-0 wakes up
+    And the sidecar of bank-0 is frozen
+    And a caller sends transfer "t1" through gateway 1
+    And 2.5 s pass
+    And the sidecar of bank-0 wakes up
+    And every gateway sees bank-0 in service again
+    And the caller sends transfer "t1" through gateway 1
+    Then no send of transfer "t1" came to "not_run" although it ran
+    And transfer "t1" ran at most once
+
+  Scenario: The window and the lease of an own key lapse while its sidecar is frozen
+    Given a bank of 2 gateways and 2 workers with a key window of 4.0 s
+    When a caller first sends own key "k1" through gateway 0
+    And both sidecars of the bank are frozen
+    And a caller sends own key "k2" through gateway 0 without waiting
+    And 7.0 s pass
+    And both sidecars of the bank wake up
+    And every gateway sees bank-0 in service again
+    And every gateway sees bank-1 in service again
+    Then all sends of transfer "k2" have ended
+    And transfer "k1" ran once
+    And transfer "k2" ran 0 times
+
+  Scenario: A gateway that holds a lease is frozen past it and woken
+    Given a bank of 2 gateways and 2 workers with a key window of 4.0 s
+    When a caller first sends own key "k1" through gateway 0
+    And gateway 0 is frozen
+    And 6.0 s pass
+    And gateway 0 wakes up
+    And a caller first sends own key "k2" through gateway 0
+    And the caller sends own key "k2" again through gateway 1
+    Then the caller has the answer of transfer "k2"
+    And transfer "k2" ran once
+
   Scenario Outline: 240 transfers under faults drawn from seed <seed>
     Given a bank of 2 gateways and 2 workers
     When 240 transfers are sent and resent under faults drawn from seed <seed>
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -12,6 +12,17 @@
     And the key-value service is out
     Then the accepted changes are in force on every process
 
+  Scenario: The service goes out twice, with a change between
+    Given a rollout fleet of 2 gateways and 2 engines
+    When an operator sets the trainer's bound to 5 through gateway 0
+    And the key-value service is out
+    And 1.0 s pass
+    And the key-value service is back
+    And an operator sets the trainer's bound to 6 through gateway 1
+    And the key-value service is out
+    Then the accepted changes are in force on every process
+    And no process falls back from the accepted revision
+
   Scenario: A gateway is cut from the service but not from the sidecars
     Given a rollout fleet of 2 gateways and 2 engines
     And gateway 1 is cut from the key-value service
--- a/tests/features/whole_lots.feature
+++ b/tests/features/whole_lots.feature
@@ -28,6 +28,21 @@
     And the sidecar of engine-1 is started again
     Then the trainer has the whole lot of step 0
 
+  Scenario: The gateway and a sidecar are killed twice
+    Given a rollout fleet of 2 gateways and 3 engines
+    And a trainer with steps of 128 samples
+    When the trainer asks for step 0
+    And some samples of the step are finished
+    And gateway 0 is killed
+    And the sidecar of engine-1 is killed
+    And gateway 0 is started again
+    And the sidecar of engine-1 is started again
+    And gateway 1 is killed
+    And the sidecar of engine-1 is killed
+    And gateway 1 is started again
+    And the sidecar of engine-1 is started again
+    Then the trainer has the whole lot of step 0
+
   Scenario: The trainer's connection is cut during the lot
     Given a rollout fleet of 2 gateways and 3 engines
     And a trainer with steps of 64 samples
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -33,6 +33,16 @@
     world.start(gateways, services=services)
 
 
+@given(
+    parsers.parse(
+        "a bank of {gateways:d} gateways and {services:d} workers with a key window of {window:f} s"
+    )
+)
+def bank_with_window(world: World, gateways: int, services: int, window: float) -> None:
+    own = {"key_window_s": window}
+    world.start(gateways, services=services, sidecar=own, gateway=own)
+
+
 @given(parsers.parse("a bank of {gateways:d} gateways and {services:d} worker"))
 def bank_of_one(world: World, gateways: int, services: int) -> None:
     world.start(gateways, services=services)
--- a/tests/scenarios/test_at_most_once.py
+++ b/tests/scenarios/test_at_most_once.py
@@ -44,6 +44,23 @@
     world.send(name, gateway, key="own", attempt=1).result()
 
 
+@when(parsers.parse('a caller sends own key "{name}" through gateway {gateway:d} without waiting'))
+def sends_own_unawaited(world: World, name: str, gateway: int) -> None:
+    world.send(name, gateway, key="own", attempt=1, deadline_s=20.0, patience_s=20.0)
+
+
+@when("both sidecars of the bank are frozen")
+def freeze_both(world: World) -> None:
+    for name in world.services():
+        world.fleet.processes[f"sidecar-{name}"].freeze()
+
+
+@when("both sidecars of the bank wake up")
+def wake_both(world: World) -> None:
+    for name in world.services():
+        world.fleet.processes[f"sidecar-{name}"].wake()
+
+
 @when(parsers.parse('the caller sends own key "{name}" again through gateway {gateway:d}'))
 def resends_own(world: World, name: str, gateway: int) -> None:
     world.send(name, gateway, key="own", attempt=2).result()
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -52,12 +52,13 @@
         sidecar: dict[str, Any] | None = None,
         spec: dict[str, Any] | None = None,
         slots: int = 8,
+        gateway: dict[str, Any] | None = None,
     ) -> None:
         """Start a fleet and declare all of it."""
         self.sizes = {"engines": engines, "services": services}
         fleet = self.fleet
         fleet.platform()
-        fleet.gateways(gateways)
+        fleet.gateways(gateways, **(gateway or {}))
         own = {"stop_grace_s": 20.0, "buffer_grace_s": 10.0} | (sidecar or {})
         for index in range(engines):
             plan = EndpointPlan(
