--- /dev/null
+++ b/tests/core/test_call.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from threadramp.config.resources import Endpoint
+from threadramp.core.call import Call, CallMachine, Failure, Finish, Send
+from threadramp.core.keys import Binding
+from threadramp.core.membership import Member
+from threadramp.policy.retries import RetryBudget
+from threadramp.policy.routing import RoundRobin
+from threadramp.wire.messages import EndpointReport
+from threadramp.wire.outcomes import Outcome, Reason, Refusal
+
+CALL = Call("r", "pool", True, 0, 10.0, None, False, 0)
+BINDING = Binding("k", "pool", "e0", "i0", 0)
+BUSY = Refusal.not_run(Reason.OVERLOADED, "busy", 1)
+
+
+def member(index: int) -> Member:
+    spec = Endpoint("pool", "dc", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+    report = EndpointReport(f"e{index}", f"i{index}", 1, 0, False, 8, 0, 0, 0, {})
+    return Member(f"e{index}", spec, report, 1.0)
+
+
+def machine(call: Call, members: int = 2, budget: RetryBudget | None = None) -> CallMachine:
+    held = [member(index) for index in range(members)]
+    return CallMachine(call, lambda _: held, RoundRobin(Random(1)), budget or RetryBudget(), {})
+
+
+def test_repeatable_call_goes_elsewhere_after_a_failure() -> None:
+    call = machine(CALL)
+    first = call.start(0.0)
+    second = call.failed(Failure.BROKEN, 0.1)
+    assert {first.member.name, second.member.name} == {"e0", "e1"}
+    assert second.attempt == 2
+
+
+def test_retry_budget_bounds_a_storm() -> None:
+    budget = RetryBudget(share=0.0, burst=1.0)
+    assert isinstance(machine(CALL, budget=budget).start(0.0), Send)
+    call = machine(CALL, budget=budget)
+    call.start(0.0)
+    assert isinstance(call.refused(BUSY, 0.1), Send)
+    assert call.refused(BUSY, 0.2) == Finish(BUSY)
+
+
+def test_deadline_ends_the_attempts_at_once() -> None:
+    call = machine(CALL)
+    call.start(0.0)
+    end = call.failed(Failure.TIMED_OUT, 10.0)
+    assert end.refusal.outcome is Outcome.UNKNOWN
+
+
+def test_nothing_left_means_not_run() -> None:
+    call = machine(CALL, members=1)
+    call.start(0.0)
+    for moment in (0.1, 0.2, 0.3):
+        end = call.failed(Failure.NEVER_LEFT, moment)
+    end = end if isinstance(end, Finish) else call.failed(Failure.NEVER_LEFT, 0.4)
+    assert end.refusal.outcome is Outcome.NOT_RUN
+
+
+def test_keyed_call_goes_to_its_sidecar_only() -> None:
+    call = machine(replace(CALL, binding=BINDING))
+    assert call.start(0.0).member.name == "e0"
+    assert call.failed(Failure.BROKEN, 0.1).member.name == "e0"
+
+
+@pytest.mark.parametrize(("first_send", "outcome"), [(True, "not_run"), (False, "unknown")])
+def test_of_a_resend_only_the_sidecar_says_not_run(first_send: bool, outcome: str) -> None:
+    budget = RetryBudget(share=0.0, burst=0.0)
+    call = machine(replace(CALL, binding=BINDING, first_send=first_send), budget=budget)
+    call.start(0.0)
+    assert call.failed(Failure.NEVER_LEFT, 0.1).refusal.outcome == outcome
+    call = machine(replace(CALL, binding=BINDING, first_send=first_send))
+    call.start(0.0)
+    assert call.refused(BUSY, 0.1) == Finish(BUSY)
+
+
+def test_sidecars_word_holds_after_a_broken_attempt() -> None:
+    call = machine(replace(CALL, binding=BINDING))
+    call.start(0.0)
+    call.failed(Failure.BROKEN, 0.1)
+    assert call.refused(BUSY, 0.2).refusal.outcome is Outcome.NOT_RUN
+
+
+def test_gateway_that_stays_behind_says_nothing_about_a_key() -> None:
+    behind = Refusal.not_run(Reason.SENDER_BEHIND, "behind")
+    call = machine(replace(CALL, binding=BINDING))
+    action = call.start(0.0)
+    while isinstance(action, Send):
+        action = call.refused(behind, 0.1)
+    assert action.refusal.outcome is Outcome.UNKNOWN
+
+
+def test_key_of_a_gone_incarnation_is_never_sent() -> None:
+    call = machine(replace(CALL, binding=replace_incarnation()))
+    assert call.start(0.0).refusal.reason is Reason.INCARNATION_GONE
+
+
+def replace_incarnation() -> Binding:
+    return Binding("k", "pool", "e0", "older", 0)
--- /dev/null
+++ b/tests/wire/test_sync.py
@@ -0,0 +1,77 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from tools.fleet import free_address
+
+from threadramp.wire.messages import KeyAnswer, KeyQuery
+from threadramp.wire.seal import Seal
+from threadramp.wire.sync import SyncClient, SyncServer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PATIENCE_S = 20.0
+IMPATIENCE_S = 0.3
+
+
+@pytest.fixture
+def server() -> Iterator[tuple[str, SyncServer]]:
+    address = free_address()
+    made = SyncServer(address, Seal("fleet"), lambda request: KeyAnswer("i", request.key), 2)
+    yield address, made
+    made.close()
+
+
+def test_replies_come_back_by_address_and_silence_is_left_out(server) -> None:
+    address, _ = server
+    client = SyncClient(Seal("fleet"))
+    nobody = free_address()
+    assert client.exchange({nobody: KeyQuery("x")}, IMPATIENCE_S) == {}
+    replies = client.exchange({address: KeyQuery("a")}, PATIENCE_S)
+    assert replies == {address: KeyAnswer("i", "a")}
+    client.close()
+
+
+def test_message_without_the_fleets_key_gets_no_reply(server) -> None:
+    address, made = server
+    stranger = SyncClient(Seal("other"))
+    assert stranger.exchange({address: KeyQuery("a")}, IMPATIENCE_S) == {}
+    stranger.close()
+    friend = SyncClient(Seal("fleet"))
+    assert friend.exchange({address: KeyQuery("b")}, PATIENCE_S)
+    friend.close()
+    assert made.rejected >= 1
+
+
+def test_late_reply_is_never_taken_for_the_next_one() -> None:
+    import threading
+
+    address = free_address()
+    held = threading.Event()
+
+    def handle(request: KeyQuery) -> KeyAnswer:
+        if request.key == "slow":
+            held.wait(PATIENCE_S)
+        return KeyAnswer("i", request.key)
+
+    made = SyncServer(address, Seal("fleet"), handle, 2)
+    client = SyncClient(Seal("fleet"))
+    assert client.exchange({address: KeyQuery("first")}, PATIENCE_S)
+    assert client.exchange({address: KeyQuery("slow")}, IMPATIENCE_S) == {}
+    held.set()
+    for number in range(20):
+        reply = client.exchange({address: KeyQuery(f"k{number}")}, PATIENCE_S)
+        assert reply[address].state == f"k{number}"
+    client.close()
+    made.close()
+
+
+def test_seal_tells_a_changed_body() -> None:
+    seal = Seal("fleet")
+    sealed = bytearray(seal.wrap(b"body"))
+    assert seal.unwrap(bytes(sealed)) == b"body"
+    sealed[-1] ^= 1
+    assert seal.unwrap(bytes(sealed)) is None
+    assert seal.unwrap(b"") is None
