Mend two ways in which an accepted change could be lost; share registries and line reading

A swap that takes effect on a head that lacks known changes marks the service as having forgotten. Registries share one class, streamed answers one line reader; ids of closed lots and latency labels are bounded.

--- a/src/threadramp/client/caller.py
+++ b/src/threadramp/client/caller.py
@@ -12,6 +12,7 @@
 from threadramp.client.errors import OutcomeUnknownError, RequestRefusedError, UnreachableError
 from threadramp.client.http import Api, checked, refusal_of
 from threadramp.wire import headers
+from threadramp.wire.lines import response_lines
 from threadramp.wire.outcomes import Outcome
 
 if TYPE_CHECKING:
@@ -132,7 +133,8 @@
 
 def _texts(response: Any) -> Iterator[str]:
     failed = False
-    for line in _lines(response):
+    for raw in response_lines(response):
+        line = raw.decode()
         failed = failed or line.startswith("event: error")
         if not line.startswith(DATA_PREFIX):
             continue
@@ -146,13 +148,6 @@
     raise UnreachableError("the stream has no end mark")
 
 
-def _lines(response: Any) -> Iterator[str]:
-    rest = b""
-    for block in response.stream(None):
-        *lines, rest = (rest + block).split(b"\n")
-        yield from (line.decode() for line in lines)
-
-
 def _is_answer(response: Any) -> bool:
     """Return whether the body is the endpoint's answer and not a refusal."""
     return headers.ENDPOINT in response.headers
--- a/src/threadramp/client/trainer.py
+++ b/src/threadramp/client/trainer.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import msgspec
 from urllib3.exceptions import HTTPError
@@ -14,6 +14,7 @@
 from threadramp.client.errors import LotError, RequestRefusedError, UnreachableError
 from threadramp.client.http import Api, checked
 from threadramp.wire.headers import CHANGE_ID
+from threadramp.wire.lines import response_lines
 from threadramp.wire.lots import (
     EndLine,
     ErrorLine,
@@ -26,7 +27,7 @@
 from threadramp.wire.outcomes import Reason
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Sequence
+    from collections.abc import Callable, Sequence
 
 RETRY_PAUSE_S = 0.2
 LINE_TIMEOUT_S = 30.0
@@ -138,7 +139,8 @@
         )
         samples: dict[str, SampleLine] = {}
         try:
-            for line in _decoded(response):
+            for raw in response_lines(response):
+                line = _line.decode(raw)
                 if isinstance(line, SampleLine):
                     samples[line.id] = line
                 elif isinstance(line, WithdrawLine):
@@ -174,11 +176,4 @@
     """The answer ended without its end line."""
 
 
-def _decoded(response: Any) -> Iterator[Any]:
-    rest = b""
-    for block in response.stream(65_536):
-        *lines, rest = (rest + block).split(b"\n")
-        yield from (_line.decode(line) for line in lines if line)
-
-
 __all__ = ["GroupRequest", "Lot", "TrainerClient"]
--- a/src/threadramp/config/resources.py
+++ b/src/threadramp/config/resources.py
@@ -9,31 +9,20 @@
 from expression import Error, Ok
 
 from threadramp.config.findings import Finding
+from threadramp.config.registry import Registry
 from threadramp.config.tables import read_table
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from expression import Result
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 POOL_TYPES = ("model", "service")
 
-KINDS: dict[str, type] = {}
-
-
-def resource_kind(kind: str) -> Callable[[type], type]:
-    """Register a data class as the specification of a resource kind."""
-
-    def register(cls: type) -> type:
-        KINDS[kind] = cls
-        return cls
-
-    return register
+KINDS: Registry[type] = Registry()
 
 
-@resource_kind("data_centre")
+@KINDS.register("data_centre")
 @dataclass(frozen=True)
 class DataCentre:
     """A data centre and the region it lies in."""
@@ -41,7 +30,7 @@
     region: str = "default"
 
 
-@resource_kind("pool")
+@KINDS.register("pool")
 @dataclass(frozen=True)
 class Pool:
     """A set of interchangeable endpoints.
@@ -67,7 +56,7 @@
         return found
 
 
-@resource_kind("endpoint")
+@KINDS.register("endpoint")
 @dataclass(frozen=True)
 class Endpoint:
     """One back end and the sidecar beside it.
@@ -102,7 +91,7 @@
         return found
 
 
-@resource_kind("weights")
+@KINDS.register("weights")
 @dataclass(frozen=True)
 class Weights:
     """The version of a model that all its engines should serve."""
@@ -116,7 +105,7 @@
         return []
 
 
-@resource_kind("trainer")
+@KINDS.register("trainer")
 @dataclass(frozen=True)
 class Trainer:
     """A trainer: which model it trains, where its rollouts run, how old they may be.
@@ -135,7 +124,7 @@
         return []
 
 
-@resource_kind("priority")
+@KINDS.register("priority")
 @dataclass(frozen=True)
 class Priority:
     """A class of call and its rank; the lowest rank goes first."""
--- a/src/threadramp/core/head.py
+++ b/src/threadramp/core/head.py
@@ -69,12 +69,6 @@
     )
 
 
-def head_of(chain: Chain, snapshot: int) -> Head:
-    """Return the head of a chain whose snapshot at ``snapshot`` is written."""
-    changes = tuple(change for change in chain.log if change.revision > snapshot)
-    return Head(chain.revision, snapshot, changes)
-
-
 def check_change(chain: Chain, change: Change) -> Change:
     """Check a change against the configuration that it applies to.
 
@@ -117,7 +111,6 @@
     "check_change",
     "decode_snapshot",
     "encode_snapshot",
-    "head_of",
     "is_prefix",
     "snapshot_key",
 ]
--- a/src/threadramp/core/samples.py
+++ b/src/threadramp/core/samples.py
@@ -22,6 +22,7 @@
     from threadramp.wire.messages import CallStamp, CloseStep, StepKey, StepPoll
 
 NO_VERSION = -1
+MAX_LOTS = 256  # ids of closed steps' lots that are kept for who asks again
 ABANDONED_AFTER_S = 900.0  # a step that no gateway has asked about is dropped
 
 
@@ -183,6 +184,8 @@
         """Close a step and let go of its samples."""
         self.marks.close(close.key)
         self.lots[close.key] = close.lot
+        while len(self.lots) > MAX_LOTS:
+            del self.lots[next(iter(self.lots))]
         self.drop_closed()
 
     def drop_closed(self) -> None:
--- a/src/threadramp/core/sidecar.py
+++ b/src/threadramp/core/sidecar.py
@@ -9,7 +9,7 @@
 from threadramp.core.admission import Admission, Admitted, Queued
 from threadramp.core.chain import Chain
 from threadramp.core.freeze import FreezeDetector
-from threadramp.core.keys import KeyTable, Run
+from threadramp.core.keys import KeyState, KeyTable, Run
 from threadramp.core.marks import StepMarks
 from threadramp.core.samples import SampleBuffer
 from threadramp.core.swap import SwapRecord
@@ -200,7 +200,7 @@
 
     def _is_decided(self, binding: Binding) -> bool:
         state = self.keys.state(binding.key)
-        return binding.incarnation != self.incarnation or state not in (None, "refused")
+        return binding.incarnation != self.incarnation or state not in (None, KeyState.REFUSED)
 
     def _refuse_call(self, request: CallRequest, deadline: float, now: float) -> Refusal | None:
         if request.revision < self.chain.revision:
@@ -269,10 +269,6 @@
             self.pausing -= 1
         return self.admission.finish_rollout(now)
 
-    def should_pause(self) -> bool:
-        """Return whether one more running rollout must give way."""
-        return self.admission.rollouts_to_pause() > self.pausing
-
     # -- sync ------------------------------------------------------------------------------
 
     def handle(self, request: Request, now: float) -> Reply:
--- a/src/threadramp/gateway/configuration.py
+++ b/src/threadramp/gateway/configuration.py
@@ -13,7 +13,6 @@
     check_change,
     decode_snapshot,
     encode_snapshot,
-    head_of,
     is_prefix,
     snapshot_key,
 )
@@ -29,7 +28,7 @@
     from threadramp.wire.messages import Snapshot
 
 WRITE_ATTEMPTS = 8
-UNKNOWN_READS = 3
+SWAP_ATTEMPTS = 4
 
 
 @dataclass(frozen=True)
@@ -47,6 +46,20 @@
     expected: int | None
 
 
+@dataclass(frozen=True)
+class Draft:
+    """A head that is about to be written.
+
+    :param version: of the head in the service that it replaces
+    :param forgotten: whether that head lacks changes that are known here
+    """
+
+    head: Head
+    version: int
+    change: Change
+    forgotten: bool
+
+
 class Configuration:
     """This process's chain and its ways to the key-value service.
 
@@ -108,9 +121,7 @@
         if earlier is not None:
             return earlier  # the same edit came through another gateway
         for _ in range(WRITE_ATTEMPTS):
-            change = self._prepare(edit)
-            head = self._room_for_change().with_change(change)
-            accepted = self._swap(head, change)
+            accepted = self._swap(self._draft(edit))
             if accepted is not None:
                 return accepted
         raise RefusedError(Refusal.not_run(Reason.OVERLOADED, "others write too often", 1))
@@ -124,72 +135,71 @@
         try:
             self.take_head(self.kv.get(HEAD_KEY))
         except KvUnavailableError as error:
-            message = "the key-value service does not answer; the change was not written"
-            raise RefusedError(
-                Refusal.not_run(Reason.PLATFORM_OUT, message, DEFAULT_RETRY_AFTER_S)
-            ) from error
+            raise _service_out() from error
 
-    def _prepare(self, edit: Edit) -> Change:
-        with self.lock:
-            held = self.chain.resources.get((edit.kind, edit.name))
-            current = held.revision if held else 0
-            if edit.expected is not None and edit.expected != current:
-                message = f"{edit.kind}/{edit.name} is at revision {current}, not {edit.expected}"
-                raise RefusedError(Refusal.not_run(Reason.CONFLICT, message))
-            revision = self.chain.revision + 1
-            wanted = Change(revision, edit.change_id, edit.kind, edit.name, edit.spec)
-            return check_change(self.chain, wanted)
-
-    def _room_for_change(self) -> Head:
+    def _draft(self, edit: Edit) -> Draft:
+        """Return the head that would accept an edit, and the version that it replaces.
+
+        The head that was read serves as the base unless something newer came from a sidecar since,
+        or it has grown long; then a snapshot of all that is known here is written first.
+        """
         with self.lock:
-            head = head_of(self.chain, self.head.snapshot)
-            if len(head.changes) < MAX_HEAD_CHANGES:
-                return head
-            snapshot = self.chain.snapshot()
+            change = self._checked(edit)
+            version = self.head_version
+            forgotten = self.head.revision < self.chain.revision
+            base = self.head
+            is_base = not forgotten and len(base.changes) < MAX_HEAD_CHANGES
+            snapshot = None if is_base else self.chain.snapshot()
+        if snapshot is not None:
+            base = self._write_snapshot(snapshot)
+        return Draft(base.with_change(change), version, change, forgotten)
+
+    def _checked(self, edit: Edit) -> Change:
+        held = self.chain.resources.get((edit.kind, edit.name))
+        current = held.revision if held else 0
+        if edit.expected is not None and edit.expected != current:
+            message = f"{edit.kind}/{edit.name} is at revision {current}, not {edit.expected}"
+            raise RefusedError(Refusal.not_run(Reason.CONFLICT, message))
+        revision = self.chain.revision + 1
+        wanted = Change(revision, edit.change_id, edit.kind, edit.name, edit.spec)
+        return check_change(self.chain, wanted)
+
+    def _write_snapshot(self, snapshot: Snapshot) -> Head:
+        """Write a snapshot and return the head that names it."""
         try:
             self.kv.swap(snapshot_key(snapshot.revision), ABSENT, encode_snapshot(snapshot))
-        except KvUnavailableError:
-            return head  # a longer head does no harm; the next writer cuts it
+        except KvUnavailableError as error:
+            raise _service_out() from error
         return Head(snapshot.revision, snapshot.revision, ())
 
-    def _swap(self, head: Head, change: Change) -> Change | None:
-        """Write the head; return the change if it was accepted, none to try again."""
-        try:
-            result = self.kv.swap(HEAD_KEY, self.head_version, head.to_bytes())
-        except KvUnavailableError:
-            return self._settle(change)
-        if result.written:
-            with self.lock:
-                self.head = head
-                self.head_version = result.current.version
-            self.apply((change,))
-            return change
-        self._lost_race(result.current)
-        return self.find_change(change.change_id)
-
-    def _settle(self, change: Change) -> Change | None:
-        """Find out by further swaps whether a write whose answer was lost took effect.
+    def _swap(self, draft: Draft) -> Change | None:
+        """Write the head; return the change if it was accepted, none to try again.
 
-        A swap of the same expected version either takes effect once or shows what is there.
+        After a lost answer the same swap is sent again: it takes effect once or shows what is
+        there.
         """
-        for _ in range(UNKNOWN_READS):
+        for _ in range(SWAP_ATTEMPTS):
             try:
-                probe = self.kv.swap(HEAD_KEY, self.head_version, self._probe(change))
+                result = self.kv.swap(HEAD_KEY, draft.version, draft.head.to_bytes())
             except KvUnavailableError:
                 continue
-            if probe.written:
-                with self.lock:
-                    self.head = Head.from_bytes(probe.current.value)
-                    self.head_version = probe.current.version
-                self.apply((change,))
-                return change
-            self._lost_race(probe.current)
-            return self.find_change(change.change_id)
-        message = f"the write's answer was lost; ask for GET /v1/changes/{change.change_id}"
+            if result.written:
+                self._accepted(draft, result.current.version)
+                return draft.change
+            self._lost_race(result.current)
+            return self.find_change(draft.change.change_id)
+        change_id = draft.change.change_id
+        message = f"the write's answer was lost; ask for GET /v1/changes/{change_id}"
         raise RefusedError(Refusal.unknown(Reason.PLATFORM_OUT, message, DEFAULT_RETRY_AFTER_S))
 
-    def _probe(self, change: Change) -> bytes:
-        return self._room_for_change().with_change(change).to_bytes()
+    def _accepted(self, draft: Draft, version: int) -> None:
+        with self.lock:
+            if self.head_version == draft.version:  # else the watch has brought a newer one
+                self.head = draft.head
+                self.head_version = version
+            # The swap took effect on a head that lacks changes known here: the service forgot them.
+            self.regressed = self.regressed or draft.forgotten
+        self.apply((draft.change,))
 
     def _lost_race(self, current: KvValue) -> None:
         """Take over the head that a failed swap showed; it is not an older copy's word."""
@@ -202,15 +212,14 @@
 
     def _repair(self, head: Head, version: int) -> None:
         """Write accepted changes back that the service has forgotten."""
-        with self.lock:
-            if not is_prefix(head, self.chain):
-                return
-            snapshot = self.chain.snapshot()
+        if not is_prefix(head, self.chain):
+            return
         try:
-            self.kv.swap(snapshot_key(snapshot.revision), ABSENT, encode_snapshot(snapshot))
-            repaired = Head(snapshot.revision, snapshot.revision, ())
+            with self.lock:
+                snapshot = self.chain.snapshot()
+            repaired = self._write_snapshot(snapshot)
             result = self.kv.swap(HEAD_KEY, version, repaired.to_bytes())
-        except KvUnavailableError:
+        except (KvUnavailableError, RefusedError):
             return
         with self.lock:
             if result.written:
@@ -222,4 +231,9 @@
         return decode_snapshot(held.value) if held.value else None
 
 
+def _service_out() -> RefusedError:
+    message = "the key-value service does not answer; the change was not written"
+    return RefusedError(Refusal.not_run(Reason.PLATFORM_OUT, message, DEFAULT_RETRY_AFTER_S))
+
+
 __all__ = ["Configuration", "Edit"]
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -9,7 +9,7 @@
 import cherrypy
 import msgspec
 
-from threadramp.gateway.calls import DEFAULT_CLASS, CallerAnswer, CallerRequest, CallerStream
+from threadramp.gateway.calls import DEFAULT_CLASS, RANKS, CallerAnswer, CallerRequest, CallerStream
 from threadramp.gateway.configuration import Edit
 from threadramp.gateway.state import now
 from threadramp.gateway.status import fleet_status
@@ -44,6 +44,7 @@
 OPERATOR = "operator"
 TRAINER = "trainer"
 CALLER = "caller"
+OTHER_CLASS = "other"
 
 
 class TicketRequest(msgspec.Struct, frozen=True):
@@ -151,7 +152,8 @@
             answered = True
             return result
         finally:
-            self.state.metrics.latency(label, now() - request.arrived)
+            known = label in RANKS or self.state.chain.get("priority", label) is not None
+            self.state.metrics.latency(label if known else OTHER_CLASS, now() - request.arrived)
             if label == DEFAULT_CLASS:
                 self.state.record_burn("interactive", int(answered), int(not answered))
 
--- a/src/threadramp/policy/placement.py
+++ b/src/threadramp/policy/placement.py
@@ -5,20 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
-
-PLACEMENTS: dict[str, type[Placement]] = {}
-
+from threadramp.config.registry import Registry
 
-def placement(name: str) -> Callable[[type[Placement]], type[Placement]]:
-    """Register a placement under a name."""
-
-    def register(cls: type[Placement]) -> type[Placement]:
-        PLACEMENTS[name] = cls
-        return cls
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
-    return register
+PLACEMENTS: Registry[type[Placement]] = Registry()
 
 
 @dataclass
@@ -39,7 +31,7 @@
         raise NotImplementedError
 
 
-@placement("least_loaded")
+@PLACEMENTS.register("least_loaded")
 class LeastLoaded(Placement):
     """The endpoint with the most room."""
 
@@ -49,7 +41,7 @@
         return max(open_rooms, key=lambda room: (room.free, room.endpoint), default=None)
 
 
-@placement("siblings")
+@PLACEMENTS.register("siblings")
 class Siblings(LeastLoaded):
     """An endpoint that has siblings of the group while it has room, else the least loaded."""
 
--- a/src/threadramp/policy/reserve.py
+++ b/src/threadramp/policy/reserve.py
@@ -2,22 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from threadramp.config.registry import Registry
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-RESERVES: dict[str, type[ReservePolicy]] = {}
-
-
-def reserve_policy(name: str) -> Callable[[type[ReservePolicy]], type[ReservePolicy]]:
-    """Register a reserve policy under a name."""
-
-    def register(cls: type[ReservePolicy]) -> type[ReservePolicy]:
-        RESERVES[name] = cls
-        return cls
-
-    return register
+RESERVES: Registry[type[ReservePolicy]] = Registry()
 
 
 class ReservePolicy:
@@ -31,12 +18,12 @@
         return 0
 
 
-@reserve_policy("none")
+@RESERVES.register("none")
 class NoReserve(ReservePolicy):
     """Keep nothing free; rollouts give way when a call waits."""
 
 
-@reserve_policy("recent")
+@RESERVES.register("recent")
 class RecentReserve(ReservePolicy):
     """Keep one slot free for a while after a call has arrived.
 
@@ -56,4 +43,4 @@
         return 1 if slots > 1 and now - self.last < self.hold_s else 0
 
 
-__all__ = ["NoReserve", "RESERVES", "RecentReserve", "ReservePolicy", "reserve_policy"]
+__all__ = ["NoReserve", "RESERVES", "RecentReserve", "ReservePolicy"]
--- a/src/threadramp/policy/routing.py
+++ b/src/threadramp/policy/routing.py
@@ -5,23 +5,15 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from threadramp.config.registry import Registry
+
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
     from random import Random
 
     from threadramp.core.membership import Member
 
-ROUTINGS: dict[str, type[Routing]] = {}
-
-
-def routing(name: str) -> Callable[[type[Routing]], type[Routing]]:
-    """Register a routing under a name."""
-
-    def register(cls: type[Routing]) -> type[Routing]:
-        ROUTINGS[name] = cls
-        return cls
-
-    return register
+ROUTINGS: Registry[type[Routing]] = Registry()
 
 
 class Routing:
@@ -41,7 +33,7 @@
         raise NotImplementedError
 
 
-@routing("round_robin")
+@ROUTINGS.register("round_robin")
 class RoundRobin(Routing):
     """Each endpoint in turn."""
 
@@ -55,7 +47,7 @@
         return candidates[self.turn % len(candidates)]
 
 
-@routing("two_choice")
+@ROUTINGS.register("two_choice")
 class TwoChoice(Routing):
     """The less loaded of two drawn at random, by the sidecars' own counts."""
 
--- a/src/threadramp/policy/tail.py
+++ b/src/threadramp/policy/tail.py
@@ -5,8 +5,10 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from threadramp.config.registry import Registry
+
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Sequence
 
     from threadramp.core.step import SampleProgress
     from threadramp.policy.placement import Room
@@ -14,17 +16,7 @@
 MIN_AGE_S = 0.5  # a younger sample has no rate worth comparing
 SLOW_SHARE = 0.5  # of the usual rate; below it an endpoint counts as slow
 
-TAILS: dict[str, type[TailPolicy]] = {}
-
-
-def tail_policy(name: str) -> Callable[[type[TailPolicy]], type[TailPolicy]]:
-    """Register a tail policy under a name."""
-
-    def register(cls: type[TailPolicy]) -> type[TailPolicy]:
-        TAILS[name] = cls
-        return cls
-
-    return register
+TAILS: Registry[type[TailPolicy]] = Registry()
 
 
 class TailPolicy:
@@ -37,7 +29,7 @@
         raise NotImplementedError
 
 
-@tail_policy("wait")
+@TAILS.register("wait")
 class Wait(TailPolicy):
     """Wait for every sample's first attempt."""
 
@@ -48,7 +40,7 @@
         return []
 
 
-@tail_policy("slow_rate")
+@TAILS.register("slow_rate")
 class SecondAttemptOfSlow(TailPolicy):
     """A second attempt for samples whose endpoint produces far fewer tokens a second than usual.
 
--- a/src/threadramp/sidecar/engine.py
+++ b/src/threadramp/sidecar/engine.py
@@ -17,6 +17,7 @@
 
 from threadramp.core.keys import Answer
 from threadramp.wire.headers import REQUEST_ID
+from threadramp.wire.lines import response_lines
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -234,7 +235,7 @@
             raise BrokenAnswerError("the answer is another request's")
 
     def _chunks(self, response: BaseHTTPResponse, request_id: str) -> Iterator[Chunk]:
-        for line in _lines(response):
+        for line in response_lines(response):
             if not line.startswith(DATA_PREFIX):
                 continue
             data = line[len(DATA_PREFIX) :]
@@ -247,13 +248,6 @@
         raise BrokenAnswerError("the stream has no end mark")
 
 
-def _lines(response: BaseHTTPResponse) -> Iterator[bytes]:
-    rest = b""
-    for block in response.stream(None):
-        *lines, rest = (rest + block).split(b"\n")
-        yield from (line.rstrip(b"\r") for line in lines)
-
-
 __all__ = [
     "BrokenAnswerError",
     "ChatRequest",
--- a/src/threadramp/standins/engine.py
+++ b/src/threadramp/standins/engine.py
@@ -18,7 +18,7 @@
 from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
-from threadramp.standins.server import Request, Response, StandIn, standin
+from threadramp.standins.server import STANDINS, Request, Response, StandIn
 from threadramp.wire.seal import digest
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
 STREAM_HEADERS = {"Content-Type": "text/event-stream"}
 
 
-@standin("engine")
+@STANDINS.register("engine")
 class ModelEngine(StandIn):
     """Streams chat completions and takes load orders.
 
--- a/src/threadramp/standins/kv.py
+++ b/src/threadramp/standins/kv.py
@@ -9,7 +9,7 @@
 from typing import Any, ClassVar
 
 from threadramp.platform.kv import VERSION_HEADER
-from threadramp.standins.server import Request, Response, StandIn, standin
+from threadramp.standins.server import STANDINS, Request, Response, StandIn
 
 LEASE_CHECK_S = 0.2
 
@@ -23,7 +23,7 @@
     lease: str = ""
 
 
-@standin("kv")
+@STANDINS.register("kv")
 class KeyValueService(StandIn):
     """Compare-and-swap, leases and watches.
 
--- a/src/threadramp/standins/platform.py
+++ b/src/threadramp/standins/platform.py
@@ -6,13 +6,13 @@
 from typing import Any, ClassVar
 
 from threadramp.policy.retries import TokenBucket
-from threadramp.standins.server import Request, Response, StandIn, standin
+from threadramp.standins.server import STANDINS, Request, Response, StandIn
 
 DEFAULT_LAG_S = 0.5
 DEFAULT_LOADS_PER_S = 50.0
 
 
-@standin("boxes")
+@STANDINS.register("boxes")
 class BoxList(StandIn):
     """A list of live and leaving boxes that lags behind reality.
 
@@ -36,7 +36,7 @@
         return Response.from_value([{"address": box, "state": "leaving"} for box in leaving])
 
 
-@standin("weights")
+@STANDINS.register("weights")
 class WeightStore(StandIn):
     """A rate-limited store of weights."""
 
--- a/src/threadramp/standins/server.py
+++ b/src/threadramp/standins/server.py
@@ -11,23 +11,15 @@
 import msgspec
 from cheroot.wsgi import Server
 
+from threadramp.config.registry import Registry
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
 THREADS = 96
 BACKLOG = 256
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 429: "Too Many Requests", 500: "Error"}
-STANDINS: dict[str, type[StandIn]] = {}
-
-
-def standin(name: str) -> Callable[[type[StandIn]], type[StandIn]]:
-    """Register a stand-in under a name."""
-
-    def register(cls: type[StandIn]) -> type[StandIn]:
-        STANDINS[name] = cls
-        return cls
-
-    return register
+STANDINS: Registry[type[StandIn]] = Registry()
 
 
 @dataclass(frozen=True)
@@ -153,4 +145,4 @@
             return Response.from_value(self.faults)
 
 
-__all__ = ["Request", "Response", "STANDINS", "StandIn", "standin"]
+__all__ = ["Request", "Response", "STANDINS", "StandIn"]
--- a/src/threadramp/standins/service.py
+++ b/src/threadramp/standins/service.py
@@ -7,10 +7,10 @@
 from collections import Counter
 from typing import Any, ClassVar
 
-from threadramp.standins.server import Request, Response, StandIn, standin
+from threadramp.standins.server import STANDINS, Request, Response, StandIn
 
 
-@standin("service")
+@STANDINS.register("service")
 class PlainService(StandIn):
     """Runs a request and answers with its id.
 
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -60,7 +60,7 @@
         "resent_through_another_gateway",
         (
             Edit(KEYS, NOT_REFUSED, NOT_REFUSED.replace("if entry", "if False and entry")),
-            Edit(SIDECAR, 'or state not in (None, "refused")', "or False"),
+            Edit(SIDECAR, "or state not in (None, KeyState.REFUSED)", "or False"),
         ),
     ),
     Removal(
