--- a/src/threadramp/core/samples.py
+++ b/src/threadramp/core/samples.py
@@ -96,8 +96,11 @@
         self.wasted_tokens = 0
         self.restarted_stale = 0
 
-    def poll(self, poll: StepPoll, leaving: bool, now: float) -> StepPollReply | StepRefused:
-        """Take a gateway's exchange about a step."""
+    def poll(self, poll: StepPoll, takes_work: bool, now: float) -> StepPollReply | StepRefused:
+        """Take a gateway's exchange about a step.
+
+        :param takes_work: whether samples may begin here; if not, those that wait are given back
+        """
         if self.marks.is_closed(poll.key):
             return StepRefused(Reason.ALREADY_DELIVERED.value, lot=self.lots.get(poll.key, ""))
         step = self.steps.get(poll.key)
@@ -110,11 +113,12 @@
         step.asked = now
         step.oldest_allowed = max(step.oldest_allowed, poll.oldest_allowed)
         self._drop(step, poll.cancel)
-        if leaving:
+        if not takes_work:
             self._drop(step, tuple(step.queue))  # the gateway places them elsewhere
+        else:
+            self._submit(step, poll.submit)
         self._restart_stale(step)
-        refused = self._submit(step, poll.submit, leaving)
-        return self._reply(step, poll.fetch, refused, leaving)
+        return self._reply(step, poll.fetch, takes_work)
 
     def start(self, allowed: set[str]) -> SampleTask | None:
         """Take the next sample to run, from each step in turn.
@@ -219,19 +223,11 @@
             if sample.payload is not None
         )
 
-    def _submit(
-        self, step: HeldStep, specs: tuple[SampleSpec, ...], leaving: bool
-    ) -> tuple[str, ...]:
-        refused = []
+    def _submit(self, step: HeldStep, specs: tuple[SampleSpec, ...]) -> None:
         for spec in specs:
-            if spec.sample in step.samples:
-                continue
-            if leaving:
-                refused.append(spec.sample)
-                continue
-            step.samples[spec.sample] = HeldSample(spec)
-            step.queue.append(spec.sample)
-        return tuple(refused)
+            if spec.sample not in step.samples:
+                step.samples[spec.sample] = HeldSample(spec)
+                step.queue.append(spec.sample)
 
     def _drop(self, step: HeldStep, samples: tuple[str, ...]) -> None:
         for sample in samples:
@@ -270,9 +266,7 @@
             return None
         return held
 
-    def _reply(
-        self, step: HeldStep, fetch: tuple[str, ...], refused: tuple[str, ...], leaving: bool
-    ) -> StepPollReply:
+    def _reply(self, step: HeldStep, fetch: tuple[str, ...], takes_work: bool) -> StepPollReply:
         finished = []
         running = []
         for sample, held in step.samples.items():
@@ -288,7 +282,7 @@
             for sample in fetch
             if sample in step.samples and step.samples[sample].payload is not None
         )
-        return StepPollReply(tuple(finished), tuple(running), payloads, refused, leaving)
+        return StepPollReply(tuple(finished), tuple(running), payloads, takes_work)
 
 
 __all__ = ["SampleBuffer", "SampleTask"]
--- a/src/threadramp/core/sidecar.py
+++ b/src/threadramp/core/sidecar.py
@@ -301,7 +301,8 @@
         if poll.revision < self.chain.revision:
             changes, snapshot = self.chain.update_for(poll.revision)
             return StepRefused(Reason.SENDER_BEHIND.value, changes=changes, snapshot=snapshot)
-        return self.samples.poll(poll, self.leaving, now)
+        takes_work = not self.leaving and not self.swap.is_stuck(poll.model, now)
+        return self.samples.poll(poll, takes_work, now)
 
     def report(self, now: float) -> EndpointReport:
         """Return what holds here."""
--- a/src/threadramp/core/step.py
+++ b/src/threadramp/core/step.py
@@ -65,7 +65,7 @@
     slots: int
     heard: bool = False
     misses: int = 0
-    leaving: bool = False
+    takes_work: bool = False
     next_poll: float = float("-inf")
     running: set[str] = field(default_factory=set)
     placed: set[str] = field(default_factory=set)
@@ -73,7 +73,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether samples may be submitted there."""
-        return self.heard and self.misses == 0 and not self.leaving
+        return self.takes_work and self.misses == 0
 
 
 @dataclass(frozen=True)
@@ -176,7 +176,7 @@
         endpoint = self.endpoints[name]
         endpoint.heard = True
         endpoint.misses = 0
-        endpoint.leaving = reply.leaving
+        endpoint.takes_work = reply.takes_work
         self._forget(name)
         for status in reply.running:
             if status.sample in self.samples:
--- a/src/threadramp/core/swap.py
+++ b/src/threadramp/core/swap.py
@@ -7,6 +7,7 @@
 ORDER_BACKOFF_MIN_S = 0.2
 ORDER_BACKOFF_MAX_S = 10.0
 READ_INTERVAL_S = 2.0  # an engine that obeys a late order is noticed within this time
+STUCK_AFTER_S = 1.0  # without a verified version, work that waits here is better off elsewhere
 HISTORY_LENGTH = 64
 REVISION_SHIFT = 42  # wall clock milliseconds take 41 bits until the year 2039
 
@@ -66,6 +67,7 @@
         self.boot = ""
         self.generation = 0
         self.next_read = 0.0
+        self.verified_at: dict[str, float] = {}
         self.fence_floor = 0
 
     def verified(self) -> dict[str, int]:
@@ -162,6 +164,12 @@
             return False
         return names_versions or state.ordered is None
 
+    def is_stuck(self, model: str, now: float) -> bool:
+        """Return whether a model has not been verified for longer than a swap takes."""
+        if self._state(model).verified is not None:
+            self.verified_at[model] = now
+        return now - self.verified_at.setdefault(model, now) > STUCK_AFTER_S
+
     def is_possible(self, model: str, version: int, since: float) -> bool:
         """Return whether a piece produced after ``since`` can be of ``version``."""
         state = self._state(model)
--- a/src/threadramp/wire/messages.py
+++ b/src/threadramp/wire/messages.py
@@ -182,13 +182,12 @@
 
 
 class StepPollReply(Message, frozen=True):
-    """What a sidecar holds of a step."""
+    """What a sidecar holds of a step, and whether it takes more samples."""
 
     finished: tuple[SampleStatus, ...] = ()
     running: tuple[RunningStatus, ...] = ()
     payloads: tuple[SamplePayload, ...] = ()
-    refused: tuple[str, ...] = ()
-    leaving: bool = False
+    takes_work: bool = True
 
 
 class StepRefused(Message, frozen=True):
--- a/tests/core/test_state_machines.py
+++ b/tests/core/test_state_machines.py
@@ -217,7 +217,7 @@
     def exchange(lost: int) -> None:
         for name, poll in assembly.polls(0, now).items():
             index = int(name[1:])
-            reply = buffers[index].poll(poll, leaving=False, now=now)
+            reply = buffers[index].poll(poll, takes_work=True, now=now)
             assert isinstance(reply, StepPollReply)
             if index == lost:
                 assembly.missed(name)
@@ -262,5 +262,5 @@
         buffer.close(CloseStep(key, assembly.lot_digest()))
     again = make_assembly(key, 2, names)
     for name, poll in again.polls(0, now).items():
-        reply = buffers[int(name[1:])].poll(poll, leaving=False, now=now)
+        reply = buffers[int(name[1:])].poll(poll, takes_work=True, now=now)
         assert reply.reason == Reason.ALREADY_DELIVERED.value
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -142,6 +142,22 @@
     Then the caller has the answer of transfer "k2"
     And transfer "k2" ran once
 
+  Scenario: The service has forgotten assignments of own keys
+    Given a bank of 2 gateways and 2 workers
+    And the key-value service keeps a copy
+    When a caller first sends own key "k1" through gateway 0
+    And an operator declares the data centre "dc-2" through gateway 0
+    And the key-value service is restored from the copy
+    And an operator declares the data centre "dc-3" through gateway 0
+    And the caller sends own key "k1" again through gateway 0
+    Then the last send of transfer "k1" came to "unknown"
+    When a caller sends transfer "t1" through gateway 0
+    Then the caller has the answer of transfer "t1"
+    When an operator confirms at gateway 0
+    And the caller sends own key "k1" again through gateway 0
+    Then the caller has the answer of transfer "k1"
+    And transfer "k1" ran once
+
   Scenario Outline: 240 transfers under faults drawn from seed <seed>
     Given a bank of 2 gateways and 2 workers
     When 240 transfers are sent and resent under faults drawn from seed <seed>
--- a/tests/features/labels.feature
+++ b/tests/features/labels.feature
@@ -28,6 +28,17 @@
     Then the trainer has the whole lot of step 0
     And every engine serves version 2 in the end
 
+  Scenario: An engine whose swaps fail for good holds up no step
+    Given a rollout fleet of 1 gateways and 3 engines
+    And a trainer with steps of 64 samples
+    And every swap of engine-1 fails partway
+    When the trainer asks for step 0
+    And the trainer publishes new weights
+    Then the trainer has the whole lot of step 0
+    When the trainer publishes new weights
+    And the trainer asks for step 1
+    Then the trainer has the whole lot of step 1
+
   Scenario: An engine that ignores fencing numbers obeys a late order
     Given a rollout fleet of 1 gateways and 3 engines
     And a trainer with steps of 64 samples
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -71,6 +71,16 @@
     world.fleet.fault("kv", lose_answers=count)
 
 
+@given("the key-value service keeps a copy")
+def keep_copy(world: World) -> None:
+    world.fleet.fault("kv", stale=False)
+
+
+@when("the key-value service is restored from the copy")
+def restore(world: World) -> None:
+    world.fleet.fault("kv", restore=True)
+
+
 @when(parsers.parse("gateway {number:d} is killed"))
 def kill_gateway(world: World, number: int) -> None:
     world.fleet.processes[f"gateway-{number}"].kill()
--- a/tests/scenarios/test_at_most_once.py
+++ b/tests/scenarios/test_at_most_once.py
@@ -49,6 +49,19 @@
     world.send(name, gateway, key="own", attempt=1, deadline_s=20.0, patience_s=20.0)
 
 
+@when(parsers.parse('an operator declares the data centre "{name}" through gateway {gateway:d}'))
+def declares(world: World, name: str, gateway: int) -> None:
+    world.fleet.operator(f"gateway-{gateway}").put("data_centre", name, {"region": "r"})
+
+
+@when(parsers.parse("an operator confirms at gateway {gateway:d}"))
+def confirms(world: World, gateway: int) -> None:
+    operator = world.fleet.operator(f"gateway-{gateway}")
+    assert operator.status().regressed
+    operator.api.ask("POST", "/v1/regression/confirm")
+    assert not operator.status().regressed
+
+
 @when("both sidecars of the bank are frozen")
 def freeze_both(world: World) -> None:
     for name in world.services():
--- a/tests/scenarios/test_configuration.py
+++ b/tests/scenarios/test_configuration.py
@@ -63,16 +63,6 @@
     world.fleet.fault("kv", stale=True)
 
 
-@given("the key-value service keeps a copy")
-def keep_copy(world: World) -> None:
-    world.fleet.fault("kv", stale=False)
-
-
-@when("the key-value service is restored from the copy")
-def restore(world: World) -> None:
-    world.fleet.fault("kv", restore=True)
-
-
 @when(parsers.parse("an operator sets the trainer's bound to {bound:d} through gateway {number:d}"))
 def set_bound(world: World, bound: int, number: int) -> None:
     started = time.monotonic()
--- a/tests/scenarios/test_labels.py
+++ b/tests/scenarios/test_labels.py
@@ -19,6 +19,11 @@
         world.fleet.fault(name, swap_fails=count)
 
 
+@given(parsers.parse("every swap of {engine} fails partway"))
+def swaps_fail_for_good(world: World, engine: str) -> None:
+    world.fleet.fault(engine, swap_fails=1_000_000)
+
+
 @given("the engines ignore fencing numbers and obey the next order late")
 def late_orders(world: World) -> None:
     for name in world.engines():
