Send new calls within the gateway's region while it has room

Cause: the setting data_centre was read and not used; at the target size with four regions calls would cross regions. Ruled out: preferring the own data centre, since two gateways there would fill its few endpoints between two beats, at a gain of a millisecond. Also ruled out, by reading: the same preference for callers' own keys, for which every gateway must choose the same sidecar.

No gain is claimed: there is no measurement over regions here.

--- a/src/threadramp/core/call.py
+++ b/src/threadramp/core/call.py
@@ -76,18 +76,21 @@
     """Decides on one call.
 
     :param members: returns the members of a pool
+    :param candidates: returns those to which a new call may go
     """
 
     def __init__(
         self,
         call: Call,
         members: Callable[[str], Sequence[Member]],
+        candidates: Callable[[str], Sequence[Member]],
         routing: Routing,
         budget: RetryBudget,
         outstanding: dict[str, int],
     ) -> None:
         self.call = call
         self.members = members
+        self.candidates = candidates
         self.routing = routing
         self.budget = budget
         self.outstanding = outstanding
@@ -155,7 +158,7 @@
         )
 
     def _choose(self) -> Member | Refusal:
-        available = [member for member in self.members(self.call.pool) if member.is_available]
+        available = self.candidates(self.call.pool)
         fresh = [member for member in available if member.name not in self.tried]
         candidates = fresh or available
         if not candidates:
--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -95,7 +95,12 @@
         except RefusedError as error:
             raise RefusedError(_careful(request, error.refusal)) from error
         machine = CallMachine(
-            call, self.state.members, self.state.routing, self.state.retries, self.state.outstanding
+            call,
+            self.state.members,
+            self.state.candidates,
+            self.state.routing,
+            self.state.retries,
+            self.state.outstanding,
         )
         return self._drive(machine, request)
 
--- a/src/threadramp/gateway/keys.py
+++ b/src/threadramp/gateway/keys.py
@@ -24,6 +24,8 @@
 from threadramp.wire.seal import digest
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from threadramp.core.membership import Member
     from threadramp.gateway.state import GatewayState
 
@@ -53,7 +55,7 @@
 
         :raises RefusedError: if the pool has none
         """
-        members = self._available(pool)
+        members = _some(self.state.candidates(pool), pool)
         member = self.state.routing.choose(members, self.state.outstanding)
         return self._bind(secrets.token_hex(12), pool, member)
 
@@ -92,7 +94,10 @@
             message = "the budget of key writes is spent"
             raise _refused(Reason.WRITE_BUDGET, message)
         name = f"{pool}/{key}"
-        members = {member.name: member for member in self._available(pool)}
+        # Not by region: every gateway has to choose the same sidecar for a key, so that a resend
+        # meets the one that may have run it even if the service has lost the assignment.
+        available = _some(self.state.available(pool), pool)
+        members = {member.name: member for member in available}
         member = members[rendezvous(name, list(members))[0]]
         wanted = self._bind(name, pool, member)
         for _ in range(KEY_ATTEMPTS):
@@ -129,17 +134,16 @@
             self.lease = held
         return held.lease
 
-    def _available(self, pool: str) -> list[Member]:
-        members = [member for member in self.state.members(pool) if member.is_available]
-        if not members:
-            message = f"no endpoint of pool {pool!r} takes calls"
-            raise _refused(Reason.NO_ENDPOINT, message)
-        return members
-
     def _bind(self, key: str, pool: str, member: Member) -> Binding:
         return Binding(key, pool, member.name, member.report.incarnation, member.report.epoch)
 
 
+def _some(members: Sequence[Member], pool: str) -> Sequence[Member]:
+    if not members:
+        raise _refused(Reason.NO_ENDPOINT, f"no endpoint of pool {pool!r} takes calls")
+    return members
+
+
 def _refused(reason: Reason, message: str) -> RefusedError:
     return RefusedError(Refusal.not_run(reason, message, DEFAULT_RETRY_AFTER_S))
 
--- a/src/threadramp/gateway/state.py
+++ b/src/threadramp/gateway/state.py
@@ -15,6 +15,7 @@
 from threadramp.core.membership import Membership
 from threadramp.gateway.configuration import Configuration
 from threadramp.platform.kv import KvClient
+from threadramp.policy.locality import in_region
 from threadramp.policy.retries import RetryBudget, TokenBucket
 from threadramp.policy.routing import ROUTINGS
 from threadramp.policy.subset import gateway_subset
@@ -30,6 +31,8 @@
 from threadramp.wire.sync import SyncClient
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from threadramp.config.settings import Settings
     from threadramp.core.membership import Member
 
@@ -115,6 +118,15 @@
         with self.lock:
             self.burn.record(objective, good, bad, now())
 
+    def available(self, pool: str) -> list[Member]:
+        """Return the members of a pool that take new work."""
+        return [member for member in self.members(pool) if member.is_available]
+
+    def candidates(self, pool: str) -> Sequence[Member]:
+        """Return those to which a new call may go: in the own region while it has room."""
+        data_centres = self.chain.of_kind("data_centre")
+        return in_region(self.available(pool), self.settings.data_centre, data_centres)
+
     def opened(self, endpoint: str, change: int) -> None:
         """Count a call to an endpoint that begins (1) or ends (-1)."""
         with self.lock:
--- a/tests/core/test_call.py
+++ b/tests/core/test_call.py
@@ -27,7 +27,9 @@
 
 def machine(call: Call, members: int = 2, budget: RetryBudget | None = None) -> CallMachine:
     held = [member(index) for index in range(members)]
-    return CallMachine(call, lambda _: held, RoundRobin(Random(1)), budget or RetryBudget(), {})
+    return CallMachine(
+        call, lambda _: held, lambda _: held, RoundRobin(Random(1)), budget or RetryBudget(), {}
+    )
 
 
 def test_repeatable_call_goes_elsewhere_after_a_failure() -> None:
