Judge freshness once more right before the end line; let tests mirror the source tree

Cause, found by reading: a version published between the last exchange and the end line was not counted. Ruled out: a lock between publishing and delivery, which would hold up both; the trainer's library checks on receipt besides. Change: the lot is judged again right before its end line, and goes back to work if a sample has grown too old. The property tests stand with the modules they test.

--- a/src/threadramp/gateway/steps.py
+++ b/src/threadramp/gateway/steps.py
@@ -178,7 +178,7 @@
         deadline = now() + request.deadline_s
         shown = float("-inf")
         begun = now()
-        while not assembly.is_delivered:
+        while not self._is_complete(assembly, spec, request):
             if now() >= deadline:
                 message = "the step was not whole by its deadline; ask again"
                 yield _line(ErrorLine(Refusal.not_run(Reason.DEADLINE, message, 1)))
@@ -202,6 +202,12 @@
         self.state.metrics.count("lots_delivered", assembly.key.trainer)
         yield _line(EndLine(lot, len(assembly.samples), lot))
 
+    def _is_complete(self, assembly: StepAssembly, spec: Trainer, request: StepRequest) -> bool:
+        """Return whether the lot is whole and still fresh, judged right before its end line."""
+        if assembly.is_delivered:
+            assembly.require(self._oldest_allowed(spec, request))
+        return assembly.is_delivered
+
     def _record_staleness(self, spec: Trainer, request: StepRequest, delivery: Delivery) -> None:
         newest = self._oldest_allowed(spec, request) + spec.staleness_bound
         fresh = delivery.payload.oldest >= newest
--- /dev/null
+++ b/tests/core/test_chain.py
@@ -0,0 +1,35 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from threadramp.core.chain import Chain
+from threadramp.wire.messages import Change
+
+EXAMPLES = 150
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.integers(0, 30), st.booleans()), max_size=60))
+@settings(max_examples=EXAMPLES, deadline=None)
+def test_no_copy_of_the_chain_ever_falls_or_differs(exchanges) -> None:
+    writer = Chain()
+    copies = [Chain() for _ in range(3)]
+    for index, upto, by_snapshot in exchanges:
+        if upto > writer.revision:
+            change = Change(
+                writer.revision + 1, f"c{writer.revision}", "priority", "p", {"rank": 1}
+            )
+            writer.apply([change])
+        copy = copies[index]
+        source = copies[(index + 1) % 3] if upto % 2 else writer
+        before = copy.revision
+        if by_snapshot:
+            copy.restore(source.snapshot())
+        else:
+            late = [change for change in source.log if change.revision <= max(upto, before + 1)]
+            copy.apply(reversed(late))
+            copy.apply(late)
+        assert before <= copy.revision <= writer.revision
+        known = {change.revision: change.change_id for change in writer.log}
+        for change in copy.log:
+            assert known[change.revision] == change.change_id
--- a/tests/core/test_keys.py
+++ b/tests/core/test_keys.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from threadramp.core.keys import Answer, Binding, KeyTable, Replay, Run, Wait
 from threadramp.wire.outcomes import Outcome, Reason, Refusal
 
+EXAMPLES = 150
 WINDOW_S = 80.0  # an epoch is ten seconds
 ANSWER = Answer(200, "text/plain", b"done")
 
@@ -76,3 +79,67 @@
         table.refuse(bind(key), Reason.OVERLOADED, "full", 1.0)
     assert table.begin(bind("x"), "d", table.refusals, 2.0) == Run()
     assert table.begin(bind("a"), "d", 0, 2.0).outcome is Outcome.NOT_RUN
+
+
+KEYS = st.sampled_from(["a", "b", "c", "d"])
+
+key_events = st.lists(
+    st.tuples(
+        st.sampled_from(["send", "late send", "finish", "lose", "refuse", "withdraw", "restart"]),
+        KEYS,
+        st.floats(0, 15),
+    ),
+    max_size=60,
+)
+
+
+@given(key_events)
+@settings(max_examples=EXAMPLES, deadline=None)
+def test_a_key_runs_at_most_once_and_not_run_stays_true(events) -> None:
+    now = 0.0
+    incarnation = 0
+    table = KeyTable("e", "0", 80.0, max_keys=3, max_answers=1, now=now)
+    bindings: dict[str, Binding] = {}
+    runs: dict[str, int] = {}
+    running: set[str] = set()
+    shown: dict[str, int] = {}
+    for kind, key, step in events:
+        now += step
+        binding = bindings.setdefault(
+            key, Binding(key, "p", "e", str(incarnation), table.epoch(now))
+        )
+        if kind == "restart":
+            incarnation += 1
+            table = KeyTable("e", str(incarnation), 80.0, max_keys=3, max_answers=1, now=now)
+            running.clear()
+        elif kind in ("send", "late send"):
+            number = shown.get(key, 0) if kind == "send" else 0
+            decision = table.begin(binding, "d", number, now)
+            if isinstance(decision, Run):
+                assert kind == "send" or key not in shown  # sent before the refusal, never runs
+                runs[key] = runs.get(key, 0) + 1
+                running.add(key)
+                shown.pop(key, None)
+            elif isinstance(decision, Replay):
+                assert runs[key] == 1
+            elif isinstance(decision, Refusal) and decision.outcome is Outcome.NOT_RUN:
+                assert runs.get(key, 0) == 0
+                shown[key] = decision.number
+        elif kind == "finish" and key in running:
+            table.finish(key, ANSWER, keep=True)
+            running.discard(key)
+        elif kind == "lose" and key in running:
+            table.finish(key, None, keep=False)
+            running.discard(key)
+        elif kind == "withdraw" and key in running:
+            refusal = table.withdraw(binding, Reason.DEADLINE, "late", now)
+            runs[key] -= 1  # no byte of it has left
+            running.discard(key)
+            shown[key] = refusal.number
+        elif kind == "refuse" and binding.incarnation == str(incarnation):
+            refusal = table.refuse(binding, Reason.OVERLOADED, "full", now)
+            if refusal.outcome is Outcome.NOT_RUN:
+                assert runs.get(key, 0) == 0 or now >= 80.0
+                shown[key] = refusal.number
+        assert max(runs.values(), default=0) <= 1
+        assert len(table.entries) <= 3
--- /dev/null
+++ b/tests/core/test_swap.py
@@ -0,0 +1,54 @@
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from threadramp.core.swap import Order, ReadVersions, SwapRecord
+
+EXAMPLES = 150
+
+
+swap_events = st.lists(
+    st.tuples(
+        st.sampled_from(["tick", "loaded", "failed", "restart", "frozen", "publish"]),
+        st.floats(0.05, 3),
+    ),
+    max_size=60,
+)
+
+
+@given(swap_events)
+@settings(max_examples=EXAMPLES, deadline=None)
+def test_what_is_called_verified_was_served_when_it_was_read(events) -> None:
+    """An engine that swaps, fails and restarts at any moment; the record follows it."""
+    record = SwapRecord(started_ms=1)
+    engine: int | None = None
+    boot = "b0"
+    read: int | None = None
+    declared = 1
+    now = 0.0
+    highest_fence = 0
+    for kind, step in events:
+        now += step
+        if kind == "publish":
+            declared += 1
+        if kind == "restart":
+            engine = 0
+            boot += "x"
+        if kind == "frozen":
+            record.lost_time(now)
+            assert record.verified() == {}
+        for action in record.due({"m": declared}, declared, now):
+            if isinstance(action, ReadVersions):
+                record.versions_read(boot, {"m": engine}, now)
+                read = engine
+            if isinstance(action, Order):
+                assert action.fence >= highest_fence
+                highest_fence = action.fence
+                record.order_sent(action, now)
+                assert not record.may_start("m", names_versions=False)
+                engine = None if kind == "failed" else action.version
+                record.order_ended("m", kind != "failed", now)
+                assert record.verified() == {}  # only a read-back verifies
+        if record.verified():
+            assert record.verified() == {"m": read}
