Give each local fleet a loopback address of its own

Cause: one of 130 tests failed in a full run beside a load program: a sidecar ended with "Address in use", since two fleets of two programs probed ports at the same address. The same had failed once before. Ruled out: a fault of the product; the log of the sidecar names the bind. Change: the address is made of the process's number; a fleet whose process ends at the start says so with the end of its log instead of waiting a minute.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -28,7 +28,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HOST = "127.0.0.2"  # outgoing connections take their ports at 127.0.0.1, never one of these
+# A loopback address of this process's own: neither another fleet nor an outgoing connection, which
+# takes its port at 127.0.0.1, can have the port that is about to be used.
+HOST = (
+    f"127.{1 + os.getpid() // 64_516 % 250}.{1 + os.getpid() // 254 % 254}.{1 + os.getpid() % 254}"
+)
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 90.0
 POLL_S = 0.05
@@ -215,8 +219,7 @@
     def wait_ready(self) -> None:
         """Wait until every process that was started answers."""
         for name, url in self.probes.items():
-            if self.processes[name].is_running:
-                wait_for(lambda at=url: self._answers(at), f"{name} answers")
+            wait_for(lambda of=name, at=url: self._has_started(of, at), f"{name} answers")
 
     def resettle(self, name: str, kv: str = "", **settings: Any) -> None:
         """Write a gateway's settings anew; in force when it is started again.
@@ -364,6 +367,16 @@
         path.write_text(tomlkit.dumps(document))
         return path
 
+    def _has_started(self, name: str, url: str) -> bool:
+        """Return whether a process answers.
+
+        :raises RuntimeError: if it has ended, with the end of its log
+        """
+        process = self.processes[name]
+        if not process.is_running:
+            raise RuntimeError(f"{name} has ended: {process.log.read_text()[-500:]}")
+        return self._answers(url)
+
     def _answers(self, url: str) -> bool:
         try:
             return self.http.request("GET", url, timeout=2).status == 200
