Answer every fault of a handler with a type, and free slot and key whatever happens

Cause, found by reading: an error that nobody had foreseen while a call was sent left its key running and its slot taken for ever; an unknown path or query ended in CherryPy's own error page. Ruled out: catching only urllib3's errors, since headers that can not be encoded raise others. Change: the call is ended as "unknown" on any error; the edge answers unforeseen errors with a typed refusal and one log line, and checks paths against the handler's signature; a refused role closes its connection, since the body stays unread.

--- a/src/threadramp/gateway/beats.py
+++ b/src/threadramp/gateway/beats.py
@@ -48,7 +48,6 @@
     def __init__(self, state: GatewayState) -> None:
         self.state = state
         self.peers: dict[str, PeerSync] = {}
-        self.forced = threading.Event()
 
     def run(self) -> None:
         """Beat until the gateway stops."""
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -73,7 +73,7 @@
             token = self.tokens[role]
             if token and hmac.compare_digest(given.encode(), token.encode()):
                 return
-        cherrypy.request.close_connection = True  # the body stays unread
+        cherrypy.response.headers["Connection"] = "close"  # the body stays unread
         known = any(
             token and hmac.compare_digest(given.encode(), token.encode())
             for token in self.tokens.values()
--- a/src/threadramp/sidecar/calls.py
+++ b/src/threadramp/sidecar/calls.py
@@ -11,6 +11,7 @@
 from threadramp.core.sidecar import CallRequest
 from threadramp.sidecar.engine import BrokenAnswerError, ChatRequest, NeverSentError
 from threadramp.sidecar.state import now
+from threadramp.wire.headers import REQUEST_ID
 from threadramp.wire.outcomes import DEFAULT_RETRY_AFTER_S, Outcome, Reason, Refusal
 
 if TYPE_CHECKING:
@@ -58,24 +59,26 @@
         admitted = self._admit(call, deadline)
         if admitted is not None:
             return admitted
-        time_left = deadline - now()
         try:
-            answer = self.state.engine.call(
-                call.method,
-                call.path,
-                {"X-Request-Id": call.request_id, "Content-Type": call.content_type},
-                call.body,
-                time_left,
-                self._echoes(),
-            )
+            answer = self._send(call, deadline)
         except NeverSentError:
             return self._withdraw(call, Reason.ENDPOINT_FAILED, "the endpoint can not be reached")
         except BrokenAnswerError as error:
             self._end(call, None)
             return Refusal.unknown(Reason.BROKEN_ANSWER, str(error), DEFAULT_RETRY_AFTER_S)
+        except Exception:
+            self._end(call, None)  # whatever went wrong, the slot is free and the key is decided
+            raise
         self._end(call, answer)
         return answer
 
+    def _send(self, call: IncomingCall, deadline: float) -> Answer:
+        headers = {REQUEST_ID: call.request_id, "Content-Type": call.content_type}
+        time_left = deadline - now()
+        return self.state.engine.call(
+            call.method, call.path, headers, call.body, time_left, self._echoes()
+        )
+
     def stream(self, call: IncomingCall, chat: ChatRequest) -> Iterator[Chunk] | Refusal:
         """Run a model call; return its pieces, or the refusal."""
         deadline = now() + call.request.time_left_s
--- a/src/threadramp/wire/http.py
+++ b/src/threadramp/wire/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import inspect
 import threading
 from typing import TYPE_CHECKING, Any
 
@@ -10,8 +11,9 @@
 import msgspec
 
 from threadramp.config.findings import FindingsError
+from threadramp.report.log import log_state
 from threadramp.wire.headers import OUTCOME, REFUSAL
-from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError
+from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError, bad_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -140,11 +142,13 @@
 
 
 def edge(handler: Callable[..., Any]) -> Callable[..., Any]:
-    """Turn the typed errors of a handler into answers."""
+    """Turn the errors of a handler into typed answers."""
+    signature = inspect.signature(handler)
 
     @functools.wraps(handler)
     def handle(*args: Any, **kwargs: Any) -> Any:
         try:
+            _check_path(signature, args, kwargs)
             return handler(*args, **kwargs)
         except RefusedError as error:
             return answer_refusal(error.refusal)
@@ -152,10 +156,21 @@
             refusal = Refusal(Reason.FINDINGS, Outcome.NOT_RUN, "the change was not accepted")
             body = {"error": refusal, "findings": error.findings}
             return answer_json(body, refusal.status, {OUTCOME: Outcome.NOT_RUN.value})
+        except Exception as error:  # the process goes on, and the caller gets a typed answer
+            log_state("internal_error", handler=handler.__qualname__, error=repr(error))
+            return answer_refusal(Refusal.unknown(Reason.INTERNAL, "a fault of this process"))
 
     return handle
 
 
+def _check_path(signature: inspect.Signature, args: tuple, kwargs: dict[str, Any]) -> None:
+    """Refuse a path or query that the handler does not take."""
+    try:
+        signature.bind(*args, **kwargs)
+    except TypeError as error:
+        raise bad_request("path", str(error)) from error
+
+
 def _too_large(limit: int) -> RefusedError:
     message = f"the body is longer than {limit} bytes"
     return RefusedError(Refusal(Reason.TOO_LARGE, Outcome.NOT_RUN, message, place="body"))
--- a/tests/scenarios/test_answers.py
+++ b/tests/scenarios/test_answers.py
@@ -118,6 +118,11 @@
         ("GET", "/v1/resources/pool/none", None, 404, "path"),
         ("PUT", "/v1/resources/pool/x", b'{"type": "odd"}', 422, ""),
         ("PUT", "/v1/resources/pool/x", b"[]", 400, "body"),
+        ("PUT", "/v1/resources/pool", b"{}", 400, "path"),
+        ("GET", "/v1/call", None, 400, "path"),
+        ("GET", "/v1/status?all=1", None, 400, "path"),
+        ("GET", "/v1/requests/not-a-ticket", None, 400, "header X-Ticket"),
+        ("POST", "/v1/tickets", b"\xff\xfe", 400, "body"),
     ]
     for method, path, body, status, place in cases:
         response = api.request(method, path, body)
