Read the configuration without a lock safely; keep background loops running

Cause, found by reading: request threads went over the configuration's table while the watch or a beat changed it, and beats read the log of changes under another lock than its writer; either raises in Python and would have ended the thread, a beat thread for good.

Change: tables of a kind are replaced as a whole; the chain's log has one lock; background loops, sync threads and rollout threads go on after an unforeseen error, with one log line. Ruled out: a lock around every read, which each call at a gateway would take. Restarts of stale samples are counted in metrics.

--- a/src/threadramp/core/chain.py
+++ b/src/threadramp/core/chain.py
@@ -20,12 +20,15 @@
     :ivar revision: of the newest change applied, 0 at the start
     :ivar resources: by kind and name
     :ivar typed: the same as typed specifications
+    :ivar kinds: typed specifications by kind, then name; each inner table is replaced as a whole,
+        so that another thread may read it without a lock
     """
 
     def __init__(self) -> None:
         self.revision = 0
         self.resources: dict[tuple[str, str], Resource] = {}
         self.typed: dict[tuple[str, str], Any] = {}
+        self.kinds: dict[str, dict[str, Any]] = {}
         self.log: deque[Change] = deque(maxlen=LOG_LENGTH)
 
     def apply(self, changes: Iterable[Change]) -> bool:
@@ -48,6 +51,7 @@
             return False
         self.resources.clear()
         self.typed.clear()
+        self.kinds = {}
         self.log.clear()
         for entry in snapshot.entries:
             self._put(Resource(entry.kind, entry.name, entry.revision, entry.spec))
@@ -78,8 +82,8 @@
         return Snapshot(self.revision, entries)
 
     def of_kind(self, kind: str) -> dict[str, Any]:
-        """Return the typed specifications of one kind by name."""
-        return {name: spec for (held, name), spec in self.typed.items() if held == kind}
+        """Return the typed specifications of one kind by name; not to be changed."""
+        return self.kinds.get(kind, {})
 
     def get(self, kind: str, name: str) -> Any | None:
         """Return one typed specification, or none."""
@@ -90,6 +94,10 @@
         if change.spec is None:
             self.resources.pop(key, None)
             self.typed.pop(key, None)
+            others = self.kinds.get(change.kind, {})
+            self.kinds[change.kind] = {
+                name: spec for name, spec in others.items() if name != change.name
+            }
         else:
             self._put(Resource(change.kind, change.name, change.revision, change.spec))
         self.revision = change.revision
@@ -102,6 +110,8 @@
             result = check_spec(resource.kind, resource.name, resource.spec)
             if result.is_ok():
                 self.typed[key] = result.ok
+                others = self.kinds.get(resource.kind, {})
+                self.kinds[resource.kind] = {**others, resource.name: result.ok}
 
 
 __all__ = ["Chain", "LOG_LENGTH"]
--- a/src/threadramp/core/samples.py
+++ b/src/threadramp/core/samples.py
@@ -41,6 +41,17 @@
     run_id: int
 
 
+@dataclass(frozen=True)
+class Waste:
+    """What was thrown away in some time.
+
+    :param restarts: samples begun anew since they had grown too old
+    """
+
+    tokens: int
+    restarts: int
+
+
 @dataclass
 class HeldSample:
     """One sample of a held step; ``run_id`` is 0 while it waits in the queue."""
@@ -204,10 +215,11 @@
             if now - step.asked > ABANDONED_AFTER_S:
                 del self.steps[key]
 
-    def take_wasted(self) -> int:
-        """Return the tokens thrown away since the last call."""
-        taken = self.wasted_tokens
+    def take_waste(self) -> Waste:
+        """Return what was thrown away since the last call."""
+        taken = Waste(self.wasted_tokens, self.restarted_stale)
         self.wasted_tokens = 0
+        self.restarted_stale = 0
         return taken
 
     def queued(self) -> int:
--- a/src/threadramp/gateway/beats.py
+++ b/src/threadramp/gateway/beats.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from threadramp.gateway.state import now
 from threadramp.platform.boxes import BoxListClient
 from threadramp.platform.kv import ABSENT, KvUnavailableError
+from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.messages import StepMark, SyncReply, SyncRequest
 
@@ -123,7 +123,7 @@
         if self.box_list is not None:
             loops.append(self._read_boxes)
         for loop in loops:
-            threading.Thread(target=loop, name=loop.__name__, daemon=True).start()
+            start_loop(loop, self.state.stopped)
 
     def _watch(self) -> None:
         """Watch the head; after an outage come back slowly and not all at once."""
--- a/src/threadramp/gateway/configuration.py
+++ b/src/threadramp/gateway/configuration.py
@@ -64,15 +64,18 @@
     """This process's chain and its ways to the key-value service.
 
     :param changed: called after the revision rose
+    :param lock: held around the chain, by others who read its log too
     :ivar informed: whether the configuration was learned from anybody since the start
     :ivar regressed: whether the service has forgotten accepted changes and was not confirmed since
     """
 
-    def __init__(self, chain: Chain, kv: KvClient, changed: Callable[[], None]) -> None:
+    def __init__(
+        self, chain: Chain, kv: KvClient, changed: Callable[[], None], lock: threading.RLock
+    ) -> None:
         self.chain = chain
         self.kv = kv
         self.changed = changed
-        self.lock = threading.RLock()
+        self.lock = lock
         self.head = Head()
         self.head_version = ABSENT
         self.informed = False
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -221,7 +221,7 @@
         self.gate.check(OPERATOR, TRAINER)
         chain = self.state.chain
         if not name:
-            held = [item for item in chain.resources.values() if kind in ("", item.kind)]
+            held = [item for item in list(chain.resources.values()) if kind in ("", item.kind)]
             return answer_json({"revision": chain.revision, "resources": held})
         held = chain.resources.get((kind, name))
         if held is None:
--- a/src/threadramp/gateway/state.py
+++ b/src/threadramp/gateway/state.py
@@ -44,7 +44,7 @@
 class GatewayState:
     """A gateway's soft state; all of it can be rebuilt by asking others.
 
-    :ivar lock: held around membership and marks
+    :ivar lock: held around chain, membership and marks
     :ivar wake: set when the next beat should not wait
     :ivar stopping: set while open requests finish before a planned stop
     :ivar stopped: set when the background threads should end
@@ -65,7 +65,9 @@
         self.marks = StepMarks()
         self.membership = Membership()
         self.kv = KvClient(settings.platform.kv, settings.platform.kv_timeout_s)
-        self.configuration = Configuration(self.chain, self.kv, self.configuration_changed)
+        self.configuration = Configuration(
+            self.chain, self.kv, self.configuration_changed, self.lock
+        )
         self.sync = SyncClient(self.seal)
         self.metrics = Metrics("threadramp_gateway")
         self.random = Random(own.index)
--- a/src/threadramp/sidecar/reconciler.py
+++ b/src/threadramp/sidecar/reconciler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.swap import Order
+from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.sidecar.state import now
 
@@ -25,8 +26,8 @@
 
     def start(self) -> None:
         """Start both threads."""
-        threading.Thread(target=self._reconcile, name="reconciler", daemon=True).start()
-        threading.Thread(target=self._watch_clock, name="clock", daemon=True).start()
+        start_loop(self._reconcile, self.stopped)
+        start_loop(self._watch_clock, self.stopped)
 
     def stop(self) -> None:
         """End both threads."""
@@ -36,9 +37,9 @@
         while not self.stopped.wait(TICK_S):
             with self.state.lock:
                 self.core.observe(now())
-                wasted = self.core.samples.take_wasted()
-            if wasted:
-                self.state.metrics.count("wasted_tokens", amount=wasted)
+                waste = self.core.samples.take_waste()
+            self.state.metrics.count("wasted_tokens", amount=waste.tokens)
+            self.state.metrics.count("restarted_stale", amount=waste.restarts)
 
     def _reconcile(self) -> None:
         while not self.stopped.wait(TICK_S):
--- a/src/threadramp/sidecar/rollouts.py
+++ b/src/threadramp/sidecar/rollouts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.sidecar import Verdict
+from threadramp.report.guard import start_loop
 from threadramp.sidecar.engine import BrokenAnswerError, ChatRequest, NeverSentError
 from threadramp.sidecar.state import now
 
@@ -35,18 +36,15 @@
     def __init__(self, state: SidecarState) -> None:
         self.state = state
         self.core = state.core
-        self.threads = [
-            threading.Thread(target=self._loop, name=f"rollout-{number}", daemon=True)
-            for number in range(self.core.settings.slots)
-        ]
+        self.stopped = threading.Event()
 
     def start(self) -> None:
         """Start all threads."""
-        for thread in self.threads:
-            thread.start()
+        for _ in range(self.core.settings.slots):
+            start_loop(self._loop, self.stopped)
 
     def _loop(self) -> None:
-        while True:
+        while not self.stopped.is_set():
             task = self._take()
             if task is not None:
                 self._run(task)
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -10,6 +10,7 @@
 from pynng import Context, Rep0, Req0
 from pynng.exceptions import Closed, NNGException
 
+from threadramp.report.log import log_state
 from threadramp.wire.messages import Reply, Request
 from threadramp.wire.seal import Seal
 
@@ -139,6 +140,9 @@
                 return
             except (NNGException, msgspec.DecodeError):
                 self.rejected += 1
+            except Exception as error:  # its sender times out and asks again; this thread goes on
+                self.rejected += 1
+                log_state("sync_failed", error=repr(error))
 
 
 __all__ = ["SyncClient", "SyncServer"]
--- a/tests/core/test_chain.py
+++ b/tests/core/test_chain.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -33,3 +35,26 @@
         known = {change.revision: change.change_id for change in writer.log}
         for change in copy.log:
             assert known[change.revision] == change.change_id
+
+
+def test_kinds_can_be_read_while_another_thread_applies_changes() -> None:
+    chain = Chain()
+    done = threading.Event()
+    errors = []
+
+    def read() -> None:
+        while not done.is_set():
+            try:
+                assert all(spec.rank >= 0 for spec in chain.of_kind("priority").values())
+            except RuntimeError as error:
+                errors.append(error)
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    for number in range(3000):
+        spec = {"rank": number} if number % 3 else None
+        chain.apply([Change(number + 1, f"c{number}", "priority", f"p{number % 50}", spec)])
+    done.set()
+    reader.join()
+    assert errors == []
+    assert chain.of_kind("priority").keys() == {name for _, name in chain.typed}
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from threadramp.core.chain import Chain
@@ -39,7 +41,7 @@
 
 
 def gateway(kv: FakeKv) -> Configuration:
-    return Configuration(Chain(), kv, lambda: None)
+    return Configuration(Chain(), kv, lambda: None, threading.RLock())
 
 
 def rank(made: Configuration, number: int, expected: int | None = None) -> int:
