Complete the stand-ins: rate limit, priorities within a batch, a load report that lags

Cause: the issue names these and they were not there. Change: the key-value service can refuse calls above a rate, the engine can bound its batch and serve by priority, its load report is as old as a switch says. All are off by default but the lag, which nothing reads. Ruled out: bounding the batch by default, which would change every measurement so far.

--- a/src/threadramp/standins/engine.py
+++ b/src/threadramp/standins/engine.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import os
+import threading
 import time
 import uuid
-from collections import OrderedDict
+from collections import OrderedDict, deque
+from heapq import heappop, heappush
 from random import Random
 from typing import TYPE_CHECKING, Any, ClassVar
 
@@ -27,6 +29,7 @@
 DEFAULT_TOKEN_S = 0.002
 DEFAULT_PREFILL_S = 0.02
 DEFAULT_CACHE = 64
+LOADS_KEPT = 4096
 BATCH_SLOWDOWN = 0.02  # a token takes this much longer for each other request in the batch
 LENGTH_SIGMA = 0.9
 LENGTH_MEDIAN = 0.2  # of the most that was asked for
@@ -40,8 +43,9 @@
     Switches: ``names_versions`` off leaves the version out of each piece, ``ignore_fence`` obeys
     old orders, ``swap_fails`` has that many swaps fail partway, ``swap_s`` is a swap's time,
     ``late_orders`` has that many orders obeyed only after ``late_s``, ``cross`` and ``truncate``
-    spoil that many streams, ``set_weights`` puts weights in place as a restart with old ones does,
-    ``crash`` ends the process.
+    spoil that many streams, ``batch`` bounds how many run at once (0 for no bound; the lowest
+    priority number goes first), ``load_lag_s`` is how old the load report is, ``set_weights`` puts
+    weights in place as a restart with old ones does, ``crash`` ends the process.
     """
 
     faults: ClassVar[dict[str, Any]] = {
@@ -56,6 +60,8 @@
         "set_weights": None,
         "crash": False,
         "token_s": DEFAULT_TOKEN_S,
+        "batch": 0,
+        "load_lag_s": 0.5,
     }
 
     def __init__(self, options: dict[str, Any]) -> None:
@@ -64,6 +70,10 @@
         self.weights: dict[str, int | None] = {}
         self.fence = 0
         self.running = 0
+        self.loads: deque[tuple[float, int]] = deque([(float("-inf"), 0)], maxlen=LOADS_KEPT)
+        self.waiting: list[tuple[int, int]] = []
+        self.arrivals = 0
+        self.room = threading.Condition(self.lock)
         self.cache: OrderedDict[str, None] = OrderedDict()
         self.counts = {"runs": 0, "tokens": 0, "cache_hits": 0, "orders": 0, "old_orders": 0}
         self.store = options.get("weight_store", "")
@@ -87,7 +97,7 @@
         if request.path == ("v1", "weights"):
             return Response.from_value({"boot": self.boot, "weights": self.weights})
         if request.path == ("v1", "load"):
-            return Response.from_value({"running": self.running})
+            return Response.from_value({"running": self._reported_load()})
         if request.path == ("v1", "orders", "load"):
             return self._order(request.json())
         if request.path == ("v1", "chat", "completions"):
@@ -134,8 +144,7 @@
         done = body.get("resume_text", "").count(" ")
         cut_at = done + (length - done) // 2 if self.use_up("truncate") else length
         shown_id = f"other-{request_id}" if self.use_up("cross") else request_id
-        with self.lock:
-            self.running += 1
+        self._enter(body.get("priority", 0))
         try:
             self._prefill(prompt)
             for number in range(done, cut_at):
@@ -144,8 +153,31 @@
             if cut_at == length:
                 yield b"data: [DONE]\n\n"
         finally:
-            with self.lock:
-                self.running -= 1
+            self._note_running(-1)
+
+    def _enter(self, priority: int) -> None:
+        """Wait for room in the batch, the lowest priority number and then the earliest first."""
+        with self.room:
+            self.arrivals += 1
+            place = (priority, self.arrivals)
+            heappush(self.waiting, place)
+            while self.waiting[0] != place or 0 < self.faults["batch"] <= self.running:
+                self.room.wait()
+            heappop(self.waiting)
+            self._note_running(1)
+
+    def _note_running(self, change: int) -> None:
+        with self.room:
+            self.running += change
+            self.loads.append((time.monotonic(), self.running))
+            self.room.notify_all()
+
+    def _reported_load(self) -> int:
+        """Return the load as it was some time ago."""
+        until = time.monotonic() - self.faults["load_lag_s"]
+        with self.lock:
+            older = [running for since, running in self.loads if since <= until]
+            return older[-1] if older else self.loads[0][1]
 
     def _prefill(self, prompt: str) -> None:
         with self.lock:
--- a/src/threadramp/standins/kv.py
+++ b/src/threadramp/standins/kv.py
@@ -9,6 +9,7 @@
 from typing import Any, ClassVar
 
 from threadramp.platform.kv import VERSION_HEADER
+from threadramp.policy.retries import TokenBucket
 from threadramp.standins.server import STANDINS, Request, Response, StandIn
 
 LEASE_CHECK_S = 0.2
@@ -28,10 +29,16 @@
     """Compare-and-swap, leases and watches.
 
     Switches: ``lose_answers`` loses that many answers after the write took effect, ``stale`` has
-    reads answered from the copy of the moment it was set, ``restore`` puts that copy back.
+    reads answered from the copy of the moment it was set, ``restore`` puts that copy back,
+    ``calls_per_s`` refuses calls above that rate (0 for no limit).
     """
 
-    faults: ClassVar[dict[str, Any]] = {"lose_answers": 0, "stale": False, "restore": False}
+    faults: ClassVar[dict[str, Any]] = {
+        "lose_answers": 0,
+        "stale": False,
+        "restore": False,
+        "calls_per_s": 0,
+    }
 
     def __init__(self, options: dict[str, Any]) -> None:
         super().__init__(options)
@@ -40,10 +47,13 @@
         self.leases: dict[str, float] = {}
         self.versions = 0
         self.changed = threading.Condition(self.lock)
-        self.counts = {"reads": 0, "writes": 0, "watches": 0, "leases": 0}
+        self.counts = {"reads": 0, "writes": 0, "watches": 0, "leases": 0, "refused": 0}
+        self.rate: TokenBucket | None = None
 
     def faults_changed(self) -> None:
-        """Keep or put back a copy."""
+        """Keep or put back a copy, and set the rate."""
+        rate = self.faults["calls_per_s"]
+        self.rate = TokenBucket(rate, rate, time.monotonic()) if rate else None
         if self.faults["restore"]:
             self.data = dict(self.copy)
             self.faults["restore"] = False
@@ -57,6 +67,10 @@
 
     def answer(self, request: Request) -> Response:
         """Answer a call."""
+        with self.lock:
+            if self.rate is not None and not self.rate.take(time.monotonic()):
+                self.counts["refused"] += 1
+                return Response(429)
         if request.path[:1] == ("leases",):
             return self._grant(float(request.query["ttl"]))
         key = "/".join(request.path[1:])
