Refuse unknown paths and over-long bodies with a type as well

Cause: CherryPy and cheroot answered these with pages of their own, without a reason or a place. Change: one error page in the typed form, the body's limit in one place, and an over-long body is read on without being kept, so that its sender gets to read the refusal. Ruled out: closing at once, which resets the connection under a sender that still writes.

--- a/src/threadramp/gateway/daemon.py
+++ b/src/threadramp/gateway/daemon.py
@@ -49,7 +49,7 @@
         steps = Steps(self.state)
         root = gateway_root(self.state, calls, binder, settler, steps)
         own = self.settings
-        start_http(root, own.listen, own.threads, own.max_body_bytes)
+        start_http(root, own.listen, own.threads)
         self.background.start()
         log_state("gateway_started", gateway=own.name)
         while not self.stop.wait(STOP_POLL_S):
--- a/src/threadramp/sidecar/daemon.py
+++ b/src/threadramp/sidecar/daemon.py
@@ -56,7 +56,7 @@
         signal.signal(signal.SIGTERM, lambda *_: self.stop.set())
         signal.signal(signal.SIGINT, lambda *_: self.stop.set())
         root = sidecar_root(self.state, self.seal, self.runner)
-        start_http(root, self.settings.listen_http, self.settings.threads, self._max_body())
+        start_http(root, self.settings.listen_http, self.settings.threads)
         server = SyncServer(self.settings.listen_sync, self.seal, self._handle, SYNC_THREADS)
         self.rollouts.start()
         self.reconciler.start()
@@ -69,9 +69,6 @@
         stop_http()
         log_state("sidecar_stopped", endpoint=self.settings.endpoint)
 
-    def _max_body(self) -> int:
-        return self.settings.max_body_bytes
-
     def _handle(self, request: Request) -> Reply:
         with self.state.work:
             reply = self.state.core.handle(request, now())
--- a/src/threadramp/wire/http.py
+++ b/src/threadramp/wire/http.py
@@ -21,10 +21,12 @@
 MAX_HEADER_BYTES = 16_384
 SOCKET_QUEUE = 256
 SHUTDOWN_TIMEOUT_S = 1  # open requests were waited for before
+MAX_DISCARDED_BYTES = 16 * 1024 * 1024
+BLOCK_BYTES = 65_536
 JSON_TYPE = "application/json"
 
 
-def start_http(root: object, listen: str, threads: int, max_body_bytes: int) -> None:
+def start_http(root: object, listen: str, threads: int) -> None:
     """Serve ``root`` in this process.
 
     :param listen: ``ip:port``
@@ -40,7 +42,8 @@
             "server.socket_port": int(port),
             "server.thread_pool": threads,
             "server.socket_queue_size": SOCKET_QUEUE,
-            "server.max_request_body_size": max_body_bytes,
+            "server.max_request_body_size": 0,  # `read_body` has the limit, with a typed refusal
+            "error_page.default": _error_page,
             "server.max_request_header_size": MAX_HEADER_BYTES,
             "server.shutdown_timeout": SHUTDOWN_TIMEOUT_S,
         }
@@ -102,6 +105,7 @@
     """
     length = cherrypy.request.headers.get("Content-Length")
     if length is not None and int(length) > limit:
+        _discard(int(length))
         raise _too_large(limit)
     body = cherrypy.request.rfile.read(limit + 1 if length is None else int(length))
     if len(body) > limit:
@@ -171,7 +175,24 @@
         raise bad_request("path", str(error)) from error
 
 
+def _error_page(status: str, message: str, traceback: str, version: str) -> str:
+    """Return a typed refusal for what CherryPy itself refuses, such as an unknown path."""
+    reason = Reason.NOT_FOUND if status.startswith("404") else Reason.BAD_REQUEST
+    refusal = Refusal(reason, Outcome.NOT_RUN, message, place="path")
+    cherrypy.response.headers["Content-Type"] = JSON_TYPE
+    cherrypy.response.headers[OUTCOME] = Outcome.NOT_RUN.value
+    return msgspec.json.encode({"error": refusal}).decode()
+
+
+def _discard(length: int) -> None:
+    """Read on without keeping it, so that the sender gets to read its refusal."""
+    left = min(length, MAX_DISCARDED_BYTES)
+    while left > 0 and (block := cherrypy.request.rfile.read(min(left, BLOCK_BYTES))):
+        left -= len(block)
+
+
 def _too_large(limit: int) -> RefusedError:
+    cherrypy.response.headers["Connection"] = "close"  # the body stays unread
     message = f"the body is longer than {limit} bytes"
     return RefusedError(Refusal(Reason.TOO_LARGE, Outcome.NOT_RUN, message, place="body"))
 
--- a/tests/scenarios/test_answers.py
+++ b/tests/scenarios/test_answers.py
@@ -130,7 +130,11 @@
         assert msgspec.json.decode(response.data)["error"]["place"] == place, response.data
     long_body = api.request("POST", "/v1/tickets", b"x" * 5_000_000)
     assert long_body.status == 413
-    assert api.request("GET", "/v1/nothing").status == 404
+    assert msgspec.json.decode(long_body.data)["error"]["place"] == "body"
+    unknown = api.request("GET", "/v1/nothing")
+    assert unknown.status == 404
+    assert msgspec.json.decode(unknown.data)["error"]["reason"] == "not_found"
+    assert api.request("DELETE", "/v1/status").status == 405
     api.token = "wrong"
     assert api.request("GET", "/v1/status").status == 401
     api.token = "local-caller"
