Wait for the condition, not for a time, before an endpoint must get no new work

Cause: two scenarios slept a fixed second or four before they checked that a leaving endpoint gets no new transfers; on a slow machine that would fail without a fault. Not a weaker check: they now wait until every gateway sees the endpoint leave, and the check itself is unchanged. Ruled out: longer sleeps.

--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -5,7 +5,8 @@
     And each transfer takes 0.05 s
     When callers keep sending transfers
     And the operator drains bank-0
-    And 1.0 s pass
+    And every gateway sees bank-0 leave
+    And 0.5 s pass
     Then bank-0 gets no new transfers
     And every transfer sent so far was answered
 
@@ -14,7 +15,8 @@
     And each transfer takes 0.05 s
     When callers keep sending transfers
     And the box of bank-0 leaves
-    And 4.0 s pass
+    And every gateway sees bank-0 leave
+    And 0.5 s pass
     Then bank-0 gets no new transfers
     And every transfer sent so far was answered
 
--- a/tests/scenarios/test_leaving.py
+++ b/tests/scenarios/test_leaving.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from pytest_bdd import parsers, scenarios, then, when
+from tools.fleet import wait_for
 
 from threadramp.wire.outcomes import Outcome
 
@@ -43,6 +44,22 @@
     world.fleet.fault("boxes", leaving=[world.fleet.addresses["bank-0"]])
 
 
+@when("every gateway sees bank-0 leave")
+def seen_leaving(world: World) -> None:
+    def leaving() -> bool:
+        seen = [
+            endpoint.state
+            for gateway in world.fleet.gateway_names
+            for endpoint in world.fleet.operator(gateway).status().endpoints
+            if endpoint.name == "bank-0"
+        ]
+        return set(seen) == {"leaving"}
+
+    started = time.monotonic()
+    wait_for(leaving, "every gateway sees bank-0 leave")
+    print(f"seen to leave after {time.monotonic() - started:.2f} s (as measured)")
+
+
 @then("bank-0 gets no new transfers")
 def no_new(world: World) -> None:
     before = dict(world.fleet.record("bank-0")["runs"])
