Prove that a sidecar takes no work without the fleet's key and that no secret is logged

Change: a call to a sidecar with no token, the bare fleet key or an operator's token gets 401 and "not run", the service's count stays empty, and no process's log holds a secret. Ruled out: searching the logs of every scenario, which would slow the suite for the same statement.

--- a/tests/scenarios/test_http_page.py
+++ b/tests/scenarios/test_http_page.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from tools.fleet import CALLER_TOKEN, OPERATOR_TOKEN, TRAINER_TOKEN, EndpointPlan
+from tools.fleet import CALLER_TOKEN, FLEET_KEY, OPERATOR_TOKEN, TRAINER_TOKEN, EndpointPlan
 
 from tests.scenarios.world import MODEL, MODELS, TRAINER
 
@@ -21,7 +21,7 @@
 EXAMPLES = 20
 
 
-def test_each_example_of_the_page_answers_as_it_says(world: World) -> None:
+def start(world: World) -> None:
     fleet = world.fleet
     fleet.platform()
     fleet.gateways(1)
@@ -31,6 +31,28 @@
     trainer = {"model": MODEL, "pool": MODELS, "staleness_bound": 1}
     fleet.cli("apply", str(fleet.document({TRAINER: trainer}, {MODEL: 1})))
     fleet.wait_in_service({MODEL: 1})
+
+
+def test_sidecar_takes_no_work_without_the_fleets_key_and_no_secret_is_logged(
+    world: World,
+) -> None:
+    start(world)
+    fleet = world.fleet
+    url = f"http://{fleet.addresses['sidecar-bank-0']}/v1/call/transfers"
+    for token in ("", FLEET_KEY, OPERATOR_TOKEN):
+        headers = {"Authorization": f"Bearer {token}", "X-Deadline-Ms": "5000"}
+        answer = fleet.http.request("POST", url, body=b'{"id": "x"}', headers=headers)
+        assert (answer.status, answer.headers["X-Outcome"]) == (401, "not_run")
+    assert fleet.record("bank-0")["runs"] == {}
+    logs = "".join(path.read_text() for path in fleet.folder.glob("*.log"))
+    assert logs
+    for secret in (FLEET_KEY, OPERATOR_TOKEN, TRAINER_TOKEN, CALLER_TOKEN):
+        assert secret not in logs
+
+
+def test_each_example_of_the_page_answers_as_it_says(world: World) -> None:
+    start(world)
+    fleet = world.fleet
     examples = list(EXAMPLE.finditer(PAGE.read_text()))
     assert len(examples) == EXAMPLES
     for example in examples:
