Tell a revision that is no number as a finding, and shorten the commands that change resources

Cause, found by reading once more before the landing: `edit` and `delete` turned `--revision` into a number without a check, so a wrong one ended in the language's own error, after a gateway was asked. The same two lines stood in both commands, and `apply` held a nested search. Ruled out: one base class for edit, delete and drain; they share too little.

Change: the option is read in one place and before any request; `apply` asks through a function of its own.

The whole suite was not run again.

--- a/src/threadramp/cli/declare.py
+++ b/src/threadramp/cli/declare.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 import msgspec
 from cleo.helpers import argument, option
 
@@ -11,6 +13,10 @@
 from threadramp.config.findings import Finding, FindingsError
 from threadramp.wire.outcomes import Reason
 
+if TYPE_CHECKING:
+    from threadramp.client.operator import OperatorClient
+    from threadramp.config.resources import Resource
+
 REVISION_OPTION = option("revision", "r", "Revision at which the resource must stand.", flag=False)
 
 
@@ -30,12 +36,7 @@
             raise FindingsError(result.error)
         operator = self.operator()
         for resource in result.ok:
-            try:
-                held = operator.get(resource.kind, resource.name)
-            except RequestRefusedError as error:
-                if error.refusal.reason is not Reason.NOT_FOUND:
-                    raise
-                held = {"revision": 0, "spec": None}
+            held = _held_or_absent(operator, resource)
             if held["spec"] == resource.spec:
                 self.line(f"{resource.kind}/{resource.name}: unchanged at {held['revision']}")
                 continue
@@ -61,9 +62,10 @@
         """Read, change and write back at the revision that was read."""
         kind = self.argument("kind")
         name = self.argument("name")
+        wanted = _revision(self.option("revision"))
         operator = self.operator()
         held = operator.get(kind, name)
-        revision = int(self.option("revision") or held["revision"])
+        revision = held["revision"] if wanted is None else wanted
         spec = held["spec"] | dict(_field(text) for text in self.argument("fields"))
         changed = operator.put(kind, name, spec, revision)
         self.line(f"{kind}/{name}: revision {revision} -> {changed}")
@@ -83,8 +85,9 @@
         """Delete at the revision that is named or read."""
         kind = self.argument("kind")
         name = self.argument("name")
+        wanted = _revision(self.option("revision"))
         operator = self.operator()
-        revision = int(self.option("revision") or operator.get(kind, name)["revision"])
+        revision = operator.get(kind, name)["revision"] if wanted is None else wanted
         changed = operator.delete(kind, name, revision)
         self.line(f"{kind}/{name}: revision {revision} -> {changed} (deleted)")
         return ExitCode.OK
@@ -111,6 +114,24 @@
         return ExitCode.OK
 
 
+def _held_or_absent(operator: OperatorClient, resource: Resource) -> dict[str, Any]:
+    """Return what is declared under a resource's name, at revision 0 if nothing is."""
+    try:
+        return operator.get(resource.kind, resource.name)
+    except RequestRefusedError as error:
+        if error.refusal.reason is not Reason.NOT_FOUND:
+            raise
+        return {"revision": 0, "spec": None}
+
+
+def _revision(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit():
+        raise FindingsError([Finding("--revision", f"{text!r} is not a revision")])
+    return int(text)
+
+
 def _field(text: str) -> tuple[str, object]:
     name, _, value = text.partition("=")
     try:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -62,6 +62,13 @@
     assert code == ExitCode.UNREACHABLE
 
 
+@pytest.mark.parametrize("line", ["edit pool p type=1", "delete pool p"])
+def test_revision_that_is_no_number_is_a_finding(run, line: str) -> None:
+    code, _, errors = run(f"{line} --gateways 127.0.0.1:9 --revision x")
+    assert code == ExitCode.FINDINGS
+    assert "--revision: 'x' is not a revision" in errors
+
+
 def test_unknown_standin_names_the_known_ones(run) -> None:
     code, _, errors = run("standin nothing 127.0.0.1:1")
     assert code == ExitCode.USAGE
