--- /dev/null
+++ b/src/threadramp/edge/connections.py
@@ -0,0 +1,208 @@
+"""Connections to endpoints, kept open between requests, and one exchange on one of them."""
+
+from __future__ import annotations
+
+import select
+import threading
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import SKIP_HEADER
+
+from threadramp.platform.headers import read_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from urllib3 import BaseHTTPResponse
+
+    from threadramp.fleet.model import Endpoint
+    from threadramp.platform.headers import AnswerHead
+
+CONNECT_TIMEOUT_S = 0.3  # a sound endpoint answers within a few ms, across regions within tens
+IDLE_S = 3.0  # a kept connection is used again within this time if the endpoint names none
+IDLE_MARGIN_S = 1.0  # before the time that it names
+IDLE_MOST = 8  # kept connections to one endpoint
+NO_USER_AGENT = {"User-Agent": SKIP_HEADER}
+
+
+class ExchangeError(Exception):
+    """An exchange that brought no whole answer.
+
+    :param sent: whether the request may have reached the endpoint
+    """
+
+    def __init__(self, sent: bool, reason: str) -> None:
+        self.sent = sent
+        super().__init__(reason)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole answer of an endpoint."""
+
+    head: AnswerHead
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class _Idle:
+    connection: HTTPConnection
+    until: float
+
+
+class Exchange:
+    """One request on one connection; its answer is read when its socket is readable."""
+
+    def __init__(self, endpoint: Endpoint, connection: HTTPConnection, reused: bool) -> None:
+        self.endpoint = endpoint
+        self.connection = connection
+        self.reused = reused
+
+    def fileno(self) -> int:
+        """Return the socket's descriptor."""
+        return self.connection.sock.fileno()
+
+    def send(self, method: str, target: str, headers: Mapping[str, str], body: bytes) -> None:
+        """Send the request.
+
+        :raises ExchangeError: if it could not be sent whole
+        """
+        names = {name.lower() for name in headers}
+        extra = {} if "user-agent" in names else NO_USER_AGENT
+        try:
+            self.connection.request(
+                method,
+                target,
+                body=body or None,
+                headers={**headers, **extra},
+                preload_content=False,
+                decode_content=False,
+            )
+        except (OSError, HTTPError) as error:
+            self.close()
+            raise ExchangeError(True, repr(error)) from error
+
+    def response(self, timeout_s: float) -> BaseHTTPResponse:
+        """Return the answer with its head read and its body to come.
+
+        :raises ExchangeError: if no head came
+        """
+        try:
+            self.connection.sock.settimeout(max(0.01, timeout_s))
+            return self.connection.getresponse()
+        except (OSError, HTTPError, ValueError, AttributeError) as error:
+            self.close()
+            raise ExchangeError(True, repr(error)) from error
+
+    def read(self, timeout_s: float) -> Answer:
+        """Read the whole answer.
+
+        :raises ExchangeError: if it is not whole
+        """
+        response = self.response(timeout_s)
+        try:
+            body = response.read(decode_content=False)
+        except (OSError, HTTPError, ValueError) as error:
+            self.close()
+            raise ExchangeError(True, repr(error)) from error
+        return _answer(response, body)
+
+    def close(self) -> None:
+        """Close the connection; most endpoints then drop the request."""
+        self.connection.close()
+
+
+def streamed_answer(response: BaseHTTPResponse) -> Answer:
+    """Return an answer whose body was taken piece by piece."""
+    return _answer(response, b"")
+
+
+def _answer(response: BaseHTTPResponse, body: bytes) -> Answer:
+    headers = tuple(response.headers.iteritems())
+    head = read_answer(response.status, response.headers)
+    return Answer(head, response.reason or "", headers, body)
+
+
+class Connections:
+    """Opens, keeps and hands out connections to endpoints."""
+
+    def __init__(self) -> None:
+        self.idle: dict[str, deque[_Idle]] = {}
+        self.lock = threading.Lock()
+        self.opened = 0
+
+    def open(self, endpoint: Endpoint, now: float, timeout_s: float) -> Exchange:
+        """Return an exchange on a kept or a new connection.
+
+        :raises ExchangeError: if the endpoint can not be reached
+        """
+        kept = self._kept(endpoint, now)
+        if kept is not None:
+            return Exchange(endpoint, kept, True)
+        host, _, port = endpoint.address.partition(":")
+        connection = HTTPConnection(host, int(port), timeout=min(CONNECT_TIMEOUT_S, timeout_s))
+        try:
+            connection.connect()
+        except (OSError, HTTPError) as error:
+            connection.close()
+            raise ExchangeError(False, repr(error)) from error
+        with self.lock:
+            self.opened += 1
+        return Exchange(endpoint, connection, False)
+
+    def keep(self, exchange: Exchange, answer: Answer, now: float) -> None:
+        """Keep the connection of an exchange whose answer was read whole."""
+        if answer.head.leaving or exchange.connection.sock is None:
+            exchange.close()
+            return
+        until = now + _idle_s(answer)
+        with self.lock:
+            row = self.idle.setdefault(exchange.endpoint.instance, deque())
+            if len(row) < IDLE_MOST:
+                row.append(_Idle(exchange.connection, until))
+                return
+        exchange.close()
+
+    def forget(self, instances: set[str]) -> None:
+        """Close the kept connections of endpoints that are gone."""
+        with self.lock:
+            rows = [self.idle.pop(one) for one in list(self.idle) if one not in instances]
+        for row in rows:
+            for idle in row:
+                idle.connection.close()
+
+    def _kept(self, endpoint: Endpoint, now: float) -> HTTPConnection | None:
+        while True:
+            with self.lock:
+                row = self.idle.get(endpoint.instance)
+                if not row:
+                    return None
+                idle = row.pop()
+            if idle.until > now and not is_readable(idle.connection.sock.fileno()):
+                return idle.connection
+            idle.connection.close()  # it rested too long, was closed, or holds surplus bytes
+
+
+def is_readable(descriptor: int) -> bool:
+    """Return whether bytes or an end wait at a descriptor."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _idle_s(answer: Answer) -> float:
+    for name, value in answer.headers:
+        if name.lower() == "keep-alive":
+            digits = value.rpartition("=")[2].strip()
+            if digits.isdigit():
+                return min(IDLE_S, float(digits) - IDLE_MARGIN_S)
+    return IDLE_S
+
+
+__all__ = ["Answer", "Connections", "Exchange", "ExchangeError", "is_readable", "streamed_answer"]
--- /dev/null
+++ b/src/threadramp/edge/handler.py
@@ -0,0 +1,231 @@
+"""A gateway's answers: a pipe of filters from the request to its route, each with one job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from threadramp.config.findings import FindingsError
+from threadramp.edge.forward import Ending, Job, Outcome
+from threadramp.edge.server import BodyTooLongError
+from threadramp.fleet.model import CallerLimits, RouteKind
+from threadramp.lots.reading import LotUnknownError
+from threadramp.platform.headers import RETRY_AFTER, request_id, time_left_s, to_caller, wait_s
+from threadramp.platform.store import StoreError, StoreRefusedError
+from threadramp.platform.trainer_calls import (
+    OWN_ROOT,
+    READY_PATH,
+    LotCallKind,
+    read_call,
+    read_lot,
+    results_body,
+)
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.edge.forward import Forwarder
+    from threadramp.edge.server import CallerRequest
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.model import Route
+    from threadramp.fleet.picture import Picture
+    from threadramp.lots.owner import LotOwner
+    from threadramp.lots.reading import LotReader
+    from threadramp.platform.trainer_calls import LotCall
+    from threadramp.report.metrics import Metrics
+
+DEFAULT_TIME_S = 10.0  # for a caller that does not say how long it waits
+START_RETRY_S = 0.5  # a process that starts knows the configuration within this time
+STORE_RETRY_S = 1.0  # outages of the store take seconds
+MAX_WAIT_S = 1.0  # longest time for which a reader of results is let wait
+JSON = ("Content-Type", "application/json")
+
+
+class EdgeHandler:
+    """Answers callers and trainers."""
+
+    def __init__(
+        self,
+        picture: Picture,
+        forwarder: Forwarder,
+        owner: LotOwner,
+        reader: LotReader,
+        metrics: Metrics,
+        clock: Clock,
+    ) -> None:
+        self.picture = picture
+        self.forwarder = forwarder
+        self.owner = owner
+        self.reader = reader
+        self.metrics = metrics
+        self.clock = clock
+        self.stopping = False
+
+    def handle(self, request: CallerRequest) -> None:
+        """Answer a request, whatever happens."""
+        try:
+            self._serve(request)
+        except Exception as error:  # the process goes on; what was done is not known
+            log_state("internal_error", request=request_id(request.headers), error=repr(error))
+            self.metrics.count("answer", "internal_error")
+            if not request.raw.sent_headers:
+                request.answer(500, close=True)
+
+    def answer_ready(self, request: CallerRequest) -> None:
+        """Say whether this gateway wants new connections."""
+        if request.path != READY_PATH:
+            request.answer(404)
+            return
+        ready = self.picture.is_complete and not self.stopping
+        request.answer(200 if ready else 503)
+
+    def _serve(self, request: CallerRequest) -> None:
+        started = self.clock.now()
+        configuration = self.picture.belief.configuration
+        if configuration is None:
+            self._refuse(request, 503, START_RETRY_S, "no configuration yet")
+            return
+        if request.path.startswith(OWN_ROOT):
+            self._serve_call(request, read_call(request.method, request.target))
+            return
+        route = configuration.route_for(request.host, request.path)
+        if route is None:
+            log_state("no_route", host=request.host, path=request.path)
+            request.answer(404)
+            return
+        body = self._body(request, configuration.limits)
+        if body is None:
+            return
+        if route.kind is RouteKind.SAMPLES:
+            self._hand_in(request, route, body)
+        else:
+            self._forward(request, route, body, started)
+
+    def _body(self, request: CallerRequest, limits: CallerLimits) -> bytes | None:
+        try:
+            return request.body(limits.body_bytes)
+        except BodyTooLongError as error:
+            log_state("body_too_long", request=request_id(request.headers), error=str(error))
+            request.answer(413, close=True)
+        except OSError as error:
+            log_state("body_not_read", request=request_id(request.headers), error=repr(error))
+            request.drop()
+        return None
+
+    def _forward(self, request: CallerRequest, route: Route, body: bytes, started: float) -> None:
+        left = time_left_s(request.headers)
+        limits = [DEFAULT_TIME_S if left is None else left]
+        if route.timeout_s:
+            limits.append(route.timeout_s)
+        job = Job(
+            request_id=request_id(request.headers),
+            method=request.method,
+            target=request.target,
+            headers=tuple(request.headers.items()),
+            body=body,
+            route=route,
+            until=started + min(limits),
+            caller=request.socket,
+        )
+        outcome = self.forwarder.run(job)
+        took = self.clock.now() - started
+        self.metrics.latency(route.name, took)
+        self.metrics.count("answer", outcome.ending.value)
+        self._pass_on(request, outcome, route, took)
+
+    def _pass_on(self, request: CallerRequest, outcome: Outcome, route: Route, took: float) -> None:
+        answer = outcome.answer
+        status = 0
+        if outcome.ending is Ending.CALLER_GONE:
+            request.drop()
+        elif answer is not None:
+            status = answer.head.status
+            headers = to_caller(answer.headers)
+            request.answer(status, headers, answer.body, answer.reason, close=self.stopping)
+        elif outcome.ending is Ending.NOT_RUN:
+            status = 503
+            self._answer_later(request, 503, outcome.retry_after_s)
+        else:
+            status = 504 if outcome.ending is Ending.TIME_OVER else 502
+            request.answer(status, close=self.stopping)
+        log_state(
+            "answered",
+            request=request_id(request.headers),
+            route=route.name,
+            status=status,
+            ending=outcome.ending.value,
+            ms=round(took * 1000, 1),
+        )
+
+    def _hand_in(self, request: CallerRequest, route: Route, body: bytes) -> None:
+        lot_id = request_id(request.headers)
+        if request.method != "POST" or not lot_id:
+            request.answer(400, body=b"a lot is handed in by POST, with an id")
+            return
+        try:
+            lot = read_lot(lot_id, request.host, request.path, body)
+        except FindingsError as error:
+            log_state("lot_unreadable", lot=lot_id, findings=[str(f) for f in error.findings])
+            request.answer(400, body=str(error).encode())
+            return
+        try:
+            self.owner.hand_in(lot, route)
+        except StoreRefusedError as error:
+            self._refuse(request, 503, STORE_RETRY_S, f"lot not kept: {error}")
+        except StoreError as error:
+            log_state("lot_unknown", lot=lot_id, error=str(error))
+            self.metrics.count("lot", "unknown")
+            request.answer(504, close=self.stopping)
+        else:
+            self.metrics.count("lot", "taken")
+            request.answer(202, close=self.stopping)
+
+    def _serve_call(self, request: CallerRequest, call: LotCall | None) -> None:
+        if call is None:
+            request.answer(404)
+            return
+        answers: dict[LotCallKind, Callable[[CallerRequest, LotCall], None]] = {
+            LotCallKind.RESULTS: self._results,
+            LotCallKind.BODY: self._sample_body,
+            LotCallKind.END: self._end,
+        }
+        try:
+            answers[call.kind](request, call)
+        except LotUnknownError:
+            log_state("lot_missing", lot=call.lot, call=call.kind.value)
+            request.answer(404)
+        except StoreError as error:
+            self._refuse(request, 503, STORE_RETRY_S, f"{call.kind.value} {call.lot}: {error}")
+
+    def _results(self, request: CallerRequest, call: LotCall) -> None:
+        wait = min(MAX_WAIT_S, wait_s(request.headers))
+        page = self.reader.results(call.lot, call.after, wait)
+        request.answer(200, [JSON], results_body(page.total, call.after, page.results))
+
+    def _sample_body(self, request: CallerRequest, call: LotCall) -> None:
+        body = self.reader.body(call.lot, call.sample)
+        if body is None:
+            request.answer(404)
+        else:
+            request.answer(200, [("Content-Type", "application/octet-stream")], body)
+
+    def _end(self, request: CallerRequest, call: LotCall) -> None:
+        self.reader.end(call.lot)
+        request.answer(200)
+
+    def _refuse(self, request: CallerRequest, status: int, after_s: float, reason: str) -> None:
+        log_state(
+            "refused",
+            request=request_id(request.headers),
+            status=status,
+            after_s=after_s,
+            reason=reason,
+        )
+        self.metrics.count("answer", "refused")
+        self._answer_later(request, status, after_s)
+
+    def _answer_later(self, request: CallerRequest, status: int, after_s: float) -> None:
+        request.answer(status, [(RETRY_AFTER, f"{after_s:.2f}")], close=self.stopping)
+
+
+__all__ = ["EdgeHandler"]
--- /dev/null
+++ b/src/threadramp/edge/server.py
@@ -0,0 +1,159 @@
+"""CherryPy's HTTP server with our own handler, which needs the bytes as the caller sent them."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from cheroot.server import Gateway, HTTPServer
+from urllib3 import HTTPHeaderDict
+
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable, Iterable
+
+KEPT_CONNECTIONS = 1000  # of callers, open at once without a request
+BACKLOG = 256
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class BodyTooLongError(Exception):
+    """The caller's body is longer than allowed."""
+
+
+class CallerRequest:
+    """One request of a caller and the way to answer it."""
+
+    def __init__(self, raw) -> None:  # noqa: ANN001 - cheroot's request has no public type
+        self.raw = raw
+        self.method = raw.method.decode("latin-1")
+        self.target = raw.uri.decode("latin-1")
+        self.headers = HTTPHeaderDict()
+        for name, value in raw.inheaders.items():
+            self.headers[name.decode("latin-1")] = value.decode("latin-1")
+
+    @property
+    def host(self) -> str:
+        """Return the host that the caller names, without a port."""
+        return self.headers.get("Host", "").partition(":")[0].lower()
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def socket(self) -> socket.socket:
+        """Return the caller's socket."""
+        return self.raw.conn.socket
+
+    def body(self, limit: int) -> bytes:
+        """Read the whole body.
+
+        :raises BodyTooLongError: if it is longer than ``limit``
+        """
+        length = self.headers.get("Content-Length", "")
+        if length.isdigit() and int(length) > limit:
+            raise BodyTooLongError(f"{length} bytes of at most {limit}")
+        body = self.raw.rfile.read()
+        if len(body) > limit:
+            raise BodyTooLongError(f"{len(body)} bytes of at most {limit}")
+        return body
+
+    def answer(
+        self,
+        status: int,
+        headers: Iterable[tuple[str, str]] = (),
+        body: bytes = b"",
+        reason: str = "",
+        close: bool = False,
+    ) -> None:
+        """Send a whole answer."""
+        phrase = reason or REASONS.get(status, "Status")
+        self.raw.status = f"{status} {phrase}".encode("latin-1")
+        pairs = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        bodiless = status < 200 or status in (204, 304)
+        if not bodiless and not any(name.lower() == b"content-length" for name, _ in pairs):
+            pairs.append((b"Content-Length", str(len(body)).encode()))
+        self.raw.outheaders = pairs
+        if close:
+            self.raw.close_connection = True
+        self.raw.ensure_headers_sent()
+        if body and self.raw.method != b"HEAD":
+            self.raw.write(body)
+
+    def drop(self) -> None:
+        """Close the connection without an answer; the caller has gone."""
+        self.raw.close_connection = True
+        self.raw.sent_headers = True
+
+
+class _Edge(Gateway):
+    """Passes each request to the handler of its server."""
+
+    def respond(self) -> None:
+        """Answer one request."""
+        self.req.server.edge.serve(CallerRequest(self.req))
+
+
+class EdgeServer:
+    """An HTTP server at one address.
+
+    :param handle: answers a request
+    :param threads: requests that are served at once
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handle: Callable[[CallerRequest], None],
+        threads: int,
+        idle_s: float,
+        header_bytes: int = 0,
+    ) -> None:
+        host, _, port = address.partition(":")
+        self.handle = handle
+        self.open = 0
+        self.lock = threading.Lock()
+        self.server = HTTPServer((host, int(port)), _Edge, minthreads=threads, maxthreads=threads)
+        self.server.edge = self
+        self.server.timeout = idle_s
+        self.server.request_queue_size = BACKLOG
+        self.server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self.server.max_request_header_size = header_bytes
+        self.server.server_name = "threadramp"
+        self.server.error_log = _log_server_error
+        self.server.prepare()
+        self.thread = threading.Thread(target=self.server.serve, name="http", daemon=True)
+        self.thread.start()
+
+    def serve(self, request: CallerRequest) -> None:
+        """Answer one request and count it while it is open."""
+        with self.lock:
+            self.open += 1
+        try:
+            self.handle(request)
+        finally:
+            with self.lock:
+                self.open -= 1
+
+
+def _log_server_error(message: str = "", level: int = 20, traceback: bool = False) -> None:
+    if level >= 30:
+        log_state("http_error", message=message.strip()[:500])
+
+
+__all__ = ["BodyTooLongError", "CallerRequest", "EdgeServer"]
--- /dev/null
+++ b/src/threadramp/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What one process believes about the fleet: configuration, endpoints, members, weights."""
--- /dev/null
+++ b/src/threadramp/fleet/mirror.py
@@ -0,0 +1,112 @@
+"""What this process has seen of one prefix of the store, kept without I/O.
+
+Revisions only rise: an older item never replaces a newer one, whoever says it.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.platform.store import Changes, Item, Listing
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LAPSE_HOLD_S = 2.5  # entries that lapsed in an outage are back about 2 s after its end
+
+
+class Mirror:
+    """Items under one prefix.
+
+    :param prefix: of the keys
+    :param holds_lapsed: whether an item that goes around an outage of the store is believed for
+        a while longer; its writer may not have been able to renew it
+    """
+
+    def __init__(self, prefix: str, holds_lapsed: bool) -> None:
+        self.prefix = prefix
+        self.holds_lapsed = holds_lapsed
+        self.items: dict[str, Item] = {}
+        self.lapsed: dict[str, float] = {}
+        self.revision = 0
+        self.known = False
+        self.disturbed_until = 0.0
+        self.lock = threading.Lock()
+        self.listeners: list[Callable[[], None]] = []
+
+    def replace(self, listing: Listing, now: float) -> bool:
+        """Take over a whole listing; false if it is older than what is known."""
+        with self.lock:
+            if self.known and listing.revision < self.revision:
+                return False
+            found = {item.key: item for item in listing.items}
+            for key in [key for key in self.items if key not in found]:
+                self._remove(key, now)
+            for item in listing.items:
+                self._put(item)
+            self.revision = max(self.revision, listing.revision)
+            self.known = True
+        self._tell()
+        return True
+
+    def apply(self, changes: Changes, now: float) -> None:
+        """Take over changes that follow what is known."""
+        with self.lock:
+            for item in changes.items:
+                self._put(item)
+            for removal in changes.removals:
+                held = self.items.get(removal.key)
+                if held is not None and held.revision < removal.revision:
+                    self._remove(removal.key, now)
+            self.revision = max(self.revision, changes.revision)
+        if changes.items or changes.removals:
+            self._tell()
+
+    def disturbed(self, until: float) -> None:
+        """Note that the store was away; removals until ``until`` are doubted."""
+        with self.lock:
+            self.disturbed_until = max(self.disturbed_until, until)
+            for key in self.lapsed:
+                self.lapsed[key] = max(self.lapsed[key], until)
+
+    def expire(self, now: float) -> None:
+        """Drop lapsed items that did not come back in time."""
+        with self.lock:
+            gone = [key for key, until in self.lapsed.items() if until <= now]
+            for key in gone:
+                del self.lapsed[key]
+                self.items.pop(key, None)
+        if gone:
+            self._tell()
+
+    def snapshot(self) -> dict[str, Item]:
+        """Return all items that are believed, by key."""
+        with self.lock:
+            return dict(self.items)
+
+    def copy(self) -> Listing:
+        """Return what a peer may take over; lapsed items are left out."""
+        with self.lock:
+            items = tuple(item for key, item in self.items.items() if key not in self.lapsed)
+            return Listing(items, self.revision)
+
+    def _put(self, item: Item) -> None:
+        held = self.items.get(item.key)
+        if held is None or held.revision <= item.revision:
+            self.items[item.key] = item
+            self.lapsed.pop(item.key, None)
+
+    def _remove(self, key: str, now: float) -> None:
+        if self.holds_lapsed and now < self.disturbed_until:
+            self.lapsed.setdefault(key, self.disturbed_until)
+            return
+        self.items.pop(key, None)
+        self.lapsed.pop(key, None)
+
+    def _tell(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+
+__all__ = ["LAPSE_HOLD_S", "Mirror"]
--- /dev/null
+++ b/src/threadramp/fleet/model.py
@@ -0,0 +1,153 @@
+"""What operators declare and what endpoints say of themselves, in our own words."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class RouteKind(Enum):
+    """How the requests of a route may be treated."""
+
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    STREAM = "stream"
+    SAMPLES = "samples"
+
+
+@dataclass(frozen=True)
+class PoolShare:
+    """A pool that serves a part of a route, by weight."""
+
+    pool: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Where requests with a host and a path prefix go.
+
+    :param timeout_s: a caller gets its final answer no later than this
+    :param target_s: an answer within this time earns its full worth
+    :param max_attempts: most endpoints that one request of a caller is sent to
+    :param resumable: whether a stream may go on at another endpoint
+    :param result_target_s: results of a lot are due this long after its hand-in
+    :param give_up_s: a sample may be given up this long after its hand-in
+    :param one_version: whether all of a sample must come from one version of the weights
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[PoolShare, ...]
+    timeout_s: float
+    target_s: float
+    max_attempts: int = 1
+    priority: int = 0
+    resumable: bool = False
+    result_target_s: float = 0.0
+    give_up_s: float = 0.0
+    one_version: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind in (RouteKind.REPEATABLE, RouteKind.SAMPLES)
+
+
+@dataclass(frozen=True)
+class Pool:
+    """Endpoints that serve the same.
+
+    :param slots: requests that one endpoint runs at once, 0 if not known
+    :param memory_tokens: tokens that an engine's memory holds, 0 if it is no engine
+    :param models: names of the models that its engines hold
+    """
+
+    name: str
+    health_path: str = "/"
+    max_connections: int = 64
+    slots: int = 0
+    memory_tokens: int = 0
+    models: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """What a caller may send, and how long it may rest."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 33_554_432
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """The whole configuration as the operator last accepted it."""
+
+    version: int = 0
+    routes: tuple[Route, ...] = ()
+    pools: dict[str, Pool] = field(default_factory=dict)
+    limits: CallerLimits = CallerLimits()
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path."""
+        best: Route | None = None
+        for route in self.routes:
+            if route.host != host or not path.startswith(route.prefix):
+                continue
+            if best is None or len(route.prefix) > len(best.prefix):
+                best = route
+        return best
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """One start of an endpoint, as it lists itself.
+
+    :param instance: names this start; another start has another
+    :param leaving: whether it wants no new work
+    """
+
+    instance: str
+    pool: str
+    address: str
+    data_centre: str
+    slots: int = 0
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class WeightTarget:
+    """The version that all engines are to hold of one model.
+
+    :param revision: the store's revision at which it was named; orders are fenced by it
+    """
+
+    model: str
+    version: int
+    revision: int
+
+
+@dataclass(frozen=True)
+class EmptyRequest:
+    """The operator wants a box emptied."""
+
+    box: str
+    within_s: float
+    revision: int
+
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "EmptyRequest",
+    "Endpoint",
+    "Pool",
+    "PoolShare",
+    "Route",
+    "RouteKind",
+    "WeightTarget",
+]
--- /dev/null
+++ b/src/threadramp/fleet/peers.py
@@ -0,0 +1,194 @@
+"""Exchanges with other processes of ours: signs of life, what each has seen, relayed calls."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.fleet.picture import Member
+from threadramp.platform.store import Listing
+from threadramp.policy.routing import rendezvous
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import (
+    Beat,
+    CallStore,
+    Facts,
+    MirrorBeat,
+    MirrorCopy,
+    StoreAnswered,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.picture import Picture
+    from threadramp.fleet.store_health import StoreHealth
+    from threadramp.platform.store import Call, RawAnswer
+    from threadramp.wire.fleet import AnyAsk, AnyReply
+    from threadramp.wire.sync import SyncClient
+
+BEAT_S = 0.5
+BEAT_TIMEOUT_S = 0.4
+BEATERS = 2  # gateways that regularly beat to one sidecar
+RELAY_TIMEOUT_S = 2.2  # a little longer than the call that is passed on
+RELAY_TRIES = 2
+HEARD_LATELY_S = 3.0
+UNLISTED_GRACE_S = 1.5
+
+
+class Peers:
+    """What one gateway says to its peers and hears from them."""
+
+    def __init__(
+        self,
+        member: Member,
+        picture: Picture,
+        client: SyncClient,
+        health: StoreHealth,
+        clock: Clock,
+    ) -> None:
+        self.member = member
+        self.picture = picture
+        self.client = client
+        self.health = health
+        self.clock = clock
+        self.heard: dict[str, float] = {}
+        self.heard_members: dict[str, Member] = {}
+        self.stopped = threading.Event()
+        self.on_unlisted: Callable[[], None] = lambda: None
+        self.unlisted_since: float | None = None
+
+    @property
+    def myself(self) -> tuple[str, str]:
+        """Return the sender's fields of what is asked."""
+        return (self.member.name, self.member.address)
+
+    @property
+    def data_centre(self) -> str:
+        """Return the data centre of this process."""
+        return self.member.data_centre
+
+    def start(self) -> None:
+        """Start beating."""
+        start_loop(self._run, self.stopped)
+
+    def ask(self, address: str, ask: AnyAsk, timeout_s: float) -> AnyReply | None:
+        """Ask one peer; none if it did not answer in time."""
+        reply = self.client.ask(address, ask, timeout_s)
+        if reply is not None:
+            self.heard[address] = self.clock.now()
+        return reply
+
+    def ask_all(self, asks: dict[str, AnyAsk], timeout_s: float) -> dict[str, AnyReply]:
+        """Ask several peers at once; those that did not answer are not in the result."""
+        replies = self.client.exchange(asks, timeout_s)
+        now = self.clock.now()
+        self.heard.update(dict.fromkeys(replies, now))
+        return replies
+
+    def gateways(self) -> list[Member]:
+        """Return the other gateways, those that were heard lately first."""
+        others = [one for one in self.picture.belief.gateways() if one.name != self.member.name]
+        others.sort(key=lambda one: -self.heard.get(one.address, 0.0))
+        return others
+
+    def relay(self, call: Call) -> RawAnswer | None:
+        """Pass a call to the store through another gateway."""
+        for other in self.gateways()[:RELAY_TRIES]:
+            reply = self.ask(other.address, CallStore(*self.myself, call), RELAY_TIMEOUT_S)
+            if isinstance(reply, StoreAnswered) and reply.answer is not None:
+                log_state("store_call_relayed", path=call.path.split("?")[0], through=other.name)
+                return reply.answer
+        return None
+
+    def facts_for(self, sidecar: Member) -> Facts:
+        """Return what a sidecar needs to know."""
+        belief = self.picture.belief
+        endpoint = belief.at_address(sidecar.endpoint)
+        facts = Facts(
+            endpoints_revision=belief.endpoints_revision,
+            targets_revision=belief.targets_revision,
+            targets=belief.targets,
+            listed=sidecar.name in belief.members,
+        )
+        if endpoint is None:
+            return facts
+        configuration = belief.configuration
+        pool = configuration.pools.get(endpoint.pool) if configuration else None
+        instances = sorted(one.address for one in belief.in_pool(endpoint.pool))
+        return Facts(
+            endpoints_revision=belief.endpoints_revision,
+            instance=endpoint.instance,
+            leaving=endpoint.leaving,
+            rank=instances.index(endpoint.address),
+            slots=endpoint.slots or (pool.slots if pool else 0),
+            memory_tokens=pool.memory_tokens if pool else 0,
+            targets_revision=belief.targets_revision,
+            targets=tuple(t for t in belief.targets if pool is None or t.model in pool.models),
+            listed=sidecar.name in belief.members,
+        )
+
+    def mirror_copy(self, ask: MirrorBeat) -> MirrorCopy:
+        """Answer a gateway with what it has not seen yet."""
+        items = {}
+        for mirror in self.picture.mirrors:
+            if mirror.known and ask.revisions.get(mirror.prefix, 0) < mirror.revision:
+                items[mirror.prefix] = mirror.copy().items
+        return MirrorCopy(self._revisions(), items)
+
+    def _run(self) -> None:
+        while not self.stopped.wait(BEAT_S):
+            now = self.clock.now()
+            for mirror in self.picture.mirrors:
+                mirror.expire(now)
+            self._check_listed(now)
+            self._beat_sidecars()
+            self._beat_gateways()
+
+    def _beat_sidecars(self) -> None:
+        belief = self.picture.belief
+        gateways = [one.name for one in belief.gateways()]
+        asks = {}
+        for sidecar in belief.sidecars():
+            if self.member.name in rendezvous(sidecar.name, gateways)[:BEATERS]:
+                asks[sidecar.address] = Beat(*self.myself, self.facts_for(sidecar))
+        self.ask_all(asks, BEAT_TIMEOUT_S)
+
+    def _beat_gateways(self) -> None:
+        """Tell one other gateway, or all while the store is away, what was seen."""
+        others = self.gateways()
+        if not self.health.is_away:
+            others = others[-1:]
+        ask = MirrorBeat(*self.myself, self._revisions())
+        replies = self.ask_all({one.address: ask for one in others}, BEAT_TIMEOUT_S)
+        for reply in replies.values():
+            if isinstance(reply, MirrorCopy):
+                self._take_over(reply)
+
+    def _take_over(self, copy: MirrorCopy) -> None:
+        for mirror in self.picture.mirrors:
+            items = copy.items.get(mirror.prefix)
+            if items is None or copy.revisions[mirror.prefix] <= mirror.revision:
+                continue
+            listing = Listing(items, copy.revisions[mirror.prefix])
+            if mirror.replace(listing, self.clock.now()):
+                log_state("seen_by_peer", prefix=mirror.prefix, revision=listing.revision)
+
+    def _revisions(self) -> dict[str, int]:
+        return {one.prefix: one.revision for one in self.picture.mirrors if one.known}
+
+    def _check_listed(self, now: float) -> None:
+        """Notice when the list of members lacks this process for a while."""
+        if not self.picture.members.known or self.member.name in self.picture.belief.members:
+            self.unlisted_since = None
+            return
+        if self.unlisted_since is None:
+            self.unlisted_since = now
+        elif now - self.unlisted_since > UNLISTED_GRACE_S:
+            self.unlisted_since = now
+            self.on_unlisted()
+
+
+__all__ = ["Peers"]
--- /dev/null
+++ b/src/threadramp/fleet/store_health.py
@@ -0,0 +1,59 @@
+"""Whether the platform's store answers this process."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+
+
+class StoreHealth:
+    """Notes answers and failures; tells when the store goes away and comes back."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.away_since: float | None = None
+        self.returned_at = 0.0
+        self.lock = threading.Lock()
+        self.on_return: list[Callable[[float], None]] = []
+
+    @property
+    def is_away(self) -> bool:
+        """Return whether the last call failed."""
+        return self.away_since is not None
+
+    def observe(self, error: Exception | None) -> None:
+        """Note how a call on our own way to the store went; none if it was answered."""
+        if error is None:
+            self.answered(self.clock.now())
+        else:
+            self.failed(self.clock.now(), error)
+
+    def failed(self, now: float, error: Exception) -> None:
+        """Note a call without an answer."""
+        with self.lock:
+            first = self.away_since is None
+            if first:
+                self.away_since = now
+        if first:
+            log_state("store_lost", error=str(error))
+
+    def answered(self, now: float) -> None:
+        """Note an answer that came on our own way to the store."""
+        with self.lock:
+            since, self.away_since = self.away_since, None
+            if since is not None:
+                self.returned_at = now
+        if since is not None:
+            log_state("store_regained", away_s=round(now - since, 3))
+            for tell in self.on_return:
+                tell(now)
+
+
+__all__ = ["StoreHealth"]
--- /dev/null
+++ b/src/threadramp/fleet/watcher.py
@@ -0,0 +1,74 @@
+"""Keeps a mirror in step with the store: list, then watch, then list again when history is gone."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.fleet.mirror import LAPSE_HOLD_S
+from threadramp.platform.store import HistoryGone, StoreError
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.mirror import Mirror
+    from threadramp.fleet.store_health import StoreHealth
+    from threadramp.platform.store import StoreClient
+
+WATCH_WAIT_S = 10.0  # each answer is a priced call; a lost store is noticed by lease renewals
+RETRY_PAUSE_S = 0.4
+
+
+class Watcher:
+    """One thread that watches one prefix."""
+
+    def __init__(
+        self, mirror: Mirror, store: StoreClient, health: StoreHealth, clock: Clock
+    ) -> None:
+        self.mirror = mirror
+        self.store = store
+        self.health = health
+        self.clock = clock
+        self.pool = store.watch_pool()
+        self.stale = True
+        self.stopped = threading.Event()
+        health.on_return.append(self._returned)
+
+    def start(self) -> None:
+        """Start watching."""
+        start_loop(self._run, self.stopped)
+
+    def _run(self) -> None:
+        while not self.stopped.is_set():
+            try:
+                self._turn()
+            except StoreError as error:
+                self.stale = True
+                self.mirror.disturbed(self.clock.now() + LAPSE_HOLD_S)
+                log_state("watch_cut", prefix=self.mirror.prefix, error=str(error))
+                self.stopped.wait(RETRY_PAUSE_S)
+
+    def _turn(self) -> None:
+        if self.stale:
+            listing = self.store.list(self.mirror.prefix)
+            self.stale = False
+            self.mirror.replace(listing, self.clock.now())
+        changes = self.store.watch(
+            self.mirror.prefix, self.mirror.revision, WATCH_WAIT_S, self.pool
+        )
+        if isinstance(changes, HistoryGone):
+            self.stale = True
+            log_state("watch_history_gone", prefix=self.mirror.prefix)
+            return
+        self.mirror.apply(changes, self.clock.now())
+
+    def _returned(self, now: float) -> None:
+        """Give up a watch that may hang on a dead connection since before the outage."""
+        self.stale = True
+        self.mirror.disturbed(now + LAPSE_HOLD_S)
+        old, self.pool = self.pool, self.store.watch_pool()
+        old.close()
+
+
+__all__ = ["Watcher"]
--- /dev/null
+++ b/src/threadramp/lots/__init__.py
@@ -0,0 +1,1 @@
+"""Lots that outlast their process: hand-in, samples, results, end."""
--- /dev/null
+++ b/src/threadramp/lots/appending.py
@@ -0,0 +1,95 @@
+"""Appends results to lots in the store; only what the store has acknowledged may be read."""
+
+from __future__ import annotations
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from threadramp.lots.journal import LotMissingError, NotOwnerError
+from threadramp.platform.store import StoreError
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+    from threadramp.lots.journal import KeptHead, LotJournal
+    from threadramp.lots.model import Result
+    from threadramp.lots.owned import OwnedLot, OwnedLots
+
+TURN_S = 0.05
+THREADS = 4
+RETRY_PAUSE_S = 0.4  # after a write that the store did not take
+
+
+class Appending:
+    """Writes the results of all owned lots, one write at a time for each.
+
+    :param on_other_owner: called when a lot has changed hands
+    """
+
+    def __init__(
+        self,
+        owned: OwnedLots,
+        journal: LotJournal,
+        clock: Clock,
+        on_other_owner: Callable[[OwnedLot], None],
+    ) -> None:
+        self.owned = owned
+        self.journal = journal
+        self.clock = clock
+        self.on_other_owner = on_other_owner
+        self.pool = ThreadPoolExecutor(THREADS, thread_name_prefix="append")
+        self.stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start appending."""
+        start_loop(self._run, self.stopped)
+
+    def _run(self) -> None:
+        while not self.stopped.wait(TURN_S):
+            now = self.clock.now()
+            for lot in self.owned.open():
+                with self.owned.lock:
+                    late = lot.book.give_up_late(now)
+                    chunk = lot.book.next_chunk(now)
+                if late:
+                    log_state("given_up_late", lot=lot.lot_id, samples=late)
+                if chunk:
+                    self.pool.submit(self._append, lot, chunk)
+
+    def _append(self, lot: OwnedLot, chunk: tuple[Result, ...]) -> None:
+        try:
+            grown = self.journal.append(lot.kept, chunk)
+        except (NotOwnerError, LotMissingError) as error:
+            log_state("lot_changed_hands", lot=lot.lot_id, error=str(error))
+            self.on_other_owner(lot)
+        except StoreError as error:
+            log_state("append_failed", lot=lot.lot_id, results=len(chunk), error=str(error))
+            self.stopped.wait(RETRY_PAUSE_S)
+            with self.owned.lock:
+                lot.book.append_failed()
+        except Exception as error:  # a thread of the pool would swallow it
+            log_state("append_broken", lot=lot.lot_id, error=repr(error))
+            with self.owned.lock:
+                lot.book.append_failed()
+        else:
+            self._listed(lot, grown, chunk)
+
+    def _listed(self, lot: OwnedLot, grown: KeptHead, chunk: tuple[Result, ...]) -> None:
+        with self.owned.lock:
+            lot.kept = grown
+            lot.book.appended(chunk)
+            self.owned.tell_listed()
+        log_state(
+            "listed",
+            lot=lot.lot_id,
+            samples=[result.sample for result in chunk],
+            positions=grown.head.listed,
+            revision=grown.revision,
+        )
+
+
+__all__ = ["Appending"]
--- /dev/null
+++ b/src/threadramp/lots/journal.py
@@ -0,0 +1,231 @@
+"""Keeps lots in the platform's store: one head a lot, under whose revision every change stands.
+
+Two processes that both believe they own a lot can not break it: what counts is the one conditional
+write that takes effect. A write whose answer was lost is sent again as it was; if the head then
+names its nonce, it had taken effect.
+"""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from threadramp.lots.model import LotHead, decode_head, decode_lot, decode_results, encode
+from threadramp.platform.store import (
+    ABSENT,
+    Committed,
+    Put,
+    StoreError,
+    StoreUnknownError,
+    Transaction,
+)
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from threadramp.lots.model import Lot, Result
+    from threadramp.platform.store import Conflict, Item, StoreClient
+
+HEAD_PREFIX = "lot/"
+PART_PREFIX = "lot-part/"
+CHUNK_PREFIX = "lot-chunk/"
+PART_BYTES = 600_000  # a value may have a megabyte, and a body two of these in base64
+SETTLE_TRIES = 4  # a write without an answer is sent again so often
+
+
+class LotMissingError(Exception):
+    """The store says that there is no such lot."""
+
+
+class NotOwnerError(Exception):
+    """Another gateway owns the lot by now.
+
+    :param head: as it stands
+    """
+
+    def __init__(self, head: LotHead) -> None:
+        self.head = head
+        super().__init__(f"owned by {head.owner}")
+
+
+@dataclass(frozen=True)
+class KeptHead:
+    """A lot's head with the revision at which it stands."""
+
+    lot_id: str
+    head: LotHead
+    revision: int
+
+
+@dataclass(frozen=True)
+class KeptLot:
+    """A whole lot as the store has it."""
+
+    kept: KeptHead
+    lot: Lot
+    results: tuple[Result, ...]
+
+
+class LotJournal:
+    """Reads and writes lots in the store."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self.store = store
+
+    def create(self, lot: Lot, head: LotHead) -> KeptHead | None:
+        """Keep a new lot; none if the store has it already.
+
+        :raises StoreRefusedError: if it is not kept
+        :raises StoreUnknownError: if it may be kept
+        """
+        data = encode(lot)
+        parts = [data[start : start + PART_BYTES] for start in range(0, len(data), PART_BYTES)]
+        head = msgspec.structs.replace(head, parts=len(parts), nonce=_nonce())
+        puts = [Put(_part_key(lot.id, number), part) for number, part in enumerate(parts)]
+        for put in puts[1:]:
+            self.store.transact(Transaction(puts=(put,)), repeatable=True)
+        key = HEAD_PREFIX + lot.id
+        transaction = Transaction({key: ABSENT}, (puts[0], Put(key, encode(head))))
+        answer = self._settle(key, transaction, head.nonce)
+        return KeptHead(lot.id, head, answer.revision) if isinstance(answer, Committed) else None
+
+    def append(self, kept: KeptHead, results: Sequence[Result]) -> KeptHead:
+        """Keep results at the next positions.
+
+        :raises NotOwnerError: if the lot changed hands
+        :raises StoreError: if it is not known to be kept
+        """
+        head = kept.head
+        put = Put(_chunk_key(kept.lot_id, head.chunks), encode(tuple(results)))
+        grown = msgspec.structs.replace(
+            head, chunks=head.chunks + 1, listed=head.listed + len(results), nonce=_nonce()
+        )
+        return self._advance(kept, grown, (put,))
+
+    def change(self, kept: KeptHead, **fields: object) -> KeptHead:
+        """Change fields of the head, such as its owner or that it has ended.
+
+        :raises NotOwnerError: if the head changed meanwhile
+        :raises StoreError: if it is not known to be kept
+        """
+        return self._advance(kept, msgspec.structs.replace(kept.head, nonce=_nonce(), **fields), ())
+
+    def head(self, lot_id: str) -> KeptHead | None:
+        """Read a lot's head; none if the store has no such lot.
+
+        :raises StoreError: if no answer came
+        """
+        item = self.store.get(HEAD_PREFIX + lot_id)
+        return None if item is None else _kept(item)
+
+    def heads(self) -> list[KeptHead]:
+        """Read the heads of all lots.
+
+        :raises StoreError: if no answer came
+        """
+        return [_kept(item) for item in self.store.list(HEAD_PREFIX).items]
+
+    def load(self, lot_id: str) -> KeptLot:
+        """Read a whole lot.
+
+        :raises LotMissingError: if the store has no such lot
+        :raises StoreError: if no answer came
+        """
+        kept = self.head(lot_id)
+        if kept is None:
+            raise LotMissingError(lot_id)
+        return KeptLot(kept, self.hand_in(kept), self.results(kept, 0))
+
+    def hand_in(self, kept: KeptHead) -> Lot:
+        """Read what was handed in.
+
+        :raises StoreError: if no answer came
+        """
+        keys = [_part_key(kept.lot_id, number) for number in range(kept.head.parts)]
+        return decode_lot(b"".join(self._value(key) for key in keys))
+
+    def results(self, kept: KeptHead, first_chunk: int) -> tuple[Result, ...]:
+        """Read the results of all chunks from ``first_chunk`` on.
+
+        :raises StoreError: if no answer came
+        """
+        found: list[Result] = []
+        for number in range(first_chunk, kept.head.chunks):
+            found.extend(decode_results(self._value(_chunk_key(kept.lot_id, number))))
+        return tuple(found)
+
+    def remove(self, kept: KeptHead) -> None:
+        """Remove a lot that nobody may ask for any more.
+
+        :raises StoreError: if it is not known to be removed
+        """
+        keys = [_part_key(kept.lot_id, number) for number in range(kept.head.parts)]
+        keys += [_chunk_key(kept.lot_id, number) for number in range(kept.head.chunks)]
+        key = HEAD_PREFIX + kept.lot_id
+        self.store.transact(Transaction({key: kept.revision}, removals=(key,)))
+        for name in keys:
+            self.store.transact(Transaction(removals=(name,)), repeatable=True)
+
+    def _advance(self, kept: KeptHead, head: LotHead, puts: tuple[Put, ...]) -> KeptHead:
+        key = HEAD_PREFIX + kept.lot_id
+        transaction = Transaction({key: kept.revision}, (*puts, Put(key, encode(head))))
+        answer = self._settle(key, transaction, head.nonce)
+        if isinstance(answer, Committed):
+            return KeptHead(kept.lot_id, head, answer.revision)
+        current = answer.current.get(key)
+        if current is None:
+            raise LotMissingError(kept.lot_id)
+        raise NotOwnerError(decode_head(current.value))
+
+    def _settle(self, key: str, transaction: Transaction, nonce: str) -> Committed | Conflict:
+        """Write under a condition until it is known whether the write took effect."""
+        unanswered = 0
+        while True:
+            try:
+                answer = self.store.transact(transaction, repeatable=True)
+            except StoreUnknownError as error:
+                unanswered += 1
+                log_state("write_unanswered", key=key, tries=unanswered, error=str(error))
+                if unanswered >= SETTLE_TRIES:
+                    raise
+                continue
+            except StoreError as error:
+                if unanswered:  # an earlier try may have been done, or may still be
+                    raise StoreUnknownError(str(error)) from error
+                raise
+            if isinstance(answer, Committed):
+                return answer
+            current = answer.current.get(key)
+            if current is not None and decode_head(current.value).nonce == nonce:
+                log_state("write_settled", key=key, revision=current.revision)
+                return Committed(current.revision)
+            return answer
+
+    def _value(self, key: str) -> bytes:
+        item = self.store.get(key)
+        if item is None:
+            raise StoreUnknownError(f"{key} is missing beside its head")
+        return item.value
+
+
+def _kept(item: Item) -> KeptHead:
+    return KeptHead(item.key.removeprefix(HEAD_PREFIX), decode_head(item.value), item.revision)
+
+
+def _part_key(lot_id: str, number: int) -> str:
+    return f"{PART_PREFIX}{lot_id}/{number}"
+
+
+def _chunk_key(lot_id: str, number: int) -> str:
+    return f"{CHUNK_PREFIX}{lot_id}/{number}"
+
+
+def _nonce() -> str:
+    return secrets.token_hex(8)
+
+
+__all__ = ["HEAD_PREFIX", "KeptHead", "KeptLot", "LotJournal", "LotMissingError", "NotOwnerError"]
--- /dev/null
+++ b/src/threadramp/lots/owner.py
@@ -0,0 +1,270 @@
+"""Owns lots: takes them in, ends them, takes them over from gateways that are gone."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.core.lot_book import LotBook, LotRules
+from threadramp.lots.journal import LotMissingError, NotOwnerError
+from threadramp.lots.model import LotHead
+from threadramp.lots.owned import OwnedLot
+from threadramp.platform.store import StoreError
+from threadramp.policy.routing import rendezvous
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import Adopt
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.model import Route
+    from threadramp.fleet.peers import Peers
+    from threadramp.fleet.picture import Member
+    from threadramp.lots.journal import KeptHead, LotJournal
+    from threadramp.lots.model import Lot
+    from threadramp.lots.owned import OwnedLots
+
+AUDIT_S = 5.0  # how often the heads in the store are looked through; each look is a priced call
+AUDIT_SOON_S = 0.5  # after a gateway has gone, or at the start
+GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
+KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
+END_TRIES = 5
+
+
+class LotOwner:
+    """The lots of one gateway."""
+
+    def __init__(
+        self,
+        owned: OwnedLots,
+        journal: LotJournal,
+        peers: Peers,
+        clock: Clock,
+        drop: Callable[[OwnedLot, bool], None],
+    ) -> None:
+        self.owned = owned
+        self.journal = journal
+        self.peers = peers
+        self.clock = clock
+        self.drop = drop
+        self.texts: dict[str, tuple[list[str], list[int], str]] = {}
+        self.stopped = threading.Event()
+        self.audit_now = threading.Event()
+        self.leaving = False
+
+    def start(self) -> None:
+        """Start looking for lots without an owner."""
+        start_loop(self._audit_loop, self.stopped)
+
+    def hand_in(self, lot: Lot, route: Route) -> None:
+        """Keep a lot and start on it; a lot that is kept already stays as it is.
+
+        :raises StoreRefusedError: if it is not kept
+        :raises StoreUnknownError: if it may be kept
+        """
+        if self.owned.get(lot.id) is not None:
+            return
+        head = LotHead(
+            owner=self.peers.member.name,
+            incarnation=self.peers.member.incarnation,
+            handed_in=self.clock.time_of_day(),
+            result_target_s=route.result_target_s,
+            give_up_s=route.give_up_s,
+            max_attempts=route.max_attempts,
+            one_version=route.one_version,
+            total=len(lot.samples),
+            parts=0,
+            chunks=0,
+            listed=0,
+            ended=False,
+            nonce="",
+        )
+        kept = self.journal.create(lot, head)
+        if kept is None:
+            log_state("lot_known", lot=lot.id)
+            return
+        now = self.clock.now()
+        rules = LotRules(
+            max_attempts=route.max_attempts,
+            one_version=route.one_version,
+            due=now + route.result_target_s,
+            give_up_at=now + route.give_up_s + GIVE_UP_MARGIN_S,
+        )
+        owned = OwnedLot(LotBook(lot, rules), kept)
+        reused = self._use_kept_texts(owned.book)
+        self.owned.add(owned)
+        log_state(
+            "lot_taken",
+            lot=lot.id,
+            step=lot.step,
+            model=lot.model,
+            samples=len(lot.samples),
+            min_version=lot.min_version,
+            revision=kept.revision,
+            reused=reused,
+        )
+
+    def end(self, lot_id: str) -> bool:
+        """End a lot, wherever it is owned; false if the store has no such lot.
+
+        :raises StoreError: if the end is not known to be kept
+        """
+        owned = self.owned.get(lot_id)
+        if owned is not None:
+            kept = self._end_kept(owned.kept)
+            self._ended(owned, kept)
+            return True
+        kept = self.journal.head(lot_id)
+        if kept is None:
+            return False
+        self._end_kept(kept)
+        return True
+
+    def release(self, owned: OwnedLot) -> None:
+        """Stop working on a lot that somebody else owns now."""
+        self.owned.remove(owned.lot_id)
+        self.drop(owned, True)
+
+    def adopt(self, lot_id: str) -> None:
+        """Take over a lot; does nothing if it is ended or owned by a live gateway.
+
+        :raises StoreError: if the store did not answer
+        """
+        kept = self.journal.head(lot_id)
+        if kept is not None and not kept.head.ended:
+            self._adopt(kept)
+
+    def hand_over(self) -> list[str]:
+        """Give all open lots to other gateways; for a planned stop."""
+        self.leaving = True
+        others = [one for one in self.peers.gateways()]
+        moved = []
+        for owned in self.owned.open():
+            if not others:
+                break
+            names = [one.name for one in others]
+            heir = next(o for o in others if o.name == rendezvous(owned.lot_id, names)[0])
+            if self._give_to(owned, heir):
+                moved.append(owned.lot_id)
+        return moved
+
+    def _give_to(self, owned: OwnedLot, heir: Member) -> bool:
+        try:
+            with self.owned.lock:
+                kept = owned.kept
+            self.journal.change(kept, owner=heir.name, incarnation=heir.incarnation)
+        except (StoreError, NotOwnerError, LotMissingError) as error:
+            log_state("hand_over_failed", lot=owned.lot_id, error=str(error))
+            return False
+        self.release(owned)
+        self.peers.ask(heir.address, Adopt(*self.peers.myself, (owned.lot_id,)), 1.0)
+        log_state("handed_over", lot=owned.lot_id, to=heir.name)
+        return True
+
+    def _end_kept(self, kept: KeptHead) -> KeptHead:
+        """Write the end, over any change that another owner makes meanwhile."""
+        for _ in range(END_TRIES):
+            if kept.head.ended:
+                return kept
+            try:
+                return self.journal.change(kept, ended=True)
+            except NotOwnerError:
+                found = self.journal.head(kept.lot_id)
+                if found is None:
+                    raise LotMissingError(kept.lot_id) from None
+                kept = found
+        raise StoreError(f"the head of {kept.lot_id} changed at each of {END_TRIES} tries")
+
+    def _ended(self, owned: OwnedLot, kept: KeptHead) -> None:
+        with self.owned.lock:
+            owned.kept = kept
+            self._keep_texts(owned.book)
+            running = owned.book.end()
+            listed = len(owned.book.listed)
+            self.owned.tell_listed()
+        log_state("lot_ended", lot=owned.lot_id, listed=listed, running=len(running))
+        self.drop(owned, True)
+
+    def _keep_texts(self, book: LotBook) -> None:
+        """Keep the text of samples that are not listed, for a later lot that names them again."""
+        for name, state in book.states.items():
+            if state.is_open and state.events:
+                self.texts.pop(name, None)
+                self.texts[name] = (state.events, state.versions, state.lineage)
+        for name in list(self.texts)[: max(0, len(self.texts) - KEPT_TEXTS)]:
+            del self.texts[name]
+
+    def _use_kept_texts(self, book: LotBook) -> list[str]:
+        used = []
+        for name in book.states:
+            text = self.texts.pop(name, None)
+            if text is not None and book.prefill(name, *text):
+                used.append(name)
+        return used
+
+    def _audit_loop(self) -> None:
+        while not self.stopped.is_set():
+            self.audit_now.wait(AUDIT_S)
+            self.audit_now.clear()
+            if self.leaving or not self.peers.picture.members.known:
+                self.stopped.wait(AUDIT_SOON_S)
+                continue
+            try:
+                self._audit()
+            except StoreError as error:
+                log_state("audit_failed", error=str(error))
+
+    def _audit(self) -> None:
+        """Take over the open lots whose owner is gone and that fall to this gateway."""
+        live = {one.name: one for one in self.peers.picture.belief.gateways()}
+        live[self.peers.member.name] = self.peers.member
+        for kept in self.journal.heads():
+            if kept.head.ended or self.owned.get(kept.lot_id) is not None:
+                continue
+            owner = live.get(kept.head.owner)
+            if owner is not None and owner.incarnation == kept.head.incarnation:
+                if owner.name != self.peers.member.name:
+                    continue
+            elif rendezvous(kept.lot_id, sorted(live))[0] != self.peers.member.name:
+                continue
+            try:
+                self._adopt(kept)
+            except (NotOwnerError, LotMissingError) as error:
+                log_state("not_adopted", lot=kept.lot_id, error=str(error))
+
+    def _adopt(self, kept: KeptHead) -> None:
+        if self.owned.get(kept.lot_id) is not None or self.leaving:
+            return
+        me = self.peers.member
+        before = kept.head.owner
+        if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
+            kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
+        lot = self.journal.hand_in(kept)
+        results = self.journal.results(kept, 0)
+        book = LotBook(lot, self._rules_again(kept), results)
+        self.owned.add(OwnedLot(book, kept))
+        log_state(
+            "lot_adopted",
+            lot=kept.lot_id,
+            of=before,
+            listed=len(results),
+            samples=len(lot.samples),
+            revision=kept.revision,
+        )
+
+    def _rules_again(self, kept: KeptHead) -> LotRules:
+        """Return the rules of a lot that was handed in some time ago."""
+        head = kept.head
+        age = max(0.0, self.clock.time_of_day() - head.handed_in)
+        start = self.clock.now() - age
+        return LotRules(
+            max_attempts=head.max_attempts,
+            one_version=head.one_version,
+            due=start + head.result_target_s,
+            give_up_at=start + head.give_up_s + GIVE_UP_MARGIN_S,
+        )
+
+
+__all__ = ["LotOwner"]
--- /dev/null
+++ b/src/threadramp/lots/runners.py
@@ -0,0 +1,353 @@
+"""Talks to the sidecars of engines about the samples of the lots that this gateway owns."""
+
+from __future__ import annotations
+
+import secrets
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.core.lot_book import Phase, RunOutcome
+from threadramp.policy.sample_placement import (
+    RunnerView,
+    is_slow,
+    place,
+    usual_gap_ms,
+)
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import (
+    Accepted,
+    Collect,
+    Drop,
+    Find,
+    Found,
+    RunOrder,
+    Submit,
+    Updates,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.peers import Peers
+    from threadramp.lots.owned import OwnedLot, OwnedLots
+    from threadramp.wire.fleet import AnyReply, RunnerStatus
+
+COLLECT_WAIT_S = 0.5  # a sidecar answers earlier when a sample ends
+ANSWER_MARGIN_S = 0.7  # for the way there and back, and a busy processor
+ASK_TIMEOUT_S = 0.7
+LOST_AFTER_S = 1.6  # a sidecar that hears nothing for 1.0 s has stopped its samples by then
+TURN_S = 0.1
+NOT_TAKEN_PAUSE_S = 0.1
+SILENT_PAUSE_S = 0.3
+FIND_TIMEOUT_S = 0.4
+
+
+class Runners:
+    """Sends samples to sidecars and collects their text.
+
+    :param on_scoring: called with a lot and a sample whose text is whole
+    """
+
+    def __init__(
+        self,
+        owned: OwnedLots,
+        peers: Peers,
+        clock: Clock,
+        on_scoring: Callable[[OwnedLot, str], None],
+    ) -> None:
+        self.owned = owned
+        self.peers = peers
+        self.clock = clock
+        self.on_scoring = on_scoring
+        self.views: dict[str, RunnerView] = {}
+        self.collectors: set[str] = set()
+        self.lock = threading.Lock()
+        self.stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start sending samples."""
+        start_loop(self._run, self.stopped)
+
+    def drop(self, lot: OwnedLot, let_finish: bool) -> None:
+        """Tell the sidecars that the samples of a lot are not wanted any more."""
+        for view in list(self.views.values()):
+            with self.owned.lock:
+                have = lot.book.at_runner(view.member.name)
+            if have:
+                self._drop(view, have, let_finish)
+
+    def _run(self) -> None:
+        while not self.stopped.is_set():
+            self.owned.work.wait(TURN_S)
+            self.owned.work.clear()
+            if not self.owned.open():
+                continue
+            self._refresh()
+            self._look()
+            self._move_from_slow()
+            self._send()
+
+    def _refresh(self) -> None:
+        """Keep one view and one collector for each sidecar in the list."""
+        members = {one.name: one for one in self.peers.picture.belief.sidecars()}
+        with self.lock:
+            for name, member in members.items():
+                view = self.views.get(name)
+                if view is None or view.member.address != member.address:
+                    self.views[name] = RunnerView(member)
+                else:
+                    view.member = member
+                if name not in self.collectors:
+                    self.collectors.add(name)
+                    threading.Thread(
+                        target=self._collect_from, args=(name,), name=f"collect-{name}", daemon=True
+                    ).start()
+
+    def _collect_from(self, name: str) -> None:
+        """Collect from one sidecar for as long as it is listed or has samples of ours."""
+        while not self.stopped.is_set():
+            view = self.views[name]
+            try:
+                if not self._collect(view):
+                    break
+            except Exception as error:  # the loop goes on: its samples would be stuck else
+                log_state("collect_failed", sidecar=name, error=repr(error))
+                self.stopped.wait(SILENT_PAUSE_S)
+        with self.lock:
+            self.collectors.discard(name)
+
+    def _collect(self, view: RunnerView) -> bool:
+        """Ask once for news; false if there is nothing to ask for."""
+        name = view.member.name
+        lots = self.owned.open()
+        if not lots:
+            return False
+        with self.owned.lock:
+            have = {key: n for lot in lots for key, n in lot.book.at_runner(name).items()}
+        if not have and name not in self.peers.picture.belief.members:
+            return False
+        ask = Collect(*self.peers.myself, self.peers.facts_for(view.member), have, COLLECT_WAIT_S)
+        reply = self.peers.ask(view.member.address, ask, COLLECT_WAIT_S + ANSWER_MARGIN_S)
+        if not isinstance(reply, Updates):
+            self._silent(view, lots)
+            return True
+        self._heard(view, reply.status)
+        self._take(view, lots, reply)
+        return True
+
+    def _silent(self, view: RunnerView, lots: list[OwnedLot]) -> None:
+        now = self.clock.now()
+        if now - view.heard > LOST_AFTER_S:
+            self._lose(view, lots, "silent")
+        self.stopped.wait(SILENT_PAUSE_S)
+
+    def _lose(self, view: RunnerView, lots: list[OwnedLot], reason: str) -> None:
+        now = self.clock.now()
+        view.status = None
+        for lot in lots:
+            with self.owned.lock:
+                lost = lot.book.lose_runner(view.member.name, now)
+            if lost:
+                log_state(
+                    "sidecar_lost",
+                    sidecar=view.member.name,
+                    reason=reason,
+                    lot=lot.lot_id,
+                    samples=lost,
+                    silent_s=round(now - view.heard, 2),
+                )
+                self.owned.work.set()
+
+    def _heard(self, view: RunnerView, status: RunnerStatus) -> None:
+        view.status = status
+        view.taken = status.taken
+        view.heard = self.clock.now()
+
+    def _take(self, view: RunnerView, lots: list[OwnedLot], reply: Updates) -> None:
+        now = self.clock.now()
+        by_sample = self._lots_by_sample(lots)
+        for update in reply.updates:
+            lot = by_sample.get(update.sample)
+            if lot is None:
+                continue
+            with self.owned.lock:
+                phase = self._take_one(view, lot, update, now)
+            if phase is Phase.SCORING:
+                self.on_scoring(lot, update.sample)
+        for sample in reply.unknown:
+            lot = by_sample.get(sample)
+            if lot is None:
+                continue
+            with self.owned.lock:
+                lot.book.give_back(sample, view.member.name, now)
+        if reply.updates or reply.unknown:
+            self.owned.work.set()
+
+    def _take_one(self, view: RunnerView, lot: OwnedLot, update, now: float) -> Phase | None:
+        name = view.member.name
+        book = lot.book
+        added = book.add_events(
+            update.sample, update.base, update.events, update.versions, update.lineage
+        )
+        if not added:
+            book.give_back(update.sample, name, now)
+            return None
+        if not update.outcome:
+            return None
+        phase = book.run_ended(update.sample, name, RunOutcome(update.outcome), now)
+        log_state(
+            "run_ended",
+            sample=update.sample,
+            lot=lot.lot_id,
+            sidecar=name,
+            outcome=update.outcome,
+            events=len(book.states[update.sample].events),
+            phase=phase and phase.value,
+        )
+        return phase
+
+    def _lots_by_sample(self, lots: list[OwnedLot]) -> dict[str, OwnedLot]:
+        with self.owned.lock:
+            return {
+                name: lot
+                for lot in lots
+                for name, state in lot.book.states.items()
+                if state.phase is Phase.RUNNING
+            }
+
+    def _look(self) -> None:
+        """Ask the sidecars for text that they kept of a new lot's samples."""
+        for lot in self.owned.open():
+            if lot.looked:
+                continue
+            lot.looked = True
+            with self.owned.lock:
+                wanted = tuple(
+                    name
+                    for name, state in lot.book.states.items()
+                    if state.phase is Phase.WAITING and not state.events
+                )
+            views = list(self.views.values())
+            ask = Find(*self.peers.myself, wanted, lot.book.lot.min_version)
+            replies = self.peers.ask_all(
+                {view.member.address: ask for view in views}, FIND_TIMEOUT_S
+            )
+            for view in views:
+                self._found(lot, view, replies.get(view.member.address))
+
+    def _found(self, lot: OwnedLot, view: RunnerView, reply: AnyReply | None) -> None:
+        if not isinstance(reply, Found):
+            return
+        self._heard(view, reply.status)
+        with self.owned.lock:
+            samples = [
+                name for name in reply.samples if lot.book.states[name].phase is Phase.WAITING
+            ]
+        if samples:
+            log_state("text_found", lot=lot.lot_id, sidecar=view.member.name, samples=reply.samples)
+            self._submit(view, [(lot, name) for name in samples])
+
+    def _send(self) -> None:
+        """Give waiting samples to sidecars that have room."""
+        now = self.clock.now()
+        views = list(self.views.values())
+        batches: dict[str, list[tuple[OwnedLot, str]]] = {}
+        for lot in self.owned.open():
+            with self.owned.lock:
+                waiting = [(one.sample.id, one.last_runner) for one in lot.book.waiting(now)]
+            for name, avoid in waiting:
+                view = place(
+                    views,
+                    lot.book.lot.model,
+                    lot.book.lot.min_version,
+                    self.peers.data_centre,
+                    avoid,
+                    now,
+                )
+                if view is None:
+                    break
+                view.taken += 1
+                batches.setdefault(view.member.name, []).append((lot, name))
+        threads = [
+            threading.Thread(target=self._submit, args=(self.views[name], batch), daemon=True)
+            for name, batch in batches.items()
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(ASK_TIMEOUT_S)
+
+    def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
+        name = view.member.name
+        with self.owned.lock:
+            orders = tuple(self._order(lot, sample, name) for lot, sample in batch)
+        ask = Submit(*self.peers.myself, self.peers.facts_for(view.member), orders)
+        reply = self.peers.ask(view.member.address, ask, ASK_TIMEOUT_S)
+        now = self.clock.now()
+        taken: set[str] = set()
+        pause = SILENT_PAUSE_S
+        if isinstance(reply, Accepted):
+            self._heard(view, reply.status)
+            taken = set(reply.samples)
+            pause = NOT_TAKEN_PAUSE_S
+        refused = [(lot, sample) for lot, sample in batch if sample not in taken]
+        with self.owned.lock:
+            for lot, sample in refused:
+                lot.book.give_back(sample, name, now + pause)
+        log_state("samples_sent", sidecar=name, taken=sorted(taken), refused=len(refused))
+
+    def _order(self, lot: OwnedLot, sample: str, runner: str) -> RunOrder:
+        book = lot.book
+        state = book.states[sample]
+        book.assign(sample, runner)
+        return RunOrder(
+            sample=state.sample,
+            host=book.lot.host,
+            min_version=book.lot.min_version,
+            one_version=book.rules.one_version,
+            after=len(state.events),
+            lineage=state.lineage or secrets.token_hex(4),
+            due=book.rules.due - self.clock.now(),
+            give_up_in_s=book.rules.give_up_at - self.clock.now(),
+        )
+
+    def _move_from_slow(self) -> None:
+        """Take long samples from engines that are slow while others have room."""
+        now = self.clock.now()
+        views = list(self.views.values())
+        usual = usual_gap_ms(views)
+        slow = [view for view in views if is_slow(view, usual)]
+        room = sum(view.free(now) for view in views if not is_slow(view, usual))
+        for view in slow:
+            for lot in self.owned.open():
+                room -= self._move(lot, view, room)
+
+    def _move(self, lot: OwnedLot, view: RunnerView, room: int) -> int:
+        name = view.member.name
+        with self.owned.lock:
+            have = lot.book.at_runner(name)
+            longest = sorted(
+                have, key=lambda sample: -lot.book.expected_left(lot.book.states[sample])
+            )
+            moved = {sample: have[sample] for sample in longest[: max(0, room)]}
+        if not moved:
+            return 0
+        log_state("samples_moved", lot=lot.lot_id, sidecar=name, samples=sorted(moved))
+        self._drop(view, moved, let_finish=False)
+        with self.owned.lock:
+            for sample in moved:
+                lot.book.give_back(sample, name, self.clock.now())
+        return len(moved)
+
+    def _drop(self, view: RunnerView, have: dict[str, int], let_finish: bool) -> None:
+        """Drop samples at a sidecar and take their last events."""
+        ask = Drop(*self.peers.myself, have, let_finish)
+        reply = self.peers.ask(view.member.address, ask, ASK_TIMEOUT_S)
+        if isinstance(reply, Updates):
+            self._heard(view, reply.status)
+            self._take(view, self.owned.open(), reply)
+
+
+__all__ = ["Runners"]
--- /dev/null
+++ b/src/threadramp/lots/scoring.py
@@ -0,0 +1,107 @@
+"""Scores samples whose text is whole: one call each, repeated until it has an answer."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from threadramp.core.lot_book import Phase
+from threadramp.edge.forward import Ending, Job
+from threadramp.platform.headers import reward_headers
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from threadramp.edge.forward import Forwarder, Outcome
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.model import Route
+    from threadramp.fleet.picture import Picture
+    from threadramp.lots.model import Reward
+    from threadramp.lots.owned import OwnedLot, OwnedLots
+
+THREADS = 16  # scoring calls at once; the pool beside the engines runs 18 to 24
+CALL_S = 1.5  # an answer takes 45 ms; a call without one is repeated after this
+RETRY_PAUSE_S = 0.1
+RETRY_MOST_S = 0.8
+
+
+class Scoring:
+    """Makes the scoring calls of the lots that this gateway owns."""
+
+    def __init__(
+        self, owned: OwnedLots, picture: Picture, forwarder: Forwarder, clock: Clock
+    ) -> None:
+        self.owned = owned
+        self.picture = picture
+        self.forwarder = forwarder
+        self.clock = clock
+        self.pool = ThreadPoolExecutor(THREADS, thread_name_prefix="score")
+
+    def begin(self, lot: OwnedLot, sample: str) -> None:
+        """Score a sample of a lot, in the background."""
+        self.pool.submit(self._score_guarded, lot, sample)
+
+    def stop(self) -> None:
+        """Take no more work."""
+        self.pool.shutdown(wait=False, cancel_futures=True)
+
+    def _score_guarded(self, lot: OwnedLot, sample: str) -> None:
+        try:
+            self._score(lot, sample)
+        except Exception as error:  # a thread of the pool would swallow it
+            log_state("scoring_failed", lot=lot.lot_id, sample=sample, error=repr(error))
+
+    def _score(self, lot: OwnedLot, sample: str) -> None:
+        reward = lot.book.states[sample].sample.reward
+        pause = RETRY_PAUSE_S
+        while self._still_wanted(lot, sample):
+            outcome, route = self._call(reward)
+            if self._settled(lot, sample, outcome, route):
+                self.owned.work.set()
+                return
+            time.sleep(pause)
+            pause = min(RETRY_MOST_S, pause * 2)
+
+    def _still_wanted(self, lot: OwnedLot, sample: str) -> bool:
+        with self.owned.lock:
+            scoring = lot.book.states[sample].phase is Phase.SCORING
+            return scoring and not lot.book.ended and self.owned.get(lot.lot_id) is lot
+
+    def _call(self, reward: Reward) -> tuple[Outcome | None, Route | None]:
+        configuration = self.picture.belief.configuration
+        route = configuration.route_for(reward.host, reward.path) if configuration else None
+        if route is None:
+            return None, None
+        job = Job(
+            request_id=reward.id,
+            method="POST",
+            target=reward.path,
+            headers=reward_headers(reward.id, reward.host),
+            body=reward.body,
+            route=route,
+            until=self.clock.now() + CALL_S,
+        )
+        return self.forwarder.run(job), route
+
+    def _settled(
+        self, lot: OwnedLot, sample: str, outcome: Outcome | None, route: Route | None
+    ) -> bool:
+        """Note what came of a call; true if no further one is needed."""
+        answer = outcome.answer if outcome is not None else None
+        now = self.clock.now()
+        if answer is not None and outcome.ending is Ending.ANSWERED:
+            status = answer.head.status
+            if 200 <= status < 300:
+                with self.owned.lock:
+                    return lot.book.scored(sample, answer.head.signature, now) or True
+            if status == 500:
+                with self.owned.lock:
+                    dead = lot.book.score_failed(sample, now, route.max_attempts)
+                log_state("score_refused", lot=lot.lot_id, sample=sample, given_up=dead)
+                return dead
+        ending = outcome.ending.value if outcome is not None else "no route"
+        log_state("score_missing", lot=lot.lot_id, sample=sample, ending=ending)
+        return False
+
+
+__all__ = ["Scoring"]
--- /dev/null
+++ b/src/threadramp/platform/documents.py
@@ -0,0 +1,226 @@
+"""The operator's documents and the endpoints' entries in the store, decoded into our types."""
+
+from __future__ import annotations
+
+import msgspec
+
+from threadramp.fleet.model import (
+    CallerLimits,
+    Configuration,
+    EmptyRequest,
+    Endpoint,
+    Pool,
+    PoolShare,
+    Route,
+    RouteKind,
+    WeightTarget,
+)
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+WEIGHTS_PREFIX = "op/version/"
+EMPTY_PREFIX = "op/retire/"
+EMPTY_STATUS_PREFIX = "status/retire/"
+ENDPOINT_PREFIX = "servers/"  # misleading: one entry is one start of an endpoint
+MS_PER_S = 1000
+
+_KINDS = {
+    "safe": RouteKind.REPEATABLE,
+    "unsafe": RouteKind.ONCE,
+    "streaming": RouteKind.STREAM,
+    "rollout": RouteKind.SAMPLES,
+    "batch": RouteKind.SAMPLES,
+}
+
+
+class DocumentError(Exception):
+    """A document in the store that cannot be read."""
+
+
+class _Share(msgspec.Struct):
+    backend: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: str = "unsafe"  # what is not known may not be repeated
+    timeout_ms: float = 0
+    target_latency_ms: float = 0
+    priority: int = 0
+    backend: str = ""  # misleading: the name of a whole pool
+    traffic_split: list[_Share] = []
+    max_attempts: int = 1
+    resumable: bool = False
+    run_target_ms: float = 0
+    queue_ttl_s: float = msgspec.field(default=0, name="queueTtlS")
+    single_version: bool = False
+
+    def decoded(self) -> Route:
+        shares = tuple(PoolShare(share.backend, share.weight) for share in self.traffic_split)
+        return Route(
+            name=self.name,
+            host=self.hostname.lower(),
+            prefix=self.path_prefix,
+            kind=_KINDS.get(self.kind, RouteKind.ONCE),
+            shares=shares or (PoolShare(self.backend, 1.0),),
+            timeout_s=self.timeout_ms / MS_PER_S,
+            target_s=self.target_latency_ms / MS_PER_S,
+            max_attempts=max(1, self.max_attempts),
+            priority=self.priority,
+            resumable=self.resumable,
+            result_target_s=self.run_target_ms / MS_PER_S,
+            give_up_s=self.queue_ttl_s,
+            one_version=self.single_version,
+        )
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int = 0
+    kv_capacity: int = 0  # misleading: tokens, not bytes
+    models: list[_Model] = []
+
+
+class _Pool(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str = "/"
+    max_conns: int = 64
+    engine: _Engine | None = None
+
+    def decoded(self) -> Pool:
+        engine = self.engine or _Engine()
+        return Pool(
+            name=self.name,
+            health_path=self.health_path,
+            max_connections=self.max_conns,
+            slots=engine.slots,
+            memory_tokens=engine.kv_capacity,
+            models=tuple(model.name for model in engine.models),
+        )
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 33_554_432
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+    def decoded(self) -> CallerLimits:
+        return CallerLimits(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            self.header_timeout_ms / MS_PER_S,
+            self.idle_timeout_ms / MS_PER_S,
+        )
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    backends: list[_Pool] = []  # misleading: pools, not single endpoints
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Endpoint(msgspec.Struct):
+    backend: str  # misleading: the pool's name
+    address: str
+    zone: str = ""
+    slots: int = 0
+    state: str = "ready"
+
+
+class _WeightTarget(msgspec.Struct):
+    model: str
+    version: int
+
+
+class _EmptyRequest(msgspec.Struct):
+    durationS: float = 10.0  # noqa: N815 - the platform's spelling
+
+
+_configuration = msgspec.json.Decoder(_Configuration)
+_endpoint = msgspec.json.Decoder(_Endpoint)
+_target = msgspec.json.Decoder(_WeightTarget)
+_empty = msgspec.json.Decoder(_EmptyRequest)
+
+
+def read_configuration(value: bytes) -> Configuration:
+    """Decode the operator's configuration.
+
+    :raises DocumentError: if it cannot be read
+    """
+    found = _decode(_configuration, value)
+    return Configuration(
+        version=found.version,
+        routes=tuple(route.decoded() for route in found.routes),
+        pools={pool.name: pool.decoded() for pool in found.backends},
+        limits=found.limits.decoded(),
+    )
+
+
+def read_endpoint(key: str, value: bytes) -> Endpoint:
+    """Decode an endpoint's own entry.
+
+    :raises DocumentError: if it cannot be read
+    """
+    found = _decode(_endpoint, value)
+    return Endpoint(
+        instance=key.removeprefix(ENDPOINT_PREFIX),
+        pool=found.backend,
+        address=found.address,
+        data_centre=found.zone,
+        slots=found.slots,
+        leaving=found.state != "ready",
+    )
+
+
+def read_weight_target(value: bytes, revision: int) -> WeightTarget:
+    """Decode the version that a trainer named.
+
+    :raises DocumentError: if it cannot be read
+    """
+    found = _decode(_target, value)
+    return WeightTarget(found.model, found.version, revision)
+
+
+def read_empty_request(key: str, value: bytes, revision: int) -> EmptyRequest:
+    """Decode the operator's wish to have a box emptied.
+
+    :raises DocumentError: if it cannot be read
+    """
+    found = _decode(_empty, value)
+    return EmptyRequest(key.removeprefix(EMPTY_PREFIX), found.durationS, revision)
+
+
+def empty_status(done: bool) -> bytes:
+    """Encode how far the emptying of a box is."""
+    return msgspec.json.encode({"state": "succeeded" if done else "running"})
+
+
+def _decode(decoder: msgspec.json.Decoder, value: bytes):  # noqa: ANN202 - as the decoder's type
+    try:
+        return decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise DocumentError(str(error)) from error
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EMPTY_PREFIX",
+    "EMPTY_STATUS_PREFIX",
+    "ENDPOINT_PREFIX",
+    "OPERATOR_PREFIX",
+    "WEIGHTS_PREFIX",
+    "DocumentError",
+    "empty_status",
+    "read_configuration",
+    "read_empty_request",
+    "read_endpoint",
+    "read_weight_target",
+]
--- /dev/null
+++ b/src/threadramp/platform/engine.py
@@ -0,0 +1,120 @@
+"""An engine's report and the orders that it takes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+REPORT_PATH = "/threadramp/report"
+ORDER_PATH = "/threadramp/order"
+
+
+class OrderOutcome(Enum):
+    """What an engine says of an order."""
+
+    TAKEN = "taken"
+    HOLDS_ALREADY = "holds already"
+    CONFLICT = "conflict"
+    OLD_FENCE = "old fence"
+    OTHER_INSTANCE = "other instance"
+    UNKNOWN_VERSION = "unknown version"
+    UNKNOWN = "unknown"
+
+
+_OUTCOMES = {
+    202: OrderOutcome.TAKEN,
+    200: OrderOutcome.HOLDS_ALREADY,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.OLD_FENCE,
+    421: OrderOutcome.OTHER_INSTANCE,
+    400: OrderOutcome.UNKNOWN_VERSION,
+}
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """What an engine says of itself.
+
+    :param versions: of the weights, by model
+    :param busy: whether it carries out an order
+    :param orders: how many orders it took since it started
+    """
+
+    versions: dict[str, int]
+    busy: bool
+    orders: int
+    waiting: int
+    running: int
+    memory_used: int
+    memory_total: int
+
+
+class _Model(msgspec.Struct):
+    name: str
+    version: int = 0
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    models: list[_Model] = []
+    busy: bool = False
+    seq: int = 0
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+
+
+_decode = msgspec.json.Decoder(_Report).decode
+
+
+def read_report(body: bytes) -> EngineReport:
+    """Decode an engine's report.
+
+    :raises ValueError: if it cannot be read
+    """
+    found = _decode(body)
+    return EngineReport(
+        versions={model.name: model.version for model in found.models},
+        busy=found.busy,
+        orders=found.seq,
+        waiting=found.waiting,
+        running=found.running,
+        memory_used=found.kv_used,
+        memory_total=found.kv_total,
+    )
+
+
+def order_body(model: str, version: int, holder: str, fence: int, orders_before: int) -> bytes:
+    """Encode the order to change to a version of a model while samples go on.
+
+    :param orders_before: the engine takes the order only as its next one after so many
+    """
+    return msgspec.json.encode(
+        {
+            "op": "version",
+            "model": model,
+            "version": version,
+            "mode": "keep",  # running samples go on under the new version
+            "holder": holder,
+            "fence": fence,
+            "expected": orders_before,
+        }
+    )
+
+
+def read_order_answer(status: int) -> OrderOutcome:
+    """Decode what an engine says of an order."""
+    return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+
+
+__all__ = [
+    "ORDER_PATH",
+    "REPORT_PATH",
+    "EngineReport",
+    "OrderOutcome",
+    "order_body",
+    "read_order_answer",
+    "read_report",
+]
--- /dev/null
+++ b/src/threadramp/platform/headers.py
@@ -0,0 +1,202 @@
+"""Headers between callers, us and endpoints, read and written in one place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+REQUEST_ID = "X-Attempt-Id"  # misleading: one try of a caller, not one of ours
+TIME_LEFT = "X-Deadline-Ms"  # misleading: milliseconds left, not a time of day
+SIGNATURE = "X-Server-Stamp"  # misleading: signs the body; no time in it
+EXPECT_INSTANCE = "X-Expect-Instance"
+LOAD = "X-Instance-Load"
+NOT_RUN = "X-Not-Executed"
+RETRY_AFTER = "Retry-After"
+WAIT = "X-Wait-Ms"
+VERSIONS = "X-Weight-Versions"  # misleading: a single number
+RESUME_AFTER = "Last-Event-Id"
+LENGTH_GUESS = "X-Length-Hint"
+PRIORITY = "X-Request-Priority"
+MS_PER_S = 1000.0
+OTHER_INSTANCE_STATUS = 421
+REJECTED_STATUSES = (421, 429, 503)
+
+_ONE_CONNECTION = frozenset(
+    (
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_SET_BY_US = frozenset(name.lower() for name in (TIME_LEFT, EXPECT_INSTANCE, PRIORITY))
+
+
+@dataclass(frozen=True)
+class EndpointLoad:
+    """What an endpoint says of its load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """What the head of an endpoint's answer says.
+
+    :param request_id: of the request that it answers, empty if it names none
+    :param signature: of the body, empty if there is none
+    :param not_run: whether the endpoint promises that it did not run the request
+    :param version: of the weights, 0 if it names none
+    """
+
+    status: int
+    request_id: str
+    signature: str
+    not_run: bool
+    load: EndpointLoad | None
+    version: int
+    leaving: bool
+
+
+def request_id(headers: Mapping[str, str]) -> str:
+    """Return the id of a caller's request, empty if it has none."""
+    return headers.get(REQUEST_ID, "")
+
+
+def time_left_s(headers: Mapping[str, str]) -> float | None:
+    """Return the seconds that the caller waits, none if it does not say."""
+    return _seconds(headers.get(TIME_LEFT, ""))
+
+
+def wait_s(headers: Mapping[str, str]) -> float:
+    """Return the seconds for which a reader of results lets us wait."""
+    return _seconds(headers.get(WAIT, "")) or 0.0
+
+
+def length_guess(headers: Mapping[str, str]) -> int:
+    """Return the trainer's guess at the tokens of an answer, 0 if there is none."""
+    return whole_number(headers.get(LENGTH_GUESS, ""))
+
+
+def to_endpoint(
+    incoming: Iterable[tuple[str, str]], time_left: float, instance: str
+) -> dict[str, str]:
+    """Return the headers with which a caller's request goes on to an endpoint.
+
+    :param time_left: seconds, never more than what the caller has left
+    :param instance: any other start of an endpoint refuses the request
+    """
+    pairs = [(name, value) for name, value in incoming]
+    dropped = _named_by_connection(pairs) | _ONE_CONNECTION | _SET_BY_US
+    headers = {name: value for name, value in pairs if name.lower() not in dropped}
+    headers[TIME_LEFT] = str(max(1, int(time_left * MS_PER_S)))
+    headers[EXPECT_INSTANCE] = instance
+    return headers
+
+
+def sample_headers(
+    given: Iterable[tuple[str, str]], sample: str, time_left: float, instance: str, after: int
+) -> dict[str, str]:
+    """Return the headers with which a sample goes to an engine.
+
+    :param after: events that are already here; the engine goes on behind them
+    """
+    headers = to_endpoint(given, time_left, instance)
+    headers[REQUEST_ID] = sample
+    if after:
+        headers[RESUME_AFTER] = str(after)
+    return headers
+
+
+def reward_headers(call_id: str, host: str) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a call that scores a sample."""
+    return (("Host", host), (REQUEST_ID, call_id))
+
+
+def order_headers(host: str, instance: str) -> dict[str, str]:
+    """Return the headers of an order to an engine."""
+    return {"Host": host, "Content-Type": "application/json", EXPECT_INSTANCE: instance}
+
+
+def to_caller(answer: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers of an endpoint's answer that go back to the caller."""
+    pairs = [(name, value) for name, value in answer]
+    dropped = _named_by_connection(pairs) | _ONE_CONNECTION | {"date", "server"}
+    return [(name, value) for name, value in pairs if name.lower() not in dropped]
+
+
+def read_answer(status: int, headers: Mapping[str, str]) -> AnswerHead:
+    """Decode the head of an endpoint's answer."""
+    marked = NOT_RUN in headers
+    return AnswerHead(
+        status=status,
+        request_id=headers.get(REQUEST_ID, ""),
+        signature=headers.get(SIGNATURE, ""),
+        not_run=marked or status == OTHER_INSTANCE_STATUS,
+        load=_load(headers.get(LOAD, "")),
+        version=whole_number(headers.get(VERSIONS, "")),
+        leaving=headers.get("Connection", "").lower() == "close",
+    )
+
+
+def version_line(line: str) -> int:
+    """Return the version that a line of an event names, 0 if it is no such line."""
+    name, colon, value = line.partition(":")
+    return whole_number(value) if colon and name == VERSIONS.lower() else 0
+
+
+def whole_number(text: str) -> int:
+    """Return a whole number, 0 if the text is none."""
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _named_by_connection(pairs: list[tuple[str, str]]) -> set[str]:
+    values = [value for name, value in pairs if name.lower() == "connection"]
+    return {part.strip().lower() for value in values for part in value.split(",")}
+
+
+def _load(text: str) -> EndpointLoad | None:
+    parts = [part.strip() for part in text.split(",")]
+    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+        return None
+    return EndpointLoad(*(int(part) for part in parts))
+
+
+def _seconds(text: str) -> float | None:
+    try:
+        return max(0.0, float(text) / MS_PER_S)
+    except ValueError:
+        return None
+
+
+__all__ = [
+    "OTHER_INSTANCE_STATUS",
+    "REJECTED_STATUSES",
+    "RETRY_AFTER",
+    "AnswerHead",
+    "EndpointLoad",
+    "length_guess",
+    "order_headers",
+    "read_answer",
+    "request_id",
+    "reward_headers",
+    "sample_headers",
+    "time_left_s",
+    "to_caller",
+    "to_endpoint",
+    "version_line",
+    "wait_s",
+    "whole_number",
+]
--- /dev/null
+++ b/src/threadramp/policy/sample_placement.py
@@ -0,0 +1,81 @@
+"""Which sidecar runs which sample, and when a running sample is better moved."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from statistics import median
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from threadramp.fleet.picture import Member
+    from threadramp.wire.fleet import RunnerStatus
+
+SLOW_FACTOR = 1.7  # against the usual gap between events; the slow engines seen were 2.6 to 3.8
+STATUS_AGE_S = 2.0  # a sidecar that was silent for longer gets nothing
+
+
+@dataclass
+class RunnerView:
+    """A sidecar as one gateway sees it.
+
+    :param taken: samples there, those just sent included
+    :param heard: time of its last answer
+    """
+
+    member: Member
+    status: RunnerStatus | None = None
+    taken: int = 0
+    heard: float = 0.0
+
+    def free(self, now: float) -> int:
+        """Return how many samples it could start now."""
+        if self.status is None or not self.status.ready or now - self.heard > STATUS_AGE_S:
+            return 0
+        return max(0, self.status.slots - self.taken)
+
+
+def usual_gap_ms(views: Sequence[RunnerView]) -> float:
+    """Return the usual gap between events over all sidecars, 0 if none tells one."""
+    gaps = [view.status.gap_ms for view in views if view.status and view.status.gap_ms]
+    return median(gaps) if gaps else 0.0
+
+
+def is_slow(view: RunnerView, usual: float) -> bool:
+    """Return whether a sidecar's engine is much slower than usual."""
+    return bool(usual and view.status and view.status.gap_ms > SLOW_FACTOR * usual)
+
+
+def place(
+    views: Sequence[RunnerView],
+    model: str,
+    min_version: int,
+    data_centre: str,
+    avoid: str,
+    now: float,
+) -> RunnerView | None:
+    """Return the sidecar for one sample, none if none has room.
+
+    Engines that are as usual go before slow ones, then those with the most room, then near ones.
+
+    :param avoid: sidecar that is taken only if there is no other
+    """
+    usual = usual_gap_ms(views)
+    able = [
+        view
+        for view in views
+        if view.free(now) and view.status and view.status.versions.get(model, 0) >= min_version
+    ]
+    if not able:
+        return None
+
+    def rank(view: RunnerView) -> tuple[bool, bool, float, bool]:
+        share = view.free(now) / max(1, view.status.slots if view.status else 1)
+        near = view.member.data_centre == data_centre
+        return (view.member.name == avoid, is_slow(view, usual), -share, not near)
+
+    return min(able, key=rank)
+
+
+__all__ = ["RunnerView", "is_slow", "place", "usual_gap_ms"]
--- /dev/null
+++ b/src/threadramp/runner/__init__.py
@@ -0,0 +1,1 @@
+"""The work beside an endpoint: running samples and changing weights."""
--- /dev/null
+++ b/src/threadramp/runner/engine.py
@@ -0,0 +1,158 @@
+"""The engine beside a sidecar: what is known of it and how it is called."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from dataclasses import dataclass, replace
+from statistics import median
+from typing import TYPE_CHECKING
+
+from threadramp.edge.connections import Connections, ExchangeError
+from threadramp.fleet.model import Endpoint
+from threadramp.platform.engine import (
+    ORDER_PATH,
+    REPORT_PATH,
+    EngineReport,
+    OrderOutcome,
+    order_body,
+    read_order_answer,
+    read_report,
+)
+from threadramp.platform.headers import order_headers
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.model import WeightTarget
+    from threadramp.wire.fleet import Facts
+
+REPORT_TIMEOUT_S = 0.5
+ORDER_TIMEOUT_S = 1.0
+GAPS = 32  # of the last events, from which the usual gap is taken
+GAP_AGE_S = 2.0  # an older gap says nothing about the engine's speed now
+
+
+@dataclass(frozen=True)
+class EngineFacts:
+    """What gateways told of the engine.
+
+    :param instance: its current start, empty if no gateway knows it
+    """
+
+    instance: str = ""
+    leaving: bool = False
+    rank: int = 0
+    slots: int = 0
+    endpoints_revision: int = -1
+    targets: tuple[WeightTarget, ...] = ()
+    targets_revision: int = -1
+
+
+class Engine:
+    """The one engine of a sidecar."""
+
+    def __init__(self, address: str, pool: str, holder: str, clock: Clock) -> None:
+        self.address = address
+        self.pool = pool
+        self.holder = holder
+        self.clock = clock
+        self.connections = Connections()
+        self.facts = EngineFacts()
+        self.report: EngineReport | None = None
+        self.ordered: WeightTarget | None = None
+        self.gaps: deque[tuple[float, float]] = deque(maxlen=GAPS)
+        self.lock = threading.Lock()
+
+    @property
+    def is_loading(self) -> bool:
+        """Return whether it changes weights or is about to."""
+        return self.ordered is not None or (self.report is not None and self.report.busy)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether a sample would start there now."""
+        known = self.report is not None and bool(self.facts.instance)
+        return known and not self.is_loading and not self.facts.leaving
+
+    def endpoint(self) -> Endpoint:
+        """Return the engine as an endpoint to send requests to."""
+        return Endpoint(self.facts.instance, self.pool, self.address, "", self.facts.slots)
+
+    def learn(self, facts: Facts) -> None:
+        """Take over what a gateway knows, unless it is older than what is known."""
+        with self.lock:
+            held = self.facts
+            if facts.endpoints_revision >= held.endpoints_revision:
+                if facts.instance != held.instance:
+                    log_state(
+                        "engine_instance",
+                        instance=facts.instance,
+                        before=held.instance,
+                        revision=facts.endpoints_revision,
+                    )
+                    self.ordered = None
+                held = replace(
+                    held,
+                    instance=facts.instance,
+                    leaving=facts.leaving,
+                    rank=facts.rank,
+                    slots=facts.slots or held.slots,
+                    endpoints_revision=facts.endpoints_revision,
+                )
+            if facts.targets_revision >= held.targets_revision:
+                held = replace(held, targets=facts.targets, targets_revision=facts.targets_revision)
+            self.facts = held
+
+    def learn_targets(self, targets: tuple[WeightTarget, ...]) -> None:
+        """Take over named versions that were read from the store itself."""
+        revision = max((target.revision for target in targets), default=0)
+        with self.lock:
+            if revision > self.facts.targets_revision:
+                self.facts = replace(self.facts, targets=targets, targets_revision=revision)
+
+    def read_report(self) -> bool:
+        """Ask the engine for its report; false if it did not answer."""
+        had = self.report is not None
+        try:
+            exchange = self.connections.open(self.endpoint(), self.clock.now(), REPORT_TIMEOUT_S)
+            exchange.send("GET", REPORT_PATH, {"Host": self.address}, b"")
+            answer = exchange.read(REPORT_TIMEOUT_S)
+            self.connections.keep(exchange, answer, self.clock.now())
+            report = read_report(answer.body) if answer.head.status == 200 else None
+        except (ExchangeError, ValueError) as error:
+            if had:
+                log_state("engine_lost", error=str(error))
+            self.report = None
+            return False
+        if report is not None and not had:
+            log_state("engine_regained", versions=report.versions, orders=report.orders)
+        self.report = report
+        return report is not None
+
+    def order(self, target: WeightTarget, fence: int, orders_before: int) -> OrderOutcome:
+        """Order the engine to change to a version of a model."""
+        body = order_body(target.model, target.version, self.holder, fence, orders_before)
+        headers = order_headers(self.address, self.facts.instance)
+        try:
+            exchange = self.connections.open(self.endpoint(), self.clock.now(), ORDER_TIMEOUT_S)
+            exchange.send("POST", ORDER_PATH, headers, body)
+            answer = exchange.read(ORDER_TIMEOUT_S)
+        except ExchangeError as error:
+            log_state("order_unanswered", version=target.version, error=str(error))
+            return OrderOutcome.UNKNOWN
+        self.connections.keep(exchange, answer, self.clock.now())
+        return read_order_answer(answer.head.status)
+
+    def add_gap(self, seconds: float) -> None:
+        """Note the time between two events of a sample."""
+        self.gaps.append((self.clock.now(), seconds))
+
+    def gap_ms(self) -> float:
+        """Return the usual time between two events lately, 0 if there were none."""
+        limit = self.clock.now() - GAP_AGE_S
+        recent = [seconds for at, seconds in list(self.gaps) if at >= limit]
+        return median(recent) * 1000 if recent else 0.0
+
+
+__all__ = ["Engine", "EngineFacts"]
--- /dev/null
+++ b/src/threadramp/runner/runs.py
@@ -0,0 +1,315 @@
+"""The samples of one sidecar: those that run, those that wait, and text that is kept."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from threadramp.core.lot_book import RunOutcome
+from threadramp.wire.fleet import RunUpdate
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.wire.fleet import RunOrder
+
+QUEUE = 2  # samples that may wait beyond the slots, so that a slot is not idle for a round trip
+SILENCE_S = 1.0  # a gateway that asks for nothing for so long may have sent its samples elsewhere
+KEPT_RUNS = 400
+KEPT_S = 45.0  # samples come back in one of the next lots, a lot each 4 s
+GATHER_S = 0.03  # other samples that end just then go with the same answer
+LOOK_S = 0.1  # how often a waiting answer looks whether the engine's readiness has changed
+
+
+@dataclass
+class Run:
+    """One sample here.
+
+    :param base: events that the gateway had before this run began
+    :param heard: time at which its gateway last asked for it
+    :param due: time at which its lot is due
+    :param wanted: false once its lot has ended; it may still finish for a later one
+    :param started: whether it was handed to a thread
+    :param cancel: closes its connection to the engine
+    """
+
+    order: RunOrder
+    base: int
+    heard: float
+    due: float
+    events: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    wanted: bool = True
+    started: bool = False
+    outcome: RunOutcome = RunOutcome.NONE
+    ended_at: float = 0.0
+    cancel: Callable[[], None] | None = None
+    life: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether it runs or waits."""
+        return self.outcome is RunOutcome.NONE
+
+    @property
+    def count(self) -> int:
+        """Return the events so far, those before this run included."""
+        return self.base + len(self.events)
+
+    def serves(self, order: RunOrder) -> bool:
+        """Return whether its text can go on as what ``order`` asks for."""
+        same = order.after == 0 or order.lineage == self.order.lineage
+        if not same or self.base > order.after or (self.base and not order.after):
+            return False
+        if self.versions and min(self.versions) < order.min_version:
+            return False
+        return not (order.one_version and len(set(self.versions)) > 1)
+
+
+class RunTable:
+    """All samples of a sidecar; its methods may be called from any thread."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.runs: dict[str, Run] = {}
+        self.slots = 0
+        self.accepting = False
+        self.changed = threading.Condition(threading.RLock())
+
+    @property
+    def taken(self) -> int:
+        """Return the wanted samples that run or wait."""
+        with self.changed:
+            return sum(run.is_open and run.wanted for run in self.runs.values())
+
+    def submit(self, orders: tuple[RunOrder, ...]) -> list[str]:
+        """Take samples while there is room; returns the ids of those taken."""
+        taken = []
+        with self.changed:
+            for order in orders:
+                if self._submit_one(order):
+                    taken.append(order.sample.id)
+            self._forget_old()
+            self.changed.notify_all()
+        return taken
+
+    def next_start(self) -> Run | None:
+        """Return the waiting sample that goes first if a slot is free, marked as started."""
+        with self.changed:
+            if not self.accepting:
+                return None
+            running = [run for run in self.runs.values() if run.is_open and run.started]
+            waiting = [run for run in self.runs.values() if run.is_open and not run.started]
+            if not waiting:
+                return None
+            if len(running) >= self.slots and not self._make_room(running):
+                return None
+            chosen = min(waiting, key=lambda run: (run.due, -run.order.sample.expected_tokens))
+            chosen.started = True
+            chosen.life += 1
+            return chosen
+
+    def add_event(self, run: Run, life: int, text: str, version: int) -> bool:
+        """Add an event of a run; false if the run is over by now."""
+        with self.changed:
+            if run.life != life or not run.is_open:
+                return False
+            run.events.append(text)
+            run.versions.append(version)
+            return True
+
+    def finish(self, run: Run, life: int, outcome: RunOutcome) -> bool:
+        """Note how a run ended; false if it was over already."""
+        with self.changed:
+            if run.life != life or not run.is_open:
+                return False
+            self._end(run, outcome)
+            return True
+
+    def put_back(self, run: Run, life: int) -> None:
+        """Let a sample wait again that the engine did not begin."""
+        with self.changed:
+            if run.life == life and run.is_open:
+                run.started = False
+                run.cancel = None
+                self.changed.notify_all()
+
+    def drop(self, samples: dict[str, int], let_finish: bool) -> None:
+        """Take back samples; those that run may finish if ``let_finish``."""
+        cancels = []
+        with self.changed:
+            for name in samples:
+                run = self.runs.get(name)
+                if run is None or not run.is_open:
+                    continue
+                if let_finish and run.started:
+                    run.wanted = False
+                    continue
+                cancels.append(run.cancel)
+                self._end(run, RunOutcome.CUT)
+        _call(cancels)
+
+    def cut_all(self) -> None:
+        """End all runs; their text stays."""
+        with self.changed:
+            cancels = [run.cancel for run in self.runs.values() if run.is_open]
+            for run in self.runs.values():
+                if run.is_open:
+                    self._end(run, RunOutcome.CUT)
+        _call(cancels)
+
+    def cut_silent(self) -> list[str]:
+        """End the runs whose gateway asks for nothing any more."""
+        limit = self.now() - SILENCE_S
+        cancels = []
+        names = []
+        with self.changed:
+            for name, run in self.runs.items():
+                if run.is_open and run.wanted and run.heard < limit:
+                    cancels.append(run.cancel)
+                    names.append(name)
+                    self._end(run, RunOutcome.CUT)
+        _call(cancels)
+        return names
+
+    def find(self, samples: tuple[str, ...], min_version: int) -> dict[str, int]:
+        """Return those of the samples that have text from the start that is fresh enough."""
+        found = {}
+        with self.changed:
+            for name in samples:
+                run = self.runs.get(name)
+                if run is None or run.base or not run.events or min(run.versions) < min_version:
+                    continue
+                found[name] = len(run.events)
+        return found
+
+    def collect(
+        self, have: dict[str, int], wait_s: float, readiness: Callable[[], bool]
+    ) -> tuple[list[RunUpdate], list[str]]:
+        """Return news and unknown samples; waits until a sample ends or the time is over."""
+        until = self.now() + wait_s
+        was_ready = readiness()
+        with self.changed:
+            self._touch(have)
+            while not self._has_ended(have) and readiness() == was_ready:
+                left = until - self.now()
+                if left <= 0:
+                    break
+                self.changed.wait(min(left, LOOK_S))
+            else:
+                if wait_s:
+                    self.changed.wait(GATHER_S)
+            self._touch(have)
+            return self._updates(have)
+
+    def _updates(self, have: dict[str, int]) -> tuple[list[RunUpdate], list[str]]:
+        updates = []
+        unknown = []
+        for name, count in have.items():
+            run = self.runs.get(name)
+            if run is None or run.base > count or run.count < count:
+                unknown.append(name)
+            elif run.count > count or not run.is_open:
+                updates.append(_update(run, count))
+        return updates, unknown
+
+    def _touch(self, have: dict[str, int]) -> None:
+        now = self.now()
+        for name in have:
+            run = self.runs.get(name)
+            if run is not None:
+                run.heard = now
+
+    def _has_ended(self, have: dict[str, int]) -> bool:
+        for name, count in have.items():
+            run = self.runs.get(name)
+            if run is None or not run.is_open or run.base > count:
+                return True
+        return False
+
+    def _submit_one(self, order: RunOrder) -> bool:
+        name = order.sample.id
+        run = self.runs.get(name)
+        if run is not None and run.serves(order):
+            return self._go_on(run, order)
+        if not self._has_room():
+            return False
+        if run is not None and run.is_open:
+            cancel = run.cancel
+            self._end(run, RunOutcome.CUT)
+            _call([cancel])
+        self.runs.pop(name, None)
+        now = self.now()
+        self.runs[name] = Run(order, order.after, now, now + order.due)
+        return True
+
+    def _go_on(self, run: Run, order: RunOrder) -> bool:
+        """Let a run that is here serve an order."""
+        needs_start = run.outcome in (RunOutcome.CUT, RunOutcome.FAILED)
+        if needs_start and not self._has_room():
+            return False
+        lineage = run.order.lineage
+        run.order = _with_lineage(order, lineage)
+        run.wanted = True
+        run.heard = self.now()
+        run.due = run.heard + order.due
+        if needs_start:
+            run.outcome = RunOutcome.NONE
+            run.started = False
+            run.cancel = None
+        return True
+
+    def _has_room(self) -> bool:
+        return self.accepting and self.taken < self.slots + QUEUE
+
+    def _make_room(self, running: list[Run]) -> bool:
+        """End a run that only later lots may want, for one that is wanted now."""
+        for run in running:
+            if not run.wanted:
+                cancel = run.cancel
+                self._end(run, RunOutcome.CUT)
+                _call([cancel])
+                return True
+        return False
+
+    def _end(self, run: Run, outcome: RunOutcome) -> None:
+        run.outcome = outcome
+        run.ended_at = self.now()
+        run.cancel = None
+        self.changed.notify_all()
+
+    def _forget_old(self) -> None:
+        limit = self.now() - KEPT_S
+        ended = [name for name, run in self.runs.items() if not run.is_open]
+        surplus = max(0, len(ended) - KEPT_RUNS)
+        for place, name in enumerate(ended):
+            if place < surplus or self.runs[name].ended_at < limit:
+                del self.runs[name]
+
+
+def _update(run: Run, count: int) -> RunUpdate:
+    skip = count - run.base
+    return RunUpdate(
+        sample=run.order.sample.id,
+        base=count,
+        events=tuple(run.events[skip:]),
+        versions=tuple(run.versions[skip:]),
+        lineage=run.order.lineage,
+        outcome=run.outcome.value,
+    )
+
+
+def _with_lineage(order: RunOrder, lineage: str) -> RunOrder:
+    return msgspec.structs.replace(order, lineage=lineage)
+
+
+def _call(cancels: list[Callable[[], None] | None]) -> None:
+    for cancel in cancels:
+        if cancel is not None:
+            cancel()
+
+
+__all__ = ["Run", "RunTable"]
--- /dev/null
+++ b/src/threadramp/runner/sample_run.py
@@ -0,0 +1,166 @@
+"""Runs one sample at the engine and takes its events."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from urllib3.exceptions import HTTPError
+
+from threadramp.core.lot_book import RunOutcome
+from threadramp.edge.connections import ExchangeError, streamed_answer
+from threadramp.platform.headers import read_answer, sample_headers
+from threadramp.report.log import log_state
+from threadramp.runner.events import EventReader
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from urllib3 import BaseHTTPResponse
+
+    from threadramp.edge.connections import Exchange
+    from threadramp.fleet.clock import Clock
+    from threadramp.runner.engine import Engine
+    from threadramp.runner.events import Event
+    from threadramp.runner.runs import Run, RunTable
+
+CONNECT_S = 0.5
+HEAD_S = 15.0  # a full engine lets a sample wait; one that is stuck is left sooner by its gateway
+SILENT_S = 5.0  # a stream that brings nothing for so long is cut; a load of weights takes 0.9 s
+READ_BYTES = 65_536
+
+
+class SampleRun:
+    """One run of one sample."""
+
+    def __init__(self, engine: Engine, table: RunTable, run: Run, clock: Clock) -> None:
+        self.engine = engine
+        self.table = table
+        self.run = run
+        self.life = run.life
+        self.clock = clock
+        self.instance = engine.facts.instance
+        self.version = 0
+        self.last_event = 0.0
+
+    def execute(self) -> bool:
+        """Run it to its end; false if the engine did not begin with it."""
+        try:
+            return self._execute()
+        except ExchangeError as error:
+            self._finish(RunOutcome.CUT, str(error))
+            return error.sent
+        except Exception as error:  # the sample would hang for ever else
+            self._finish(RunOutcome.CUT, repr(error))
+            return True
+
+    def _execute(self) -> bool:
+        endpoint = self.engine.endpoint()
+        exchange = self.engine.connections.open(endpoint, self.clock.now(), CONNECT_S)
+        if not self._register(exchange):
+            exchange.close()
+            return True
+        order = self.run.order
+        exchange.send(
+            "POST",
+            order.sample.path,
+            sample_headers(
+                (*order.sample.headers, ("Host", order.host)),
+                order.sample.id,
+                max(1.0, order.give_up_in_s),
+                self.instance,
+                self.run.count,
+            ),
+            order.sample.body,
+        )
+        response = exchange.response(HEAD_S)
+        head = read_answer(response.status, response.headers)
+        if head.not_run:
+            exchange.close()
+            self.table.put_back(self.run, self.life)
+            return False
+        if head.status != 200:
+            exchange.close()
+            self._finish(_outcome_of(head.status), f"status {head.status}")
+            return True
+        self.version = head.version
+        self._take_stream(exchange, response)
+        return True
+
+    def _register(self, exchange: Exchange) -> bool:
+        """Let others close the connection; false if the run is over already."""
+        stream = exchange.connection.sock
+
+        def cancel() -> None:
+            try:
+                stream.shutdown(socket.SHUT_RDWR)
+            except OSError:  # it is closed already
+                return
+
+        with self.table.changed:
+            if self.run.life != self.life or not self.run.is_open:
+                return False
+            self.run.cancel = cancel
+            return True
+
+    def _take_stream(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
+        reader = EventReader()
+        exchange.connection.sock.settimeout(SILENT_S)
+        self.last_event = self.clock.now()
+        try:
+            for data in _pieces(response):
+                for event in reader.feed(data):
+                    if not self._take_event(event):
+                        exchange.close()
+                        return
+        except (OSError, HTTPError, ValueError, AttributeError) as error:
+            exchange.close()
+            self._finish(RunOutcome.CUT, repr(error))
+            return
+        if not reader.is_between_events:
+            exchange.close()
+            self._finish(RunOutcome.CUT, "it stopped within an event")
+            return
+        self.engine.connections.keep(exchange, streamed_answer(response), self.clock.now())
+        self._finish(RunOutcome.WHOLE, "")
+
+    def _take_event(self, event: Event) -> bool:
+        """Add one event; false if the run ends here."""
+        now = self.clock.now()
+        self.engine.add_gap(now - self.last_event)
+        self.last_event = now
+        self.version = event.version or self.version
+        if event.number != self.run.count + 1:
+            self._finish(RunOutcome.CUT, f"event {event.number} after {self.run.count}")
+            return False
+        return self.table.add_event(self.run, self.life, event.text, self.version)
+
+    def _finish(self, outcome: RunOutcome, reason: str) -> None:
+        if not self.table.finish(self.run, self.life, outcome):
+            return
+        log_state(
+            "sample_ended",
+            sample=self.run.order.sample.id,
+            outcome=outcome.value,
+            events=self.run.count,
+            instance=self.instance,
+            reason=reason,
+        )
+
+
+def _outcome_of(status: int) -> RunOutcome:
+    if status == 500:
+        return RunOutcome.FAILED
+    return RunOutcome.IMPOSSIBLE if status == 422 else RunOutcome.CUT
+
+
+def _pieces(response: BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the bytes of a body as they come."""
+    if response.chunked:
+        yield from response.read_chunked(READ_BYTES, decode_content=False)
+        return
+    while data := response.read1(READ_BYTES, decode_content=False):
+        yield data
+
+
+__all__ = ["SampleRun"]
--- /dev/null
+++ b/src/threadramp/runner/sidecar.py
@@ -0,0 +1,187 @@
+"""The sidecar of an engine: answers gateways, runs samples, keeps the weights as named."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.core.lot_book import RunOutcome
+from threadramp.fleet.picture import Member
+from threadramp.platform.documents import WEIGHTS_PREFIX, DocumentError, read_weight_target
+from threadramp.platform.store import StoreError
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+from threadramp.runner.sample_run import SampleRun
+from threadramp.wire.fleet import (
+    Accepted,
+    AnyAsk,
+    Ask,
+    Beat,
+    CallStore,
+    Collect,
+    Done,
+    Drop,
+    Find,
+    Found,
+    RunnerStatus,
+    Status,
+    StoreAnswered,
+    Submit,
+    Updates,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.fleet.clock import Clock
+    from threadramp.platform.store import Call, RawAnswer, StoreClient
+    from threadramp.runner.engine import Engine
+    from threadramp.runner.runs import Run, RunTable
+    from threadramp.runner.weights import Weights
+    from threadramp.wire.fleet import AnyReply
+    from threadramp.wire.sync import SyncClient
+
+REPORT_S = 0.2  # the engine's report is free from its own box
+WATCH_S = 0.2
+REJECTED_PAUSE_S = 0.05  # before a sample that the engine did not begin is tried again
+RELAY_TIMEOUT_S = 2.2
+RELAY_TRIES = 2
+
+
+class Sidecar:
+    """All that a sidecar does, around its table of samples and its engine."""
+
+    def __init__(
+        self,
+        member: Member,
+        engine: Engine,
+        weights: Weights,
+        table: RunTable,
+        client: SyncClient,
+        clock: Clock,
+    ) -> None:
+        self.member = member
+        self.engine = engine
+        self.weights = weights
+        self.table = table
+        self.client = client
+        self.clock = clock
+        self.gateways: dict[str, float] = {}
+        self.stopped = threading.Event()
+        self.leaving = False
+        self.on_unlisted: Callable[[], None] = lambda: None
+
+    def start(self, store: StoreClient) -> None:
+        """Start all loops."""
+        start_loop(self._engine_loop, self.stopped)
+        start_loop(self._start_loop, self.stopped)
+        start_loop(self._silence_loop, self.stopped)
+        threading.Thread(target=self._learn_targets, args=(store,), daemon=True).start()
+
+    def handle(self, ask: AnyAsk) -> AnyReply:
+        """Answer a gateway."""
+        if isinstance(ask, Ask):
+            self.gateways[ask.address] = self.clock.now()
+        if isinstance(ask, (Beat, Submit, Collect)):
+            self.engine.learn(ask.facts)
+            self._refresh_table()
+            if not ask.facts.listed:
+                self.on_unlisted()
+        return self._answer(ask)
+
+    def relay(self, call: Call) -> RawAnswer | None:
+        """Pass a call to the store through a gateway that was heard lately."""
+        recent = sorted(self.gateways, key=lambda address: -self.gateways[address])
+        for address in recent[:RELAY_TRIES]:
+            ask = CallStore(self.member.name, self.member.address, call)
+            reply = self.client.ask(address, ask, RELAY_TIMEOUT_S)
+            if isinstance(reply, StoreAnswered) and reply.answer is not None:
+                log_state("store_call_relayed", path=call.path.split("?")[0], through=address)
+                return reply.answer
+        return None
+
+    def leave(self) -> None:
+        """Take nothing new and end what runs, so that it goes on elsewhere."""
+        self.leaving = True
+        self._refresh_table()
+        self.table.cut_all()
+
+    def status(self) -> RunnerStatus:
+        """Return what gateways need to know."""
+        report = self.engine.report
+        return RunnerStatus(
+            incarnation=self.member.incarnation,
+            instance=self.engine.facts.instance,
+            ready=self._is_ready(),
+            slots=self.table.slots,
+            taken=self.table.taken,
+            versions=report.versions if report is not None else {},
+            gap_ms=round(self.engine.gap_ms(), 1),
+        )
+
+    def _answer(self, ask: AnyAsk) -> AnyReply:
+        if isinstance(ask, Submit):
+            taken = self.table.submit(ask.orders)
+            return Accepted(self.status(), tuple(taken))
+        if isinstance(ask, Collect):
+            updates, unknown = self.table.collect(ask.have, ask.wait_s, self._is_ready)
+            return Updates(self.status(), tuple(updates), tuple(unknown))
+        if isinstance(ask, Drop):
+            self.table.drop(ask.have, ask.let_finish)
+            updates, unknown = self.table.collect(ask.have, 0.0, self._is_ready)
+            return Updates(self.status(), tuple(updates), tuple(unknown))
+        if isinstance(ask, Find):
+            return Found(self.status(), self.table.find(ask.samples, ask.min_version))
+        return Status(self.status()) if isinstance(ask, Beat) else Done()
+
+    def _is_ready(self) -> bool:
+        return self.engine.is_ready and not self.leaving
+
+    def _refresh_table(self) -> None:
+        with self.table.changed:
+            self.table.slots = self.engine.facts.slots
+            accepting = self._is_ready()
+            if accepting != self.table.accepting:
+                self.table.accepting = accepting
+                self.table.changed.notify_all()
+
+    def _engine_loop(self) -> None:
+        while not self.stopped.wait(REPORT_S):
+            self.engine.read_report()
+            if not self.leaving:
+                self.weights.turn()
+            self._refresh_table()
+
+    def _start_loop(self) -> None:
+        """Hand waiting samples to threads as slots get free."""
+        while not self.stopped.is_set():
+            run = self.table.next_start()
+            if run is None:
+                with self.table.changed:
+                    self.table.changed.wait(WATCH_S)
+                continue
+            threading.Thread(target=self._run_one, args=(run,), name="sample", daemon=True).start()
+
+    def _run_one(self, run: Run) -> None:
+        begun = SampleRun(self.engine, self.table, run, self.clock).execute()
+        if not begun:
+            self.stopped.wait(REJECTED_PAUSE_S)
+
+    def _silence_loop(self) -> None:
+        while not self.stopped.wait(WATCH_S):
+            cut = self.table.cut_silent()
+            if cut:
+                log_state("gateway_silent", samples=cut, outcome=RunOutcome.CUT.value)
+
+    def _learn_targets(self, store: StoreClient) -> None:
+        """Read the named versions from the store, so that no order is fenced too low."""
+        try:
+            items = store.list(WEIGHTS_PREFIX).items
+            targets = tuple(read_weight_target(item.value, item.revision) for item in items)
+        except (StoreError, DocumentError) as error:
+            log_state("targets_not_read", error=str(error))
+            return
+        self.engine.learn_targets(targets)
+
+
+__all__ = ["Sidecar"]
--- /dev/null
+++ b/src/threadramp/serve/__init__.py
@@ -0,0 +1,1 @@
+"""The processes on the users' platform, one module a role."""
--- /dev/null
+++ b/src/threadramp/serve/answers.py
@@ -0,0 +1,82 @@
+"""A gateway's answers to other gateways and to sidecars."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from threadramp.lots.journal import LotMissingError
+from threadramp.platform.store import StoreError
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import (
+    Adopt,
+    CallStore,
+    Done,
+    EndLot,
+    LotEnded,
+    MirrorBeat,
+    ReadBody,
+    ReadLot,
+    StoreAnswered,
+)
+
+if TYPE_CHECKING:
+    from threadramp.fleet.peers import Peers
+    from threadramp.lots.owner import LotOwner
+    from threadramp.lots.reading import LotReader
+    from threadramp.platform.store import StoreClient
+    from threadramp.wire.fleet import AnyAsk, AnyReply
+
+
+class GatewayAnswers:
+    """Answers peers."""
+
+    def __init__(
+        self, peers: Peers, owner: LotOwner, reader: LotReader, store: StoreClient
+    ) -> None:
+        self.peers = peers
+        self.owner = owner
+        self.reader = reader
+        self.store = store
+
+    def handle(self, ask: AnyAsk) -> AnyReply:
+        """Answer one question."""
+        if isinstance(ask, MirrorBeat):
+            return self.peers.mirror_copy(ask)
+        if isinstance(ask, ReadLot):
+            return self.reader.page_for_peer(ask)
+        if isinstance(ask, ReadBody):
+            return self.reader.body_for_peer(ask)
+        if isinstance(ask, EndLot):
+            return self._end(ask)
+        if isinstance(ask, CallStore):
+            return self._call_store(ask)
+        if isinstance(ask, Adopt):
+            return self._adopt(ask)
+        return Done()
+
+    def _end(self, ask: EndLot) -> LotEnded:
+        if self.owner.owned.get(ask.lot) is None:
+            return LotEnded(False, False)
+        try:
+            return LotEnded(True, self.owner.end(ask.lot))
+        except (StoreError, LotMissingError) as error:
+            log_state("end_not_kept", lot=ask.lot, asker=ask.sender, error=str(error))
+            return LotEnded(True, False)
+
+    def _call_store(self, ask: CallStore) -> StoreAnswered:
+        try:
+            return StoreAnswered(self.store.direct(ask.call))
+        except StoreError as error:
+            log_state("relay_failed", asker=ask.sender, error=str(error))
+            return StoreAnswered(None)
+
+    def _adopt(self, ask: Adopt) -> Done:
+        for lot_id in ask.lots:
+            try:
+                self.owner.adopt(lot_id)
+            except (StoreError, LotMissingError) as error:
+                log_state("not_adopted", lot=lot_id, of=ask.sender, error=str(error))
+        return Done()
+
+
+__all__ = ["GatewayAnswers"]
--- /dev/null
+++ b/src/threadramp/serve/gateway.py
@@ -0,0 +1,120 @@
+"""The gateway's process: its parts, put together."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from threadramp.edge.connections import Connections
+from threadramp.edge.forward import Forwarder
+from threadramp.edge.handler import EdgeHandler
+from threadramp.edge.server import CallerRequest, EdgeServer
+from threadramp.fleet.clock import Clock
+from threadramp.fleet.emptying import Emptying
+from threadramp.fleet.membership import Membership
+from threadramp.fleet.peers import Peers
+from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.store_health import StoreHealth
+from threadramp.fleet.watcher import Watcher
+from threadramp.lots.appending import Appending
+from threadramp.lots.journal import LotJournal
+from threadramp.lots.owned import OwnedLots
+from threadramp.lots.owner import LotOwner
+from threadramp.lots.reading import LotReader
+from threadramp.lots.runners import Runners
+from threadramp.lots.scoring import Scoring
+from threadramp.platform.store import StoreClient
+from threadramp.policy.endpoint_choice import EndpointChoice
+from threadramp.policy.retries import RetryBudget
+from threadramp.report.metrics import Metrics
+from threadramp.serve.answers import GatewayAnswers
+from threadramp.serve.api import ROLES, Process
+from threadramp.wire.fleet import decode_ask, decode_reply
+from threadramp.wire.seal import Unsealed
+from threadramp.wire.sync import SyncClient, SyncServer
+
+HTTP_THREADS = 40  # readers of results may each hold one for a second
+READY_THREADS = 2
+PEER_THREADS = 12
+IDLE_S = 16.0  # callers use a connection again that rested for four fifths of 15 s
+METRICS_PORT = 9464  # the same in the deploy file
+BALANCER_S = 3.5  # two questions a second apart without a good answer, and a margin
+EXIT_MARGIN_S = 0.8  # before the platform kills
+STOP_LOOK_S = 0.1
+
+
+@ROLES.register("gateway")
+class GatewayProcess(Process):
+    """Serves callers and trainers."""
+
+    def start(self) -> None:
+        """Start all parts."""
+        self._build()
+        own = self.settings
+        self.membership.start()
+        for watcher in self.watchers:
+            watcher.start()
+        self.peers.start()
+        self.owner.start()
+        self.appending.start()
+        self.runners.start()
+        self.emptying.start()
+        self.sync = SyncServer(
+            self.member.address, Unsealed(), self.answers.handle, PEER_THREADS, decode_ask
+        )
+        self.ready = EdgeServer(own.ready, self.handler.answer_ready, READY_THREADS, IDLE_S)
+        self.callers = EdgeServer(own.callers, self.handler.handle, HTTP_THREADS, IDLE_S)
+        self.figures = EdgeServer(f"{own.ip}:{METRICS_PORT}", self._answer_metrics, 1, IDLE_S)
+
+    def finish(self) -> None:
+        """Let the balancer turn away, hand the lots over, finish what is open."""
+        began = time.monotonic()
+        self.handler.stopping = True
+        self.owner.hand_over()
+        last = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
+        while time.monotonic() < last:
+            time.sleep(STOP_LOOK_S)
+            if time.monotonic() - began > BALANCER_S and not self.callers.open:
+                break
+        self.membership.leave()
+
+    def _build(self) -> None:
+        own = self.settings
+        clock = Clock()
+        address = f"{own.ip}:{own.peer_port}"
+        self.member = Member(own.name, "gateway", self.incarnation, address, own.data_centre, "")
+        self.metrics = Metrics("threadramp")
+        self.picture = Picture()
+        health = StoreHealth(clock)
+        client = SyncClient(Unsealed(), decode_reply, redial=True)
+        self.peers = Peers(self.member, self.picture, client, health, clock)
+        store = StoreClient(own.store.address, self.peers.relay, health.observe)
+        self.membership = Membership(self.member, store, own.store.lease_min_s)
+        self.peers.on_unlisted = self.membership.not_listed
+        self.watchers = [Watcher(one, store, health, clock) for one in self.picture.mirrors]
+        self.emptying = Emptying(self.member.name, self.picture, store)
+        self._build_lots(store, clock)
+        self.answers = GatewayAnswers(self.peers, self.owner, self.reader, store)
+
+    def _build_lots(self, store: StoreClient, clock: Clock) -> None:
+        random = Random(self.incarnation)
+        connections = Connections()
+        forwarder = Forwarder(
+            self.picture, connections, EndpointChoice(random), RetryBudget(), clock
+        )
+        owned = OwnedLots()
+        journal = LotJournal(store)
+        scoring = Scoring(owned, self.picture, forwarder, clock)
+        self.runners = Runners(owned, self.peers, clock, scoring.begin)
+        self.owner = LotOwner(owned, journal, self.peers, clock, self.runners.drop)
+        self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
+        self.appending = Appending(owned, journal, clock, self.owner.release)
+        self.handler = EdgeHandler(
+            self.picture, forwarder, self.owner, self.reader, self.metrics, clock
+        )
+
+    def _answer_metrics(self, request: CallerRequest) -> None:
+        request.answer(200, [("Content-Type", "text/plain")], self.metrics.text())
+
+
+__all__ = ["GatewayProcess"]
--- /dev/null
+++ b/src/threadramp/serve/sidecar.py
@@ -0,0 +1,57 @@
+"""The sidecar's process: its parts, put together."""
+
+from __future__ import annotations
+
+import time
+
+from threadramp.fleet.clock import Clock
+from threadramp.fleet.membership import Membership
+from threadramp.fleet.picture import Member
+from threadramp.fleet.store_health import StoreHealth
+from threadramp.platform.store import StoreClient
+from threadramp.runner.engine import Engine
+from threadramp.runner.runs import RunTable
+from threadramp.runner.sidecar import Sidecar
+from threadramp.runner.weights import Weights
+from threadramp.serve.api import ROLES, Process
+from threadramp.wire.fleet import decode_ask, decode_reply
+from threadramp.wire.seal import Unsealed
+from threadramp.wire.sync import SyncClient, SyncServer
+
+THREADS = 16  # gateways that may wait for news at once, with room for short questions
+LAST_WORDS_S = 1.5  # gateways collect the last events of the samples that were ended
+
+
+@ROLES.register("sidecar")
+class SidecarProcess(Process):
+    """Runs samples at the engine beside it."""
+
+    def start(self) -> None:
+        """Start all parts."""
+        own = self.settings
+        clock = Clock()
+        address = f"{own.ip}:{own.peer_port}"
+        member = Member(
+            own.name, "sidecar", self.incarnation, address, own.data_centre, own.endpoint
+        )
+        health = StoreHealth(clock)
+        client = SyncClient(Unsealed(), decode_reply, redial=True)
+        engine = Engine(own.endpoint, own.pool, own.name, clock)
+        self.sidecar = Sidecar(
+            member, engine, Weights(engine, clock), RunTable(clock.now), client, clock
+        )
+        store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
+        self.membership = Membership(member, store, own.store.lease_min_s)
+        self.sidecar.on_unlisted = self.membership.not_listed
+        self.server = SyncServer(address, Unsealed(), self.sidecar.handle, THREADS, decode_ask)
+        self.membership.start()
+        self.sidecar.start(store)
+
+    def finish(self) -> None:
+        """Give the samples back, then leave."""
+        self.sidecar.leave()
+        time.sleep(LAST_WORDS_S)
+        self.membership.leave()
+
+
+__all__ = ["SidecarProcess"]
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import threading
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from pynng import Context, Rep0, Req0
@@ -12,11 +12,12 @@
 
 from threadramp.report.log import log_state
 from threadramp.wire.messages import Reply, Request
-from threadramp.wire.seal import Seal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from threadramp.wire.seal import Seal, Unsealed
+
 NO_RESEND_MS = 3_600_000  # the request itself is repeated by whoever still wants the answer
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
@@ -28,16 +29,33 @@
 
 
 class SyncClient:
-    """Exchanges messages with many sidecars at once from one thread."""
+    """Exchanges messages with many peers at once from one thread.
+
+    :param decode: turns the bytes of a reply into the reply
+    :param redial: whether a connection on which an answer stayed out is given up; behind a cut it
+        would hang until long after the cut has healed
+    """
 
-    def __init__(self, seal: Seal) -> None:
+    def __init__(
+        self,
+        seal: Seal | Unsealed,
+        decode: Callable[[bytes], Any] = _replies.decode,
+        redial: bool = False,
+    ) -> None:
         self.seal = seal
+        self.decode = decode
+        self.redial = redial
         self.loop = asyncio.new_event_loop()
         self.sockets: dict[str, Req0] = {}
         self.contexts: dict[str, list[Context]] = {}
         self.thread = threading.Thread(target=self.loop.run_forever, name="sync", daemon=True)
         self.thread.start()
 
+    def ask(self, address: str, request: Any, timeout_s: float) -> Any | None:
+        """Send one address a request; none if no answer came in time."""
+        work = self._exchange_one(address, request, timeout_s)
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+
     def exchange(self, requests: dict[str, Request], timeout_s: float) -> dict[str, Reply]:
         """Send each address its request and collect what comes back in time.
 
@@ -92,23 +110,37 @@
                 await context.asend(sealed)
                 answer = await context.arecv()
             body = self.seal.unwrap(answer)
-            return None if body is None else _replies.decode(body)
-        except (TimeoutError, NNGException, msgspec.DecodeError):
+            return None if body is None else self.decode(body)
+        except TimeoutError:
+            if self.redial and self.sockets.get(address) is socket:
+                self._close(address)
+            return None
+        except (NNGException, msgspec.DecodeError):
             return None
         finally:
-            free.append(context)
+            if self.sockets.get(address) is socket:
+                free.append(context)
+            else:
+                context.close()
 
 
 class SyncServer:
     """Answers messages at one address from a few threads.
 
     :param handle: turns a request into its reply
+    :param decode: turns the bytes of a request into the request
     """
 
     def __init__(
-        self, address: str, seal: Seal, handle: Callable[[Request], Reply], threads: int
+        self,
+        address: str,
+        seal: Seal | Unsealed,
+        handle: Callable[[Any], Any],
+        threads: int,
+        decode: Callable[[bytes], Any] = _requests.decode,
     ) -> None:
         self.seal = seal
+        self.decode = decode
         self.handle = handle
         self.socket = Rep0(listen=f"tcp://{address}")
         self.socket.recv_max_size = MAX_MESSAGE_BYTES
@@ -134,7 +166,7 @@
                 if body is None:
                     self.rejected += 1  # not of this fleet: no reply, its sender times out
                     continue
-                reply = self.handle(_requests.decode(body))
+                reply = self.handle(self.decode(body))
                 context.send(self.seal.wrap(_encoder.encode(reply)))
             except Closed:
                 return
