Take a sample's events only from the sidecar that said which text it goes on with

Ruled out: parts of events (the reader takes whole events only). Change: each chain of events has a name; a sidecar names the chain when it takes a sample, and only events of that chain, from that sidecar, after that answer, are added.

--- a/src/threadramp/core/lot_book.py
+++ b/src/threadramp/core/lot_book.py
@@ -49,7 +49,9 @@
     :param runner: sidecar that runs it, empty if none does
     :param events: data of the events so far
     :param versions: of the weights, one for each event
-    :param lineage: names the run that the events are from; a run that went on behind them keeps it
+    :param lineage: names the chain of events that the sidecar said it goes on with
+    :param confirmed: whether the sidecar that was asked last said so; none of its events counts
+        before, since they may be of an earlier run there
     :param not_before: it is not sent to a sidecar again before this time
     :param last_runner: sidecar that was asked last
     """
@@ -61,6 +63,7 @@
     events: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
     lineage: str = ""
+    confirmed: bool = False
     failures: int = 0
     reward_failures: int = 0
     not_before: float = 0.0
@@ -130,19 +133,29 @@
         return expected - len(state.events)
 
     def at_runner(self, runner: str) -> dict[str, int]:
-        """Return the samples that a sidecar runs, with the events that are here."""
+        """Return the samples that a sidecar said it runs, with the events that are here."""
         return {
             name: len(state.events)
             for name, state in self.states.items()
-            if state.phase is Phase.RUNNING and state.runner == runner
+            if state.phase is Phase.RUNNING and state.runner == runner and state.confirmed
         }
 
     def assign(self, sample: str, runner: str) -> None:
-        """Note that a sidecar was asked to run a sample."""
+        """Note that a sidecar is asked to run a sample."""
         state = self.states[sample]
         state.phase = Phase.RUNNING
         state.runner = runner
         state.last_runner = runner
+        state.confirmed = False
+
+    def accepted(self, sample: str, runner: str, lineage: str) -> bool:
+        """Note that a sidecar runs a sample, and which chain of events it goes on with."""
+        state = self.states.get(sample)
+        if state is None or state.phase is not Phase.RUNNING or state.runner != runner:
+            return False
+        state.confirmed = True
+        state.lineage = lineage
+        return True
 
     def give_back(self, sample: str, runner: str, not_before: float) -> bool:
         """Note that a sidecar does not run a sample any more; its events stay."""
@@ -156,21 +169,24 @@
 
     def lose_runner(self, runner: str, now: float) -> list[str]:
         """Give back all samples of a sidecar that was lost."""
-        return [name for name in self.at_runner(runner) if self.give_back(name, runner, now)]
+        return [name for name in self.states if self.give_back(name, runner, now)]
 
     def add_events(
-        self, sample: str, base: int, events: Sequence[str], versions: Sequence[int], lineage: str
+        self,
+        sample: str,
+        runner: str,
+        base: int,
+        events: Sequence[str],
+        versions: Sequence[int],
+        lineage: str,
     ) -> bool:
-        """Add events of a run; false if they do not follow those that are here."""
+        """Add events of a run; false if they are not the ones that follow those that are here."""
         state = self.states.get(sample)
-        if state is None or state.phase is not Phase.RUNNING:
+        if state is None or state.phase is not Phase.RUNNING or not state.confirmed:
             return False
         known = len(state.events)
-        if known and lineage != state.lineage:
+        if state.runner != runner or state.lineage != lineage or base > known:
             return False
-        if base > known:
-            return False
-        state.lineage = lineage
         state.events.extend(events[known - base :])
         state.versions.extend(versions[known - base :])
         return True
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -189,10 +189,12 @@
         name = view.member.name
         book = lot.book
         added = book.add_events(
-            update.sample, update.base, update.events, update.versions, update.lineage
+            update.sample, name, update.base, update.events, update.versions, update.lineage
         )
         if not added:
-            book.give_back(update.sample, name, now)
+            log_state("events_refused", sample=update.sample, sidecar=name, base=update.base)
+            if update.sample in book.at_runner(name):  # another gateway had it begun anew there
+                book.give_back(update.sample, name, now)
             return None
         if not update.outcome:
             return None
@@ -286,14 +288,17 @@
         ask = Submit(*self.peers.myself, self.peers.facts_for(view.member), orders)
         reply = self.peers.ask(view.member.address, ask, ASK_TIMEOUT_S)
         now = self.clock.now()
-        taken: set[str] = set()
+        taken: dict[str, str] = {}
         pause = SILENT_PAUSE_S
         if isinstance(reply, Accepted):
             self._heard(view, reply.status)
-            taken = set(reply.samples)
+            taken = reply.samples
             pause = NOT_TAKEN_PAUSE_S
         refused = [(lot, sample) for lot, sample in batch if sample not in taken]
         with self.owned.lock:
+            for lot, sample in batch:
+                if sample in taken:
+                    lot.book.accepted(sample, name, taken[sample])
             for lot, sample in refused:
                 lot.book.give_back(sample, name, now + pause)
         log_state("samples_sent", sidecar=name, taken=sorted(taken), refused=len(refused))
@@ -308,7 +313,8 @@
             min_version=book.lot.min_version,
             one_version=book.rules.one_version,
             after=len(state.events),
-            lineage=state.lineage or secrets.token_hex(4),
+            lineage=state.lineage if state.events else "",
+            new_lineage=secrets.token_hex(4),
             due=book.rules.due - self.clock.now(),
             give_up_in_s=book.rules.give_up_at - self.clock.now(),
         )
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from threadramp.core.lot_book import RunOutcome
 from threadramp.wire.fleet import RunUpdate
 
@@ -29,6 +27,7 @@
     """One sample here.
 
     :param base: events that the gateway had before this run began
+    :param lineage: names the chain of events: those before and those of this run
     :param heard: time at which its gateway last asked for it
     :param due: time at which its lot is due
     :param wanted: false once its lot has ended; it may still finish for a later one
@@ -38,6 +37,7 @@
 
     order: RunOrder
     base: int
+    lineage: str
     heard: float
     due: float
     events: list[str] = field(default_factory=list)
@@ -61,8 +61,9 @@
 
     def serves(self, order: RunOrder) -> bool:
         """Return whether its text can go on as what ``order`` asks for."""
-        same = order.after == 0 or order.lineage == self.order.lineage
-        if not same or self.base > order.after or (self.base and not order.after):
+        if order.after and (order.lineage != self.lineage or self.count < order.after):
+            return False
+        if self.base > order.after:
             return False
         if self.versions and min(self.versions) < order.min_version:
             return False
@@ -85,13 +86,13 @@
         with self.changed:
             return sum(run.is_open and run.wanted for run in self.runs.values())
 
-    def submit(self, orders: tuple[RunOrder, ...]) -> list[str]:
-        """Take samples while there is room; returns the ids of those taken."""
-        taken = []
+    def submit(self, orders: tuple[RunOrder, ...]) -> dict[str, str]:
+        """Take samples while there is room; returns the chain of events of each that was taken."""
+        taken = {}
         with self.changed:
             for order in orders:
                 if self._submit_one(order):
-                    taken.append(order.sample.id)
+                    taken[order.sample.id] = self.runs[order.sample.id].lineage
             self._forget_old()
             self.changed.notify_all()
         return taken
@@ -243,7 +244,7 @@
             _call([cancel])
         self.runs.pop(name, None)
         now = self.now()
-        self.runs[name] = Run(order, order.after, now, now + order.due)
+        self.runs[name] = Run(order, order.after, order.new_lineage, now, now + order.due)
         return True
 
     def _go_on(self, run: Run, order: RunOrder) -> bool:
@@ -251,8 +252,7 @@
         needs_start = run.outcome in (RunOutcome.CUT, RunOutcome.FAILED)
         if needs_start and not self._has_room():
             return False
-        lineage = run.order.lineage
-        run.order = _with_lineage(order, lineage)
+        run.order = order
         run.wanted = True
         run.heard = self.now()
         run.due = run.heard + order.due
@@ -297,15 +297,11 @@
         base=count,
         events=tuple(run.events[skip:]),
         versions=tuple(run.versions[skip:]),
-        lineage=run.order.lineage,
+        lineage=run.lineage,
         outcome=run.outcome.value,
     )
 
 
-def _with_lineage(order: RunOrder, lineage: str) -> RunOrder:
-    return msgspec.structs.replace(order, lineage=lineage)
-
-
 def _call(cancels: list[Callable[[], None] | None]) -> None:
     for cancel in cancels:
         if cancel is not None:
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -122,7 +122,7 @@
     def _answer(self, ask: AnyAsk) -> AnyReply:
         if isinstance(ask, Submit):
             taken = self.table.submit(ask.orders)
-            return Accepted(self.status(), tuple(taken))
+            return Accepted(self.status(), taken)
         if isinstance(ask, Collect):
             updates, unknown = self.table.collect(ask.have, ask.wait_s, self._is_ready)
             return Updates(self.status(), tuple(updates), tuple(unknown))
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -60,7 +60,8 @@
     """A sample to run.
 
     :param after: events that the gateway has already; the run goes on behind them
-    :param lineage: names the run that those events are from; a new run takes this name
+    :param lineage: names the chain of events that the gateway has, empty if it has none
+    :param new_lineage: name of the chain if a new run has to be begun
     :param due: seconds until its lot is due, negative if it is late; smaller goes first
     :param give_up_in_s: seconds after which nobody wants it any more
     """
@@ -71,6 +72,7 @@
     one_version: bool
     after: int
     lineage: str
+    new_lineage: str
     due: float
     give_up_in_s: float
 
@@ -81,7 +83,7 @@
     :param base: number of events before the first one in ``events``
     :param events: data of the events behind those that the asker has
     :param versions: of the weights, one for each of ``events``
-    :param lineage: names the run that the events are from
+    :param lineage: names the chain that the events are of
     :param outcome: empty while it runs, else how it ended
     """
 
@@ -195,10 +197,10 @@
 
 
 class Accepted(Message, frozen=True):
-    """Which of the submitted samples the sidecar took."""
+    """Which of the submitted samples the sidecar took, with the chain of events of each."""
 
     status: RunnerStatus
-    samples: tuple[str, ...]
+    samples: dict[str, str]
 
 
 class Updates(Message, frozen=True):
--- /dev/null
+++ b/tests/core/test_lot_book.py
@@ -0,0 +1,145 @@
+"""The samples of one lot, from hand-in to listed result."""
+
+from __future__ import annotations
+
+import pytest
+
+from threadramp.core.lot_book import LotBook, LotRules, Phase, RunOutcome
+from threadramp.lots.model import Lot, ResultState, Reward, Sample
+
+REWARD = Reward("reward", "scores.example", "/score/", b"x")
+
+
+def make_sample(name: str, group: str, expected: int = 100, reward: Reward | None = REWARD):
+    return Sample(name, f"/run/{name}", (), b"prompt", 500, group, reward, expected)
+
+
+def make_book(*samples: Sample, min_version: int = 1, one_version: bool = False) -> LotBook:
+    lot = Lot("lot", "models.example", "/run/", 0, "m", min_version, 1, samples)
+    return LotBook(lot, LotRules(3, one_version, due=7.5, give_up_at=40.0))
+
+
+def start(book: LotBook, sample: str, runner: str, lineage: str = "L1") -> None:
+    book.assign(sample, runner)
+    assert book.accepted(sample, runner, lineage)
+
+
+@pytest.fixture
+def book() -> LotBook:
+    return make_book(make_sample("a", "g"), make_sample("b", "g", expected=900))
+
+
+def test_the_longest_sample_goes_first(book):
+    assert [state.sample.id for state in book.waiting(0.0)] == ["b", "a"]
+
+
+def test_a_sample_goes_from_text_to_score_to_position(book):
+    start(book, "a", "s1")
+    assert book.add_events("a", "s1", 0, ["x", "y"], [3, 4], "L1")
+    assert book.run_ended("a", "s1", RunOutcome.WHOLE, 1.0) is Phase.SCORING
+    assert book.scored("a", "signature", 1.1)
+    assert book.next_chunk(1.2) == ()  # its group is not whole and it waited for 0.1 s only
+    chunk = book.next_chunk(1.5)
+    book.appended(chunk)
+    (result,) = book.listed
+    assert (result.sample, result.text, result.versions) == ("a", "x\ny", (3, 4))
+    assert (result.state, result.score) == (ResultState.SUCCEEDED, "signature")
+
+
+def test_a_whole_group_is_appended_at_once():
+    book = make_book(make_sample("a", "g", reward=None))
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["x"], [1], "L1")
+    book.run_ended("a", "s1", RunOutcome.WHOLE, 1.0)
+    assert [result.sample for result in book.next_chunk(1.0)] == ["a"]
+    assert book.next_chunk(1.0) == ()  # one append at a time
+    book.append_failed()
+    assert [result.sample for result in book.next_chunk(1.0)] == ["a"]
+
+
+def test_events_of_an_earlier_sidecar_do_not_join_the_text_of_a_later_one(book):
+    start(book, "a", "s1")
+    assert book.add_events("a", "s1", 0, ["1", "2"], [1, 1], "L1")
+    book.lose_runner("s1", 2.0)
+    start(book, "a", "s2", lineage="L2")
+    assert not book.add_events("a", "s1", 2, ["3 of s1", "4 of s1"], [1, 1], "L1")
+    assert book.add_events("a", "s2", 2, ["3 of s2"], [1], "L2")
+    assert book.states["a"].events == ["1", "2", "3 of s2"]
+
+
+def test_no_event_is_taken_before_the_new_sidecar_said_which_text_it_goes_on_with(book):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["1"], [1], "L1")
+    book.give_back("a", "s1", 0.0)
+    book.assign("a", "s1")
+    assert not book.add_events("a", "s1", 1, ["2 of the earlier run"], [1], "L1")
+    assert book.at_runner("s1") == {}
+    assert book.accepted("a", "s1", "L1")
+    assert book.add_events("a", "s1", 1, ["2"], [1], "L1")
+
+
+def test_events_that_do_not_follow_are_refused(book):
+    start(book, "a", "s1")
+    assert not book.add_events("a", "s1", 1, ["2"], [1], "L1")
+    assert book.add_events("a", "s1", 0, ["1", "2"], [1, 1], "L1")
+    assert book.add_events("a", "s1", 1, ["2", "3"], [1, 1], "L1")
+    assert book.states["a"].events == ["1", "2", "3"]
+
+
+def test_an_older_version_than_allowed_starts_over():
+    book = make_book(make_sample("a", "g"), min_version=2)
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["x"], [1], "L1")
+    assert book.run_ended("a", "s1", RunOutcome.WHOLE, 1.0) is Phase.WAITING
+    assert book.states["a"].events == []
+
+
+def test_several_versions_start_over_where_one_is_asked_for():
+    book = make_book(make_sample("a", "g"), one_version=True)
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["x", "y"], [1, 2], "L1")
+    assert book.run_ended("a", "s1", RunOutcome.WHOLE, 1.0) is Phase.WAITING
+
+
+def test_a_sample_is_given_up_after_as_many_failures_as_allowed(book):
+    for _ in range(3):
+        start(book, "a", "s1")
+        phase = book.run_ended("a", "s1", RunOutcome.FAILED, 1.0)
+    assert phase is Phase.STAGED
+    assert book.states["a"].result.state is ResultState.DEAD
+
+
+def test_a_cut_is_no_failure(book):
+    for _ in range(5):
+        start(book, "a", "s1")
+        assert book.run_ended("a", "s1", RunOutcome.CUT, 1.0) is Phase.WAITING
+    assert book.states["a"].failures == 0
+
+
+def test_kept_text_serves_a_later_lot_only_if_its_versions_fit():
+    book = make_book(make_sample("a", "g"), make_sample("b", "g"), min_version=2)
+    assert not book.prefill("a", ["x"], [1], "L1")
+    assert book.prefill("b", ["x"], [2], "L1")
+    assert book.states["b"].events == ["x"]
+
+
+def test_an_ended_lot_asks_for_nothing(book):
+    start(book, "a", "s1")
+    assert book.end() == ["a"]
+    assert book.waiting(0.0) == []
+    assert book.next_chunk(99.0) == ()
+    assert book.give_up_late(99.0) == []
+
+
+def test_samples_are_given_up_only_after_their_time(book):
+    assert book.give_up_late(39.9) == []
+    assert sorted(book.give_up_late(40.0)) == ["a", "b"]
+
+
+def test_a_score_that_fails_as_often_as_allowed_ends_the_sample(book):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["x"], [1], "L1")
+    book.run_ended("a", "s1", RunOutcome.WHOLE, 1.0)
+    assert not book.score_failed("a", 1.0, 2)
+    assert book.score_failed("a", 1.0, 2)
+    assert book.states["a"].result.state is ResultState.DEAD
