Believe only the newest start at an address; let a rejected sample wait; take lots over at once

Lots of a killed gateway lay idle for up to 5 s, until the next look. Change: of two entries at one address the one changed last counts; a start that answered 421 is asked nothing more; refused samples wait 0.05 to 0.8 s; the heads are looked through when the gateways change; a scoring call's 500 is counted once and does not make its endpoint avoided.

--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -48,6 +48,7 @@
     :param target: path and query, as the caller sent them
     :param until: time at which the caller gets a final answer in any case
     :param caller: the caller's socket, watched for its end; none if nobody waits
+    :param repeats_errors: whether an answer 500 is tried elsewhere; else it is the answer
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     route: Route
     until: float
     caller: socket.socket | None = None
+    repeats_errors: bool = True
 
 
 @dataclass(frozen=True)
@@ -251,15 +253,25 @@
             return None
         unsigned = 200 <= head.status < 300 and not head.signature
         if unsigned or head.status >= 500:
-            self.tries.last_failure = None if unsigned else answer
-            error = ExchangeError(True, "no signature" if unsigned else f"status {head.status}")
-            self._endpoint_failed(endpoint, error, ran=True)
-            return None
+            return self._failed_answer(endpoint, answer, unsigned)
         self.parts.choice.answered(endpoint, head.load, self.now())
         return Outcome(Ending.ANSWERED, answer)
 
+    def _failed_answer(self, endpoint: Endpoint, answer: Answer, unsigned: bool) -> Outcome | None:
+        if unsigned:
+            self._endpoint_failed(endpoint, ExchangeError(True, "no signature"), ran=True)
+            return None
+        self.tries.last_failure = answer
+        error = ExchangeError(True, f"status {answer.head.status}")
+        self._note_failure(endpoint, error, True, self.parts.choice.erred(endpoint, self.now()))
+        return None if self.job.repeats_errors else Outcome(Ending.ANSWERED, answer)
+
     def _endpoint_failed(self, endpoint: Endpoint, error: ExchangeError, ran: bool) -> None:
-        pause = self.parts.choice.failed(endpoint, self.now())
+        self._note_failure(endpoint, error, ran, self.parts.choice.failed(endpoint, self.now()))
+
+    def _note_failure(
+        self, endpoint: Endpoint, error: ExchangeError, ran: bool, pause: float
+    ) -> None:
         if ran:
             self.tries.ran.add(endpoint.instance)
             self.tries.may_have_run = True
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 
 class RouteKind(Enum):
@@ -109,6 +113,7 @@
 
     :param instance: names this start; another start has another
     :param leaving: whether it wants no new work
+    :param revision: the store's revision at which its entry last changed
     """
 
     instance: str
@@ -117,6 +122,20 @@
     data_centre: str
     slots: int = 0
     leaving: bool = False
+    revision: int = 0
+
+
+def current_starts(endpoints: Iterable[Endpoint]) -> dict[str, Endpoint]:
+    """Return endpoints by instance, of each address only the start that was listed last.
+
+    The entry of a start that is over stays for some heartbeats beside that of the next one.
+    """
+    newest: dict[str, Endpoint] = {}
+    for endpoint in endpoints:
+        held = newest.get(endpoint.address)
+        if held is None or held.revision < endpoint.revision:
+            newest[endpoint.address] = endpoint
+    return {endpoint.instance: endpoint for endpoint in newest.values()}
 
 
 @dataclass(frozen=True)
@@ -150,4 +169,5 @@
     "Route",
     "RouteKind",
     "WeightTarget",
+    "current_starts",
 ]
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -9,7 +9,13 @@
 import msgspec
 
 from threadramp.fleet.mirror import Mirror
-from threadramp.fleet.model import Configuration, EmptyRequest, Endpoint, WeightTarget
+from threadramp.fleet.model import (
+    Configuration,
+    EmptyRequest,
+    Endpoint,
+    WeightTarget,
+    current_starts,
+)
 from threadramp.platform.documents import (
     CONFIGURATION_KEY,
     EMPTY_PREFIX,
@@ -68,10 +74,8 @@
         return [endpoint for endpoint in self.endpoints.values() if endpoint.pool == pool]
 
     def at_address(self, address: str) -> Endpoint | None:
-        """Return the endpoint at an address; of two, the one that is not leaving."""
-        found = [one for one in self.endpoints.values() if one.address == address]
-        found.sort(key=lambda one: one.leaving)
-        return found[0] if found else None
+        """Return the endpoint at an address, none if no entry names it."""
+        return next((one for one in self.endpoints.values() if one.address == address), None)
 
     def sidecars(self) -> list[Member]:
         """Return the sidecars, in the order of their names."""
@@ -155,15 +159,13 @@
         return found
 
     def _endpoints(self) -> dict[str, Endpoint]:
-        found: dict[str, Endpoint] = {}
+        found: list[Endpoint] = []
         for key, item in self.endpoints.snapshot().items():
             try:
-                endpoint = read_endpoint(key, item.value)
+                found.append(read_endpoint(key, item.value, item.revision))
             except DocumentError as error:
                 log_state("endpoint_unreadable", key=key, error=str(error))
-                continue
-            found[endpoint.instance] = endpoint
-        return found
+        return current_starts(found)
 
     def _members(self) -> dict[str, Member]:
         found: dict[str, Member] = {}
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -26,8 +26,8 @@
     from threadramp.lots.model import Lot
     from threadramp.lots.owned import OwnedLots
 
-AUDIT_S = 5.0  # how often the heads in the store are looked through; each look is a priced call
-AUDIT_SOON_S = 0.5  # after a gateway has gone, or at the start
+AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
+AUDIT_SOON_S = 0.2  # after the gateways changed, so that several changes are looked at together
 GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
 KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
 END_TRIES = 5
@@ -51,7 +51,6 @@
         self.drop = drop
         self.texts: dict[str, tuple[list[str], list[int], str]] = {}
         self.stopped = threading.Event()
-        self.audit_now = threading.Event()
         self.leaving = False
 
     def start(self) -> None:
@@ -205,16 +204,25 @@
         return used
 
     def _audit_loop(self) -> None:
-        while not self.stopped.is_set():
-            self.audit_now.wait(AUDIT_S)
-            self.audit_now.clear()
-            if self.leaving or not self.peers.picture.members.known:
-                self.stopped.wait(AUDIT_SOON_S)
+        seen: frozenset[tuple[str, str]] = frozenset()
+        last = self.clock.now() - AUDIT_S
+        while not self.stopped.wait(AUDIT_SOON_S):
+            gateways = self._gateways_now()
+            due = gateways != seen or self.clock.now() - last >= AUDIT_S
+            if not due or self.leaving or not self.peers.picture.members.known:
                 continue
             try:
                 self._audit()
             except StoreError as error:
                 log_state("audit_failed", error=str(error))
+                continue
+            seen = gateways
+            last = self.clock.now()
+
+    def _gateways_now(self) -> frozenset[tuple[str, str]]:
+        """Return the names and incarnations of the gateways that are believed to live."""
+        members = self.peers.picture.belief.gateways()
+        return frozenset((one.name, one.incarnation) for one in members)
 
     def _audit(self) -> None:
         """Take over the open lots whose owner is gone and that fall to this gateway."""
@@ -223,11 +231,7 @@
         for kept in self.journal.heads():
             if kept.head.ended or self.owned.get(kept.lot_id) is not None:
                 continue
-            owner = live.get(kept.head.owner)
-            if owner is not None and owner.incarnation == kept.head.incarnation:
-                if owner.name != self.peers.member.name:
-                    continue
-            elif rendezvous(kept.lot_id, sorted(live))[0] != self.peers.member.name:
+            if heir_of(kept, live) != self.peers.member.name:
                 continue
             try:
                 self._adopt(kept)
@@ -267,4 +271,11 @@
         )
 
 
-__all__ = ["LotOwner"]
+def heir_of(kept: KeptHead, live: dict[str, Member]) -> str:
+    """Return the gateway that a lot falls to: its owner's box while a gateway lives there."""
+    if kept.head.owner in live:
+        return kept.head.owner
+    return rendezvous(kept.lot_id, sorted(live))[0]
+
+
+__all__ = ["LotOwner", "heir_of"]
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -192,8 +192,8 @@
             update.sample, name, update.base, update.events, update.versions, update.lineage
         )
         if not added:
-            log_state("events_refused", sample=update.sample, sidecar=name, base=update.base)
             if update.sample in book.at_runner(name):  # another gateway had it begun anew there
+                log_state("events_refused", sample=update.sample, sidecar=name, base=update.base)
                 book.give_back(update.sample, name, now)
             return None
         if not update.outcome:
--- a/src/threadramp/lots/scoring.py
+++ b/src/threadramp/lots/scoring.py
@@ -80,6 +80,7 @@
             body=reward.body,
             route=route,
             until=self.clock.now() + CALL_S,
+            repeats_errors=False,  # they are counted, and the sample is given up after a few
         )
         return self.forwarder.run(job), route
 
--- a/src/threadramp/platform/documents.py
+++ b/src/threadramp/platform/documents.py
@@ -164,7 +164,7 @@
     )
 
 
-def read_endpoint(key: str, value: bytes) -> Endpoint:
+def read_endpoint(key: str, value: bytes, revision: int) -> Endpoint:
     """Decode an endpoint's own entry.
 
     :raises DocumentError: if it cannot be read
@@ -177,6 +177,7 @@
         data_centre=found.zone,
         slots=found.slots,
         leaving=found.state != "ready",
+        revision=revision,
     )
 
 
--- a/src/threadramp/policy/endpoint_choice.py
+++ b/src/threadramp/policy/endpoint_choice.py
@@ -15,6 +15,7 @@
 
 SUSPEND_S = 0.5  # after a failure; doubles with each further one
 SUSPEND_MOST_S = 4.0
+ERRORS_UNTIL_SUSPEND = 3  # answers 500 in a row; a single one may be the request's own fault
 LOAD_AGE_S = 0.5  # a load that was told longer ago is not believed
 SECOND_AFTER = 0.5  # share of the route's target after which a repeatable request is sent again
 
@@ -25,6 +26,7 @@
 
     open: int = 0
     failures: int = 0
+    errors: int = 0
     suspended_until: float = 0.0
     load: EndpointLoad | None = None
     load_at: float = 0.0
@@ -77,6 +79,7 @@
         with self.lock:
             record = self._record(endpoint)
             record.failures = 0
+            record.errors = 0
             record.suspended_until = 0.0
             if load is not None:
                 record.load = load
@@ -91,6 +94,14 @@
             record.suspended_until = now + pause
             return pause
 
+    def erred(self, endpoint: Endpoint, now: float) -> float:
+        """Note an answer 500; returns the seconds for which others are preferred."""
+        with self.lock:
+            record = self._record(endpoint)
+            record.errors += 1
+            errors = record.errors
+        return self.failed(endpoint, now) if errors >= ERRORS_UNTIL_SUSPEND else 0.0
+
     def forget(self, instances: Collection[str]) -> None:
         """Drop what is known of endpoints that are not among these."""
         with self.lock:
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -61,6 +61,7 @@
         self.facts = EngineFacts()
         self.report: EngineReport | None = None
         self.ordered: WeightTarget | None = None
+        self.over = ""
         self.gaps: deque[tuple[float, float]] = deque(maxlen=GAPS)
         self.lock = threading.Lock()
 
@@ -69,11 +70,16 @@
         """Return whether it changes weights or is about to."""
         return self.ordered is not None or (self.report is not None and self.report.busy)
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether it answers and is the start that gateways told."""
+        instance = self.facts.instance
+        return self.report is not None and bool(instance) and instance != self.over
+
     @property
     def is_ready(self) -> bool:
         """Return whether a sample would start there now."""
-        known = self.report is not None and bool(self.facts.instance)
-        return known and not self.is_loading and not self.facts.leaving
+        return self.is_known and not self.is_loading and not self.facts.leaving
 
     def endpoint(self) -> Endpoint:
         """Return the engine as an endpoint to send requests to."""
@@ -104,6 +110,12 @@
                 held = replace(held, targets=facts.targets, targets_revision=facts.targets_revision)
             self.facts = held
 
+    def is_another(self, instance: str) -> None:
+        """Note that the engine is not that start any more; gateways will tell the next one."""
+        if self.over != instance:
+            self.over = instance
+            log_state("engine_is_another", instance=instance)
+
     def learn_targets(self, targets: tuple[WeightTarget, ...]) -> None:
         """Take over named versions that were read from the store itself."""
         revision = max((target.revision for target in targets), default=0)
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -16,6 +16,8 @@
 
 QUEUE = 2  # samples that may wait beyond the slots, so that a slot is not idle for a round trip
 SILENCE_S = 1.0  # a gateway that asks for nothing for so long may have sent its samples elsewhere
+REJECTED_S = 0.05  # before a sample that the engine did not begin is tried again; doubles
+REJECTED_MOST_S = 0.8
 KEPT_RUNS = 400
 KEPT_S = 45.0  # samples come back in one of the next lots, a lot each 4 s
 GATHER_S = 0.03  # other samples that end just then go with the same answer
@@ -33,6 +35,9 @@
     :param wanted: false once its lot has ended; it may still finish for a later one
     :param started: whether it was handed to a thread
     :param cancel: closes its connection to the engine
+    :param not_before: it is not started again before this time
+    :param rejections: times in a row that the engine did not begin it
+    :param life: counts its starts, so that a thread of an earlier one changes nothing
     """
 
     order: RunOrder
@@ -47,6 +52,8 @@
     outcome: RunOutcome = RunOutcome.NONE
     ended_at: float = 0.0
     cancel: Callable[[], None] | None = None
+    not_before: float = 0.0
+    rejections: int = 0
     life: int = 0
 
     @property
@@ -54,6 +61,10 @@
         """Return whether it runs or waits."""
         return self.outcome is RunOutcome.NONE
 
+    def may_start(self, now: float) -> bool:
+        """Return whether it waits for a start."""
+        return self.is_open and not self.started and self.not_before <= now
+
     @property
     def count(self) -> int:
         """Return the events so far, those before this run included."""
@@ -103,7 +114,8 @@
             if not self.accepting:
                 return None
             running = [run for run in self.runs.values() if run.is_open and run.started]
-            waiting = [run for run in self.runs.values() if run.is_open and not run.started]
+            now = self.now()
+            waiting = [run for run in self.runs.values() if run.may_start(now)]
             if not waiting:
                 return None
             if len(running) >= self.slots and not self._make_room(running):
@@ -118,6 +130,7 @@
         with self.changed:
             if run.life != life or not run.is_open:
                 return False
+            run.rejections = 0
             run.events.append(text)
             run.versions.append(version)
             return True
@@ -136,6 +149,9 @@
             if run.life == life and run.is_open:
                 run.started = False
                 run.cancel = None
+                pause = min(REJECTED_MOST_S, REJECTED_S * 2**run.rejections)
+                run.not_before = self.now() + pause
+                run.rejections += 1
                 self.changed.notify_all()
 
     def drop(self, samples: dict[str, int], let_finish: bool) -> None:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -9,7 +9,7 @@
 
 from threadramp.core.lot_book import RunOutcome
 from threadramp.edge.connections import ExchangeError, streamed_answer
-from threadramp.platform.headers import read_answer, sample_headers
+from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
 
@@ -43,23 +43,21 @@
         self.version = 0
         self.last_event = 0.0
 
-    def execute(self) -> bool:
-        """Run it to its end; false if the engine did not begin with it."""
+    def execute(self) -> None:
+        """Run it to its end, or put it back if the engine did not begin with it."""
         try:
-            return self._execute()
+            self._execute()
         except ExchangeError as error:
             self._finish(RunOutcome.CUT, str(error))
-            return error.sent
         except Exception as error:  # the sample would hang for ever else
             self._finish(RunOutcome.CUT, repr(error))
-            return True
 
-    def _execute(self) -> bool:
+    def _execute(self) -> None:
         endpoint = self.engine.endpoint()
         exchange = self.engine.connections.open(endpoint, self.clock.now(), CONNECT_S)
         if not self._register(exchange):
             exchange.close()
-            return True
+            return
         order = self.run.order
         exchange.send(
             "POST",
@@ -77,15 +75,27 @@
         head = read_answer(response.status, response.headers)
         if head.not_run:
             exchange.close()
-            self.table.put_back(self.run, self.life)
-            return False
+            self._not_begun(head.status)
+            return
         if head.status != 200:
             exchange.close()
             self._finish(_outcome_of(head.status), f"status {head.status}")
-            return True
+            return
         self.version = head.version
         self._take_stream(exchange, response)
-        return True
+
+    def _not_begun(self, status: int) -> None:
+        """Put the sample back; another start of the engine is not asked again as this one."""
+        if status == OTHER_INSTANCE_STATUS:
+            self.engine.is_another(self.instance)
+        self.table.put_back(self.run, self.life)
+        log_state(
+            "sample_not_begun",
+            sample=self.run.order.sample.id,
+            instance=self.instance,
+            status=status,
+            rejections=self.run.rejections,
+        )
 
     def _register(self, exchange: Exchange) -> bool:
         """Let others close the connection; false if the run is over already."""
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -43,7 +43,6 @@
 
 REPORT_S = 0.2  # the engine's report is free from its own box
 WATCH_S = 0.2
-REJECTED_PAUSE_S = 0.05  # before a sample that the engine did not begin is tried again
 RELAY_TIMEOUT_S = 2.2
 RELAY_TRIES = 2
 
@@ -163,9 +162,7 @@
             threading.Thread(target=self._run_one, args=(run,), name="sample", daemon=True).start()
 
     def _run_one(self, run: Run) -> None:
-        begun = SampleRun(self.engine, self.table, run, self.clock).execute()
-        if not begun:
-            self.stopped.wait(REJECTED_PAUSE_S)
+        SampleRun(self.engine, self.table, run, self.clock).execute()
 
     def _silence_loop(self) -> None:
         while not self.stopped.wait(WATCH_S):
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -38,7 +38,7 @@
         if report is None:
             return
         self._check_ordered()
-        if self.engine.is_loading:
+        if self.engine.is_loading or not self.engine.is_known:
             return
         target = self._next_target()
         if target is not None and self.clock.now() >= self._start_at(target):
@@ -80,6 +80,7 @@
 
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
+        instance = self.engine.facts.instance
         fence = self.engine.facts.targets_revision  # of all models, so that it never falls
         self.engine.ordered = target
         self.ordered_at = self.clock.now()
@@ -95,6 +96,8 @@
         )
         if outcome is OrderOutcome.TAKEN:
             return
+        if outcome is OrderOutcome.OTHER_INSTANCE:
+            self.engine.is_another(instance)
         self.engine.ordered = None
         self.not_before = self.clock.now() + ORDER_PAUSE_S
 
