Deal the engines out to the models instead of loading every model on every engine

Ruled out: full engines (slots were free), lost sidecars (none). Change: policy/model_share.py deals engines out in blocks; a sidecar is told only the versions of its models.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -5,8 +5,12 @@
 import threading
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from threadramp.fleet.model import Pool
 from threadramp.fleet.picture import Member
 from threadramp.platform.store import Listing
+from threadramp.policy.model_share import models_for
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -110,24 +114,22 @@
         facts = Facts(
             endpoints_revision=belief.endpoints_revision,
             targets_revision=belief.targets_revision,
-            targets=belief.targets,
             listed=sidecar.name in belief.members,
         )
-        if endpoint is None:
+        if endpoint is None or belief.configuration is None:
             return facts
-        configuration = belief.configuration
-        pool = configuration.pools.get(endpoint.pool) if configuration else None
-        instances = sorted(one.address for one in belief.in_pool(endpoint.pool))
-        return Facts(
-            endpoints_revision=belief.endpoints_revision,
+        pool = belief.configuration.pools.get(endpoint.pool, Pool(endpoint.pool))
+        addresses = sorted(one.address for one in belief.in_pool(endpoint.pool))
+        rank = addresses.index(endpoint.address)
+        models = models_for(rank, len(addresses), pool.models)
+        return msgspec.structs.replace(
+            facts,
             instance=endpoint.instance,
             leaving=endpoint.leaving,
-            rank=instances.index(endpoint.address),
-            slots=endpoint.slots or (pool.slots if pool else 0),
-            memory_tokens=pool.memory_tokens if pool else 0,
-            targets_revision=belief.targets_revision,
-            targets=tuple(t for t in belief.targets if pool is None or t.model in pool.models),
-            listed=sidecar.name in belief.members,
+            rank=rank,
+            slots=endpoint.slots or pool.slots,
+            memory_tokens=pool.memory_tokens,
+            targets=tuple(one for one in belief.targets if one.model in models),
         )
 
     def mirror_copy(self, ask: MirrorBeat) -> MirrorCopy:
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -116,12 +116,14 @@
             self.over = instance
             log_state("engine_is_another", instance=instance)
 
-    def learn_targets(self, targets: tuple[WeightTarget, ...]) -> None:
-        """Take over named versions that were read from the store itself."""
-        revision = max((target.revision for target in targets), default=0)
+    def learn_floor(self, revision: int) -> None:
+        """Take note of the newest revision at which a version was named, read from the store.
+
+        A gateway that has seen less is not believed, so that no order is fenced too low.
+        """
         with self.lock:
             if revision > self.facts.targets_revision:
-                self.facts = replace(self.facts, targets=targets, targets_revision=revision)
+                self.facts = replace(self.facts, targets=(), targets_revision=revision)
 
     def read_report(self) -> bool:
         """Ask the engine for its report; false if it did not answer."""
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -7,7 +7,7 @@
 
 from threadramp.core.lot_book import RunOutcome
 from threadramp.fleet.picture import Member
-from threadramp.platform.documents import WEIGHTS_PREFIX, DocumentError, read_weight_target
+from threadramp.platform.documents import WEIGHTS_PREFIX
 from threadramp.platform.store import StoreError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -75,7 +75,7 @@
         start_loop(self._engine_loop, self.stopped)
         start_loop(self._start_loop, self.stopped)
         start_loop(self._silence_loop, self.stopped)
-        threading.Thread(target=self._learn_targets, args=(store,), daemon=True).start()
+        threading.Thread(target=self._learn_floor, args=(store,), daemon=True).start()
 
     def handle(self, ask: AnyAsk) -> AnyReply:
         """Answer a gateway."""
@@ -170,15 +170,14 @@
             if cut:
                 log_state("gateway_silent", samples=cut, outcome=RunOutcome.CUT.value)
 
-    def _learn_targets(self, store: StoreClient) -> None:
-        """Read the named versions from the store, so that no order is fenced too low."""
+    def _learn_floor(self, store: StoreClient) -> None:
+        """Read from the store how new the named versions are, before any order is given."""
         try:
             items = store.list(WEIGHTS_PREFIX).items
-            targets = tuple(read_weight_target(item.value, item.revision) for item in items)
-        except (StoreError, DocumentError) as error:
+        except StoreError as error:
             log_state("targets_not_read", error=str(error))
             return
-        self.engine.learn_targets(targets)
+        self.engine.learn_floor(max((item.revision for item in items), default=0))
 
 
 __all__ = ["Sidecar"]
