Place long samples on the fastest engines; hand lots over with their content; end in time

Ruled out: loads of weights (165 events took 6.2 to 6.5 s with a load in between, as without one). Change: engines are ranked by their gap between events, longest samples first; the heir is sent the lot; the hand-over runs beside the stop, which ends without waiting for threads; watches of endpoints and members gather changes for 0.4 s.

--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -18,15 +18,25 @@
 
 WATCH_WAIT_S = 10.0  # each answer is a priced call; a lost store is noticed by lease renewals
 RETRY_PAUSE_S = 0.4
+GATHER_S = 0.4  # changes of this time come with one answer, where a moment does not matter
 
 
 class Watcher:
-    """One thread that watches one prefix."""
+    """One thread that watches one prefix.
+
+    :param gathers: whether changes may wait a little, so that several come with one priced answer
+    """
 
     def __init__(
-        self, mirror: Mirror, store: StoreClient, health: StoreHealth, clock: Clock
+        self,
+        mirror: Mirror,
+        store: StoreClient,
+        health: StoreHealth,
+        clock: Clock,
+        gathers: bool,
     ) -> None:
         self.mirror = mirror
+        self.gathers = gathers
         self.store = store
         self.health = health
         self.clock = clock
@@ -62,6 +72,8 @@
             log_state("watch_history_gone", prefix=self.mirror.prefix)
             return
         self.mirror.apply(changes, self.clock.now())
+        if self.gathers and changes.items:
+            self.stopped.wait(GATHER_S)
 
     def _returned(self, now: float) -> None:
         """Give up a watch that may hang on a dead connection since before the outage."""
--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -15,8 +15,8 @@
     from collections.abc import Callable
 
     from threadramp.fleet.clock import Clock
-    from threadramp.lots.journal import KeptHead, LotJournal
-    from threadramp.lots.model import Result
+    from threadramp.lots.journal import LotJournal
+    from threadramp.lots.model import KeptHead, Result
     from threadramp.lots.owned import OwnedLot, OwnedLots
 
 TURN_S = 0.05
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -8,12 +8,19 @@
 from __future__ import annotations
 
 import secrets
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from threadramp.lots.model import LotHead, decode_head, decode_lot, decode_results, encode
+from threadramp.lots.model import (
+    KeptHead,
+    KeptLot,
+    LotHead,
+    decode_head,
+    decode_lot,
+    decode_results,
+    encode,
+)
 from threadramp.platform.store import (
     ABSENT,
     Committed,
@@ -52,24 +59,6 @@
         super().__init__(f"owned by {head.owner}")
 
 
-@dataclass(frozen=True)
-class KeptHead:
-    """A lot's head with the revision at which it stands."""
-
-    lot_id: str
-    head: LotHead
-    revision: int
-
-
-@dataclass(frozen=True)
-class KeptLot:
-    """A whole lot as the store has it."""
-
-    kept: KeptHead
-    lot: Lot
-    results: tuple[Result, ...]
-
-
 class LotJournal:
     """Reads and writes lots in the store."""
 
@@ -228,4 +217,4 @@
     return secrets.token_hex(8)
 
 
-__all__ = ["HEAD_PREFIX", "KeptHead", "KeptLot", "LotJournal", "LotMissingError", "NotOwnerError"]
+__all__ = ["HEAD_PREFIX", "LotJournal", "LotMissingError", "NotOwnerError"]
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -103,6 +103,22 @@
     nonce: str
 
 
+class KeptHead(msgspec.Struct, frozen=True, array_like=True):
+    """A lot's head with the revision at which it stands."""
+
+    lot_id: str
+    head: LotHead
+    revision: int
+
+
+class KeptLot(msgspec.Struct, frozen=True, array_like=True):
+    """A whole lot as the store has it."""
+
+    kept: KeptHead
+    lot: Lot
+    results: tuple[Result, ...]
+
+
 def encode(value: msgspec.Struct | tuple) -> bytes:
     """Encode for the store or a peer."""
     return msgspec.msgpack.encode(value)
@@ -114,6 +130,8 @@
 
 
 __all__ = [
+    "KeptHead",
+    "KeptLot",
     "Lot",
     "LotHead",
     "Result",
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -10,8 +10,7 @@
     from collections.abc import Callable, Iterable
 
     from threadramp.core.lot_book import LotBook
-    from threadramp.lots.journal import KeptHead
-    from threadramp.lots.model import Result
+    from threadramp.lots.model import KeptHead, Result
 
 MAX_PAGE_CHARACTERS = 600_000  # a page of results may have a megabyte
 
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -7,7 +7,7 @@
 
 from threadramp.core.lot_book import LotBook, LotRules
 from threadramp.lots.journal import LotMissingError, NotOwnerError
-from threadramp.lots.model import LotHead
+from threadramp.lots.model import KeptLot, LotHead
 from threadramp.lots.owned import OwnedLot
 from threadramp.platform.store import StoreError
 from threadramp.policy.routing import rendezvous
@@ -22,8 +22,8 @@
     from threadramp.fleet.model import Route
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.picture import Member
-    from threadramp.lots.journal import KeptHead, LotJournal
-    from threadramp.lots.model import Lot
+    from threadramp.lots.journal import LotJournal
+    from threadramp.lots.model import KeptHead, Lot
     from threadramp.lots.owned import OwnedLots
 
 AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
@@ -31,6 +31,7 @@
 GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
 KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
 END_TRIES = 5
+HAND_OVER_TIMEOUT_S = 1.0
 
 
 class LotOwner:
@@ -126,14 +127,12 @@
         self.owned.remove(owned.lot_id)
         self.drop(owned, True)
 
-    def adopt(self, lot_id: str) -> None:
-        """Take over a lot; does nothing if it is ended or owned by a live gateway.
-
-        :raises StoreError: if the store did not answer
-        """
-        kept = self.journal.head(lot_id)
-        if kept is not None and not kept.head.ended:
-            self._adopt(kept)
+    def adopt(self, whole: KeptLot) -> None:
+        """Take over a lot that its owner gives away."""
+        me = self.peers.member
+        head = whole.kept.head
+        if (head.owner, head.incarnation) == (me.name, me.incarnation):
+            self._add(whole, of="a gateway that stops")
 
     def hand_over(self) -> list[str]:
         """Give all open lots to other gateways; for a planned stop."""
@@ -153,12 +152,13 @@
         try:
             with self.owned.lock:
                 kept = owned.kept
-            self.journal.change(kept, owner=heir.name, incarnation=heir.incarnation)
+            kept = self.journal.change(kept, owner=heir.name, incarnation=heir.incarnation)
         except (StoreError, NotOwnerError, LotMissingError) as error:
             log_state("hand_over_failed", lot=owned.lot_id, error=str(error))
             return False
+        whole = KeptLot(kept, owned.book.lot, tuple(owned.book.listed))
+        self.peers.ask(heir.address, Adopt(*self.peers.myself, whole), HAND_OVER_TIMEOUT_S)
         self.release(owned)
-        self.peers.ask(heir.address, Adopt(*self.peers.myself, (owned.lot_id,)), 1.0)
         log_state("handed_over", lot=owned.lot_id, to=heir.name)
         return True
 
@@ -245,16 +245,20 @@
         before = kept.head.owner
         if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
             kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
-        lot = self.journal.hand_in(kept)
-        results = self.journal.results(kept, 0)
-        book = LotBook(lot, self._rules_again(kept), results)
-        self.owned.add(OwnedLot(book, kept))
+        whole = KeptLot(kept, self.journal.hand_in(kept), self.journal.results(kept, 0))
+        self._add(whole, of=before)
+
+    def _add(self, whole: KeptLot, of: str) -> None:
+        kept = whole.kept
+        book = LotBook(whole.lot, self._rules_again(kept), whole.results)
+        if not self.owned.add(OwnedLot(book, kept)):
+            return
         log_state(
             "lot_adopted",
             lot=kept.lot_id,
-            of=before,
-            listed=len(results),
-            samples=len(lot.samples),
+            of=of,
+            listed=len(whole.results),
+            samples=len(whole.lot.samples),
             revision=kept.revision,
         )
 
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -15,8 +15,8 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.picture import Member
-    from threadramp.lots.journal import KeptHead, LotJournal
-    from threadramp.lots.model import Lot, Result
+    from threadramp.lots.journal import LotJournal
+    from threadramp.lots.model import KeptHead, Lot, Result
     from threadramp.lots.owned import OwnedLots
     from threadramp.lots.owner import LotOwner
 
--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import log
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
     from threadramp.wire.fleet import RunnerStatus
 
 SLOW_FACTOR = 1.7  # against the usual gap between events; the slow engines seen were 2.6 to 3.8
+SPEED_STEP = 1.15  # engines whose gaps differ by less than this count as equally fast
 STATUS_AGE_S = 2.0  # a sidecar that was silent for longer gets nothing
 
 
@@ -57,11 +59,12 @@
 ) -> RunnerView | None:
     """Return the sidecar for one sample, none if none has room.
 
-    Engines that are as usual go before slow ones, then those with the most room, then near ones.
+    The fastest engines come first, so that the longest samples, which are placed first, get them;
+    of equally fast ones the one with the most room, then a near one.
 
     :param avoid: sidecar that is taken only if there is no other
     """
-    usual = usual_gap_ms(views)
+    fastest = min((view.status.gap_ms for view in views if _tells_gap(view)), default=0.0)
     able = [
         view
         for view in views
@@ -70,12 +73,23 @@
     if not able:
         return None
 
-    def rank(view: RunnerView) -> tuple[bool, bool, float, bool]:
-        share = view.free(now) / max(1, view.status.slots if view.status else 1)
+    def rank(view: RunnerView) -> tuple[bool, int, float, bool]:
+        share = view.free(now) / max(1, view.status.slots)
         near = view.member.data_centre == data_centre
-        return (view.member.name == avoid, is_slow(view, usual), -share, not near)
+        return (view.member.name == avoid, _speed_class(view, fastest), -share, not near)
 
     return min(able, key=rank)
 
 
+def _tells_gap(view: RunnerView) -> bool:
+    return view.status is not None and view.status.gap_ms > 0
+
+
+def _speed_class(view: RunnerView, fastest: float) -> int:
+    """Return 0 for an engine about as fast as the fastest, more the slower it is."""
+    if not _tells_gap(view) or not fastest:
+        return 0
+    return int(log(view.status.gap_ms / fastest, SPEED_STEP))
+
+
 __all__ = ["RunnerView", "is_slow", "place", "usual_gap_ms"]
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -30,7 +30,8 @@
 REPORT_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 1.0
 GAPS = 32  # of the last events, from which the usual gap is taken
-GAP_AGE_S = 2.0  # an older gap says nothing about the engine's speed now
+GAP_AGE_S = 2.0  # older gaps count only while there are no newer ones
+GAP_KEPT_S = 12.0  # an even older one says nothing; slow spells lasted 8 s
 
 
 @dataclass(frozen=True)
@@ -164,9 +165,11 @@
 
     def gap_ms(self) -> float:
         """Return the usual time between two events lately, 0 if there were none."""
-        limit = self.clock.now() - GAP_AGE_S
-        recent = [seconds for at, seconds in list(self.gaps) if at >= limit]
-        return median(recent) * 1000 if recent else 0.0
+        now = self.clock.now()
+        kept = [(at, seconds) for at, seconds in list(self.gaps) if at >= now - GAP_KEPT_S]
+        recent = [seconds for at, seconds in kept if at >= now - GAP_AGE_S]
+        chosen = recent or [seconds for _, seconds in kept]
+        return median(chosen) * 1000 if chosen else 0.0
 
 
 __all__ = ["Engine", "EngineFacts"]
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -51,7 +51,7 @@
         if isinstance(ask, CallStore):
             return self._call_store(ask)
         if isinstance(ask, Adopt):
-            return self._adopt(ask)
+            self.owner.adopt(ask.kept)
         return Done()
 
     def _end(self, ask: EndLot) -> LotEnded:
@@ -70,13 +70,5 @@
             log_state("relay_failed", asker=ask.sender, error=str(error))
             return StoreAnswered(None)
 
-    def _adopt(self, ask: Adopt) -> Done:
-        for lot_id in ask.lots:
-            try:
-                self.owner.adopt(lot_id)
-            except (StoreError, LotMissingError) as error:
-                log_state("not_adopted", lot=lot_id, of=ask.sender, error=str(error))
-        return Done()
-
 
 __all__ = ["GatewayAnswers"]
--- a/src/threadramp/serve/api.py
+++ b/src/threadramp/serve/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import secrets
 import signal
 import sys
@@ -14,6 +15,8 @@
 from threadramp.report.log import flush_logs, log_state, log_to_stdout
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from threadramp.platform.settings import BoxSettings
 
 ROLES: Registry[type[Process]] = Registry()
@@ -74,6 +77,13 @@
         self.changed(settings)
 
 
+def in_background(work: Callable[[], object]) -> threading.Thread:
+    """Start work that the end of the process does not wait for."""
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
 def serve(role: str) -> int:
     """Run the process of a role and return its exit code."""
     log_to_stdout()
@@ -84,7 +94,7 @@
         flush_logs()
         return BAD_SETTINGS
     ROLES[role](settings).run()
-    return 0
+    os._exit(0)  # threads that still wait for an answer would hold the process up
 
 
 def _stamp() -> tuple[int, int]:
@@ -97,4 +107,4 @@
     return (found.st_mtime_ns, found.st_size)
 
 
-__all__ = ["ROLES", "Process", "serve"]
+__all__ = ["ROLES", "Process", "in_background", "serve"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -28,7 +28,7 @@
 from threadramp.policy.retries import RetryBudget
 from threadramp.report.metrics import Metrics
 from threadramp.serve.answers import GatewayAnswers
-from threadramp.serve.api import ROLES, Process
+from threadramp.serve.api import ROLES, Process, in_background
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.seal import Unsealed
 from threadramp.wire.sync import SyncClient, SyncServer
@@ -41,6 +41,7 @@
 BALANCER_S = 3.5  # two questions a second apart without a good answer, and a margin
 EXIT_MARGIN_S = 0.8  # before the platform kills
 STOP_LOOK_S = 0.1
+LEAVE_S = 0.3  # the list of members drops a process that does not take itself out as well
 
 
 @ROLES.register("gateway")
@@ -70,13 +71,13 @@
         """Let the balancer turn away, hand the lots over, finish what is open."""
         began = time.monotonic()
         self.handler.stopping = True
-        self.owner.hand_over()
+        in_background(self.owner.hand_over)  # the store may be slow, and the end is near
         last = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
         while time.monotonic() < last:
             time.sleep(STOP_LOOK_S)
             if time.monotonic() - began > BALANCER_S and not self.callers.open:
                 break
-        self.membership.leave()
+        in_background(self.membership.leave).join(LEAVE_S)
 
     def _build(self) -> None:
         own = self.settings
@@ -91,7 +92,10 @@
         store = StoreClient(own.store.address, self.peers.relay, health.observe)
         self.membership = Membership(self.member, store, own.store.lease_min_s)
         self.peers.on_unlisted = self.membership.not_listed
-        self.watchers = [Watcher(one, store, health, clock) for one in self.picture.mirrors]
+        self.watchers = [
+            Watcher(one, store, health, clock, gathers=one is not self.picture.operator)
+            for one in self.picture.mirrors
+        ]
         self.emptying = Emptying(self.member.name, self.picture, store)
         self._build_lots(store, clock)
         self.answers = GatewayAnswers(self.peers, self.owner, self.reader, store)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -13,13 +13,14 @@
 from threadramp.runner.runs import RunTable
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weights import Weights
-from threadramp.serve.api import ROLES, Process
+from threadramp.serve.api import ROLES, Process, in_background
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.seal import Unsealed
 from threadramp.wire.sync import SyncClient, SyncServer
 
 THREADS = 16  # gateways that may wait for news at once, with room for short questions
 LAST_WORDS_S = 1.5  # gateways collect the last events of the samples that were ended
+LEAVE_S = 0.5  # the list of members drops a process that does not take itself out as well
 
 
 @ROLES.register("sidecar")
@@ -51,7 +52,7 @@
         """Give the samples back, then leave."""
         self.sidecar.leave()
         time.sleep(LAST_WORDS_S)
-        self.membership.leave()
+        in_background(self.membership.leave).join(LEAVE_S)
 
 
 __all__ = ["SidecarProcess"]
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from threadramp.fleet.model import WeightTarget
-from threadramp.lots.model import Result, Sample
+from threadramp.lots.model import KeptLot, Result, Sample
 from threadramp.platform.store import Call, Item, RawAnswer
 
 
@@ -185,9 +185,9 @@
 
 
 class Adopt(Ask, frozen=True):
-    """Lots that the receiver now owns."""
+    """A lot that the receiver owns now, as the store has it."""
 
-    lots: tuple[str, ...]
+    kept: KeptLot
 
 
 class Status(Message, frozen=True):
