One client for the platform's store: single keys go through it, and the stand-in speaks its protocol

Cause: the adapter's client stood beside an older one for a protocol of our own that no platform speaks. Ruled out: keeping both (two copies of leases, watches and error kinds). Change: KvClient gives the one StoreClient the shape of single keys; standins/store.py speaks the platform's protocol and takes the place of standins/kv.py.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Two commands matter to a newcomer: `make demo` and `make test`.
 VENV ?= .venv
 PY := $(VENV)/bin/python
+JOBS ?= auto
 
 .PHONY: demo test lint format bench prove
 
@@ -14,15 +15,15 @@
 	$(PY) tools/demo.py
 
 test: $(VENV)/.ready
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(JOBS)
 
 lint: $(VENV)/.ready
-	$(VENV)/bin/black --check --quiet src tests tools bench
-	$(VENV)/bin/ruff check src tests tools bench
+	$(VENV)/bin/black --check --quiet src tests tools bench deploy
+	$(VENV)/bin/ruff check src tests tools bench deploy
 
 format: $(VENV)/.ready
-	$(VENV)/bin/black --quiet src tests tools bench
-	$(VENV)/bin/ruff check --fix --quiet src tests tools bench
+	$(VENV)/bin/black --quiet src tests tools bench deploy
+	$(VENV)/bin/ruff check --fix --quiet src tests tools bench deploy
 
 bench: $(VENV)/.ready
 	$(PY) -m bench.load
--- a/src/threadramp/platform/kv.py
+++ b/src/threadramp/platform/kv.py
@@ -1,23 +1,33 @@
-"""Client of the platform's key-value service."""
+"""Single keys of the platform's store with compare-and-swap, for the own interface.
+
+The calls go through the one client of the store; this module only gives them the shape that the
+configuration chain, own keys and steps are written for.
+"""
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from urllib3 import PoolManager, Timeout
-from urllib3.exceptions import HTTPError
+from threadramp.platform.store import (
+    ABSENT,
+    Conflict,
+    LeaseGone,
+    Put,
+    StoreClient,
+    StoreError,
+    Transaction,
+)
 
 if TYPE_CHECKING:
-    from urllib3 import BaseHTTPResponse
+    from threadramp.platform.store import Item
 
-VERSION_HEADER = "X-Version"
-ABSENT = 0  # the version of a key that does not exist
-WATCH_MARGIN_S = 2.0
+MIN_WATCH_S = 0.01
 
 
 class KvUnavailableError(Exception):
-    """The service did not answer; a write may have taken effect all the same."""
+    """The store did not answer; a write may have taken effect all the same."""
 
 
 @dataclass(frozen=True)
@@ -41,24 +51,29 @@
 
 
 class KvClient:
-    """Calls the key-value service.
+    """Reads, swaps and watches single keys.
 
     :param base: ``http://ip:port``
     :param timeout_s: seconds after which a call is given up
     """
 
     def __init__(self, base: str, timeout_s: float) -> None:
-        self.base = base.rstrip("/")
-        self.timeout_s = timeout_s
-        self.pool = PoolManager(maxsize=16, retries=False)
-        self.calls = 0
+        self.store = StoreClient(base.removeprefix("http://").rstrip("/"), timeout_s=timeout_s)
+
+    @property
+    def calls(self) -> int:
+        """Return how many calls were sent."""
+        return self.store.calls
 
     def get(self, key: str) -> KvValue:
-        """Read a key; the answer may come from an older copy.
+        """Read a key.
 
         :raises KvUnavailableError: if no answer came
         """
-        return _value(self._call("GET", key, {}, None, self.timeout_s))
+        try:
+            return _value(self.store.get(key))
+        except StoreError as error:
+            raise KvUnavailableError(str(error)) from error
 
     def swap(self, key: str, expected: int, value: bytes, lease: str = "") -> KvWrite:
         """Write a key if it is still at the expected version.
@@ -67,56 +82,48 @@
         :param lease: id of a lease with which the key goes
         :raises KvUnavailableError: if no answer came; the write may have taken effect
         """
-        query = {"expect": str(expected)}
-        if lease:
-            query["lease"] = lease
-        response = self._call("PUT", key, query, value, self.timeout_s)
-        if response.status == 409:
-            return KvWrite(False, _value(response))
-        return KvWrite(True, KvValue(value, _value(response).version))
+        put = Put(key, value, int(lease or 0))
+        try:
+            answer = self.store.transact(Transaction({key: expected}, (put,)))
+        except StoreError as error:
+            raise KvUnavailableError(str(error)) from error
+        if isinstance(answer, LeaseGone):
+            raise KvUnavailableError(f"lease {lease} is over, nothing was written")
+        if isinstance(answer, Conflict):
+            return KvWrite(False, _value(answer.current.get(key)))
+        return KvWrite(True, KvValue(value, answer.revision))
 
     def watch(self, key: str, after: int, wait_s: float) -> KvValue:
         """Wait until a key's version differs from ``after``, or the wait is over.
 
         :raises KvUnavailableError: if no answer came
         """
-        query = {"after": str(after), "wait": str(wait_s)}
-        return _value(self._call("GET", key, query, None, wait_s + WATCH_MARGIN_S))
+        until = time.monotonic() + wait_s
+        held = self.get(key)
+        pool = self.store.watch_pool()
+        try:
+            while held.version == after and (left := until - time.monotonic()) > MIN_WATCH_S:
+                self.store.watch(key, after, left, pool)
+                held = self.get(key)  # a change under the same prefix may be another key's
+        except StoreError as error:
+            raise KvUnavailableError(str(error)) from error
+        finally:
+            pool.close()
+        return held
 
     def lease(self, ttl_s: float) -> str:
         """Grant a lease that lapses after ``ttl_s`` seconds.
 
         :raises KvUnavailableError: if no answer came
         """
-        url = f"{self.base}/leases"
-        return self._send("POST", url, {"ttl": str(ttl_s)}, None, self.timeout_s).data.decode()
-
-    def _call(
-        self, method: str, key: str, query: dict[str, str], body: bytes | None, timeout_s: float
-    ) -> BaseHTTPResponse:
-        return self._send(method, f"{self.base}/kv/{key}", query, body, timeout_s)
-
-    def _send(
-        self, method: str, url: str, query: dict[str, str], body: bytes | None, timeout_s: float
-    ) -> BaseHTTPResponse:
-        self.calls += 1
-        text = "&".join(f"{name}={value}" for name, value in query.items())
         try:
-            response = self.pool.request(
-                method,
-                f"{url}?{text}",
-                body=body,
-                timeout=Timeout(connect=self.timeout_s, read=timeout_s),
-            )
-        except HTTPError as error:
-            raise KvUnavailableError(type(error).__name__) from error
-        if response.status not in (200, 404, 409):
-            raise KvUnavailableError(f"status {response.status}")
-        return response
+            return str(self.store.grant_lease(ttl_s))
+        except StoreError as error:
+            raise KvUnavailableError(str(error)) from error
 
 
-def _value(response: BaseHTTPResponse) -> KvValue:
-    return KvValue(response.data, int(response.headers.get(VERSION_HEADER, ABSENT)))
+def _value(item: Item | None) -> KvValue:
+    return KvValue(b"", ABSENT) if item is None else KvValue(item.value, item.revision)
 
 
-__all__ = ["ABSENT", "KvClient", "KvUnavailableError", "KvValue", "KvWrite", "VERSION_HEADER"]
+__all__ = ["ABSENT", "KvClient", "KvUnavailableError", "KvValue", "KvWrite"]
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -205,6 +205,7 @@
 
     :param address: ``ip:port``
     :param relay: asked when the direct way is shut
+    :param timeout_s: seconds after which a call is given up
     :param observe: told of each call on the direct way: none if it was answered, else what failed
     """
 
@@ -213,6 +214,7 @@
         address: str,
         relay: Relay | None = None,
         observe: Callable[[StoreError | None], None] = lambda error: None,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> None:
         host, _, port = address.partition(":")
         self.pool = HTTPConnectionPool(host, int(port), maxsize=POOL_SIZE, retries=False)
@@ -220,6 +222,7 @@
         self.port = int(port)
         self.relay = relay
         self.observe = observe
+        self.timeout_s = timeout_s
         self.lock = threading.Lock()
         self.calls = 0
 
@@ -350,7 +353,7 @@
     ) -> RawAnswer:
         """Send a call directly, then through a peer where that is safe."""
         again = method == "GET" if repeatable is None else repeatable
-        call = Call(method, path, body, CALL_TIMEOUT_S, again)
+        call = Call(method, path, body, self.timeout_s, again)
         try:
             answer = self._checked(self.direct(call))
         except StoreError as error:
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -7,8 +7,8 @@
 import pytest
 
 from threadramp.standins.engine import ModelEngine
-from threadramp.standins.kv import KeyValueService
 from threadramp.standins.server import Request
+from threadramp.standins.store import PlatformStore, encoded
 
 PATIENCE_S = 20.0
 
@@ -17,28 +17,71 @@
     return Request(method, tuple(path.split("/")), query, {"x-request-id": "r"}, body)
 
 
-def test_swap_takes_effect_only_at_the_expected_version() -> None:
-    kv = KeyValueService({})
-    created = kv.answer(ask("PUT", "kv/a", b"1", expect="0"))
-    assert created.status == 200
-    lost = kv.answer(ask("PUT", "kv/a", b"2", expect="0"))
-    assert (lost.status, lost.body) == (409, b"1")
+def transact(
+    store: PlatformStore, expected: dict[str, int], key: str, value: bytes, lease: int = 0
+) -> tuple[int, dict]:
+    body = {
+        "expected": [{"key": name, "rev": rev} for name, rev in expected.items()],
+        "puts": [{"key": key, "value": encoded(value), "lease": lease}],
+    }
+    response = store.answer(ask("POST", "threadramp/kv-txn", msgspec.json.encode(body)))
+    return response.status, msgspec.json.decode(response.body or b"null")
 
 
-def test_value_goes_with_its_lapsed_lease() -> None:
-    kv = KeyValueService({})
-    lease = kv.answer(ask("POST", "leases", ttl="0")).body.decode()
-    kv.answer(ask("PUT", "kv/a", b"1", expect="0", lease=lease))
-    assert kv.answer(ask("PUT", "kv/a", b"2", expect="0")).status == 200
+def grant(store: PlatformStore, ttl_ms: float) -> int:
+    body = msgspec.json.encode({"ttlMs": ttl_ms})
+    return msgspec.json.decode(store.answer(ask("POST", "threadramp/kv-lease", body)).body)["lease"]
+
+
+def test_a_write_takes_effect_only_at_the_expected_revision() -> None:
+    store = PlatformStore({})
+    assert transact(store, {"a": 0}, "a", b"1")[0] == 200
+    status, answer = transact(store, {"a": 0}, "a", b"2")
+    assert status == 412
+    assert [(row["key"], row["value"]) for row in answer["requests"]] == [("a", encoded(b"1"))]
+
+
+def test_a_value_goes_with_its_lapsed_lease() -> None:
+    store = PlatformStore({})
+    transact(store, {"a": 0}, "a", b"1", grant(store, 20))
+    time.sleep(0.03)  # the lease lapses meanwhile
+    assert transact(store, {"a": 0}, "a", b"2")[0] == 200
+
+
+def test_a_value_goes_with_its_ended_lease_and_not_before() -> None:
+    store = PlatformStore({})
+    lease = grant(store, 60_000)
+    transact(store, {"a": 0}, "a", b"1", lease)
+    assert store.answer(ask("POST", f"threadramp/kv-keep/{lease}")).status == 200
+    assert transact(store, {"a": 0}, "a", b"2")[0] == 412
+    store.answer(ask("DELETE", f"threadramp/kv-lease-end/{lease}"))
+    assert store.answer(ask("POST", f"threadramp/kv-keep/{lease}")).status == 404
+    assert transact(store, {"a": 0}, "a", b"2")[0] == 200
+
+
+def test_a_lease_that_is_over_takes_no_keys() -> None:
+    store = PlatformStore({})
+    assert transact(store, {}, "a", b"1", lease=77)[0] == 404
+
+
+def test_a_watch_after_the_history_is_forgotten_says_so() -> None:
+    store = PlatformStore({})
+    transact(store, {}, "a", b"1")
+    query = {"pathPrefix": "", "after": "0", "waitMs": "10"}
+    assert store.answer(ask("GET", "threadramp/kv-watch", **query)).status == 200
+    store.faults["forget"] = True
+    store.faults_changed()
+    assert store.answer(ask("GET", "threadramp/kv-watch", **query)).status == 410
 
 
 def test_calls_above_the_rate_are_refused_and_counted() -> None:
-    kv = KeyValueService({})
-    kv.faults["calls_per_s"] = 2
-    kv.faults_changed()
-    statuses = [kv.answer(ask("GET", "kv/a")).status for _ in range(10)]
+    store = PlatformStore({})
+    store.faults["calls_per_s"] = 2
+    store.faults_changed()
+    read = ask("GET", "threadramp/kv-key", key="a")
+    statuses = [store.answer(read).status for _ in range(10)]
     assert statuses.count(429) >= 7
-    assert kv.record()["refused"] == statuses.count(429)
+    assert store.record()["refused"] == statuses.count(429)
 
 
 def chat(priority: int, engine: ModelEngine) -> list[bytes]:
