--- a/src/threadramp/cli/standins.py
+++ b/src/threadramp/cli/standins.py
@@ -7,11 +7,11 @@
 from cleo.helpers import argument, option
 
 from threadramp.cli.api import ExitCode, command, fail
-from threadramp.standins import engine, platform, service, store
+from threadramp.standins import engine, platform, platform_engine, service, store
 from threadramp.standins.server import STANDINS
 
 # Importing a module registers its stand-ins.
-_MODULES = (engine, platform, service, store)
+_MODULES = (engine, platform, platform_engine, service, store)
 
 
 @command
--- a/src/threadramp/runner/events.py
+++ b/src/threadramp/runner/events.py
@@ -28,7 +28,7 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; returns the events that are whole now."""
-        self.pending += data.replace(b"\r\n", b"\n")
+        self.pending = (self.pending + data).replace(b"\r\n", b"\n")
         blocks = self.pending.split(b"\n\n")
         self.pending = blocks.pop()
         return [_event(block) for block in blocks if block.strip()]
--- /dev/null
+++ b/src/threadramp/standins/platform_engine.py
@@ -0,0 +1,139 @@
+"""Stand-in for an endpoint on the users' platform: an engine, or a plain service."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from threadramp.standins.server import STANDINS, Request, Response, StandIn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SIGNATURE = "X-Server-Stamp"
+NOT_RUN = {"X-Not-Executed": "1"}
+
+
+class CutOffError(Exception):
+    """Ends a stream before its end."""
+
+
+@STANDINS.register("platform_engine")
+class PlatformEngine(StandIn):
+    """Streams samples, takes orders, answers plain requests.
+
+    Options: ``instance``, ``models`` (names), ``events`` of a sample and ``gap_s`` between them.
+    Switches that count: ``reject`` says "not run", ``fail`` answers 500, ``impossible`` 422,
+    ``cut`` breaks streams off after three events, ``other_id`` answers as if to another request,
+    ``unanswered`` carries orders out without an answer. ``load_s`` is the time of a load,
+    ``hold_s`` delays plain answers.
+    """
+
+    faults: ClassVar[dict[str, Any]] = {
+        "reject": 0,
+        "fail": 0,
+        "impossible": 0,
+        "cut": 0,
+        "other_id": 0,
+        "unanswered": 0,
+        "load_s": 0.05,
+        "hold_s": 0.0,
+        "gap_s": 0.01,
+        "events": 5,
+    }
+
+    def __init__(self, options: dict[str, Any]) -> None:
+        super().__init__(options)
+        self.instance = options.get("instance", "i-1")
+        self.versions = dict.fromkeys(options.get("models", ["m"]), 1)
+        self.orders: list[dict[str, Any]] = []
+        self.busy_until = 0.0
+        self.runs: list[dict[str, Any]] = []
+        self.running = 0
+
+    def record(self) -> dict[str, Any]:
+        """Return the runs and orders that this endpoint saw."""
+        return {"runs": self.runs, "orders": self.orders, "versions": self.versions}
+
+    def answer(self, request: Request) -> Response:
+        """Answer a request."""
+        if request.path == ("threadramp", "report"):
+            return self._report()
+        expected = request.headers.get("x-expect-instance", self.instance)
+        if expected != self.instance:
+            return Response(421, b"", {"X-Instance-Id": self.instance})
+        if request.path == ("threadramp", "order"):
+            return self._order(request)
+        return self._work(request)
+
+    def _report(self) -> Response:
+        rows = [{"name": name, "version": now} for name, now in self.versions.items()]
+        return Response.from_value(
+            {
+                "models": rows,
+                "busy": time.monotonic() < self.busy_until,
+                "seq": len(self.orders),
+                "running": self.running,
+            }
+        )
+
+    def _order(self, request: Request) -> Response:
+        order = request.json()
+        with self.lock:
+            if order.get("expected", len(self.orders)) != len(self.orders):
+                return Response(409)
+            self.orders.append(order)
+            self.busy_until = time.monotonic() + self.faults["load_s"]
+            threading.Timer(self.faults["load_s"], self._loaded, (order,)).start()
+        if self.use_up("unanswered"):
+            return Response(202, b"", {}, cut=True)
+        return Response(202)
+
+    def _loaded(self, order: dict[str, Any]) -> None:
+        self.versions[order["model"]] = order["version"]
+
+    def _work(self, request: Request) -> Response:
+        name = request.headers.get("x-attempt-id", "")
+        loading = "x-model" in request.headers and time.monotonic() < self.busy_until
+        if loading or self.use_up("reject"):
+            return Response(503, b"", NOT_RUN)
+        after = int(request.headers.get("last-event-id", 0))
+        with self.lock:
+            self.runs.append({"id": name, "after": after, "target": "/".join(request.path)})
+        if self.use_up("fail"):
+            return Response(500)
+        if self.use_up("impossible"):
+            return Response(422)
+        told = "of another request" if self.use_up("other_id") else name
+        head = {"X-Attempt-Id": told, SIGNATURE: f"sig-{name}"}
+        if "x-model" in request.headers:
+            model = request.headers["x-model"]
+            head |= {
+                "Content-Type": "text/event-stream",
+                "X-Weight-Versions": str(self.versions[model]),
+            }
+            return Response(200, self._events(name, model, after), head)
+        time.sleep(self.faults["hold_s"])
+        return Response(200, f"{self.instance} answers {name}".encode(), head)
+
+    def _events(self, name: str, model: str, after: int) -> Iterator[bytes]:
+        version = self.versions[model]
+        cut = self.use_up("cut")
+        self.running += 1
+        try:
+            for number in range(after + 1, self.faults["events"] + 1):
+                time.sleep(self.faults["gap_s"])
+                lines = []
+                if self.versions[model] != version:
+                    version = self.versions[model]
+                    lines.append(f"x-weight-versions: {version}")
+                lines += [f"id: {number}", f"data: {name}-{number}"]
+                yield ("\n".join(lines) + "\n\n").encode()
+                if cut and number >= after + 3:
+                    raise CutOffError
+        finally:
+            self.running -= 1
+
+
+__all__ = ["PlatformEngine"]
--- a/src/threadramp/standins/server.py
+++ b/src/threadramp/standins/server.py
@@ -72,11 +72,18 @@
 
     def serve(self, listen: str) -> None:
         """Serve until the process is ended."""
+        self._server(listen, THREADS).safe_start()
+
+    def start(self, listen: str, threads: int = THREADS) -> Server:
+        """Serve from a thread; the server that is returned has a method to stop it."""
+        server = self._server(listen, threads)
+        server.prepare()
+        threading.Thread(target=server.serve, daemon=True).start()
+        return server
+
+    def _server(self, listen: str, threads: int) -> Server:
         host, _, port = listen.partition(":")
-        server = Server(
-            (host, int(port)), self._wsgi, numthreads=THREADS, request_queue_size=BACKLOG
-        )
-        server.safe_start()
+        return Server((host, int(port)), self._wsgi, numthreads=threads, request_queue_size=BACKLOG)
 
     def answer(self, request: Request) -> Response:
         """Answer a request."""
--- /dev/null
+++ b/tests/edge/test_forward.py
@@ -0,0 +1,180 @@
+"""Requests on their way to endpoints, against stand-ins."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from random import Random
+
+import pytest
+
+from threadramp.edge.connections import Connections
+from threadramp.edge.forward import Ending, Forwarder, Job
+from threadramp.fleet.clock import Clock
+from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
+from threadramp.fleet.picture import Belief, Picture
+from threadramp.policy.endpoint_choice import EndpointChoice
+from threadramp.policy.retries import RetryBudget
+from threadramp.standins.platform_engine import PlatformEngine
+
+
+class Fleet:
+    """Endpoints of one pool and a forwarder to them."""
+
+    def __init__(self, serve):
+        self.serve = serve
+        self.picture = Picture()
+        self.connections = Connections()
+        self.standins: list[PlatformEngine] = []
+        self.endpoints: dict[str, Endpoint] = {}
+        self.choice = EndpointChoice(Random(1))
+        self.forwarder = Forwarder(
+            self.picture, self.connections, self.choice, RetryBudget(), Clock()
+        )
+
+    def add(self, address: str = "", **faults) -> PlatformEngine:
+        instance = f"i-{len(self.standins)}"
+        standin = PlatformEngine({"instance": instance, **faults})
+        self.standins.append(standin)
+        place = address or self.serve(standin)
+        self.endpoints[instance] = Endpoint(instance, "p", place, "a", 6)
+        self.picture.belief = Belief(endpoints=dict(self.endpoints))
+        return standin
+
+    def run(self, kind=RouteKind.REPEATABLE, attempts=3, time_s=2.0, target_s=1.0, **more):
+        route = Route("r", "h", "/", kind, (PoolShare("p", 1.0),), 2.0, target_s, attempts)
+        job = Job(
+            "req", "POST", "/a/b", (("Host", "h"), ("X-Attempt-Id", "req")), b"body", route,
+            time.monotonic() + time_s, **more,
+        )  # fmt: skip
+        return self.forwarder.run(job)
+
+    @property
+    def runs(self) -> int:
+        return sum(len(one.runs) for one in self.standins)
+
+
+@pytest.fixture
+def fleet(serve) -> Fleet:
+    return Fleet(serve)
+
+
+def test_the_answer_comes_back_whole(fleet):
+    fleet.add()
+    outcome = fleet.run()
+    assert outcome.ending is Ending.ANSWERED
+    assert (outcome.answer.head.status, outcome.answer.body) == (200, b"i-0 answers req")
+    assert outcome.answer.head.signature == "sig-req"
+
+
+def test_a_connection_is_used_again(fleet):
+    fleet.add()
+    for _ in range(5):
+        fleet.run()
+    assert fleet.connections.opened == 1
+
+
+def test_a_rejection_goes_to_another_endpoint_and_costs_no_attempt(fleet):
+    fleet.add(reject=1)
+    fleet.add(reject=1)
+    assert fleet.run(RouteKind.ONCE, attempts=1).ending is Ending.ANSWERED
+    assert fleet.runs == 1
+
+
+def test_full_endpoints_are_told_at_once_with_when_to_come_back(fleet):
+    fleet.add(reject=99)
+    started = time.monotonic()
+    outcome = fleet.run(RouteKind.ONCE)
+    assert outcome.ending is Ending.NOT_RUN
+    assert outcome.retry_after_s > 0
+    assert time.monotonic() - started < 0.5
+    assert fleet.runs == 0
+
+
+def test_no_endpoint_is_not_run(fleet):
+    assert fleet.run().ending is Ending.NOT_RUN
+
+
+def test_a_failure_of_a_repeatable_request_is_tried_elsewhere(fleet):
+    fleet.add(fail=9)
+    fleet.add()
+    for _ in range(6):
+        assert fleet.run().answer.head.status == 200
+
+
+def test_a_request_that_runs_once_is_not_tried_elsewhere_after_it_ran(fleet):
+    fleet.add(other_id=1)
+    fleet.add(other_id=1)
+    assert fleet.run(RouteKind.ONCE).ending is Ending.UNKNOWN
+    assert fleet.runs == 1
+
+
+def test_an_answer_to_another_request_is_never_passed_on(fleet):
+    fleet.add(other_id=1)
+    fleet.add(other_id=1)
+    outcome = fleet.run(attempts=3)
+    assert outcome.ending is not Ending.ANSWERED or outcome.answer.body.endswith(b"answers req")
+
+
+def test_no_more_endpoints_than_allowed_run_a_request(fleet):
+    for _ in range(4):
+        fleet.add(fail=9)
+    outcome = fleet.run(attempts=2)
+    assert outcome.answer.head.status == 500
+    assert fleet.runs == 2
+
+
+def test_a_dead_endpoint_is_passed_over(fleet):
+    fleet.add(address="127.0.0.1:1")
+    fleet.add()
+    for _ in range(4):
+        assert fleet.run(RouteKind.ONCE).ending is Ending.ANSWERED
+
+
+def test_time_is_kept(fleet):
+    fleet.add(hold_s=5.0)
+    started = time.monotonic()
+    assert fleet.run(time_s=0.4).ending is Ending.TIME_OVER
+    assert time.monotonic() - started < 0.6
+
+
+def test_a_late_repeatable_request_is_sent_to_a_second_endpoint(fleet):
+    fleet.add(hold_s=1.5)
+    fleet.add()
+    started = time.monotonic()
+    outcomes = [fleet.run(target_s=0.2) for _ in range(4)]
+    assert all(outcome.ending is Ending.ANSWERED for outcome in outcomes)
+    assert time.monotonic() - started < 1.5
+
+
+def test_a_caller_that_has_gone_ends_the_work(fleet):
+    fleet.add(hold_s=3.0)
+    ours, theirs = socket.socketpair()
+    threading.Timer(0.2, theirs.close).start()
+    started = time.monotonic()
+    assert fleet.run(caller=ours).ending is Ending.CALLER_GONE
+    assert time.monotonic() - started < 0.6
+    ours.close()
+
+
+def test_a_scoring_error_is_the_answer(fleet):
+    fleet.add(fail=1)
+    fleet.add()
+    statuses = {fleet.run(repeats_errors=False).answer.head.status for _ in range(4)}
+    assert statuses == {200, 500}
+    assert fleet.runs == 4
+
+
+def test_surplus_bytes_end_a_connection(fleet):
+    """A connection on which something came after the answer is not used again."""
+    fleet.add()
+    fleet.run()
+    (row,) = fleet.connections.idle.values()
+    kept = row[0].connection
+    peer_closed = socket.socketpair()
+    kept.sock.close()
+    kept.sock = peer_closed[0]
+    peer_closed[1].sendall(b"HTTP/1.1 200 OK\r\n")
+    assert fleet.run().answer.body == b"i-0 answers req"
+    assert fleet.connections.opened == 2
--- /dev/null
+++ b/tests/lots/test_journal.py
@@ -0,0 +1,104 @@
+"""Lots in the store: what stands is one conditional write."""
+
+from __future__ import annotations
+
+import pytest
+
+from threadramp.lots.journal import LotJournal, LotMissingError, NotOwnerError
+from threadramp.lots.model import Lot, LotHead, Result, ResultState, Sample
+from threadramp.platform.store import StoreClient, StoreUnknownError
+
+HEAD = LotHead("g1", "inc", 0.0, 7.5, 40.0, 3, False, 2, 0, 0, 0, False, "")
+
+
+def make_lot(body: bytes = b"prompt") -> Lot:
+    samples = tuple(Sample(name, "/p", (), body, 1, "g", None, 0) for name in "ab")
+    return Lot("lot", "host", "/p/", 0, "m", 1, 1, samples)
+
+
+def result(name: str) -> Result:
+    return Result(name, ResultState.SUCCEEDED, f"text of {name}", (1,), "s")
+
+
+@pytest.fixture
+def journal(store_address) -> LotJournal:
+    return LotJournal(StoreClient(store_address, timeout_s=0.3))
+
+
+def test_a_lot_is_kept_once(journal):
+    assert journal.create(make_lot(), HEAD) is not None
+    assert journal.create(make_lot(), HEAD) is None
+
+
+def test_a_lot_of_several_parts_comes_back_whole(journal):
+    lot = make_lot(body=b"x" * 500_000)
+    kept = journal.create(lot, HEAD)
+    assert kept.head.parts == 2
+    assert journal.load("lot").lot == lot
+
+
+def test_results_stand_at_their_positions(journal):
+    kept = journal.create(make_lot(), HEAD)
+    kept = journal.append(kept, [result("b")])
+    kept = journal.append(kept, [result("a")])
+    whole = journal.load("lot")
+    assert [one.sample for one in whole.results] == ["b", "a"]
+    assert whole.kept.head.listed == 2
+
+
+def test_of_two_owners_one_append_stands(journal):
+    kept = journal.create(make_lot(), HEAD)
+    journal.append(kept, [result("a")])
+    with pytest.raises(NotOwnerError):
+        journal.append(kept, [result("b")])
+    assert [one.sample for one in journal.load("lot").results] == ["a"]
+
+
+def test_who_took_a_lot_over_is_told_to_the_owner_before(journal):
+    kept = journal.create(make_lot(), HEAD)
+    journal.change(kept, owner="g2", incarnation="other")
+    with pytest.raises(NotOwnerError) as raised:
+        journal.append(kept, [result("a")])
+    assert raised.value.head.owner == "g2"
+
+
+def test_a_lost_answer_is_settled_by_the_nonce(journal, platform_store):
+    platform_store.faults["lose_answers"] = 1
+    kept = journal.create(make_lot(), HEAD)
+    assert kept is not None
+    platform_store.faults["lose_answers"] = 2
+    kept = journal.append(kept, [result("a")])
+    assert kept.head.listed == 1
+    assert [one.sample for one in journal.load("lot").results] == ["a"]
+
+
+def test_a_write_that_is_done_late_changes_nothing_twice(journal, platform_store):
+    kept = journal.create(make_lot(), HEAD)
+    platform_store.faults.update(late_writes=1, late_s=0.05)
+    kept = journal.append(kept, [result("a")])
+    kept = journal.append(kept, [result("b")])
+    assert [one.sample for one in journal.load("lot").results] == ["a", "b"]
+
+
+def test_what_stays_unanswered_is_unknown_and_not_refused(journal, platform_store):
+    platform_store.faults["lose_answers"] = 99
+    platform_store.faults["late_writes"] = 99
+    platform_store.faults["late_s"] = 60.0
+    with pytest.raises(StoreUnknownError):
+        journal.create(make_lot(), HEAD)
+
+
+def test_a_missing_lot_is_told(journal):
+    with pytest.raises(LotMissingError):
+        journal.load("none")
+
+
+def test_a_removed_lot_leaves_no_key(journal, platform_store):
+    kept = journal.append(journal.create(make_lot(), HEAD), [result("a")])
+    journal.remove(kept)
+    assert platform_store.data == {}
+
+
+def test_the_heads_of_all_lots_are_listed(journal):
+    journal.create(make_lot(), HEAD)
+    assert [kept.lot_id for kept in journal.heads()] == ["lot"]
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,162 @@
+"""The client of the platform's store, against the stand-in."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import pytest
+
+from threadramp.platform.store import (
+    ABSENT,
+    Call,
+    Committed,
+    Conflict,
+    HistoryGone,
+    LeaseGone,
+    Put,
+    RawAnswer,
+    StoreClient,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
+
+
+@pytest.fixture
+def store(store_address) -> StoreClient:
+    return StoreClient(store_address, timeout_s=0.5)
+
+
+def put(store: StoreClient, key: str, value: bytes = b"v") -> int:
+    answer = store.transact(Transaction(puts=(Put(key, value),)))
+    assert isinstance(answer, Committed)
+    return answer.revision
+
+
+def test_a_write_is_read_back_with_its_revision(store):
+    revision = put(store, "a", b"\x00\xff")
+    item = store.get("a")
+    assert (item.value, item.revision) == (b"\x00\xff", revision)
+    assert store.get("b") is None
+
+
+def test_a_condition_that_does_not_hold_returns_what_is_there(store):
+    put(store, "a", b"1")
+    answer = store.transact(Transaction({"a": ABSENT}, (Put("a", b"2"),)))
+    assert isinstance(answer, Conflict)
+    assert answer.current["a"].value == b"1"
+
+
+def test_a_long_listing_comes_whole(store):
+    for start in range(0, 600, 30):
+        puts = tuple(Put(f"k/{number:03}", b"v") for number in range(start, start + 30))
+        store.transact(Transaction(puts=puts))
+    listing = store.list("k/")
+    assert [item.key for item in listing.items] == [f"k/{number:03}" for number in range(600)]
+
+
+def test_a_watch_tells_changes_and_removals(store):
+    after = put(store, "k/a")
+    put(store, "k/b")
+    store.transact(Transaction(removals=("k/a",)))
+    changes = store.watch("k/", after, 1.0, store.watch_pool())
+    assert [item.key for item in changes.items] == ["k/b"]
+    assert [removal.key for removal in changes.removals] == ["k/a"]
+
+
+def test_a_forgotten_history_is_told(store, platform_store):
+    after = put(store, "a")
+    put(store, "a")
+    platform_store.faults["forget"] = True
+    platform_store.faults_changed()
+    assert isinstance(store.watch("", after, 0.1, store.watch_pool()), HistoryGone)
+
+
+def test_keys_go_with_their_lease(store):
+    lease = store.grant_lease(60.0)
+    store.transact(Transaction(puts=(Put("a", b"v", lease),)))
+    assert store.renew_lease(lease)
+    store.end_lease(lease)
+    assert not store.renew_lease(lease)
+    assert store.get("a") is None
+    assert isinstance(store.transact(Transaction(puts=(Put("a", b"v", lease),))), LeaseGone)
+
+
+def test_a_lost_answer_is_unknown_and_a_refusal_is_not(store, platform_store):
+    platform_store.faults["lose_answers"] = 1
+    with pytest.raises(StoreUnknownError):
+        put(store, "a")
+    assert store.get("a") is not None  # it had been done all the same
+    platform_store.faults["calls_per_s"] = 0.001
+    platform_store.faults_changed()
+    with pytest.raises(StoreRefusedError):
+        put(store, "b")
+
+
+def test_a_spoiled_answer_is_unknown(store, platform_store, monkeypatch):
+    put(store, "a")
+    monkeypatch.setattr(store, "direct", lambda call, pool=None: RawAnswer(200, b"{not json"))
+    with pytest.raises(StoreUnknownError):
+        store.get("a")
+
+
+def test_a_silent_store_is_unknown_in_time():
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        store = StoreClient(f"127.0.0.1:{silent.getsockname()[1]}", timeout_s=0.1)
+        with pytest.raises(StoreUnknownError):
+            store.get("a")
+
+
+class Relay:
+    """Answers relayed calls through another client."""
+
+    def __init__(self, through: StoreClient | None) -> None:
+        self.through = through
+        self.calls: list[Call] = []
+
+    def __call__(self, call: Call) -> RawAnswer | None:
+        self.calls.append(call)
+        return self.through.direct(call) if self.through is not None else None
+
+
+def test_a_call_goes_through_a_peer_when_the_own_way_is_shut(store):
+    put(store, "a", b"1")
+    relay = Relay(store)
+    cut_off = StoreClient("127.0.0.1:1", relay)
+    assert cut_off.get("a").value == b"1"
+    assert len(relay.calls) == 1
+
+
+def test_a_write_without_an_answer_is_relayed_only_if_that_may_be_repeated(store):
+    relay = Relay(store)
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        cut_off = StoreClient(address, relay, timeout_s=0.1)
+        with pytest.raises(StoreUnknownError):
+            cut_off.transact(Transaction(puts=(Put("a", b"v"),)))
+        assert relay.calls == []
+        answer = cut_off.transact(Transaction({"a": 0}, (Put("a", b"v"),)), repeatable=True)
+        assert isinstance(answer, Committed)
+
+
+def test_each_direct_call_is_observed(store_address, platform_store):
+    seen = []
+    store = StoreClient(store_address, observe=seen.append)
+    store.get("a")
+    platform_store.faults["outage"] = True
+    with pytest.raises((StoreUnknownError, StoreRefusedError)):
+        store.get("a")
+    assert seen[0] is None
+    assert isinstance(seen[1], Exception)
+
+
+def test_one_client_serves_many_threads(store):
+    threads = [
+        threading.Thread(target=lambda n=number: put(store, f"t/{n}")) for number in range(16)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(store.list("t/").items) == 16
--- /dev/null
+++ b/tests/runner/test_runs.py
@@ -0,0 +1,161 @@
+"""The samples of a sidecar."""
+
+from __future__ import annotations
+
+import pytest
+
+from threadramp.core.lot_book import RunOutcome
+from threadramp.lots.model import Sample
+from threadramp.runner.runs import RunTable
+from threadramp.wire.fleet import RunOrder
+
+
+def order(name: str, **fields) -> RunOrder:
+    sample = Sample(name, "/p", (), b"", 100, "g", None, fields.pop("expected", 10))
+    values = {
+        "sample": sample,
+        "host": "h",
+        "min_version": 1,
+        "one_version": False,
+        "after": 0,
+        "lineage": "",
+        "new_lineage": f"chain of {name}",
+        "due": 7.5,
+        "give_up_in_s": 40.0,
+    }
+    return RunOrder(**{**values, **fields})
+
+
+@pytest.fixture
+def table(clock) -> RunTable:
+    made = RunTable(clock.now)
+    made.slots = 2
+    made.accepting = True
+    return made
+
+
+def begin(table: RunTable, *orders: RunOrder) -> list:
+    table.submit(orders)
+    return [run for run in iter(table.next_start, None)]
+
+
+def news(table: RunTable, **have: int):
+    return table.collect(have, 0.0, lambda: True)
+
+
+def test_samples_are_taken_while_there_is_room(table):
+    taken = table.submit(tuple(order(name) for name in "abcdef"))
+    assert list(taken) == ["a", "b", "c", "d"]  # two slots and two that wait
+    assert taken["a"] == "chain of a"
+
+
+def test_an_engine_that_is_not_ready_takes_and_starts_nothing(table):
+    table.submit((order("a"),))
+    table.accepting = False
+    assert table.submit((order("b"),)) == {}
+    assert table.next_start() is None
+
+
+def test_the_lot_that_is_due_first_goes_first_and_of_it_the_longest_sample(table):
+    table.submit((order("late", due=9.0), order("short"), order("long", expected=900)))
+    assert [table.next_start().order.sample.id for _ in range(2)] == ["long", "short"]
+
+
+def test_news_are_the_events_behind_those_that_the_asker_has(table):
+    (run,) = begin(table, order("a"))
+    table.add_event(run, run.life, "x", 1)
+    table.add_event(run, run.life, "y", 2)
+    (update,), unknown = news(table, a=1)
+    assert (update.base, update.events, update.versions) == (1, ("y",), (2,))
+    assert (update.outcome, unknown) == ("", [])
+    table.finish(run, run.life, RunOutcome.WHOLE)
+    (update,), _ = news(table, a=2)
+    assert (update.events, update.outcome) == ((), "whole")
+
+
+def test_what_is_not_here_is_unknown(table):
+    begin(table, order("b", after=3, lineage="L"))
+    assert news(table, a=0, b=2) == ([], ["a", "b"])
+
+
+def test_a_cut_run_goes_on_behind_its_own_events(table):
+    (run,) = begin(table, order("a"))
+    table.add_event(run, run.life, "x", 1)
+    table.finish(run, run.life, RunOutcome.CUT)
+    taken = table.submit((order("a", after=1, lineage="chain of a"),))
+    assert taken == {"a": "chain of a"}
+    again = table.next_start()
+    assert (again.base, again.count) == (0, 1)
+    assert not table.add_event(again, again.life - 1, "late", 1)  # of the thread before
+
+
+def test_another_chain_of_events_is_begun_anew(table):
+    (run,) = begin(table, order("a"))
+    table.add_event(run, run.life, "x", 1)
+    taken = table.submit((order("a", after=1, lineage="another", new_lineage="new"),))
+    assert taken == {"a": "new"}
+    assert table.next_start().count == 1
+    assert not table.add_event(run, run.life, "y", 1)
+
+
+def test_text_that_is_too_old_is_begun_anew(table):
+    (run,) = begin(table, order("a"))
+    table.add_event(run, run.life, "x", 1)
+    table.submit((order("a", min_version=2, new_lineage="new"),))
+    assert table.next_start().count == 0
+
+
+def test_samples_of_an_ended_lot_finish_but_make_room(table):
+    begin(table, order("a"), order("b"))
+    table.drop({"a": 0, "b": 0}, let_finish=True)
+    assert table.taken == 0
+    (run,) = begin(table, order("c"))
+    assert run.order.sample.id == "c"
+    still_open = [name for name, one in table.runs.items() if one.is_open]
+    assert len(still_open) == 2  # one of the unwanted had to go
+
+
+def test_dropped_samples_tell_their_last_events(table):
+    (run,) = begin(table, order("a"))
+    cancelled = []
+    run.cancel = lambda: cancelled.append(True)
+    table.add_event(run, run.life, "x", 1)
+    table.drop({"a": 0}, let_finish=False)
+    (update,), _ = news(table, a=0)
+    assert (update.events, update.outcome, cancelled) == (("x",), "cut", [True])
+
+
+def test_samples_whose_gateway_is_silent_are_cut(table, clock):
+    begin(table, order("a"), order("b"))
+    clock.at += 0.9
+    news(table, a=0)
+    clock.at += 0.2
+    assert table.cut_silent() == ["b"]
+
+
+def test_a_sample_that_the_engine_did_not_begin_waits_longer_each_time(table, clock):
+    (run,) = begin(table, order("a"))
+    pauses = []
+    for _ in range(6):
+        table.put_back(run, run.life)
+        assert table.next_start() is None
+        pauses.append(round(run.not_before - clock.at, 2))
+        clock.at = run.not_before
+        assert table.next_start() is run
+    assert pauses == [0.05, 0.1, 0.2, 0.4, 0.8, 0.8]
+
+
+def test_only_fresh_text_from_the_start_is_found(table):
+    first, second = begin(table, order("a"), order("b", after=4, lineage="L"))
+    table.add_event(first, first.life, "x", 2)
+    table.add_event(second, second.life, "y", 2)
+    assert table.find(("a", "b", "c"), 2) == {"a": 1}
+    assert table.find(("a",), 3) == {}
+
+
+def test_text_is_forgotten_after_a_while(table, clock):
+    (run,) = begin(table, order("a"))
+    table.finish(run, run.life, RunOutcome.WHOLE)
+    clock.at += 46.0
+    table.submit(())
+    assert table.runs == {}
--- /dev/null
+++ b/tests/runner/test_weights.py
@@ -0,0 +1,114 @@
+"""Orders to an engine, against the stand-in."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from threadramp.fleet.clock import Clock
+from threadramp.fleet.model import WeightTarget
+from threadramp.runner.engine import Engine
+from threadramp.runner.weights import Weights
+from threadramp.wire.fleet import Facts
+
+
+def facts(version: int = 0, revision: int = 10, instance: str = "i-1", **more) -> Facts:
+    targets = (WeightTarget("m", version, revision),) if version else ()
+    return Facts(
+        endpoints_revision=more.pop("endpoints_revision", 1),
+        instance=instance,
+        slots=12,
+        targets_revision=revision,
+        targets=targets,
+        **more,
+    )
+
+
+@pytest.fixture
+def sidecar_engine(engine_address) -> Engine:
+    made = Engine(engine_address, "p", "box-1", Clock())
+    made.learn(facts())
+    return made
+
+
+def turn_until(weights: Weights, done, timeout_s: float = 5.0) -> None:
+    until = time.monotonic() + timeout_s
+    while not done():
+        assert time.monotonic() < until
+        weights.engine.read_report()
+        weights.turn()
+        time.sleep(0.01)
+
+
+def test_the_named_version_is_ordered_once(sidecar_engine, engine):
+    weights = Weights(sidecar_engine, Clock())
+    sidecar_engine.learn(facts(version=2))
+    turn_until(weights, lambda: engine.versions["m"] == 2 and sidecar_engine.ordered is None)
+    for _ in range(5):
+        sidecar_engine.read_report()
+        weights.turn()
+    (order,) = engine.orders
+    assert (order["version"], order["fence"], order["holder"]) == (2, 10, "box-1")
+    assert sidecar_engine.is_ready
+
+
+def test_an_order_without_an_answer_is_not_given_twice_if_it_was_taken(sidecar_engine, engine):
+    engine.faults["unanswered"] = 1
+    weights = Weights(sidecar_engine, Clock())
+    sidecar_engine.learn(facts(version=2))
+    turn_until(weights, lambda: engine.versions["m"] == 2)
+    time.sleep(0.6)  # longer than the pause between two orders
+    sidecar_engine.read_report()
+    weights.turn()
+    assert len(engine.orders) == 1
+
+
+def test_the_fence_is_the_newest_of_all_models(sidecar_engine, engine):
+    weights = Weights(sidecar_engine, Clock())
+    sidecar_engine.learn(Facts(1, "i-1", False, 0, 12, 0, 110, (WeightTarget("m", 5, 100),), True))
+    turn_until(weights, lambda: engine.orders)
+    assert engine.orders[0]["fence"] == 110
+
+
+def test_a_gateway_that_has_seen_less_than_the_store_is_not_believed(sidecar_engine, engine):
+    sidecar_engine.learn_floor(50)
+    sidecar_engine.learn(facts(version=2, revision=40))
+    weights = Weights(sidecar_engine, Clock())
+    sidecar_engine.read_report()
+    weights.turn()
+    assert engine.orders == []
+    sidecar_engine.learn(facts(version=3, revision=50))
+    turn_until(weights, lambda: engine.orders)
+    assert engine.orders[0]["fence"] == 50
+
+
+def test_an_engine_that_started_anew_gets_no_orders_as_the_old_one(sidecar_engine, engine):
+    weights = Weights(sidecar_engine, Clock())
+    engine.instance = "i-2"
+    sidecar_engine.learn(facts(version=2))
+    sidecar_engine.read_report()
+    weights.turn()
+    assert engine.orders == []
+    assert not sidecar_engine.is_ready
+    sidecar_engine.learn(facts(version=2, instance="i-2", endpoints_revision=2))
+    turn_until(weights, lambda: engine.orders)
+
+
+def test_engines_of_a_later_rank_wait_for_their_turn(sidecar_engine, engine, clock):
+    weights = Weights(sidecar_engine, clock)
+    sidecar_engine.learn(facts(version=2, rank=5))
+    sidecar_engine.read_report()
+    weights.turn()
+    clock.at += 1.9
+    weights.turn()
+    assert engine.orders == []
+    clock.at += 0.2
+    weights.turn()
+    assert len(engine.orders) == 1
+
+
+def test_older_facts_change_nothing(sidecar_engine):
+    sidecar_engine.learn(facts(instance="i-9", endpoints_revision=9))
+    sidecar_engine.learn(facts(instance="i-1", endpoints_revision=8))
+    assert sidecar_engine.facts.instance == "i-9"
