Mend what the scenarios over real processes found; prefer a peer while the store's own way is shut

Cause, each with a scenario that failed first: two waits on one connection of which one timed out ended the beats of a gateway (an exception, with the old code even the interpreter); a sidecar whose place in the list was taken away right after its start was never asked again; a gateway that had just started lost its lots to one that had not seen it yet; settings changed during the start were not noticed; samples sent while their lot was ended stayed at the sidecar for a second; a hand-in during an outage took 4.8 to 6.4 s to answer; lots were not handed over if no other gateway was known yet. Ruled out: a too small stand-in (it had 24 threads, which did explain two other failures: now 96). Change: quiet closing; sidecars list themselves again when nobody asks; members are listed anew before a lot is taken over; while the own way is shut calls go through a peer first and renewals look; 2.5 s to settle a write.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -38,7 +38,7 @@
 BEATERS = 2  # gateways that regularly beat to one sidecar
 RELAY_TIMEOUT_S = 2.2  # a little longer than the call that is passed on
 RELAY_TRIES = 2
-HEARD_LATELY_S = 3.0
+REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
 
 
@@ -59,9 +59,11 @@
         self.health = health
         self.clock = clock
         self.heard: dict[str, float] = {}
-        self.heard_members: dict[str, Member] = {}
+        self.remembered: dict[str, Member] = {}
+        self.listed_at: dict[str, float] = {}
         self.stopped = threading.Event()
         self.on_unlisted: Callable[[], None] = lambda: None
+        self.list_members: Callable[[], Listing] = lambda: picture.members.copy()
         self.unlisted_since: float | None = None
 
     @property
@@ -98,6 +100,29 @@
         others.sort(key=lambda one: -self.heard.get(one.address, 0.0))
         return others
 
+    def sidecars(self) -> list[Member]:
+        """Return the sidecars in the list of members and those that answered lately.
+
+        A sidecar may lose its place in the list without being told; it learns that from us.
+        """
+        now = self.clock.now()
+        for member in self.picture.belief.sidecars():
+            self.remembered[member.name] = member
+            self.listed_at[member.name] = now
+        for name, member in list(self.remembered.items()):
+            last = max(self.listed_at[name], self.heard.get(member.address, 0.0))
+            if last < now - REMEMBERED_S:
+                del self.remembered[name]
+        return [self.remembered[name] for name in sorted(self.remembered)]
+
+    def relist_members(self) -> None:
+        """Read the list of members from the store itself.
+
+        :raises StoreError: if no answer came
+        """
+        listing = self.list_members()
+        self.picture.members.replace(listing, self.clock.now())
+
     def relay(self, call: Call) -> RawAnswer | None:
         """Pass a call to the store through another gateway."""
         for other in self.gateways()[:RELAY_TRIES]:
@@ -153,7 +178,7 @@
         belief = self.picture.belief
         gateways = [one.name for one in belief.gateways()]
         asks = {}
-        for sidecar in belief.sidecars():
+        for sidecar in self.sidecars():
             if self.member.name in rendezvous(sidecar.name, gateways)[:BEATERS]:
                 asks[sidecar.address] = Beat(*self.myself, self.facts_for(sidecar))
         self.ask_all(asks, BEAT_TIMEOUT_S)
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import secrets
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -41,7 +42,7 @@
 PART_PREFIX = "lot-part/"
 CHUNK_PREFIX = "lot-chunk/"
 PART_BYTES = 600_000  # a value may have a megabyte, and a body two of these in base64
-SETTLE_TRIES = 4  # a write without an answer is sent again so often
+SETTLE_S = 2.5  # for so long a write without an answer is sent again; a trainer waits for it
 
 
 class LotMissingError(Exception):
@@ -173,13 +174,14 @@
     def _settle(self, key: str, transaction: Transaction, nonce: str) -> Committed | Conflict:
         """Write under a condition until it is known whether the write took effect."""
         unanswered = 0
+        until = time.monotonic() + SETTLE_S
         while True:
             try:
                 answer = self.store.transact(transaction, repeatable=True)
             except StoreUnknownError as error:
                 unanswered += 1
                 log_state("write_unanswered", key=key, tries=unanswered, error=str(error))
-                if unanswered >= SETTLE_TRIES:
+                if time.monotonic() >= until:
                     raise
                 continue
             except StoreError as error:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -32,6 +32,7 @@
 KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
 END_TRIES = 5
 HAND_OVER_TIMEOUT_S = 1.0
+HAND_OVER_PAUSE_S = 0.3  # before lots are offered again that nobody could be given
 
 
 class LotOwner:
@@ -134,33 +135,28 @@
         if (head.owner, head.incarnation) == (me.name, me.incarnation):
             self._add(whole, of="a gateway that stops")
 
-    def hand_over(self) -> list[str]:
-        """Give all open lots to other gateways; for a planned stop."""
+    def hand_over(self) -> None:
+        """Give all open lots to other gateways; for a planned stop, until all are given."""
         self.leaving = True
-        others = [one for one in self.peers.gateways()]
-        moved = []
-        for owned in self.owned.open():
-            if not others:
-                break
-            names = [one.name for one in others]
-            heir = next(o for o in others if o.name == rendezvous(owned.lot_id, names)[0])
-            if self._give_to(owned, heir):
-                moved.append(owned.lot_id)
-        return moved
-
-    def _give_to(self, owned: OwnedLot, heir: Member) -> bool:
+        while open_lots := self.owned.open():
+            others = {one.name: one for one in self.peers.gateways()}
+            for owned in open_lots if others else ():
+                heir = rendezvous(owned.lot_id, sorted(others))[0]
+                self._give_to(owned, others[heir])
+            self.stopped.wait(HAND_OVER_PAUSE_S)
+
+    def _give_to(self, owned: OwnedLot, heir: Member) -> None:
         try:
             with self.owned.lock:
                 kept = owned.kept
             kept = self.journal.change(kept, owner=heir.name, incarnation=heir.incarnation)
         except (StoreError, NotOwnerError, LotMissingError) as error:
             log_state("hand_over_failed", lot=owned.lot_id, error=str(error))
-            return False
+            return
         whole = KeptLot(kept, owned.book.lot, tuple(owned.book.listed))
         self.peers.ask(heir.address, Adopt(*self.peers.myself, whole), HAND_OVER_TIMEOUT_S)
         self.release(owned)
         log_state("handed_over", lot=owned.lot_id, to=heir.name)
-        return True
 
     def _end_kept(self, kept: KeptHead) -> KeptHead:
         """Write the end, over any change that another owner makes meanwhile."""
@@ -226,11 +222,15 @@
 
     def _audit(self) -> None:
         """Take over the open lots whose owner is gone and that fall to this gateway."""
-        live = {one.name: one for one in self.peers.picture.belief.gateways()}
-        live[self.peers.member.name] = self.peers.member
-        for kept in self.journal.heads():
-            if kept.head.ended or self.owned.get(kept.lot_id) is not None:
-                continue
+        idle = [
+            kept
+            for kept in self.journal.heads()
+            if not kept.head.ended and self.owned.get(kept.lot_id) is None
+        ]
+        if any(kept.head.owner not in self._live() for kept in idle):
+            self.peers.relist_members()  # a gateway that just started may not be seen yet
+        live = self._live()
+        for kept in idle:
             if heir_of(kept, live) != self.peers.member.name:
                 continue
             try:
@@ -238,6 +238,12 @@
             except (NotOwnerError, LotMissingError) as error:
                 log_state("not_adopted", lot=kept.lot_id, error=str(error))
 
+    def _live(self) -> dict[str, Member]:
+        """Return the gateways that are believed to live, this one among them."""
+        live = {one.name: one for one in self.peers.picture.belief.gateways()}
+        live[self.peers.member.name] = self.peers.member
+        return live
+
     def _adopt(self, kept: KeptHead) -> None:
         if self.owned.get(kept.lot_id) is not None or self.leaving:
             return
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -91,7 +91,7 @@
 
     def _refresh(self) -> None:
         """Keep one view and one collector for each sidecar in the list."""
-        members = {one.name: one for one in self.peers.picture.belief.sidecars()}
+        members = {one.name: one for one in self.peers.sidecars()}
         with self.lock:
             for name, member in members.items():
                 view = self.views.get(name)
@@ -126,7 +126,7 @@
             return False
         with self.owned.lock:
             have = {key: n for lot in lots for key, n in lot.book.at_runner(name).items()}
-        if not have and name not in self.peers.picture.belief.members:
+        if not have and name not in self.peers.remembered:
             return False
         ask = Collect(*self.peers.myself, self.peers.facts_for(view.member), have, COLLECT_WAIT_S)
         reply = self.peers.ask(view.member.address, ask, COLLECT_WAIT_S + ANSWER_MARGIN_S)
@@ -302,6 +302,8 @@
             for lot, sample in refused:
                 lot.book.give_back(sample, name, now + pause)
         log_state("samples_sent", sidecar=name, taken=sorted(taken), refused=len(refused))
+        for lot in {id(lot): lot for lot, _ in batch if lot.book.ended}.values():
+            self.drop(lot, let_finish=False)  # it was ended while they were on their way
 
     def _order(self, lot: OwnedLot, sample: str, runner: str) -> RunOrder:
         book = lot.book
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -22,7 +22,7 @@
 
 ABSENT = 0  # the revision of a key that does not exist
 CONNECT_TIMEOUT_S = 0.6  # two lost opening packets are not waited for
-CALL_TIMEOUT_S = 1.6  # an outage shows within two lease renewals; the slowest answers seen take 0.4
+CALL_TIMEOUT_S = 1.2  # the slowest answers seen take 0.4
 WATCH_MARGIN_S = 1.0
 POOL_SIZE = 8
 MAX_ENTRIES = 32  # in one transaction; the store's limit
@@ -225,6 +225,7 @@
         self.timeout_s = timeout_s
         self.lock = threading.Lock()
         self.calls = 0
+        self.shut = False
 
     def get(self, key: str) -> Item | None:
         """Read one key; the answer is the newest.
@@ -319,7 +320,8 @@
 
         :raises StoreError: if no answer came
         """
-        answer = self._ask("POST", f"{KEY_ROOT}/kv-keep/{lease}", b"", repeatable=True)
+        path = f"{KEY_ROOT}/kv-keep/{lease}"
+        answer = self._ask("POST", path, b"", repeatable=True, probes=True)
         return answer.status != 404
 
     def end_lease(self, lease: int) -> None:
@@ -349,20 +351,36 @@
         return RawAnswer(response.status, response.data)
 
     def _ask(
-        self, method: str, path: str, body: bytes = b"", repeatable: bool | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        repeatable: bool | None = None,
+        probes: bool = False,
     ) -> RawAnswer:
-        """Send a call directly, then through a peer where that is safe."""
+        """Send a call directly, then through a peer where that is safe.
+
+        While the direct way is known to be shut the peer comes first.
+
+        :param probes: whether this call finds out if the direct way is open again
+        """
         again = method == "GET" if repeatable is None else repeatable
         call = Call(method, path, body, self.timeout_s, again)
+        peer_first = self.shut and not probes
+        relayed = self._relayed(call) if peer_first else None
+        if relayed is not None:
+            return self._checked(relayed)
         try:
             answer = self._checked(self.direct(call))
         except StoreError as error:
+            self.shut = True
             self.observe(error)
-            may_go_on = again or isinstance(error, StoreRefusedError)
+            may_go_on = not peer_first and (again or isinstance(error, StoreRefusedError))
             relayed = self._relayed(call) if may_go_on else None
             if relayed is None:
                 raise
             return self._checked(relayed)
+        self.shut = False
         self.observe(None)
         return answer
 
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -43,6 +43,7 @@
 
 REPORT_S = 0.2  # the engine's report is free from its own box
 WATCH_S = 0.2
+UNHEARD_S = 3.0  # gateways beat twice a second to a sidecar that is listed
 RELAY_TIMEOUT_S = 2.2
 RELAY_TRIES = 2
 
@@ -68,6 +69,7 @@
         self.gateways: dict[str, float] = {}
         self.stopped = threading.Event()
         self.leaving = False
+        self.listed_again = clock.now()
         self.on_unlisted: Callable[[], None] = lambda: None
 
     def start(self, store: StoreClient) -> None:
@@ -169,6 +171,16 @@
             cut = self.table.cut_silent()
             if cut:
                 log_state("gateway_silent", samples=cut, outcome=RunOutcome.CUT.value)
+            self._check_heard()
+
+    def _check_heard(self) -> None:
+        """List this sidecar again if no gateway asks; its entry may have been taken away."""
+        now = self.clock.now()
+        last = max(self.gateways.values(), default=0.0)
+        if now - max(last, self.listed_again) > UNHEARD_S:
+            self.listed_again = now
+            log_state("no_gateway_asks", since_s=round(now - last, 1) if last else None)
+            self.on_unlisted()
 
     def _learn_floor(self, store: StoreClient) -> None:
         """Read from the store how new the named versions are, before any order is given."""
--- a/src/threadramp/serve/api.py
+++ b/src/threadramp/serve/api.py
@@ -28,10 +28,12 @@
     """Base of the processes.
 
     :param settings: as they were at the start; what may change is read again
+    :param stamp: tells the state of the settings file from which they were read
     """
 
-    def __init__(self, settings: BoxSettings) -> None:
+    def __init__(self, settings: BoxSettings, stamp: tuple[int, int]) -> None:
         self.settings = settings
+        self.stamp = stamp
         self.incarnation = secrets.token_hex(4)
         self.stop = threading.Event()
         self.reload = threading.Event()
@@ -55,12 +57,11 @@
         name = type(self).__name__
         log_state("start", process=name, box=self.settings.name, incarnation=self.incarnation)
         self.start()
-        stamp = _stamp()
         while not self.stop.wait(SETTINGS_LOOK_S):
             now = _stamp()
-            if self.reload.is_set() or now != stamp:
+            if self.reload.is_set() or now != self.stamp:
                 self.reload.clear()
-                stamp = now
+                self.stamp = now
                 self._reload()
         log_state("stopping", process=name, box=self.settings.name)
         self.finish()
@@ -87,13 +88,14 @@
 def serve(role: str) -> int:
     """Run the process of a role and return its exit code."""
     log_to_stdout()
+    stamp = _stamp()  # before the file is read, so that no change after it is missed
     try:
         settings = read_settings(settings_path())
     except FindingsError as error:
         log_state("settings_refused", findings=[str(one) for one in error.findings])
         flush_logs()
         return BAD_SETTINGS
-    ROLES[role](settings).run()
+    ROLES[role](settings, stamp).run()
     os._exit(0)  # threads that still wait for an answer would hold the process up
 
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -13,7 +13,7 @@
 from threadramp.fleet.emptying import Emptying
 from threadramp.fleet.membership import Membership
 from threadramp.fleet.peers import Peers
-from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.fleet.watcher import Watcher
 from threadramp.lots.appending import Appending
@@ -92,6 +92,7 @@
         store = StoreClient(own.store.address, self.peers.relay, health.observe)
         self.membership = Membership(self.member, store, own.store.lease_min_s)
         self.peers.on_unlisted = self.membership.not_listed
+        self.peers.list_members = lambda: store.list(MEMBER_PREFIX)
         self.watchers = [
             Watcher(one, store, health, clock, gathers=one is not self.picture.operator)
             for one in self.picture.mirrors
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -79,7 +79,7 @@
     def _close(self, address: str) -> None:
         socket = self.sockets.pop(address, None)
         for context in self.contexts.pop(address, []):
-            context.close()
+            _close_quietly(context)
         if socket is not None:
             socket.close()
 
@@ -121,7 +121,15 @@
             if self.sockets.get(address) is socket:
                 free.append(context)
             else:
-                context.close()
+                _close_quietly(context)
+
+
+def _close_quietly(context: Context) -> None:
+    """Close a context; one whose socket was closed meanwhile is closed already."""
+    try:
+        context.close()
+    except Closed:
+        return
 
 
 class SyncServer:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-THREADS = 24
+THREADS = 96  # each waiting watch holds one, also those of processes that were killed
 
 
 class FakeClock:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 
 import pytest
 
@@ -128,6 +129,34 @@
     assert len(relay.calls) == 1
 
 
+def test_while_the_own_way_is_shut_the_peer_comes_first_and_renewals_look(store_address):
+    relay = Relay(StoreClient(store_address))
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        cut_off = StoreClient(address, relay, timeout_s=0.3)
+        cut_off.get("a")  # finds out
+        started = time.monotonic()
+        for _ in range(5):
+            cut_off.get("a")
+        assert time.monotonic() - started < 0.3
+        lease = relay.through.grant_lease(60.0)
+        calls = cut_off.calls
+        assert cut_off.renew_lease(lease)
+        assert cut_off.calls == calls + 1  # it looked at its own way
+    assert cut_off.shut
+
+
+def test_the_own_way_is_used_again_once_a_renewal_found_it_open(store, store_address):
+    relay = Relay(StoreClient(store_address))
+    store.relay = relay
+    store.shut = True
+    lease = store.grant_lease(60.0)
+    assert len(relay.calls) == 1
+    store.renew_lease(lease)
+    store.get("a")
+    assert len(relay.calls) == 1
+
+
 def test_a_write_without_an_answer_is_relayed_only_if_that_may_be_repeated(store):
     relay = Relay(store)
     with socket.create_server(("127.0.0.1", 0)) as silent:
--- /dev/null
+++ b/tests/serve/fleet.py
@@ -0,0 +1,270 @@
+"""Real processes of the roles on loopback, with stand-ins for the platform and the endpoints."""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+import yaml
+from urllib3 import HTTPConnectionPool, Timeout
+from urllib3.exceptions import HTTPError
+
+from threadramp.standins.platform_engine import PlatformEngine
+from threadramp.standins.store import PlatformStore, encoded
+
+ROOT = Path(__file__).parents[2]
+PORTS = {"front": 8161, "ready": 8167, "peer": 7720, "metrics": 9464}
+PATIENCE_S = 30.0
+HOST = "models.example"
+CALLS = "calls.example"
+_boxes = itertools.count(1)
+
+
+def wait_for(condition, what: str, timeout_s: float = PATIENCE_S):
+    """Wait until a condition holds and return its value."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        with suppress(HTTPError, OSError):
+            value = condition()
+            if value:
+                return value
+        time.sleep(0.03)
+    raise TimeoutError(f"not in {timeout_s} s: {what}")
+
+
+def new_ip() -> str:
+    """Return a loopback address that no other test process uses."""
+    number = next(_boxes)
+    return f"127.{64 + os.getpid() // 250 % 64}.{os.getpid() % 250}.{number % 250 + 1}"
+
+
+class Box:
+    """One box with one process of ours."""
+
+    def __init__(self, folder: Path, role: str, name: str, store: str, endpoint: str = ""):
+        self.ip = new_ip()
+        self.name = name
+        self.role = role
+        self.file = folder / f"{name}.yaml"
+        self.log = folder / f"{name}.log"
+        self.settings = {
+            "node": name,
+            "ip": self.ip,
+            "zone": "a",
+            "listen": {},
+            "internalPorts": [PORTS["peer"], PORTS["peer"] + 15],
+            "provider": {"address": store, "ttlMinMs": 1000},
+            "bounds": {"graceS": 8, "drainMs": 2000},
+            "limits": {"memoryMb": 256},
+        }
+        if role == "gateway":
+            listen = {name: f"{self.ip}:{PORTS[name]}" for name in ("front", "ready")}
+            self.settings["listen"] = listen
+        if endpoint:
+            self.settings.update(app=endpoint, backend="engines")
+        self.process = None
+        self.write()
+
+    def write(self) -> None:
+        """Write the settings file."""
+        self.file.write_text(yaml.safe_dump(self.settings), encoding="utf-8")
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "start.py"), self.role],
+                env={**os.environ, "THREADRAMP_NODE_FILE": str(self.file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self) -> None:
+        """End the process without a word."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> float:
+        """Ask the process to stop; returns the seconds until it has ended."""
+        started = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        self.process.wait(PATIENCE_S)
+        return time.monotonic() - started
+
+    def lines(self, kind: str = "") -> list[dict]:
+        """Return the log lines of a kind."""
+        rows = []
+        for line in self.log.read_text(encoding="utf-8").splitlines():
+            with suppress(json.JSONDecodeError):
+                row = json.loads(line)
+                if not kind or row.get("message_type") == f"threadramp:{kind}":
+                    rows.append(row)
+        return rows
+
+    def call(self, method: str, target: str, host=HOST, body=b"", timeout_s=10.0, **headers):
+        """Send one request to this gateway."""
+        pool = HTTPConnectionPool(self.ip, PORTS["front"], retries=False)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        with pool:
+            return pool.urlopen(
+                method, target, body=body, headers={"Host": host, **named},
+                timeout=Timeout(connect=1.0, read=timeout_s), redirect=False,
+            )  # fmt: skip
+
+    def ready(self) -> int:
+        """Return the status of the question for readiness."""
+        pool = HTTPConnectionPool(self.ip, PORTS["ready"], retries=False, timeout=1.0)
+        with pool:
+            return pool.urlopen("GET", "/threadramp/ready").status
+
+    def metrics(self) -> str:
+        """Return this process's own figures."""
+        pool = HTTPConnectionPool(self.ip, PORTS["metrics"], retries=False, timeout=1.0)
+        with pool:
+            return pool.urlopen("GET", "/metrics").data.decode()
+
+
+class PlatformFleet:
+    """Gateways, sidecars and stand-ins."""
+
+    def __init__(self, folder: Path, serve, gateways: int = 2, engines: int = 2):
+        self.serve = serve
+        self.store = PlatformStore({})
+        self.store_address = serve(self.store)
+        self.engines = [PlatformEngine({"instance": f"i-e{n}"}) for n in range(engines)]
+        self.callee = PlatformEngine({"instance": "i-c0"})
+        self.boxes: list[Box] = []
+        self.gateways = [self._box(folder, "gateway", f"front-{n}") for n in range(gateways)]
+        self.sidecars = []
+        for number, engine in enumerate(self.engines):
+            address = serve(engine)
+            self.sidecars.append(self._box(folder, "sidecar", f"side-{number}", address))
+            self.register(engine.instance, "engines", address)
+        self.register("i-c0", "calls", serve(self.callee))
+        self.configure()
+        self.name_version(1)
+
+    def _box(self, folder: Path, role: str, name: str, endpoint: str = "") -> Box:
+        box = Box(folder, role, name, self.store_address, endpoint)
+        self.boxes.append(box)
+        return box
+
+    def start(self) -> None:
+        """Start all processes and wait until they serve."""
+        for box in self.boxes:
+            box.start()
+        for gateway in self.gateways:
+            wait_for(lambda box=gateway: box.ready() == 200, f"{gateway.name} ready")
+        wait_for(
+            lambda: len(self.keys("member/")) == len(self.gateways) + len(self.sidecars),
+            "all members listed",
+        )
+
+    def close(self) -> None:
+        """End all processes."""
+        for box in self.boxes:
+            if box.process is not None and box.process.poll() is None:
+                box.kill()
+
+    def keys(self, prefix: str) -> list[str]:
+        """Return the store's keys under a prefix."""
+        with self.store.lock:
+            return [key for key in self.store.data if key.startswith(prefix)]
+
+    def value(self, key: str) -> bytes:
+        """Return the value of a key."""
+        with self.store.lock:
+            return base64.b64decode(self.store.data[key].value)
+
+    def put(self, key: str, value) -> None:
+        """Write a key as the operator or an endpoint would."""
+        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        row = {"key": key, "value": encoded(body)}
+        assert self.store._commit({"puts": [row]}).status == 200
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        assert self.store._commit({"remove": [key]}).status == 200
+
+    def register(self, instance: str, pool: str, address: str, state: str = "ready") -> None:
+        """List an endpoint."""
+        entry = {"backend": pool, "address": address, "zone": "a", "slots": 6, "state": state}
+        self.put(f"servers/{instance}", entry)
+
+    def configure(self, version: int = 3, **route) -> None:
+        """Write the configuration."""
+        calls = {
+            "name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
+            "timeoutMs": 1500, "targetLatencyMs": 400, "backend": "calls", "maxAttempts": 4,
+        }  # fmt: skip
+        lots = {
+            "name": "lots", "hostname": HOST, "pathPrefix": "/lots/", "kind": "rollout",
+            "timeoutMs": 10000, "targetLatencyMs": 400, "runTargetMs": 7500, "queueTtlS": 40,
+            "backend": "engines", "maxAttempts": 3,
+        }  # fmt: skip
+        engines = {"name": "engines", "engine": {"slots": 6, "models": [{"name": "m"}]}}
+        table = {
+            "version": version,
+            "routes": [{**calls, **route}, lots],
+            "backends": [engines, {"name": "calls"}],
+            "limits": {"maxBodyBytes": 2_000_000},
+        }
+        self.put("op/config", table)
+
+    def name_version(self, version: int) -> None:
+        """Name a version of the weights."""
+        self.put("op/version/m", {"model": "m", "version": version})
+
+    def lot(self, lot_id: str, samples: int = 6, min_version: int = 1) -> bytes:
+        """Return the body of a lot."""
+        rows = [
+            {
+                "id": f"{lot_id}-s{number}", "path": f"/lots/{number}", "tokens": 100,
+                "headers": {"X-Model": "m", "X-Token-Count": "50,50"},
+                "body": encoded(f"prompt {number}".encode()), "group": f"g{number // 2}",
+                "scoringEndpoint": {
+                    "id": f"{lot_id}-r{number}", "hostname": CALLS, "path": "/score/1",
+                    "body": encoded(b"x"),
+                },
+            }
+            for number in range(samples)
+        ]  # fmt: skip
+        table = {
+            "step": 0, "model": "m", "desired": samples // 2, "minVersion": min_version,
+            "requests": rows,
+        }  # fmt: skip
+        return msgspec.json.encode(table)
+
+    def hand_in(self, gateway: Box, lot_id: str, **lot) -> int:
+        """Hand a lot in and return the status."""
+        body = self.lot(lot_id, **lot)
+        return gateway.call("POST", f"/lots/{lot_id}", body=body, X_Attempt_Id=lot_id).status
+
+    def results(self, gateway: Box, lot_id: str, after: int = 0, wait_ms: int = 0):
+        """Return a page of results, none if there was no answer 200."""
+        target = f"/threadramp/lots/{lot_id}?after={after}"
+        answer = gateway.call("GET", target, X_Wait_Ms=str(wait_ms))
+        return msgspec.json.decode(answer.data) if answer.status == 200 else None
+
+    def whole(self, gateway: Box, lot_id: str) -> list[dict]:
+        """Wait until all results of a lot are listed and return them."""
+
+        found: list[dict] = []
+
+        def all_listed():
+            page = self.results(gateway, lot_id, after=len(found))
+            if page is None:
+                return None
+            found.extend(page["results"])
+            return found if len(found) == page["total"] else None
+
+        return wait_for(all_listed, f"{lot_id} whole at {gateway.name}")
--- /dev/null
+++ b/tests/serve/test_callers.py
@@ -0,0 +1,149 @@
+"""Callers' requests, configuration, leaving and stopping over real processes."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+
+from tests.serve.fleet import CALLS, PORTS, wait_for
+
+
+def ask(gateway, target="/x", name="r1", **more):
+    return gateway.call("POST", target, host=CALLS, body=b"q", X_Attempt_Id=name, **more)
+
+
+def test_a_request_is_answered_by_its_endpoint(fleet):
+    answer = ask(fleet.gateways[0], "/a/b?c=d%20e")
+    assert (answer.status, answer.data) == (200, b"i-c0 answers r1")
+    assert answer.headers["X-Server-Stamp"] == "sig-r1"
+    assert fleet.callee.runs[-1]["id"] == "r1"
+
+
+def test_a_request_without_a_route_is_told_so(fleet):
+    assert fleet.gateways[0].call("GET", "/", host="unknown.example").status == 404
+
+
+def test_a_process_that_knows_no_configuration_says_so(fleet, tmp_path):
+    fleet.store.faults["outage"] = True
+    late = fleet._box(tmp_path, "gateway", "front-late")
+    late.start()
+    wait_for(lambda: late.ready() == 503, "it answers")
+    answer = ask(late)
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    fleet.store.faults["outage"] = False
+    wait_for(lambda: late.ready() == 200, "ready")
+    assert ask(late).status == 200
+
+
+def test_a_change_of_the_configuration_is_in_force_at_once(fleet):
+    fleet.configure(version=4, pathPrefix="/new/")
+    for gateway in fleet.gateways:
+        wait_for(lambda box=gateway: ask(box, "/x").status == 404, "old route gone", 2.0)
+        assert ask(gateway, "/new/x").status == 200
+
+
+def test_the_routes_time_is_kept(fleet):
+    fleet.configure(version=4, timeoutMs=300)
+    fleet.callee.faults["hold_s"] = 3.0
+    time.sleep(0.5)
+    started = time.monotonic()
+    assert ask(fleet.gateways[0], X_Deadline_Ms="5000").status == 504
+    assert time.monotonic() - started < 0.7
+
+
+def test_full_endpoints_are_told_at_once(fleet):
+    fleet.callee.faults["reject"] = 1000
+    started = time.monotonic()
+    answer = ask(fleet.gateways[0])
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert time.monotonic() - started < 1.0
+
+
+def test_a_leaving_endpoint_gets_nothing_new(fleet):
+    fleet.register("i-c0", "calls", "127.0.0.1:1", state="draining")
+    wait_for(lambda: ask(fleet.gateways[0]).status == 503, "nowhere to go", 2.0)
+    runs = len(fleet.callee.runs)
+    ask(fleet.gateways[1])
+    assert len(fleet.callee.runs) <= runs + 1
+
+
+def test_a_body_over_the_limit_is_refused(fleet):
+    gateway = fleet.gateways[0]
+    answer = gateway.call("POST", "/x", host=CALLS, body=b"x" * 2_000_001, X_Attempt_Id="big")
+    assert answer.status == 413
+    assert gateway.ready() == 200
+
+
+def test_a_planned_stop_finishes_what_is_open(fleet):
+    first = fleet.gateways[0]
+    fleet.callee.faults["hold_s"] = 1.0
+    answers = []
+    thread = threading.Thread(target=lambda: answers.append(ask(first).status))
+    thread.start()
+    time.sleep(0.3)
+    first.process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    assert first.ready() == 503
+    assert ask(first, name="r2").status == 200  # the balancer still sends some
+    thread.join()
+    assert answers == [200]
+    first.process.wait(8.0)
+    assert first.process.returncode == 0
+    assert [row["box"] for row in first.lines("stopped")] == [first.name]
+
+
+def test_a_planned_stop_hands_the_lots_over(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=60, gap_s=0.05)
+    fleet.hand_in(first, "lot1", samples=4)
+    assert first.stop() < 8.0
+    assert len(fleet.whole(second, "lot1")) == 4
+    assert [row["lot"] for row in second.lines("lot_adopted")] == ["lot1"]
+
+
+def test_changed_settings_are_read_again_and_bad_ones_refused(fleet):
+    first = fleet.gateways[0]
+    first.settings["bounds"]["graceS"] = 9
+    first.write()
+    wait_for(lambda: first.lines("reload"), "read without a signal", 5.0)
+    first.settings["node"] = None
+    first.write()
+    first.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: first.lines("settings_refused"), "refused", 5.0)
+    assert ask(first).status == 200
+
+
+def test_the_operators_wish_to_empty_a_box_is_answered(fleet):
+    fleet.put("op/retire/store-a-1", {"durationS": 8})
+    wait_for(lambda: fleet.keys("status/retire/"), "answered", 5.0)
+    assert fleet.value("status/retire/store-a-1") == b'{"state":"succeeded"}'
+
+
+def test_a_revoked_member_lists_itself_again(fleet):
+    fleet.store.faults["revoke"] = True
+    with fleet.store.lock:
+        fleet.store.faults_changed()
+    assert fleet.keys("member/") == []
+    wait_for(lambda: len(fleet.keys("member/")) == 4, "listed again", 10.0)
+
+
+def test_figures_are_told_at_the_metrics_address(fleet):
+    ask(fleet.gateways[0])
+    text = fleet.gateways[0].metrics()
+    assert 'threadramp_events_total{kind="answer",label="answered"}' in text
+    assert "threadramp_latency_seconds" in text
+    assert PORTS["metrics"] == 9464  # as the deploy file says
+
+
+def test_a_process_without_good_settings_ends_with_findings(fleet, tmp_path):
+    bad = fleet._box(tmp_path, "gateway", "front-bad")
+    bad.settings["provider"] = {}
+    bad.write()
+    bad.start()
+    assert bad.process.wait(10.0) == 2
+    (line,) = bad.lines("settings_refused")
+    assert "provider.address" in line["findings"][0]
--- /dev/null
+++ b/tests/serve/test_deploy.py
@@ -0,0 +1,51 @@
+"""The deploy file, without the platform."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.serve.fleet import PORTS, Box, wait_for
+
+ROOT = Path(__file__).parents[2]
+DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+CLASSES = {"front", "side", "store"}
+
+
+def test_each_class_that_owes_a_role_has_one():
+    served = [name for role in DEPLOY["roles"].values() for name in role["serves"]]
+    assert sorted(served) == sorted(CLASSES)
+    assert {role["on"] for role in DEPLOY["roles"].values()} <= CLASSES
+
+
+@pytest.mark.parametrize("name", sorted(DEPLOY["roles"]))
+def test_a_roles_command_runs_a_module_that_is_there(name):
+    program, script, role = DEPLOY["roles"][name]["run"].split()
+    assert (program, role) == ("python3", name)
+    assert (ROOT / script).is_file()
+    assert (ROOT / "src" / "threadramp" / "serve" / f"{role}.py").is_file()
+
+
+def test_the_metrics_address_is_the_one_that_is_served():
+    assert DEPLOY["roles"]["gateway"]["metrics"] == f"{PORTS['metrics']}/metrics"
+
+
+def test_requirements_are_pinned_as_in_the_lock_file():
+    def pins(name: str) -> dict[str, str]:
+        rows = (ROOT / name).read_text(encoding="utf-8").split()
+        return dict(re.fullmatch(r"([\w.-]+)==(\S+)", row).groups() for row in rows)
+
+    lock = {name.lower().replace("_", "-"): pin for name, pin in pins("requirements.lock").items()}
+    for name, pin in pins("requirements.txt").items():
+        assert lock[name.lower().replace("_", "-")] == pin
+
+
+def test_the_keeper_starts_and_stops(tmp_path):
+    box = Box(tmp_path, "keeper", "store-a-1", "127.0.0.1:1")
+    box.start()
+    wait_for(lambda: box.lines("start"), "started")
+    assert box.stop() < 4.0
+    assert box.process.returncode == 0
--- /dev/null
+++ b/tests/serve/test_lots.py
@@ -0,0 +1,170 @@
+"""Lots over real processes, with processes killed, the store away and answers lost."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from tests.serve.fleet import wait_for
+
+
+def test_a_lot_is_run_scored_and_read_at_every_gateway(fleet):
+    first, second = fleet.gateways
+    assert fleet.hand_in(first, "lot1") == 202
+    results = fleet.whole(first, "lot1")
+    assert len({row["id"] for row in results}) == 6
+    for row in results:
+        name = row["id"]
+        assert row["state"] == "succeeded"
+        assert row["text"] == "\n".join(f"{name}-{n}" for n in range(1, 6))
+        assert row["versions"] == [1]
+        assert row["score"] == "sig-" + name.replace("-s", "-r")
+    assert fleet.results(second, "lot1")["results"] == results
+    assert fleet.results(second, "lot1", after=4)["results"] == results[4:]
+
+
+def test_a_lot_that_comes_again_is_taken_once(fleet):
+    first, second = fleet.gateways
+    assert fleet.hand_in(first, "lot1") == 202
+    assert fleet.hand_in(second, "lot1") == 202
+    assert fleet.hand_in(first, "lot1") == 202
+    assert len(fleet.whole(second, "lot1")) == 6
+
+
+def test_a_lost_answer_of_the_store_loses_no_lot(fleet):
+    fleet.store.faults["lose_answers"] = 3
+    assert fleet.hand_in(fleet.gateways[0], "lot1") == 202
+    assert len(fleet.whole(fleet.gateways[0], "lot1")) == 6
+
+
+def test_a_killed_gateways_lot_goes_on_elsewhere_with_the_same_positions(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=30, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=16) == 202
+    wait_for(lambda: fleet.results(second, "lot1")["results"], "a first result")
+    before = fleet.results(second, "lot1")["results"]
+    first.kill()
+    results = fleet.whole(second, "lot1")
+    assert results[: len(before)] == before
+    assert len({row["id"] for row in results}) == 16
+
+
+def test_a_killed_sidecars_samples_go_on_behind_their_events(fleet):
+    first = fleet.gateways[0]
+    for engine in fleet.engines:
+        engine.faults.update(events=40, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1") == 202
+    wait_for(lambda: fleet.engines[0].runs, "a sample at the first engine")
+    time.sleep(1.0)
+    fleet.sidecars[0].kill()
+    results = fleet.whole(first, "lot1")
+    assert all(row["text"].count("\n") == 39 for row in results)
+    resumed = [run for run in fleet.engines[1].runs if run["after"]]
+    assert resumed, "every sample began anew"
+
+
+def test_all_processes_killed_lose_nothing_that_was_acknowledged(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=20, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=12) == 202
+    wait_for(lambda: fleet.results(first, "lot1")["results"], "a first result")
+    before = fleet.results(first, "lot1")["results"]
+    for box in fleet.boxes:
+        box.kill()
+    for box in fleet.boxes:
+        box.start()
+    results = fleet.whole(second, "lot1")
+    assert results[: len(before)] == before
+    assert len(results) == 12
+
+
+def test_an_outage_of_the_store_is_told_at_once_and_survived(fleet):
+    first = fleet.gateways[0]
+    fleet.hand_in(first, "lot1")
+    results = fleet.whole(first, "lot1")
+    fleet.store.faults["outage"] = True
+    started = time.monotonic()
+    body = fleet.lot("lot2")
+    answer = first.call("POST", "/lots/lot2", body=body, X_Attempt_Id="lot2")
+    assert answer.status in (503, 504)
+    assert answer.status == 504 or float(answer.headers["Retry-After"]) > 0
+    assert time.monotonic() - started < 4.0
+    assert fleet.results(first, "lot1")["results"] == results
+    assert first.call("GET", "/threadramp/lots/never").status == 503
+    fleet.store.faults["outage"] = False
+    wait_for(lambda: fleet.hand_in(first, "lot3") == 202, "taken again")
+    assert len(fleet.whole(first, "lot3")) == 6
+
+
+def test_an_ended_lot_is_not_run_further_and_stays_readable(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=400, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=30) == 202
+    wait_for(lambda: len(fleet.engines[0].runs) >= 6, "samples began")
+    assert second.call("DELETE", "/threadramp/lots/lot1").status == 200
+    assert second.call("DELETE", "/threadramp/lots/lot1").status == 200
+    time.sleep(0.5)
+    began = len(fleet.engines[0].runs) + len(fleet.engines[1].runs)
+    time.sleep(1.0)
+    assert len(fleet.engines[0].runs) + len(fleet.engines[1].runs) == began
+    assert fleet.results(first, "lot1")["total"] == 30
+
+
+def test_the_body_of_a_sample_is_told_at_every_gateway(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=200, gap_s=0.05)
+    fleet.hand_in(first, "lot1")
+    for gateway in (first, second):
+        answer = gateway.call("GET", "/threadramp/items/lot1?id=lot1-s3")
+        assert (answer.status, answer.data) == (200, b"prompt 3")
+        assert gateway.call("GET", "/threadramp/items/lot1?id=other").status == 404
+
+
+def test_failing_samples_are_given_up_after_as_many_runs_as_allowed(fleet):
+    first = fleet.gateways[0]
+    for engine in fleet.engines:
+        engine.faults["fail"] = 1000
+    fleet.hand_in(first, "lot1", samples=2)
+    results = fleet.whole(first, "lot1")
+    assert {row["state"] for row in results} == {"dead"}
+    runs = [run["id"] for engine in fleet.engines for run in engine.runs]
+    assert all(runs.count(f"lot1-s{n}") == 3 for n in range(2))
+
+
+def test_an_impossible_sample_is_given_up_at_once(fleet):
+    fleet.engines[0].faults["impossible"] = fleet.engines[1].faults["impossible"] = 1000
+    fleet.hand_in(fleet.gateways[0], "lot1", samples=2)
+    results = fleet.whole(fleet.gateways[0], "lot1")
+    assert {row["state"] for row in results} == {"dead"}
+
+
+def test_broken_off_streams_are_gone_on_with(fleet):
+    for engine in fleet.engines:
+        engine.faults["cut"] = 5
+    fleet.hand_in(fleet.gateways[0], "lot1")
+    for row in fleet.whole(fleet.gateways[0], "lot1"):
+        assert row["text"] == "\n".join(f"{row['id']}-{n}" for n in range(1, 6))
+
+
+def test_a_named_version_is_loaded_once_and_labels_what_it_makes(fleet):
+    fleet.name_version(2)
+    wait_for(lambda: all(one.versions["m"] == 2 for one in fleet.engines), "version 2 loaded")
+    assert [len(engine.orders) for engine in fleet.engines] == [1, 1]
+    fleet.hand_in(fleet.gateways[0], "lot1", min_version=2)
+    assert all(row["versions"] == [2] for row in fleet.whole(fleet.gateways[0], "lot1"))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"no lot", b"[]", b'{"requests":[]}', b'{"requests":[{"id":"x"}]}']
+)
+def test_what_is_no_lot_is_refused_and_nothing_runs(fleet, body):
+    answer = fleet.gateways[0].call("POST", "/lots/x", body=body, X_Attempt_Id="x")
+    assert answer.status == 400
+    assert answer.data
+    assert fleet.gateways[0].ready() == 200
+    assert fleet.keys("lot/") == []
--- a/tests/wire/test_sync.py
+++ b/tests/wire/test_sync.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import threading
 from typing import TYPE_CHECKING
 
 import pytest
@@ -46,8 +47,6 @@
 
 
 def test_late_reply_is_never_taken_for_the_next_one() -> None:
-    import threading
-
     address = free_address()
     held = threading.Event()
 
@@ -75,3 +74,30 @@
     sealed[-1] ^= 1
     assert seal.unwrap(bytes(sealed)) is None
     assert seal.unwrap(b"") is None
+
+
+def test_a_connection_on_which_an_answer_stayed_out_is_given_up_for_all_that_wait_on_it() -> None:
+    held = threading.Event()
+
+    def handle(request: KeyQuery) -> KeyAnswer:
+        held.wait(PATIENCE_S)
+        return KeyAnswer("i", request.key)
+
+    address = free_address()
+    made = SyncServer(address, Seal("k"), handle, 8)
+    client = SyncClient(Seal("k"), redial=True)
+    results: list = []
+
+    def ask(timeout_s: float) -> None:
+        results.append(client.ask(address, KeyQuery("a"), timeout_s))
+
+    threads = [threading.Thread(target=ask, args=(seconds,)) for seconds in (0.2, 0.25, 1.0)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert results == [None, None, None]  # none of them raised
+    held.set()
+    assert client.ask(address, KeyQuery("a"), PATIENCE_S) == KeyAnswer("i", "a")
+    client.close()
+    made.close()
