Move samples from slow engines only where they may run

Change: room counts only engines that hold a version that is fresh enough; a test of it failed before.

--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -11,6 +11,7 @@
     RunnerView,
     is_slow,
     place,
+    room_elsewhere,
     usual_gap_ms,
 )
 from threadramp.report.guard import start_loop
@@ -322,32 +323,30 @@
         )
 
     def _move_from_slow(self) -> None:
-        """Take long samples from engines that are slow while others have room."""
-        now = self.clock.now()
+        """Take long samples from engines that are slow while others have room for them."""
         views = list(self.views.values())
         usual = usual_gap_ms(views)
-        slow = [view for view in views if is_slow(view, usual)]
-        room = sum(view.free(now) for view in views if not is_slow(view, usual))
-        for view in slow:
+        for view in [view for view in views if is_slow(view, usual)]:
             for lot in self.owned.open():
-                room -= self._move(lot, view, room)
+                wanted = lot.book.lot
+                room = room_elsewhere(views, wanted.model, wanted.min_version, self.clock.now())
+                self._move(lot, view, room)
 
-    def _move(self, lot: OwnedLot, view: RunnerView, room: int) -> int:
+    def _move(self, lot: OwnedLot, view: RunnerView, room: int) -> None:
         name = view.member.name
         with self.owned.lock:
             have = lot.book.at_runner(name)
             longest = sorted(
                 have, key=lambda sample: -lot.book.expected_left(lot.book.states[sample])
             )
-            moved = {sample: have[sample] for sample in longest[: max(0, room)]}
+            moved = {sample: have[sample] for sample in longest[:room]}
         if not moved:
-            return 0
+            return
         log_state("samples_moved", lot=lot.lot_id, sidecar=name, samples=sorted(moved))
         self._drop(view, moved, let_finish=False)
         with self.owned.lock:
             for sample in moved:
                 lot.book.give_back(sample, name, self.clock.now())
-        return len(moved)
 
     def _drop(self, view: RunnerView, have: dict[str, int], let_finish: bool) -> None:
         """Drop samples at a sidecar and take their last events."""
--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -64,14 +64,10 @@
 
     :param avoid: sidecar that is taken only if there is no other
     """
-    fastest = min((view.status.gap_ms for view in views if _tells_gap(view)), default=0.0)
-    able = [
-        view
-        for view in views
-        if view.free(now) and view.status and view.status.versions.get(model, 0) >= min_version
-    ]
+    able = [view for view in views if _is_able(view, model, min_version, now)]
     if not able:
         return None
+    fastest = min((view.status.gap_ms for view in views if _tells_gap(view)), default=0.0)
 
     def rank(view: RunnerView) -> tuple[bool, int, float, bool]:
         share = view.free(now) / max(1, view.status.slots)
@@ -81,6 +77,20 @@
     return min(able, key=rank)
 
 
+def room_elsewhere(views: Sequence[RunnerView], model: str, min_version: int, now: float) -> int:
+    """Return how many samples the engines could take that are not slow."""
+    usual = usual_gap_ms(views)
+    sound = [view for view in views if not is_slow(view, usual)]
+    return sum(view.free(now) for view in sound if _is_able(view, model, min_version, now))
+
+
+def _is_able(view: RunnerView, model: str, min_version: int, now: float) -> bool:
+    """Return whether a sidecar could start a sample now with weights that are fresh enough."""
+    if view.status is None or not view.free(now):
+        return False
+    return view.status.versions.get(model, 0) >= min_version
+
+
 def _tells_gap(view: RunnerView) -> bool:
     return view.status is not None and view.status.gap_ms > 0
 
@@ -92,4 +102,4 @@
     return int(log(view.status.gap_ms / fastest, SPEED_STEP))
 
 
-__all__ = ["RunnerView", "is_slow", "place", "usual_gap_ms"]
+__all__ = ["RunnerView", "is_slow", "place", "room_elsewhere", "usual_gap_ms"]
--- /dev/null
+++ b/tests/policy/test_sample_placement.py
@@ -0,0 +1,60 @@
+"""Which sidecar runs which sample."""
+
+from __future__ import annotations
+
+from threadramp.fleet.picture import Member
+from threadramp.policy.sample_placement import (
+    RunnerView,
+    is_slow,
+    place,
+    room_elsewhere,
+    usual_gap_ms,
+)
+from threadramp.wire.fleet import RunnerStatus
+
+NOW = 50.0
+
+
+def view(name: str, gap: float = 37.0, taken: int = 0, version: int = 3, ready: bool = True):
+    member = Member(name, "sidecar", "1", f"{name}:1", f"zone of {name}", f"{name}:80")
+    status = RunnerStatus("1", "i", ready, 12, taken, {"m": version}, gap)
+    return RunnerView(member, status, taken, heard=NOW)
+
+
+def chosen(views, min_version: int = 1, near: str = "", avoid: str = ""):
+    found = place(views, "m", min_version, near, avoid, NOW)
+    return found.member.name if found is not None else None
+
+
+def test_the_fastest_engine_comes_first_even_if_it_is_fuller():
+    assert chosen([view("a", gap=48.0), view("b", gap=37.0, taken=8)]) == "b"
+
+
+def test_of_equally_fast_engines_the_emptier_one_and_then_the_near_one():
+    assert chosen([view("a", taken=5), view("b", gap=38.0, taken=2)]) == "b"
+    assert chosen([view("a"), view("b")], near="zone of b") == "b"
+
+
+def test_full_loading_silent_and_stale_engines_get_nothing():
+    silent = view("d")
+    silent.heard = NOW - 3.0
+    views = [view("a", taken=12), view("b", ready=False), view("c", version=1), silent]
+    assert chosen(views, min_version=2) is None
+
+
+def test_the_engine_that_had_it_last_comes_last():
+    assert chosen([view("a"), view("b", taken=9)], avoid="a") == "b"
+    assert chosen([view("a")], avoid="a") == "a"
+
+
+def test_an_engine_is_slow_against_the_usual_gap():
+    views = [view("a"), view("b"), view("c", gap=120.0)]
+    usual = usual_gap_ms(views)
+    assert [is_slow(one, usual) for one in views] == [False, False, True]
+
+
+def test_room_counts_only_where_the_sample_may_run():
+    """Samples were moved to and fro where the only engine fresh enough was the slow one."""
+    views = [view("a", version=2), view("b", version=2), view("c", gap=120.0, version=3)]
+    assert room_elsewhere(views, "m", 3, NOW) == 0
+    assert room_elsewhere(views, "m", 2, NOW) == 24
