--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -35,6 +35,8 @@
 
 BEAT_S = 0.5
 BEAT_TIMEOUT_S = 0.4
+GATEWAYS_A_BEAT = 2
+SILENT_BEATS = 4  # unanswered in a row, 0.5 s apart: about the time in which a freeze is over
 BEATERS = 2  # gateways that regularly beat to one sidecar
 RELAY_TIMEOUT_S = 2.2  # a little longer than the call that is passed on
 RELAY_TRIES = 2
@@ -59,6 +61,7 @@
         self.health = health
         self.clock = clock
         self.heard: dict[str, float] = {}
+        self.silent: dict[tuple[str, str], int] = {}
         self.remembered: dict[str, Member] = {}
         self.listed_at: dict[str, float] = {}
         self.stopped = threading.Event()
@@ -100,6 +103,19 @@
         others.sort(key=lambda one: -self.heard.get(one.address, 0.0))
         return others
 
+    def live_gateways(self) -> list[Member]:
+        """Return the gateways that are listed and not silent, this one among them.
+
+        For the question whose lots lie idle: their owner's entry may outlast it by seconds, and by
+        a whole outage of the store. Taking a lot over from one that lives does no harm.
+        """
+        listed = self.picture.belief.gateways()
+        live = [one for one in listed if not self._is_silent(one)]
+        return live if any(one.name == self.member.name for one in live) else [*live, self.member]
+
+    def _is_silent(self, member: Member) -> bool:
+        return self.silent.get((member.name, member.incarnation), 0) >= SILENT_BEATS
+
     def sidecars(self) -> list[Member]:
         """Return the sidecars in the list of members and those that answered lately.
 
@@ -184,16 +200,27 @@
         self.ask_all(asks, BEAT_TIMEOUT_S)
 
     def _beat_gateways(self) -> None:
-        """Tell one other gateway, or all while the store is away, what was seen."""
+        """Tell two other gateways, or all while the store is away, what was seen."""
         others = self.gateways()
         if not self.health.is_away:
-            others = others[-1:]
+            others = others[-GATEWAYS_A_BEAT:]  # those that were not heard for the longest time
         ask = MirrorBeat(*self.myself, self._revisions())
         replies = self.ask_all({one.address: ask for one in others}, BEAT_TIMEOUT_S)
+        self._count_silence(others, set(replies))
         for reply in replies.values():
             if isinstance(reply, MirrorCopy):
                 self._take_over(reply)
 
+    def _count_silence(self, asked: list[Member], answered: set[str]) -> None:
+        for member in asked:
+            key = (member.name, member.incarnation)
+            if member.address in answered:
+                self.silent.pop(key, None)
+                continue
+            self.silent[key] = self.silent.get(key, 0) + 1
+            if self.silent[key] == SILENT_BEATS:
+                log_state("gateway_not_answering", gateway=member.name, beats=SILENT_BEATS)
+
     def _take_over(self, copy: MirrorCopy) -> None:
         for mirror in self.picture.mirrors:
             items = copy.items.get(mirror.prefix)
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -217,8 +217,7 @@
 
     def _gateways_now(self) -> frozenset[tuple[str, str]]:
         """Return the names and incarnations of the gateways that are believed to live."""
-        members = self.peers.picture.belief.gateways()
-        return frozenset((one.name, one.incarnation) for one in members)
+        return frozenset((one.name, one.incarnation) for one in self.peers.live_gateways())
 
     def _audit(self) -> None:
         """Take over the open lots whose owner is gone and that fall to this gateway."""
@@ -239,10 +238,8 @@
                 log_state("not_adopted", lot=kept.lot_id, error=str(error))
 
     def _live(self) -> dict[str, Member]:
-        """Return the gateways that are believed to live, this one among them."""
-        live = {one.name: one for one in self.peers.picture.belief.gateways()}
-        live[self.peers.member.name] = self.peers.member
-        return live
+        """Return the gateways that are believed to live, this one among them, by name."""
+        return {one.name: one for one in self.peers.live_gateways()}
 
     def _adopt(self, kept: KeptHead) -> None:
         if self.owned.get(kept.lot_id) is not None or self.leaving:
--- /dev/null
+++ b/tests/fleet/test_peers.py
@@ -0,0 +1,103 @@
+"""What a gateway believes of its peers."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from threadramp.fleet.peers import SILENT_BEATS, Peers
+from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.store_health import StoreHealth
+from threadramp.platform.store import Item, Listing
+from threadramp.wire.fleet import MirrorBeat, MirrorCopy
+
+
+def member(name: str, role: str = "gateway", incarnation: str = "1") -> Member:
+    return Member(
+        name, role, incarnation, f"{name}:1", "a", "engine:80" if role != "gateway" else ""
+    )
+
+
+class Client:
+    """Answers for the peers that are up."""
+
+    def __init__(self) -> None:
+        self.down: set[str] = set()
+        self.asked: list[tuple[str, object]] = []
+
+    def exchange(self, asks, timeout_s):
+        self.asked += asks.items()
+        return {address: MirrorCopy({}, {}) for address in asks if address not in self.down}
+
+
+@pytest.fixture
+def peers(clock) -> Peers:
+    picture = Picture()
+    made = Peers(member("g0"), picture, Client(), StoreHealth(clock), clock)
+    list_members(made, [member("g0"), member("g1"), member("g2"), member("s1", "sidecar")], 1)
+    return made
+
+
+def list_members(peers: Peers, members: list[Member], revision: int) -> None:
+    items = tuple(
+        Item(f"member/{one.name}", msgspec.msgpack.encode(one), revision) for one in members
+    )
+    peers.picture.members.replace(Listing(items, revision), 0.0)
+
+
+def names(members: list[Member]) -> list[str]:
+    return sorted(one.name for one in members)
+
+
+def test_a_gateway_that_does_not_answer_counts_as_gone_though_it_is_listed(peers, clock):
+    peers.client.down.add("g1:1")
+    for _ in range(SILENT_BEATS):
+        assert names(peers.live_gateways()) == ["g0", "g1", "g2"]
+        clock.at += 0.5
+        peers._beat_gateways()
+    assert names(peers.live_gateways()) == ["g0", "g2"]
+    peers.client.down.clear()
+    peers._beat_gateways()
+    assert names(peers.live_gateways()) == ["g0", "g1", "g2"]
+
+
+def test_its_next_process_is_not_silent(peers, clock):
+    peers.client.down.add("g1:1")
+    for _ in range(SILENT_BEATS):
+        peers._beat_gateways()
+    list_members(peers, [member("g0"), member("g1", incarnation="2"), member("g2")], 2)
+    assert names(peers.live_gateways()) == ["g0", "g1", "g2"]
+
+
+def test_a_sidecar_that_lost_its_place_is_asked_on_while_it_answers(peers, clock):
+    assert names(peers.sidecars()) == ["s1"]
+    list_members(peers, [member("g0")], 2)
+    for _ in range(20):
+        clock.at += 0.5
+        peers.heard["s1:1"] = clock.at
+        assert names(peers.sidecars()) == ["s1"]
+    assert not peers.facts_for(member("s1", "sidecar")).listed
+    clock.at += 5.1
+    assert peers.sidecars() == []
+
+
+def test_a_gateway_behind_gets_what_it_has_not_seen(peers):
+    copy = peers.mirror_copy(MirrorBeat("g1", "g1:1", {"member/": 0}))
+    assert [item.key for item in copy.items["member/"]] == [
+        "member/g0",
+        "member/g1",
+        "member/g2",
+        "member/s1",
+    ]
+    assert peers.mirror_copy(MirrorBeat("g1", "g1:1", {"member/": 1})).items == {}
+
+
+def test_a_process_that_is_missing_in_the_list_notices_after_a_while(peers, clock):
+    noticed = []
+    peers.on_unlisted = lambda: noticed.append(clock.at)
+    list_members(peers, [member("g1")], 2)
+    peers._check_listed(clock.at)
+    assert noticed == []
+    clock.at += 1.6
+    peers._check_listed(clock.at)
+    assert len(noticed) == 1
