Keep the text of long samples in the store while they run; remove lots that are old

Ruled out: slow starts (0.5 s) and idle lots (adopted within 0.3 s of the start). Change: each 1.5 s one record a lot with the new events of samples of 25 and more; an heir goes on behind them. Nothing depends on a record. Lots are removed a minute after their results need not be readable any more.

--- /dev/null
+++ b/src/threadramp/lots/checkpoints.py
@@ -0,0 +1,159 @@
+"""Keeps the text of long samples in the store while they run.
+
+When all boxes lose power, a sample of 165 events has cost 6 s; with its first hundred kept it
+goes on behind them. Nothing depends on these records: they are written without a condition, each
+owner under a name of its own, and a sample without one begins anew.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.lots.model import SavedText, decode_texts, encode
+from threadramp.platform.store import Put, StoreError, Transaction
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from threadramp.core.lot_book import SampleState
+    from threadramp.lots.owned import OwnedLot, OwnedLots
+    from threadramp.platform.store import StoreClient
+
+TEXT_PREFIX = "lot-text/"
+SAVE_S = 1.5  # between two records of a lot; each is a priced call
+LONG_EVENTS = 25  # a shorter sample is made again within a second
+NEW_EVENTS = 15  # fewer new events are not worth a record
+RECORD_CHARACTERS = 500_000  # a value may have a megabyte
+REMOVED_AT_ONCE = 32  # keys in one transaction
+
+
+class Checkpoints:
+    """Writes, reads and removes the records of one gateway's lots.
+
+    :param incarnation: of this process; two owners of a lot never write the same record
+    """
+
+    def __init__(self, owned: OwnedLots, store: StoreClient, incarnation: str) -> None:
+        self.owned = owned
+        self.store = store
+        self.incarnation = incarnation
+        self.saved: dict[str, dict[str, tuple[list[str], int]]] = {}
+        self.keys: dict[str, list[str]] = {}
+        self.stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start writing records."""
+        start_loop(self._run, self.stopped)
+
+    def load(self, lot_id: str) -> dict[str, SavedText]:
+        """Return the longest kept text of each sample of a lot.
+
+        :raises StoreError: if no answer came
+        """
+        prefix = f"{TEXT_PREFIX}{lot_id}/"
+        by_owner: dict[str, list[bytes]] = {}
+        for item in self.store.list(prefix).items:
+            owner, _, _ = item.key.removeprefix(prefix).partition("/")
+            by_owner.setdefault(owner, []).append(item.value)
+        longest: dict[str, SavedText] = {}
+        for values in by_owner.values():
+            for text in joined(record for value in values for record in decode_texts(value)):
+                held = longest.get(text.sample)
+                if held is None or len(held.events) < len(text.events):
+                    longest[text.sample] = text
+        return longest
+
+    def forget(self, lot_id: str) -> None:
+        """Remove the records that this process wrote of a lot."""
+        self.saved.pop(lot_id, None)
+        self.remove(self.keys.pop(lot_id, []))
+
+    def remove(self, keys: list[str]) -> None:
+        """Remove records; one that stays is removed with its lot."""
+        for start in range(0, len(keys), REMOVED_AT_ONCE):
+            some = tuple(keys[start : start + REMOVED_AT_ONCE])
+            try:
+                self.store.transact(Transaction(removals=some), repeatable=True)
+            except StoreError as error:
+                log_state("texts_not_removed", keys=len(some), error=str(error))
+
+    def save(self, lot: OwnedLot) -> int:
+        """Write what is new of a lot's long samples; returns how many samples that were."""
+        with self.owned.lock:
+            records = self._new_records(lot)
+        if not records:
+            return 0
+        keys = self.keys.setdefault(lot.lot_id, [])
+        key = f"{TEXT_PREFIX}{lot.lot_id}/{self.incarnation}/{len(keys):04}"
+        keys.append(key)
+        put = Put(key, encode(tuple(records)))
+        try:
+            self.store.transact(Transaction(puts=(put,)), repeatable=True)
+        except StoreError as error:
+            self.saved.pop(lot.lot_id, None)  # the next record has all of it again
+            log_state("texts_not_saved", lot=lot.lot_id, error=str(error))
+            return 0
+        return len(records)
+
+    def _run(self) -> None:
+        while not self.stopped.wait(SAVE_S):
+            for lot in self.owned.open():
+                count = self.save(lot)
+                if count:
+                    log_state("texts_saved", lot=lot.lot_id, samples=count)
+
+    def _new_records(self, lot: OwnedLot) -> list[SavedText]:
+        saved = self.saved.setdefault(lot.lot_id, {})
+        records: list[SavedText] = []
+        size = 0
+        for name, state in lot.book.states.items():
+            if not state.is_open or len(state.events) < LONG_EVENTS:
+                continue
+            events, base = saved.get(name, (state.events, 0))
+            if events is not state.events:  # it was begun anew
+                base = 0
+            if len(state.events) - base < NEW_EVENTS:
+                continue
+            record = _record(state, base)
+            size += sum(map(len, record.events))
+            if size > RECORD_CHARACTERS and records:
+                break
+            saved[name] = (state.events, len(state.events))
+            records.append(record)
+        return records
+
+
+def joined(records: Iterable[SavedText]) -> list[SavedText]:
+    """Return whole texts from one owner's records, which are in the order of their writing."""
+    texts: dict[str, SavedText] = {}
+    for record in records:
+        held = texts.get(record.sample)
+        if record.base == 0:
+            texts[record.sample] = record
+        elif held is not None and len(held.events) == record.base:
+            texts[record.sample] = SavedText(
+                sample=record.sample,
+                base=0,
+                events=held.events + record.events,
+                versions=held.versions + record.versions,
+                lineage=record.lineage,
+            )
+        else:
+            texts.pop(record.sample, None)  # a record between is missing
+    return list(texts.values())
+
+
+def _record(state: SampleState, base: int) -> SavedText:
+    return SavedText(
+        sample=state.sample.id,
+        base=base,
+        events=tuple(state.events[base:]),
+        versions=tuple(state.versions[base:]),
+        lineage=state.lineage,
+    )
+
+
+__all__ = ["TEXT_PREFIX", "Checkpoints", "joined"]
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from threadramp.lots.checkpoints import TEXT_PREFIX
 from threadramp.lots.model import (
     KeptHead,
     KeptLot,
@@ -42,7 +43,7 @@
 PART_PREFIX = "lot-part/"
 CHUNK_PREFIX = "lot-chunk/"
 PART_BYTES = 600_000  # a value may have a megabyte, and a body two of these in base64
-SETTLE_S = 2.5  # for so long a write without an answer is sent again; a trainer waits for it
+SETTLE_S = 2.0  # for so long a write without an answer is sent again; a trainer waits for it
 
 
 class LotMissingError(Exception):
@@ -155,6 +156,7 @@
         """
         keys = [_part_key(kept.lot_id, number) for number in range(kept.head.parts)]
         keys += [_chunk_key(kept.lot_id, number) for number in range(kept.head.chunks)]
+        keys += [item.key for item in self.store.list(f"{TEXT_PREFIX}{kept.lot_id}/").items]
         key = HEAD_PREFIX + kept.lot_id
         self.store.transact(Transaction({key: kept.revision}, removals=(key,)))
         for name in keys:
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -103,6 +103,21 @@
     nonce: str
 
 
+class SavedText(msgspec.Struct, frozen=True, array_like=True):
+    """Events of a sample that is not finished, kept so that it need not begin anew.
+
+    :param base: number of events before these
+    :param versions: of the weights, one for each of ``events``
+    :param lineage: names the chain that the events are of
+    """
+
+    sample: str
+    base: int
+    events: tuple[str, ...]
+    versions: tuple[int, ...]
+    lineage: str
+
+
 class KeptHead(msgspec.Struct, frozen=True, array_like=True):
     """A lot's head with the revision at which it stands."""
 
@@ -126,6 +141,7 @@
 
 decode_lot = msgspec.msgpack.Decoder(Lot).decode
 decode_head = msgspec.msgpack.Decoder(LotHead).decode
+decode_texts = msgspec.msgpack.Decoder(tuple[SavedText, ...]).decode
 decode_results = msgspec.msgpack.Decoder(tuple[Result, ...]).decode
 
 
@@ -138,8 +154,10 @@
     "ResultState",
     "Reward",
     "Sample",
+    "SavedText",
     "decode_head",
     "decode_lot",
     "decode_results",
+    "decode_texts",
     "encode",
 ]
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -22,8 +22,9 @@
     from threadramp.fleet.model import Route
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.picture import Member
+    from threadramp.lots.checkpoints import Checkpoints
     from threadramp.lots.journal import LotJournal
-    from threadramp.lots.model import KeptHead, Lot
+    from threadramp.lots.model import KeptHead, Lot, SavedText
     from threadramp.lots.owned import OwnedLots
 
 AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
@@ -31,6 +32,7 @@
 GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
 KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
 END_TRIES = 5
+KEPT_MARGIN_S = 60.0  # beyond the time for which results stay readable; clocks may differ
 HAND_OVER_TIMEOUT_S = 1.0
 HAND_OVER_PAUSE_S = 0.3  # before lots are offered again that nobody could be given
 
@@ -45,12 +47,16 @@
         peers: Peers,
         clock: Clock,
         drop: Callable[[OwnedLot, bool], None],
+        checkpoints: Checkpoints,
+        status_s: float,
     ) -> None:
         self.owned = owned
         self.journal = journal
         self.peers = peers
         self.clock = clock
         self.drop = drop
+        self.checkpoints = checkpoints
+        self.kept_s = status_s + KEPT_MARGIN_S
         self.texts: dict[str, tuple[list[str], list[int], str]] = {}
         self.stopped = threading.Event()
         self.leaving = False
@@ -133,7 +139,7 @@
         me = self.peers.member
         head = whole.kept.head
         if (head.owner, head.incarnation) == (me.name, me.incarnation):
-            self._add(whole, of="a gateway that stops")
+            self._add(whole, "a gateway that stops", {})
 
     def hand_over(self) -> None:
         """Give all open lots to other gateways; for a planned stop, until all are given."""
@@ -181,6 +187,7 @@
             self.owned.tell_listed()
         log_state("lot_ended", lot=owned.lot_id, listed=listed, running=len(running))
         self.drop(owned, True)
+        self.checkpoints.forget(owned.lot_id)
 
     def _keep_texts(self, book: LotBook) -> None:
         """Keep the text of samples that are not listed, for a later lot that names them again."""
@@ -221,10 +228,10 @@
 
     def _audit(self) -> None:
         """Take over the open lots whose owner is gone and that fall to this gateway."""
+        heads = self.journal.heads()
+        self._remove_old(heads)
         idle = [
-            kept
-            for kept in self.journal.heads()
-            if not kept.head.ended and self.owned.get(kept.lot_id) is None
+            kept for kept in heads if not kept.head.ended and self.owned.get(kept.lot_id) is None
         ]
         if any(kept.head.owner not in self._live() for kept in idle):
             self.peers.relist_members()  # a gateway that just started may not be seen yet
@@ -237,6 +244,22 @@
             except (NotOwnerError, LotMissingError) as error:
                 log_state("not_adopted", lot=kept.lot_id, error=str(error))
 
+    def _remove_old(self, heads: list[KeptHead]) -> None:
+        """Remove the lots that fall to this gateway and that nobody may ask for any more."""
+        limit = self.clock.time_of_day() - self.kept_s
+        names = sorted(self._live())
+        for kept in heads:
+            mine = rendezvous(kept.lot_id, names)[0] == self.peers.member.name
+            if not mine or not kept.head.ended or kept.head.handed_in > limit:
+                continue
+            try:
+                self.journal.remove(kept)
+            except StoreError as error:
+                log_state("lot_not_removed", lot=kept.lot_id, error=str(error))
+                continue
+            self.owned.remove(kept.lot_id)
+            log_state("lot_removed", lot=kept.lot_id, revision=kept.revision)
+
     def _live(self) -> dict[str, Member]:
         """Return the gateways that are believed to live, this one among them, by name."""
         return {one.name: one for one in self.peers.live_gateways()}
@@ -249,11 +272,16 @@
         if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
             kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
         whole = KeptLot(kept, self.journal.hand_in(kept), self.journal.results(kept, 0))
-        self._add(whole, of=before)
+        self._add(whole, before, self.checkpoints.load(kept.lot_id))
 
-    def _add(self, whole: KeptLot, of: str) -> None:
+    def _add(self, whole: KeptLot, of: str, texts: dict[str, SavedText]) -> None:
         kept = whole.kept
         book = LotBook(whole.lot, self._rules_again(kept), whole.results)
+        reused = [
+            name
+            for name, text in texts.items()
+            if book.prefill(name, text.events, text.versions, text.lineage)
+        ]
         if not self.owned.add(OwnedLot(book, kept)):
             return
         log_state(
@@ -263,6 +291,7 @@
             listed=len(whole.results),
             samples=len(whole.lot.samples),
             revision=kept.revision,
+            texts=len(reused),
         )
 
     def _rules_again(self, kept: KeptHead) -> LotRules:
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -17,6 +17,7 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.fleet.watcher import Watcher
 from threadramp.lots.appending import Appending
+from threadramp.lots.checkpoints import Checkpoints
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.owned import OwnedLots
 from threadramp.lots.owner import LotOwner
@@ -58,6 +59,7 @@
         self.peers.start()
         self.owner.start()
         self.appending.start()
+        self.checkpoints.start()
         self.runners.start()
         self.emptying.start()
         self.sync = SyncServer(
@@ -111,7 +113,16 @@
         journal = LotJournal(store)
         scoring = Scoring(owned, self.picture, forwarder, clock)
         self.runners = Runners(owned, self.peers, clock, scoring.begin)
-        self.owner = LotOwner(owned, journal, self.peers, clock, self.runners.drop)
+        self.checkpoints = Checkpoints(owned, store, self.incarnation)
+        self.owner = LotOwner(
+            owned,
+            journal,
+            self.peers,
+            clock,
+            self.runners.drop,
+            self.checkpoints,
+            self.settings.bounds.status_s,
+        )
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
         self.appending = Appending(owned, journal, clock, self.owner.release)
         self.handler = EdgeHandler(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -37,14 +37,18 @@
 def serve() -> Iterator[Callable]:
     """Starts stand-ins on free ports; all of them end with the test."""
     servers = []
+    standins = []
 
     def start(standin, listen: str = "127.0.0.1:0") -> str:
         server = standin.start(listen, THREADS)
         servers.append(server)
+        standins.append(standin)
         host, port = server.bind_addr
         return f"{host}:{port}"
 
     yield start
+    for standin in standins:
+        standin.faults["outage"] = True  # ends the watches that wait, for which a stop would wait
     for server in servers:
         server.stop()
 
--- /dev/null
+++ b/tests/lots/test_checkpoints.py
@@ -0,0 +1,102 @@
+"""The text of long samples, kept while they run."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.core.test_lot_book import make_book, make_sample, start
+from threadramp.lots.checkpoints import Checkpoints, joined
+from threadramp.lots.model import KeptHead, LotHead, SavedText
+from threadramp.lots.owned import OwnedLot, OwnedLots
+from threadramp.platform.store import StoreClient
+
+HEAD = LotHead("g1", "inc", 0.0, 7.5, 40.0, 3, False, 2, 1, 0, 0, False, "n")
+
+
+@pytest.fixture
+def lot() -> OwnedLot:
+    book = make_book(make_sample("a", "g"), make_sample("b", "g"))
+    start(book, "a", "s1")
+    return OwnedLot(book, KeptHead("lot", HEAD, 1))
+
+
+@pytest.fixture
+def store(store_address) -> StoreClient:
+    return StoreClient(store_address, timeout_s=0.5)
+
+
+def checkpoints(store: StoreClient, lot: OwnedLot, incarnation: str = "inc") -> Checkpoints:
+    owned = OwnedLots()
+    owned.add(lot)
+    return Checkpoints(owned, store, incarnation)
+
+
+def grow(lot: OwnedLot, until: int) -> list[str]:
+    state = lot.book.states["a"]
+    new = [f"e{number}" for number in range(len(state.events) + 1, until + 1)]
+    lot.book.add_events("a", "s1", len(state.events), new, [1] * len(new), "L1")
+    return state.events
+
+
+def test_a_long_sample_comes_back_as_far_as_it_was_saved(store, lot):
+    made = checkpoints(store, lot)
+    assert made.save(lot) == 0  # nothing is long yet
+    grow(lot, 30)
+    assert made.save(lot) == 1
+    assert made.save(lot) == 0  # nothing is new
+    events = grow(lot, 70)
+    assert made.save(lot) == 1
+    text = checkpoints(store, lot, "other").load("lot")["a"]
+    assert (list(text.events), list(text.versions)) == (events, [1] * 70)
+    assert text.lineage == "L1"
+
+
+def test_a_sample_that_began_anew_replaces_what_was_saved(store, lot):
+    made = checkpoints(store, lot)
+    grow(lot, 40)
+    made.save(lot)
+    lot.book._start_over(lot.book.states["a"], 0.0)
+    start(lot.book, "a", "s1")
+    grow(lot, 30)
+    made.save(lot)
+    assert len(made.load("lot")["a"].events) == 30
+
+
+def test_two_owners_never_mix_their_records(store, lot):
+    first, second = checkpoints(store, lot), checkpoints(store, lot, "other")
+    grow(lot, 30)
+    first.save(lot)
+    grow(lot, 60)
+    second.save(lot)
+    assert len(first.load("lot")["a"].events) == 60
+
+
+def test_a_record_that_is_lost_is_written_again_whole(store, lot, platform_store):
+    made = checkpoints(store, lot)
+    grow(lot, 30)
+    platform_store.faults["calls_per_s"] = 0.001
+    platform_store.faults_changed()
+    assert made.save(lot) == 0
+    platform_store.faults["calls_per_s"] = 0
+    platform_store.faults_changed()
+    grow(lot, 31)
+    assert made.save(lot) == 1
+    assert len(made.load("lot")["a"].events) == 31
+
+
+def test_records_go_with_the_end_of_the_lot(store, lot, platform_store):
+    made = checkpoints(store, lot)
+    for length in range(30, 400, 10):
+        grow(lot, length)
+        made.save(lot)
+    made.forget("lot")
+    assert platform_store.data == {}
+
+
+def test_a_gap_between_records_drops_the_text():
+    def record(base: int, count: int) -> SavedText:
+        return SavedText("a", base, ("x",) * count, (1,) * count, "L")
+
+    assert [len(text.events) for text in joined([record(0, 3), record(3, 2)])] == [5]
+    assert joined([record(0, 3), record(4, 2)]) == []
+    assert [len(text.events) for text in joined([record(4, 2), record(0, 1)])] == [1]
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -168,3 +168,22 @@
     assert answer.data
     assert fleet.gateways[0].ready() == 200
     assert fleet.keys("lot/") == []
+
+
+def test_long_samples_go_on_behind_their_kept_text_after_a_loss_of_everything(fleet):
+    first = fleet.gateways[0]
+    for engine in fleet.engines:
+        engine.faults.update(events=80, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=2) == 202
+    wait_for(
+        lambda: any(row["samples"] == 2 for row in first.lines("texts_saved")),
+        "the text of both samples kept",
+    )
+    for box in fleet.boxes:
+        box.kill()
+    for box in fleet.boxes:
+        box.start()
+    for row in fleet.whole(first, "lot1"):
+        assert row["text"] == "\n".join(f"{row['id']}-{n}" for n in range(1, 81))
+    last = {run["id"]: run["after"] for engine in fleet.engines for run in engine.runs}
+    assert all(after >= 25 for after in last.values())
