Forget what is kept of endpoints and peers that are gone; end an import cycle of steps and tails

Cause: connections, records and views of endpoints that went were kept for the life of a process; core/step.py and policy/tail.py named each other's types (left from earlier). Ruled out: dropping them by age (the list of endpoints says it exactly).

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,8 +18,9 @@
 from threadramp.core.head import Head, encode_snapshot
 from threadramp.core.keys import Binding, KeyTable
 from threadramp.core.membership import Membership
+from threadramp.core.progress import SampleProgress
 from threadramp.core.sidecar import SidecarCore
-from threadramp.core.step import SampleProgress, StepAssembly
+from threadramp.core.step import StepAssembly
 from threadramp.policy.placement import LeastLoaded
 from threadramp.policy.subset import gateway_subset
 from threadramp.policy.tail import TAILS
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -104,6 +104,12 @@
         self.budget = budget
         self.clock = clock
 
+    def forget_gone(self) -> None:
+        """Drop what is kept of endpoints that are not listed any more."""
+        instances = set(self.picture.belief.endpoints)
+        self.connections.forget(instances)
+        self.choice.forget(instances)
+
     def run(self, job: Job) -> Outcome:
         """Forward a request and return how it ended."""
         return _Run(self, job).run()
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -212,6 +212,9 @@
                 self._take_over(reply)
 
     def _count_silence(self, asked: list[Member], answered: set[str]) -> None:
+        listed = {(one.name, one.incarnation) for one in self.picture.belief.gateways()}
+        for gone in self.silent.keys() - listed:
+            del self.silent[gone]
         for member in asked:
             key = (member.name, member.incarnation)
             if member.address in answered:
--- a/src/threadramp/gateway/steps.py
+++ b/src/threadramp/gateway/steps.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from threadramp.core.step import SampleProgress, StepAssembly
+from threadramp.core.progress import SampleProgress
+from threadramp.core.step import StepAssembly
 from threadramp.gateway.beats import read_marks, write_mark
 from threadramp.gateway.state import now
 from threadramp.platform.kv import KvUnavailableError
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -94,6 +94,8 @@
         """Keep one view and one collector for each sidecar in the list."""
         members = {one.name: one for one in self.peers.sidecars()}
         with self.lock:
+            for name in self.views.keys() - members.keys() - self.collectors:
+                del self.views[name]
             for name, member in members.items():
                 view = self.views.get(name)
                 if view is None or view.member.address != member.address:
--- a/src/threadramp/policy/tail.py
+++ b/src/threadramp/policy/tail.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from threadramp.core.step import SampleProgress
+    from threadramp.core.progress import SampleProgress
     from threadramp.policy.placement import Room
 
 MIN_AGE_S = 0.5  # a younger sample has no rate worth comparing
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -109,6 +109,7 @@
         forwarder = Forwarder(
             self.picture, connections, EndpointChoice(random), RetryBudget(), clock
         )
+        self.picture.endpoints.listeners.append(forwarder.forget_gone)
         owned = OwnedLots()
         journal = LotJournal(store)
         scoring = Scoring(owned, self.picture, forwarder, clock)
--- a/tests/core/test_samples.py
+++ b/tests/core/test_samples.py
@@ -4,8 +4,9 @@
 from hypothesis import strategies as st
 
 from threadramp.core.marks import StepMarks
+from threadramp.core.progress import SampleProgress
 from threadramp.core.samples import SampleBuffer
-from threadramp.core.step import SampleProgress, StepAssembly
+from threadramp.core.step import StepAssembly
 from threadramp.policy.placement import LeastLoaded
 from threadramp.policy.tail import TAILS
 from threadramp.wire.messages import (
--- a/tests/core/test_step.py
+++ b/tests/core/test_step.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
-from threadramp.core.step import SampleProgress, StepAssembly
+from threadramp.core.progress import SampleProgress
+from threadramp.core.step import StepAssembly
 from threadramp.policy.placement import LeastLoaded, Siblings
 from threadramp.policy.tail import TAILS
 from threadramp.wire.messages import (
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -178,3 +178,13 @@
     peer_closed[1].sendall(b"HTTP/1.1 200 OK\r\n")
     assert fleet.run().answer.body == b"i-0 answers req"
     assert fleet.connections.opened == 2
+
+
+def test_what_is_kept_of_an_endpoint_goes_with_it(fleet):
+    fleet.add()
+    fleet.run()
+    assert fleet.connections.idle and fleet.choice.records
+    fleet.picture.belief = Belief()
+    fleet.forwarder.forget_gone()
+    assert not fleet.connections.idle
+    assert not fleet.choice.records
