--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -18,6 +18,7 @@
     from threadramp.lots.journal import LotJournal
     from threadramp.lots.model import KeptHead, Result
     from threadramp.lots.owned import OwnedLot, OwnedLots
+    from threadramp.report.metrics import Metrics
 
 TURN_S = 0.05
 THREADS = 4
@@ -36,11 +37,13 @@
         journal: LotJournal,
         clock: Clock,
         on_other_owner: Callable[[OwnedLot], None],
+        metrics: Metrics,
     ) -> None:
         self.owned = owned
         self.journal = journal
         self.clock = clock
         self.on_other_owner = on_other_owner
+        self.metrics = metrics
         self.pool = ThreadPoolExecutor(THREADS, thread_name_prefix="append")
         self.stopped = threading.Event()
 
@@ -61,8 +64,10 @@
                     self.pool.submit(self._append, lot, chunk)
 
     def _append(self, lot: OwnedLot, chunk: tuple[Result, ...]) -> None:
+        started = self.clock.now()
         try:
             grown = self.journal.append(lot.kept, chunk)
+            self.metrics.latency("append", self.clock.now() - started)
         except (NotOwnerError, LotMissingError) as error:
             log_state("lot_changed_hands", lot=lot.lot_id, error=str(error))
             self.on_other_owner(lot)
@@ -83,6 +88,8 @@
             lot.kept = grown
             lot.book.appended(chunk)
             self.owned.tell_listed()
+        for result in chunk:
+            self.metrics.count("listed", result.state.value)
         log_state(
             "listed",
             lot=lot.lot_id,
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -20,6 +20,7 @@
 
     from threadramp.edge.connections import Exchange
     from threadramp.fleet.clock import Clock
+    from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
     from threadramp.runner.events import Event
     from threadramp.runner.runs import Run, RunTable
@@ -33,7 +34,11 @@
 class SampleRun:
     """One run of one sample."""
 
-    def __init__(self, engine: Engine, table: RunTable, run: Run, clock: Clock) -> None:
+    def __init__(
+        self, engine: Engine, table: RunTable, run: Run, clock: Clock, metrics: Metrics
+    ) -> None:
+        self.metrics = metrics
+        self.started = clock.now()
         self.engine = engine
         self.table = table
         self.run = run
@@ -89,6 +94,7 @@
         if status == OTHER_INSTANCE_STATUS:
             self.engine.is_another(self.instance)
         self.table.put_back(self.run, self.life)
+        self.metrics.count("sample_not_begun", str(status))
         log_state(
             "sample_not_begun",
             sample=self.run.order.sample.id,
@@ -148,6 +154,8 @@
     def _finish(self, outcome: RunOutcome, reason: str) -> None:
         if not self.table.finish(self.run, self.life, outcome):
             return
+        self.metrics.count("sample_ended", outcome.value)
+        self.metrics.latency("sample", self.clock.now() - self.started)
         log_state(
             "sample_ended",
             sample=self.run.order.sample.id,
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -35,6 +35,7 @@
 
     from threadramp.fleet.clock import Clock
     from threadramp.platform.store import Call, RawAnswer, StoreClient
+    from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
     from threadramp.runner.runs import Run, RunTable
     from threadramp.runner.weights import Weights
@@ -59,6 +60,7 @@
         table: RunTable,
         client: SyncClient,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self.member = member
         self.engine = engine
@@ -66,6 +68,7 @@
         self.table = table
         self.client = client
         self.clock = clock
+        self.metrics = metrics
         self.gateways: dict[str, float] = {}
         self.stopped = threading.Event()
         self.leaving = False
@@ -164,7 +167,7 @@
             threading.Thread(target=self._run_one, args=(run,), name="sample", daemon=True).start()
 
     def _run_one(self, run: Run) -> None:
-        SampleRun(self.engine, self.table, run, self.clock).execute()
+        SampleRun(self.engine, self.table, run, self.clock, self.metrics).execute()
 
     def _silence_loop(self) -> None:
         while not self.stopped.wait(WATCH_S):
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -8,7 +8,7 @@
 from threadramp.edge.connections import Connections
 from threadramp.edge.forward import Forwarder
 from threadramp.edge.handler import EdgeHandler
-from threadramp.edge.server import CallerRequest, EdgeServer
+from threadramp.edge.server import EdgeServer
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.emptying import Emptying
 from threadramp.fleet.membership import Membership
@@ -30,6 +30,7 @@
 from threadramp.report.metrics import Metrics
 from threadramp.serve.answers import GatewayAnswers
 from threadramp.serve.api import ROLES, Process, in_background
+from threadramp.serve.figures import serve_metrics
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.seal import Unsealed
 from threadramp.wire.sync import SyncClient, SyncServer
@@ -38,7 +39,6 @@
 READY_THREADS = 2
 PEER_THREADS = 12
 IDLE_S = 16.0  # callers use a connection again that rested for four fifths of 15 s
-METRICS_PORT = 9464  # the same in the deploy file
 BALANCER_S = 3.5  # two questions a second apart without a good answer, and a margin
 EXIT_MARGIN_S = 0.8  # before the platform kills
 STOP_LOOK_S = 0.1
@@ -67,7 +67,7 @@
         )
         self.ready = EdgeServer(own.ready, self.handler.answer_ready, READY_THREADS, IDLE_S)
         self.callers = EdgeServer(own.callers, self.handler.handle, HTTP_THREADS, IDLE_S)
-        self.figures = EdgeServer(f"{own.ip}:{METRICS_PORT}", self._answer_metrics, 1, IDLE_S)
+        self.figures = serve_metrics(own.ip, self.metrics)
 
     def finish(self) -> None:
         """Let the balancer turn away, hand the lots over, finish what is open."""
@@ -125,13 +125,10 @@
             self.settings.bounds.status_s,
         )
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
-        self.appending = Appending(owned, journal, clock, self.owner.release)
+        self.appending = Appending(owned, journal, clock, self.owner.release, self.metrics)
         self.handler = EdgeHandler(
             self.picture, forwarder, self.owner, self.reader, self.metrics, clock
         )
 
-    def _answer_metrics(self, request: CallerRequest) -> None:
-        request.answer(200, [("Content-Type", "text/plain")], self.metrics.text())
-
 
 __all__ = ["GatewayProcess"]
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -9,11 +9,13 @@
 from threadramp.fleet.picture import Member
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
+from threadramp.report.metrics import Metrics
 from threadramp.runner.engine import Engine
 from threadramp.runner.runs import RunTable
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weights import Weights
 from threadramp.serve.api import ROLES, Process, in_background
+from threadramp.serve.figures import serve_metrics
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.seal import Unsealed
 from threadramp.wire.sync import SyncClient, SyncServer
@@ -35,11 +37,12 @@
         member = Member(
             own.name, "sidecar", self.incarnation, address, own.data_centre, own.endpoint
         )
+        self.metrics = Metrics("threadramp")
         health = StoreHealth(clock)
         client = SyncClient(Unsealed(), decode_reply, redial=True)
         engine = Engine(own.endpoint, own.pool, own.name, clock)
         self.sidecar = Sidecar(
-            member, engine, Weights(engine, clock), RunTable(clock.now), client, clock
+            member, engine, Weights(engine, clock), RunTable(clock.now), client, clock, self.metrics
         )
         store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
         self.membership = Membership(member, store, own.store.lease_min_s)
@@ -47,6 +50,7 @@
         self.server = SyncServer(address, Unsealed(), self.sidecar.handle, THREADS, decode_ask)
         self.membership.start()
         self.sidecar.start(store)
+        self.figures = serve_metrics(own.ip, self.metrics)
 
     def finish(self) -> None:
         """Give the samples back, then leave."""
--- a/tests/serve/test_deploy.py
+++ b/tests/serve/test_deploy.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tests.serve.fleet import PORTS, Box, wait_for
+from threadramp.serve.figures import METRICS_PATH, METRICS_PORT
 
 ROOT = Path(__file__).parents[2]
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
@@ -30,7 +31,9 @@
 
 
 def test_the_metrics_address_is_the_one_that_is_served():
-    assert DEPLOY["roles"]["gateway"]["metrics"] == f"{PORTS['metrics']}/metrics"
+    served = f"{METRICS_PORT}{METRICS_PATH}"
+    assert PORTS["metrics"] == METRICS_PORT
+    assert [DEPLOY["roles"][name]["metrics"] for name in ("gateway", "sidecar")] == [served] * 2
 
 
 def test_requirements_are_pinned_as_in_the_lock_file():
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -22,6 +22,9 @@
         assert row["score"] == "sig-" + name.replace("-s", "-r")
     assert fleet.results(second, "lot1")["results"] == results
     assert fleet.results(second, "lot1", after=4)["results"] == results[4:]
+    assert 'threadramp_events_total{kind="listed",label="succeeded"} 6.0' in first.metrics()
+    figures = [sidecar.metrics() for sidecar in fleet.sidecars]
+    assert any('kind="sample_ended",label="whole"' in text for text in figures)
 
 
 def test_a_lot_that_comes_again_is_taken_once(fleet):
@@ -185,5 +188,7 @@
         box.start()
     for row in fleet.whole(first, "lot1"):
         assert row["text"] == "\n".join(f"{row['id']}-{n}" for n in range(1, 81))
-    last = {run["id"]: run["after"] for engine in fleet.engines for run in engine.runs}
-    assert all(after >= 25 for after in last.values())
+    runs = [run for engine in fleet.engines for run in engine.runs if "-s" in run["id"]]
+    begun_anew = [run["id"] for run in runs if run["after"] == 0]
+    assert sorted(begun_anew) == ["lot1-s0", "lot1-s1"]  # once each, before the loss
+    assert all(run["after"] >= 25 for run in runs if run["after"])
