--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -10,7 +10,7 @@
 from threadramp.fleet.model import CallerLimits, RouteKind
 from threadramp.lots.reading import LotUnknownError
 from threadramp.platform.headers import RETRY_AFTER, request_id, time_left_s, to_caller, wait_s
-from threadramp.platform.store import StoreError, StoreRefusedError
+from threadramp.platform.store_model import StoreError, StoreRefusedError
 from threadramp.platform.trainer_calls import (
     OWN_ROOT,
     READY_PATH,
--- a/src/threadramp/fleet/emptying.py
+++ b/src/threadramp/fleet/emptying.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.platform.documents import EMPTY_STATUS_PREFIX, empty_status
-from threadramp.platform.store import Put, StoreError, Transaction
+from threadramp.platform.store_model import Put, StoreError, Transaction
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
--- a/src/threadramp/fleet/membership.py
+++ b/src/threadramp/fleet/membership.py
@@ -7,7 +7,7 @@
 
 from threadramp.fleet.picture import MEMBER_PREFIX
 from threadramp.lots.model import encode
-from threadramp.platform.store import LeaseGone, Put, StoreError, Transaction
+from threadramp.platform.store_model import LeaseGone, Put, StoreError, Transaction
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
--- a/src/threadramp/fleet/mirror.py
+++ b/src/threadramp/fleet/mirror.py
@@ -8,7 +8,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.platform.store import Changes, Item, Listing
+from threadramp.platform.store_model import Changes, Item, Listing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -9,7 +9,7 @@
 
 from threadramp.fleet.model import Pool
 from threadramp.fleet.picture import Member
-from threadramp.platform.store import Listing
+from threadramp.platform.store_model import Listing
 from threadramp.policy.model_share import models_for
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
@@ -29,7 +29,7 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.picture import Picture
     from threadramp.fleet.store_health import StoreHealth
-    from threadramp.platform.store import Call, RawAnswer
+    from threadramp.platform.store_model import Call, RawAnswer
     from threadramp.wire.fleet import AnyAsk, AnyReply
     from threadramp.wire.sync import SyncClient
 
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from threadramp.platform.store import Item
+    from threadramp.platform.store_model import Item
 
 MEMBER_PREFIX = "member/"
 
--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.fleet.mirror import LAPSE_HOLD_S
-from threadramp.platform.store import HistoryGone, StoreError
+from threadramp.platform.store_model import HistoryGone, StoreError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.journal import LotMissingError, NotOwnerError
-from threadramp.platform.store import StoreError
+from threadramp.platform.store_model import StoreError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
--- a/src/threadramp/lots/checkpoints.py
+++ b/src/threadramp/lots/checkpoints.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.model import SavedText, decode_texts, encode
-from threadramp.platform.store import Put, StoreError, Transaction
+from threadramp.platform.store_model import Put, StoreError, Transaction
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -23,7 +23,7 @@
     decode_results,
     encode,
 )
-from threadramp.platform.store import (
+from threadramp.platform.store_model import (
     ABSENT,
     Committed,
     Put,
@@ -37,7 +37,8 @@
     from collections.abc import Sequence
 
     from threadramp.lots.model import Lot, Result
-    from threadramp.platform.store import Conflict, Item, StoreClient
+    from threadramp.platform.store import StoreClient
+    from threadramp.platform.store_model import Conflict, Item
 
 HEAD_PREFIX = "lot/"
 PART_PREFIX = "lot-part/"
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -9,7 +9,7 @@
 from threadramp.lots.journal import LotMissingError, NotOwnerError
 from threadramp.lots.model import KeptLot, LotHead
 from threadramp.lots.owned import OwnedLot
-from threadramp.platform.store import StoreError
+from threadramp.platform.store_model import StoreError
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
--- a/src/threadramp/platform/kv.py
+++ b/src/threadramp/platform/kv.py
@@ -10,18 +10,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from threadramp.platform.store import (
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import (
     ABSENT,
     Conflict,
     LeaseGone,
     Put,
-    StoreClient,
     StoreError,
     Transaction,
 )
 
 if TYPE_CHECKING:
-    from threadramp.platform.store import Item
+    from threadramp.platform.store_model import Item
 
 MIN_WATCH_S = 0.01
 
--- /dev/null
+++ b/src/threadramp/platform/store_model.py
@@ -0,0 +1,155 @@
+"""What the client of the platform's store takes and gives: items, transactions, calls, errors."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+ABSENT = 0  # the revision of a key that does not exist
+
+
+class StoreError(Exception):
+    """A call to the store brought no result."""
+
+
+class StoreRefusedError(StoreError):
+    """The store, or the way to it, says that nothing was done."""
+
+
+class StoreUnknownError(StoreError):
+    """No answer came; the call may have been done, or may be done later."""
+
+
+@dataclass(frozen=True)
+class Item:
+    """One key of the store.
+
+    :param revision: of its last change
+    :param lease: id of the lease with which it goes, 0 if none
+    """
+
+    key: str
+    value: bytes
+    revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True)
+class Listing:
+    """All items under a prefix, as they stood at or after ``revision``."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Removal:
+    """A key that went away."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What changed under a prefix up to ``revision``."""
+
+    items: tuple[Item, ...]
+    removals: tuple[Removal, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class HistoryGone:
+    """The store no longer knows what changed since then: list the prefix again."""
+
+
+@dataclass(frozen=True)
+class Put:
+    """One write of a transaction."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True)
+class Transaction:
+    """All or nothing.
+
+    :param expected: revision by key, ``ABSENT`` for a key that must not exist
+    """
+
+    expected: dict[str, int] = field(default_factory=dict)
+    puts: tuple[Put, ...] = ()
+    removals: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class Committed:
+    """The transaction took effect at ``revision``."""
+
+    revision: int
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """Nothing was done; ``current`` is what the expected keys hold now, absent ones left out."""
+
+    current: dict[str, Item]
+
+
+@dataclass(frozen=True)
+class LeaseGone:
+    """Nothing was done, since the lease is over."""
+
+
+class Relay(Protocol):
+    """Passes a call to the store through another process of ours."""
+
+    def __call__(self, call: Call, /) -> RawAnswer | None:
+        """Return the answer, or none if nobody could pass it on."""
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A call to the store as it is sent.
+
+    :param timeout_s: seconds to wait for the answer
+    :param repeatable: whether it may be sent again when its outcome is unknown
+    """
+
+    method: str
+    path: str
+    body: bytes
+    timeout_s: float
+    repeatable: bool
+
+
+class RawAnswer(msgspec.Struct, frozen=True):
+    """An answer of the store as it came."""
+
+    status: int
+    body: bytes
+
+
+__all__ = [
+    "ABSENT",
+    "Call",
+    "Changes",
+    "Committed",
+    "Conflict",
+    "HistoryGone",
+    "Item",
+    "LeaseGone",
+    "Listing",
+    "Put",
+    "RawAnswer",
+    "Relay",
+    "Removal",
+    "StoreError",
+    "StoreRefusedError",
+    "StoreUnknownError",
+    "Transaction",
+]
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -8,7 +8,7 @@
 from threadramp.core.lot_book import RunOutcome
 from threadramp.fleet.picture import Member
 from threadramp.platform.documents import WEIGHTS_PREFIX
-from threadramp.platform.store import StoreError
+from threadramp.platform.store_model import StoreError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.runner.sample_run import SampleRun
@@ -34,7 +34,8 @@
     from collections.abc import Callable
 
     from threadramp.fleet.clock import Clock
-    from threadramp.platform.store import Call, RawAnswer, StoreClient
+    from threadramp.platform.store import StoreClient
+    from threadramp.platform.store_model import Call, RawAnswer
     from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
     from threadramp.runner.runs import Run, RunTable
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.journal import LotMissingError
-from threadramp.platform.store import StoreError
+from threadramp.platform.store_model import StoreError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
     Adopt,
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -6,7 +6,7 @@
 
 from threadramp.fleet.model import WeightTarget
 from threadramp.lots.model import KeptLot, Result, Sample
-from threadramp.platform.store import Call, Item, RawAnswer
+from threadramp.platform.store_model import Call, Item, RawAnswer
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/tests/fleet/test_mirror.py
+++ b/tests/fleet/test_mirror.py
@@ -5,7 +5,7 @@
 import pytest
 
 from threadramp.fleet.mirror import Mirror
-from threadramp.platform.store import Changes, Item, Listing, Removal
+from threadramp.platform.store_model import Changes, Item, Listing, Removal
 
 
 def listing(revision: int, *names: str) -> Listing:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -8,7 +8,7 @@
 from threadramp.fleet.peers import SILENT_BEATS, Peers
 from threadramp.fleet.picture import Member, Picture
 from threadramp.fleet.store_health import StoreHealth
-from threadramp.platform.store import Item, Listing
+from threadramp.platform.store_model import Item, Listing
 from threadramp.wire.fleet import MirrorBeat, MirrorCopy
 
 
--- a/tests/fleet/test_picture.py
+++ b/tests/fleet/test_picture.py
@@ -6,7 +6,7 @@
 import pytest
 
 from threadramp.fleet.picture import Member, Picture
-from threadramp.platform.store import Item, Listing
+from threadramp.platform.store_model import Item, Listing
 
 
 def entry(instance: str, address: str, revision: int, state: str = "ready") -> Item:
--- a/tests/lots/test_journal.py
+++ b/tests/lots/test_journal.py
@@ -6,7 +6,8 @@
 
 from threadramp.lots.journal import LotJournal, LotMissingError, NotOwnerError
 from threadramp.lots.model import Lot, LotHead, Result, ResultState, Sample
-from threadramp.platform.store import StoreClient, StoreUnknownError
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import StoreUnknownError
 
 HEAD = LotHead("g1", "inc", 0.0, 7.5, 40.0, 3, False, 2, 0, 0, 0, False, "")
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from threadramp.platform.store import (
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import (
     ABSENT,
     Call,
     Committed,
@@ -17,7 +18,6 @@
     LeaseGone,
     Put,
     RawAnswer,
-    StoreClient,
     StoreRefusedError,
     StoreUnknownError,
     Transaction,
