Let a sidecar's run stand in a module of its own

Cause: runner/runs.py had 327 lines with one sample and the table of all; a run was cut in five places by the same three lines. Ruled out: closing the connections outside of the table's lock everywhere (that would change the order of effects). Change: Run stands in runner/run.py and says its own news; the table cuts a run in one step. Same order and locks. Tests: black and ruff clean; core, edge, fleet, lots, platform, policy, runner, wire, serve and cli: 547 passed.

--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -3,84 +3,26 @@
 from __future__ import annotations
 
 import threading
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_book import RunOutcome
-from threadramp.wire.fleet import RunUpdate
+from threadramp.runner.run import Run
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from threadramp.wire.fleet import RunOrder
+    from threadramp.wire.fleet import RunOrder, RunUpdate
 
 QUEUE = 2  # samples that may wait beyond the slots, so that a slot is not idle for a round trip
 SILENCE_S = 1.0  # a gateway that asks for nothing for so long may have sent its samples elsewhere
 REJECTED_S = 0.05  # before a sample that the engine did not begin is tried again; doubles
 REJECTED_MOST_S = 0.8
-KEPT_RUNS = 400
+KEPT_RUNS = 400  # samples that ended whose text is kept
 KEPT_S = 45.0  # samples come back in one of the next lots, a lot each 4 s
 GATHER_S = 0.03  # other samples that end just then go with the same answer
 LOOK_S = 0.1  # how often a waiting answer looks whether the engine's readiness has changed
 
 
-@dataclass
-class Run:
-    """One sample here.
-
-    :param base: events that the gateway had before this run began
-    :param lineage: names the chain of events: those before and those of this run
-    :param heard: time at which its gateway last asked for it
-    :param due: time at which its lot is due
-    :param wanted: false once its lot has ended; it may still finish for a later one
-    :param started: whether it was handed to a thread
-    :param cancel: closes its connection to the engine
-    :param not_before: it is not started again before this time
-    :param rejections: times in a row that the engine did not begin it
-    :param life: counts its starts, so that a thread of an earlier one changes nothing
-    """
-
-    order: RunOrder
-    base: int
-    lineage: str
-    heard: float
-    due: float
-    events: list[str] = field(default_factory=list)
-    versions: list[int] = field(default_factory=list)
-    wanted: bool = True
-    started: bool = False
-    outcome: RunOutcome = RunOutcome.NONE
-    ended_at: float = 0.0
-    cancel: Callable[[], None] | None = None
-    not_before: float = 0.0
-    rejections: int = 0
-    life: int = 0
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether it runs or waits."""
-        return self.outcome is RunOutcome.NONE
-
-    def may_start(self, now: float) -> bool:
-        """Return whether it waits for a start."""
-        return self.is_open and not self.started and self.not_before <= now
-
-    @property
-    def count(self) -> int:
-        """Return the events so far, those before this run included."""
-        return self.base + len(self.events)
-
-    def serves(self, order: RunOrder) -> bool:
-        """Return whether its text can go on as what ``order`` asks for."""
-        if order.after and (order.lineage != self.lineage or self.count < order.after):
-            return False
-        if self.base > order.after:
-            return False
-        if self.versions and min(self.versions) < order.min_version:
-            return False
-        return not (order.one_version and len(set(self.versions)) > 1)
-
-
 class RunTable:
     """All samples of a sidecar; its methods may be called from any thread."""
 
@@ -165,17 +107,13 @@
                 if let_finish and run.started:
                     run.wanted = False
                     continue
-                cancels.append(run.cancel)
-                self._end(run, RunOutcome.CUT)
+                cancels.append(self._cut(run))
         _call(cancels)
 
     def cut_all(self) -> None:
         """End all runs; their text stays."""
         with self.changed:
-            cancels = [run.cancel for run in self.runs.values() if run.is_open]
-            for run in self.runs.values():
-                if run.is_open:
-                    self._end(run, RunOutcome.CUT)
+            cancels = [self._cut(run) for run in self.runs.values() if run.is_open]
         _call(cancels)
 
     def cut_silent(self) -> list[str]:
@@ -186,9 +124,8 @@
         with self.changed:
             for name, run in self.runs.items():
                 if run.is_open and run.wanted and run.heard < limit:
-                    cancels.append(run.cancel)
+                    cancels.append(self._cut(run))
                     names.append(name)
-                    self._end(run, RunOutcome.CUT)
         _call(cancels)
         return names
 
@@ -230,7 +167,7 @@
             if run is None or run.base > count or run.count < count:
                 unknown.append(name)
             elif run.count > count or not run.is_open:
-                updates.append(_update(run, count))
+                updates.append(run.news(count))
         return updates, unknown
 
     def _touch(self, have: dict[str, int]) -> None:
@@ -255,9 +192,7 @@
         if not self._has_room():
             return False
         if run is not None and run.is_open:
-            cancel = run.cancel
-            self._end(run, RunOutcome.CUT)
-            _call([cancel])
+            _call([self._cut(run)])
         self.runs.pop(name, None)
         now = self.now()
         self.runs[name] = Run(order, order.after, order.new_lineage, now, now + order.due)
@@ -285,12 +220,16 @@
         """End a run that only later lots may want, for one that is wanted now."""
         for run in running:
             if not run.wanted:
-                cancel = run.cancel
-                self._end(run, RunOutcome.CUT)
-                _call([cancel])
+                _call([self._cut(run)])
                 return True
         return False
 
+    def _cut(self, run: Run) -> Callable[[], None] | None:
+        """End a run; returns what closes its connection, for the caller to call."""
+        cancel = run.cancel
+        self._end(run, RunOutcome.CUT)
+        return cancel
+
     def _end(self, run: Run, outcome: RunOutcome) -> None:
         run.outcome = outcome
         run.ended_at = self.now()
@@ -306,22 +245,11 @@
                 del self.runs[name]
 
 
-def _update(run: Run, count: int) -> RunUpdate:
-    skip = count - run.base
-    return RunUpdate(
-        sample=run.order.sample.id,
-        base=count,
-        events=tuple(run.events[skip:]),
-        versions=tuple(run.versions[skip:]),
-        lineage=run.lineage,
-        outcome=run.outcome.value,
-    )
-
-
 def _call(cancels: list[Callable[[], None] | None]) -> None:
+    """Close the connections of runs that were cut."""
     for cancel in cancels:
         if cancel is not None:
             cancel()
 
 
-__all__ = ["Run", "RunTable"]
+__all__ = ["RunTable"]
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -23,7 +23,8 @@
     from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
     from threadramp.runner.events import Event
-    from threadramp.runner.runs import Run, RunTable
+    from threadramp.runner.run import Run
+    from threadramp.runner.runs import RunTable
 
 CONNECT_S = 0.5
 HEAD_S = 15.0  # a full engine lets a sample wait; one that is stuck is left sooner by its gateway
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -38,7 +38,8 @@
     from threadramp.platform.store_model import Call, RawAnswer
     from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
-    from threadramp.runner.runs import Run, RunTable
+    from threadramp.runner.run import Run
+    from threadramp.runner.runs import RunTable
     from threadramp.runner.weights import Weights
     from threadramp.wire.fleet import AnyReply
     from threadramp.wire.sync import SyncClient
