Give forwarded requests and their endings a module of their own

Cause: edge/forward.py had 333 lines, of them the types that handlers and scoring use, and header_pairs, which nobody called. Ruled out: splitting the turns of one request (they share what was tried so far and read best in one place). Change: Job, Outcome, Ending and the look at the caller's socket stand in edge/job.py; header_pairs is gone. Tests: black and ruff clean; core, edge, fleet, lots, platform, policy, runner, wire, serve and cli: 547 passed. tests/edge/test_forward.py changes only in the module that it imports names from.

--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -3,22 +3,20 @@
 from __future__ import annotations
 
 import select
-import socket
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
-from threadramp.edge.connections import Answer, Exchange, ExchangeError
+from threadramp.edge.connections import ExchangeError
+from threadramp.edge.job import Ending, Outcome, has_ended
 from threadramp.platform.headers import to_endpoint
 from threadramp.policy.endpoint_choice import SECOND_AFTER
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from threadramp.edge.connections import Connections
+    from threadramp.edge.connections import Answer, Connections, Exchange
+    from threadramp.edge.job import Job
     from threadramp.fleet.clock import Clock
-    from threadramp.fleet.model import Endpoint, Route
+    from threadramp.fleet.model import Endpoint
     from threadramp.fleet.picture import Picture
     from threadramp.policy.endpoint_choice import EndpointChoice
     from threadramp.policy.retries import RetryBudget
@@ -31,49 +29,6 @@
 READ_TIMEOUT_S = 2.0  # most for the rest of an answer that has begun
 
 
-class Ending(Enum):
-    """How a forwarded request ended."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not run"
-    UNKNOWN = "unknown"
-    TIME_OVER = "time over"
-    CALLER_GONE = "caller gone"
-
-
-@dataclass(frozen=True)
-class Job:
-    """A request to forward.
-
-    :param target: path and query, as the caller sent them
-    :param until: time at which the caller gets a final answer in any case
-    :param caller: the caller's socket, watched for its end; none if nobody waits
-    :param repeats_errors: whether an answer 500 is tried elsewhere; else it is the answer
-    """
-
-    request_id: str
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    route: Route
-    until: float
-    caller: socket.socket | None = None
-    repeats_errors: bool = True
-
-
-@dataclass(frozen=True)
-class Outcome:
-    """How it ended.
-
-    :param answer: of the endpoint, if there is one to pass on
-    """
-
-    ending: Ending
-    answer: Answer | None = None
-    retry_after_s: float = 0.0
-
-
 @dataclass
 class _Tries:
     """What happened to a job so far."""
@@ -199,7 +154,7 @@
             exchange = by_descriptor.get(descriptor)
             if exchange is not None:
                 return self._read(exchange)
-        if caller is not None and ready and _has_ended(caller):
+        if caller is not None and ready and has_ended(caller):
             log_state("caller_gone", request=self.job.request_id)
             return Outcome(Ending.CALLER_GONE)
         self._second_try()
@@ -310,24 +265,9 @@
             return None
         poll = select.poll()
         poll.register(caller.fileno(), select.POLLIN)
-        if poll.poll(int(seconds * 1000)) and _has_ended(caller):
+        if poll.poll(int(seconds * 1000)) and has_ended(caller):
             return Outcome(Ending.CALLER_GONE)
         return None
 
 
-def _has_ended(caller: socket.socket) -> bool:
-    """Return whether the caller closed its connection."""
-    try:
-        return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
-def header_pairs(headers: Iterable[tuple[bytes, bytes]]) -> tuple[tuple[str, str], ...]:
-    """Return headers as text."""
-    return tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in headers)
-
-
-__all__ = ["Ending", "Forwarder", "Job", "Outcome", "header_pairs"]
+__all__ = ["Forwarder"]
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.config.findings import FindingsError
-from threadramp.edge.forward import Ending, Job, Outcome
+from threadramp.edge.job import Ending, Job, Outcome
 from threadramp.edge.server import BodyTooLongError
 from threadramp.fleet.model import CallerLimits, RouteKind
 from threadramp.lots.reading import LotUnknownError
--- /dev/null
+++ b/src/threadramp/edge/job.py
@@ -0,0 +1,68 @@
+"""A request to forward, and how that ended."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from threadramp.edge.connections import Answer
+    from threadramp.fleet.model import Route
+
+
+class Ending(Enum):
+    """How a forwarded request ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+    TIME_OVER = "time over"
+    CALLER_GONE = "caller gone"
+
+
+@dataclass(frozen=True)
+class Job:
+    """A request to forward.
+
+    :param target: path and query, as the caller sent them
+    :param until: time at which the caller gets a final answer in any case
+    :param caller: the caller's socket, watched for its end; none if nobody waits
+    :param repeats_errors: whether an answer 500 is tried elsewhere; else it is the answer
+    """
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    route: Route
+    until: float
+    caller: socket.socket | None = None
+    repeats_errors: bool = True
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """How it ended.
+
+    :param answer: of the endpoint, if there is one to pass on
+    """
+
+    ending: Ending
+    answer: Answer | None = None
+    retry_after_s: float = 0.0
+
+
+def has_ended(caller: socket.socket) -> bool:
+    """Return whether the caller closed its connection."""
+    try:
+        return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+__all__ = ["Ending", "Job", "Outcome", "has_ended"]
--- a/src/threadramp/lots/scoring.py
+++ b/src/threadramp/lots/scoring.py
@@ -7,12 +7,13 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_book import Phase
-from threadramp.edge.forward import Ending, Job
+from threadramp.edge.job import Ending, Job
 from threadramp.platform.headers import reward_headers
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
-    from threadramp.edge.forward import Forwarder, Outcome
+    from threadramp.edge.forward import Forwarder
+    from threadramp.edge.job import Outcome
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import Route
     from threadramp.fleet.picture import Picture
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -10,7 +10,8 @@
 import pytest
 
 from threadramp.edge.connections import Connections
-from threadramp.edge.forward import Ending, Forwarder, Job
+from threadramp.edge.forward import Forwarder
+from threadramp.edge.job import Ending, Job
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
 from threadramp.fleet.picture import Belief, Picture
