Be sure before saying that nothing stands at a position; relay past peers that are turned away

Change: whoever has nothing at a position looks at the head, at most each 0.8 s, and lets the lot go if it is another's; without a way to the store it answers 503. A peer that has no way says so at once, the next is asked.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -39,7 +39,7 @@
 SILENT_BEATS = 4  # unanswered in a row, 0.5 s apart: about the time in which a freeze is over
 BEATERS = 2  # gateways that regularly beat to one sidecar
 RELAY_TIMEOUT_S = 2.2  # a little longer than the call that is passed on
-RELAY_TRIES = 2
+RELAY_TRIES = 4  # a peer that is turned away as well says so at once
 REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
 
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -22,6 +22,7 @@
 
 OWNER_TIMEOUT_S = 0.8  # beyond the time for which the reader lets us wait
 CACHED_LOTS = 64
+LOOK_S = 0.8  # a position that was told anywhere is told by all within a second
 END_TIMEOUT_S = 3.0
 
 
@@ -53,6 +54,7 @@
         self.peers = peers
         self.clock = clock
         self.cache: OrderedDict[str, CachedLot] = OrderedDict()
+        self.looked: OrderedDict[str, tuple[float, int]] = OrderedDict()
         self.lock = threading.Lock()
 
     def results(self, lot_id: str, after: int, wait_s: float) -> Page:
@@ -61,15 +63,8 @@
         :raises LotUnknownError: if there is no such lot
         :raises StoreError: if nobody who is sure could be reached
         """
-        until = self.clock.now() + wait_s
-        page = self.owned.page(lot_id, after, lambda: until - self.clock.now())
-        if page is not None:
-            return page
-        cached = self._cached(lot_id)
-        if after < len(cached.results):
-            return Page(cached.kept.head.total, False, first_page(cached.results[after:]))
-        page = self._from_owner(cached, after, wait_s)
-        return page if page is not None else self._from_store(cached, after)
+        page = self._own_page(lot_id, after, wait_s)
+        return page if page is not None else self._others_page(lot_id, after, wait_s)
 
     def body(self, lot_id: str, sample: str) -> bytes | None:
         """Return the body of a sample, none if there is no such sample.
@@ -123,6 +118,65 @@
         state = owned.book.states.get(ask.sample)
         return SampleBody(True, state.sample.body if state is not None else None)
 
+    def _own_page(self, lot_id: str, after: int, wait_s: float) -> Page | None:
+        """Return results of a lot of ours, none if it is not ours, or not any more."""
+        until = self.clock.now() + wait_s
+        page = self.owned.page(lot_id, after, lambda: until - self.clock.now())
+        if page is None or page.results or after >= page.total:
+            return page
+        kept = self._head_if_listed(lot_id, after)
+        if kept is None:
+            return page
+        if (kept.head.owner, kept.head.incarnation) != self._myself():
+            self._let_go(lot_id, kept)
+            return None
+        return self.owned.page(lot_id, after, lambda: 0.0)
+
+    def _others_page(self, lot_id: str, after: int, wait_s: float) -> Page:
+        """Return results of a lot that another gateway owns."""
+        cached = self._cached(lot_id)
+        if after < len(cached.results):
+            return Page(cached.kept.head.total, False, first_page(cached.results[after:]))
+        page = self._from_owner(cached, after, wait_s)
+        if page is None:
+            return self._from_store(cached, after)
+        if page.results or after >= page.total:
+            return page
+        known = self._head_if_listed(lot_id, after)  # it may not own the lot any more
+        return page if known is None else self._from_store(cached, after)
+
+    def _head_if_listed(self, lot_id: str, after: int) -> KeptHead | None:
+        """Return a lot's head if the store has a result at a position, looked up now and then.
+
+        Whoever answers that nothing stands there must be sure: the owner may have changed without
+        its knowledge, and the position may have been told elsewhere.
+
+        :raises LotUnknownError: if there is no such lot
+        :raises StoreError: if no answer came
+        """
+        now = self.clock.now()
+        looked_at, listed = self.looked.get(lot_id, (0.0, -1))
+        if now - looked_at < LOOK_S and listed <= after:
+            return None
+        kept = self.journal.head(lot_id)
+        if kept is None:
+            raise LotUnknownError(lot_id)
+        with self.lock:
+            self.looked.pop(lot_id, None)
+            self.looked[lot_id] = (now, kept.head.listed)
+            while len(self.looked) > CACHED_LOTS:
+                self.looked.popitem(last=False)
+        return kept if kept.head.listed > after else None
+
+    def _let_go(self, lot_id: str, kept: KeptHead) -> None:
+        owned = self.owned.get(lot_id)
+        if owned is not None:
+            log_state("lot_changed_hands", lot=lot_id, owner=kept.head.owner, seen="by a reader")
+            self.owner.release(owned)
+
+    def _myself(self) -> tuple[str, str]:
+        return (self.peers.member.name, self.peers.member.incarnation)
+
     def _cached(self, lot_id: str) -> CachedLot:
         with self.lock:
             cached = self.cache.get(lot_id)
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -52,7 +52,6 @@
 WATCH_MARGIN_S = 1.0  # for the answer to come back once the store's wait is over
 POOL_SIZE = 8  # connections that are kept open
 KEY_ROOT = "/threadramp"
-STORE_STATUSES = (200, 404, 410, 412)  # any other says that nothing was done
 
 
 class StoreClient:
@@ -241,9 +240,9 @@
 
 def _checked(answer: RawAnswer) -> RawAnswer:
     """Return the answer if the store itself gave it."""
-    if answer.status in STORE_STATUSES:
-        return answer
-    raise StoreRefusedError(f"status {answer.status}")
+    if answer.turned_away:
+        raise StoreRefusedError(f"status {answer.status}")
+    return answer
 
 
 __all__ = ["StoreClient"]
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -113,6 +113,9 @@
         """Return the answer, or none if nobody could pass it on."""
 
 
+ANSWERED = (200, 404, 410, 412)  # all other statuses mean that nothing was done
+
+
 class Call(msgspec.Struct, frozen=True):
     """A call to the store as it is sent.
 
@@ -133,6 +136,11 @@
     status: int
     body: bytes
 
+    @property
+    def turned_away(self) -> bool:
+        """Return whether the store says that it did nothing."""
+        return self.status not in ANSWERED
+
 
 __all__ = [
     "ABSENT",
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -64,8 +64,12 @@
             return LotEnded(True, False)
 
     def _call_store(self, ask: CallStore) -> StoreAnswered:
+        """Pass a call on; no answer if the store does not serve this process either."""
+        if self.peers.health.is_away:
+            return StoreAnswered(None)
         try:
-            return StoreAnswered(self.store.direct(ask.call))
+            answer = self.store.direct(ask.call)
+            return StoreAnswered(None if answer.turned_away else answer)
         except StoreError as error:
             log_state("relay_failed", asker=ask.sender, error=str(error))
             return StoreAnswered(None)
