Let the news of sidecars go into the books of lots in a module of its own

Cause: lots/runners.py had 362 lines and two jobs: asking sidecars, and noting in the books what they say; sending and submitting samples were functions of 35 and 25 lines. Ruled out: a collector object for each sidecar (the order of its steps and its locks would have to change). Change: RunnerNews in lots/news.py notes answers and losses; batches and what was taken are steps of their own. A run before failed in one test, serve/test_lots.py, a killed sidecar: all samples went to the second engine, which was ready 50 ms before the first, for which the test waits.

--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -6,7 +6,8 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.core.lot_book import Phase, RunOutcome
+from threadramp.core.lot_book import Phase
+from threadramp.lots.news import RunnerNews
 from threadramp.policy.sample_placement import (
     RunnerView,
     is_slow,
@@ -33,7 +34,7 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.peers import Peers
     from threadramp.lots.owned import OwnedLot, OwnedLots
-    from threadramp.wire.fleet import AnyReply, RunnerStatus
+    from threadramp.wire.fleet import AnyReply
 
 COLLECT_WAIT_S = 0.5  # a sidecar answers earlier when a sample ends
 ANSWER_MARGIN_S = 0.7  # for the way there and back, and a busy processor
@@ -61,7 +62,7 @@
         self.owned = owned
         self.peers = peers
         self.clock = clock
-        self.on_scoring = on_scoring
+        self.news = RunnerNews(owned, clock, on_scoring)
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
         self.lock = threading.Lock()
@@ -102,11 +103,16 @@
                     self.views[name] = RunnerView(member)
                 else:
                     view.member = member
-                if name not in self.collectors:
-                    self.collectors.add(name)
-                    threading.Thread(
-                        target=self._collect_from, args=(name,), name=f"collect-{name}", daemon=True
-                    ).start()
+                self._start_collector(name)
+
+    def _start_collector(self, name: str) -> None:
+        """Start collecting from a sidecar unless that is done already."""
+        if name in self.collectors:
+            return
+        self.collectors.add(name)
+        threading.Thread(
+            target=self._collect_from, args=(name,), name=f"collect-{name}", daemon=True
+        ).start()
 
     def _collect_from(self, name: str) -> None:
         """Collect from one sidecar for as long as it is listed or has samples of ours."""
@@ -136,92 +142,17 @@
         if not isinstance(reply, Updates):
             self._silent(view, lots)
             return True
-        self._heard(view, reply.status)
-        self._take(view, lots, reply)
+        self.news.heard(view, reply.status)
+        self.news.take(view, lots, reply)
         return True
 
     def _silent(self, view: RunnerView, lots: list[OwnedLot]) -> None:
+        """Count a sidecar that does not answer as lost once its samples must have stopped."""
         now = self.clock.now()
         if now - view.heard > LOST_AFTER_S:
-            self._lose(view, lots, "silent")
+            self.news.lose(view, lots, "silent")
         self.stopped.wait(SILENT_PAUSE_S)
 
-    def _lose(self, view: RunnerView, lots: list[OwnedLot], reason: str) -> None:
-        now = self.clock.now()
-        view.status = None
-        for lot in lots:
-            with self.owned.lock:
-                lost = lot.book.lose_runner(view.member.name, now)
-            if lost:
-                log_state(
-                    "sidecar_lost",
-                    sidecar=view.member.name,
-                    reason=reason,
-                    lot=lot.lot_id,
-                    samples=lost,
-                    silent_s=round(now - view.heard, 2),
-                )
-                self.owned.work.set()
-
-    def _heard(self, view: RunnerView, status: RunnerStatus) -> None:
-        view.status = status
-        view.taken = status.taken
-        view.heard = self.clock.now()
-
-    def _take(self, view: RunnerView, lots: list[OwnedLot], reply: Updates) -> None:
-        now = self.clock.now()
-        by_sample = self._lots_by_sample(lots)
-        for update in reply.updates:
-            lot = by_sample.get(update.sample)
-            if lot is None:
-                continue
-            with self.owned.lock:
-                phase = self._take_one(view, lot, update, now)
-            if phase is Phase.SCORING:
-                self.on_scoring(lot, update.sample)
-        for sample in reply.unknown:
-            lot = by_sample.get(sample)
-            if lot is None:
-                continue
-            with self.owned.lock:
-                lot.book.give_back(sample, view.member.name, now)
-        if reply.updates or reply.unknown:
-            self.owned.work.set()
-
-    def _take_one(self, view: RunnerView, lot: OwnedLot, update, now: float) -> Phase | None:
-        name = view.member.name
-        book = lot.book
-        added = book.add_events(
-            update.sample, name, update.base, update.events, update.versions, update.lineage
-        )
-        if not added:
-            if update.sample in book.at_runner(name):  # another gateway had it begun anew there
-                log_state("events_refused", sample=update.sample, sidecar=name, base=update.base)
-                book.give_back(update.sample, name, now)
-            return None
-        if not update.outcome:
-            return None
-        phase = book.run_ended(update.sample, name, RunOutcome(update.outcome), now)
-        log_state(
-            "run_ended",
-            sample=update.sample,
-            lot=lot.lot_id,
-            sidecar=name,
-            outcome=update.outcome,
-            events=len(book.states[update.sample].events),
-            phase=phase and phase.value,
-        )
-        return phase
-
-    def _lots_by_sample(self, lots: list[OwnedLot]) -> dict[str, OwnedLot]:
-        with self.owned.lock:
-            return {
-                name: lot
-                for lot in lots
-                for name, state in lot.book.states.items()
-                if state.phase is Phase.RUNNING
-            }
-
     def _look(self) -> None:
         """Ask the sidecars for text that they kept of a new lot's samples."""
         for lot in self.owned.open():
@@ -243,9 +174,10 @@
                 self._found(lot, view, replies.get(view.member.address))
 
     def _found(self, lot: OwnedLot, view: RunnerView, reply: AnyReply | None) -> None:
+        """Send samples to the sidecar that kept their text."""
         if not isinstance(reply, Found):
             return
-        self._heard(view, reply.status)
+        self.news.heard(view, reply.status)
         with self.owned.lock:
             samples = [
                 name for name in reply.samples if lot.book.states[name].phase is Phase.WAITING
@@ -256,35 +188,35 @@
 
     def _send(self) -> None:
         """Give waiting samples to sidecars that have room."""
+        threads = [
+            threading.Thread(target=self._submit, args=(self.views[name], batch), daemon=True)
+            for name, batch in self._batches().items()
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(ASK_TIMEOUT_S)
+
+    def _batches(self) -> dict[str, list[tuple[OwnedLot, str]]]:
+        """Return the waiting samples by the sidecar that each is to go to."""
         now = self.clock.now()
         views = list(self.views.values())
         batches: dict[str, list[tuple[OwnedLot, str]]] = {}
         for lot in self.owned.open():
+            wanted = lot.book.lot
             with self.owned.lock:
                 waiting = [(one.sample.id, one.last_runner) for one in lot.book.waiting(now)]
             for name, avoid in waiting:
-                view = place(
-                    views,
-                    lot.book.lot.model,
-                    lot.book.lot.min_version,
-                    self.peers.data_centre,
-                    avoid,
-                    now,
-                )
+                near = self.peers.data_centre
+                view = place(views, wanted.model, wanted.min_version, near, avoid, now)
                 if view is None:
                     break
                 view.taken += 1
                 batches.setdefault(view.member.name, []).append((lot, name))
-        threads = [
-            threading.Thread(target=self._submit, args=(self.views[name], batch), daemon=True)
-            for name, batch in batches.items()
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join(ASK_TIMEOUT_S)
+        return batches
 
     def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
+        """Send samples to one sidecar and note which it took."""
         name = view.member.name
         with self.owned.lock:
             orders = tuple(self._order(lot, sample, name) for lot, sample in batch)
@@ -294,21 +226,28 @@
         taken: dict[str, str] = {}
         pause = SILENT_PAUSE_S
         if isinstance(reply, Accepted):
-            self._heard(view, reply.status)
+            self.news.heard(view, reply.status)
             taken = reply.samples
             pause = NOT_TAKEN_PAUSE_S
+        self._note_submitted(name, batch, taken, now + pause)
+        for lot in {id(lot): lot for lot, _ in batch if lot.book.ended}.values():
+            self.drop(lot, let_finish=False)  # it was ended while they were on their way
+
+    def _note_submitted(
+        self, name: str, batch: list[tuple[OwnedLot, str]], taken: dict[str, str], again_at: float
+    ) -> None:
+        """Note which samples a sidecar took; the others wait until ``again_at``."""
         refused = [(lot, sample) for lot, sample in batch if sample not in taken]
         with self.owned.lock:
             for lot, sample in batch:
                 if sample in taken:
                     lot.book.accepted(sample, name, taken[sample])
             for lot, sample in refused:
-                lot.book.give_back(sample, name, now + pause)
+                lot.book.give_back(sample, name, again_at)
         log_state("samples_sent", sidecar=name, taken=sorted(taken), refused=len(refused))
-        for lot in {id(lot): lot for lot, _ in batch if lot.book.ended}.values():
-            self.drop(lot, let_finish=False)  # it was ended while they were on their way
 
     def _order(self, lot: OwnedLot, sample: str, runner: str) -> RunOrder:
+        """Assign a sample to a sidecar and return what to ask of it."""
         book = lot.book
         state = book.states[sample]
         book.assign(sample, runner)
@@ -335,6 +274,7 @@
                 self._move(lot, view, room)
 
     def _move(self, lot: OwnedLot, view: RunnerView, room: int) -> None:
+        """Take the longest samples of a lot from a sidecar, as many as there is room for."""
         name = view.member.name
         with self.owned.lock:
             have = lot.book.at_runner(name)
@@ -355,8 +295,8 @@
         ask = Drop(*self.peers.myself, have, let_finish)
         reply = self.peers.ask(view.member.address, ask, ASK_TIMEOUT_S)
         if isinstance(reply, Updates):
-            self._heard(view, reply.status)
-            self._take(view, self.owned.open(), reply)
+            self.news.heard(view, reply.status)
+            self.news.take(view, self.owned.open(), reply)
 
 
 __all__ = ["Runners"]
