Give kept texts of ended lots a module; make a lot's rules in one place

Ruled out: one function for the start of new and adopted lots (the age of an adopted one is told by the time of day). Change: KeptTexts in lots/kept_texts.py, rules_of from the head, the new head a step of its own; same figures.

--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -7,6 +7,7 @@
 
 from threadramp.core.lot_book import LotBook, LotRules
 from threadramp.lots.journal import LotMissingError, NotOwnerError
+from threadramp.lots.kept_texts import KeptTexts
 from threadramp.lots.model import KeptLot, LotHead
 from threadramp.lots.owned import OwnedLot
 from threadramp.platform.store_model import StoreError
@@ -30,15 +31,18 @@
 AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
 AUDIT_SOON_S = 0.2  # after the gateways changed, so that several changes are looked at together
 GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
-KEPT_TEXTS = 400  # samples of ended lots whose text may serve a later lot
-END_TRIES = 5
+END_TRIES = 5  # times that a lot's end is written while others change its head
 KEPT_MARGIN_S = 60.0  # beyond the time for which results stay readable; clocks may differ
 HAND_OVER_TIMEOUT_S = 1.0
 HAND_OVER_PAUSE_S = 0.3  # before lots are offered again that nobody could be given
 
 
 class LotOwner:
-    """The lots of one gateway."""
+    """The lots of one gateway.
+
+    :param drop: tells the sidecars that a lot's samples are not wanted; true lets them finish
+    :param status_s: seconds for which the results of an ended lot stay readable
+    """
 
     def __init__(
         self,
@@ -57,7 +61,7 @@
         self.drop = drop
         self.checkpoints = checkpoints
         self.kept_s = status_s + KEPT_MARGIN_S
-        self.texts: dict[str, tuple[list[str], list[int], str]] = {}
+        self.texts = KeptTexts()
         self.stopped = threading.Event()
         self.leaving = False
 
@@ -73,34 +77,14 @@
         """
         if self.owned.get(lot.id) is not None:
             return
-        head = LotHead(
-            owner=self.peers.member.name,
-            incarnation=self.peers.member.incarnation,
-            handed_in=self.clock.time_of_day(),
-            result_target_s=route.result_target_s,
-            give_up_s=route.give_up_s,
-            max_attempts=route.max_attempts,
-            one_version=route.one_version,
-            total=len(lot.samples),
-            parts=0,
-            chunks=0,
-            listed=0,
-            ended=False,
-            nonce="",
-        )
+        head = self._new_head(lot, route)
         kept = self.journal.create(lot, head)
         if kept is None:
             log_state("lot_known", lot=lot.id)
             return
-        now = self.clock.now()
-        rules = LotRules(
-            max_attempts=route.max_attempts,
-            one_version=route.one_version,
-            due=now + route.result_target_s,
-            give_up_at=now + route.give_up_s + GIVE_UP_MARGIN_S,
-        )
+        rules = rules_of(kept.head, self.clock.now())
         owned = OwnedLot(LotBook(lot, rules), kept)
-        reused = self._use_kept_texts(owned.book)
+        reused = self.texts.use(owned.book)
         self.owned.add(owned)
         log_state(
             "lot_taken",
@@ -151,7 +135,26 @@
                 self._give_to(owned, others[heir])
             self.stopped.wait(HAND_OVER_PAUSE_S)
 
+    def _new_head(self, lot: Lot, route: Route) -> LotHead:
+        """Return the head of a lot that is handed in here now."""
+        return LotHead(
+            owner=self.peers.member.name,
+            incarnation=self.peers.member.incarnation,
+            handed_in=self.clock.time_of_day(),
+            result_target_s=route.result_target_s,
+            give_up_s=route.give_up_s,
+            max_attempts=route.max_attempts,
+            one_version=route.one_version,
+            total=len(lot.samples),
+            parts=0,
+            chunks=0,
+            listed=0,
+            ended=False,
+            nonce="",
+        )
+
     def _give_to(self, owned: OwnedLot, heir: Member) -> None:
+        """Make another gateway the owner of a lot, in the store first."""
         try:
             with self.owned.lock:
                 kept = owned.kept
@@ -179,9 +182,10 @@
         raise StoreError(f"the head of {kept.lot_id} changed at each of {END_TRIES} tries")
 
     def _ended(self, owned: OwnedLot, kept: KeptHead) -> None:
+        """Stop working on a lot whose end is kept."""
         with self.owned.lock:
             owned.kept = kept
-            self._keep_texts(owned.book)
+            self.texts.keep(owned.book)
             running = owned.book.end()
             listed = len(owned.book.listed)
             self.owned.tell_listed()
@@ -189,24 +193,8 @@
         self.drop(owned, True)
         self.checkpoints.forget(owned.lot_id)
 
-    def _keep_texts(self, book: LotBook) -> None:
-        """Keep the text of samples that are not listed, for a later lot that names them again."""
-        for name, state in book.states.items():
-            if state.is_open and state.events:
-                self.texts.pop(name, None)
-                self.texts[name] = (state.events, state.versions, state.lineage)
-        for name in list(self.texts)[: max(0, len(self.texts) - KEPT_TEXTS)]:
-            del self.texts[name]
-
-    def _use_kept_texts(self, book: LotBook) -> list[str]:
-        used = []
-        for name in book.states:
-            text = self.texts.pop(name, None)
-            if text is not None and book.prefill(name, *text):
-                used.append(name)
-        return used
-
     def _audit_loop(self) -> None:
+        """Look through the heads when the gateways changed, and from time to time."""
         seen: frozenset[tuple[str, str]] = frozenset()
         last = self.clock.now() - AUDIT_S
         while not self.stopped.wait(AUDIT_SOON_S):
@@ -265,6 +253,7 @@
         return {one.name: one for one in self.peers.live_gateways()}
 
     def _adopt(self, kept: KeptHead) -> None:
+        """Take over a lot from what the store has of it."""
         if self.owned.get(kept.lot_id) is not None or self.leaving:
             return
         me = self.peers.member
@@ -275,6 +264,10 @@
         self._add(whole, before, self.checkpoints.load(kept.lot_id))
 
     def _add(self, whole: KeptLot, of: str, texts: dict[str, SavedText]) -> None:
+        """Start on a lot that was taken over.
+
+        :param of: whose it was
+        """
         kept = whole.kept
         book = LotBook(whole.lot, self._rules_again(kept), whole.results)
         reused = [
@@ -296,15 +289,21 @@
 
     def _rules_again(self, kept: KeptHead) -> LotRules:
         """Return the rules of a lot that was handed in some time ago."""
-        head = kept.head
-        age = max(0.0, self.clock.time_of_day() - head.handed_in)
-        start = self.clock.now() - age
-        return LotRules(
-            max_attempts=head.max_attempts,
-            one_version=head.one_version,
-            due=start + head.result_target_s,
-            give_up_at=start + head.give_up_s + GIVE_UP_MARGIN_S,
-        )
+        age = max(0.0, self.clock.time_of_day() - kept.head.handed_in)
+        return rules_of(kept.head, self.clock.now() - age)
+
+
+def rules_of(head: LotHead, start: float) -> LotRules:
+    """Return what a lot's head asks for.
+
+    :param start: time at which the lot was handed in, by this process's clock
+    """
+    return LotRules(
+        max_attempts=head.max_attempts,
+        one_version=head.one_version,
+        due=start + head.result_target_s,
+        give_up_at=start + head.give_up_s + GIVE_UP_MARGIN_S,
+    )
 
 
 def heir_of(kept: KeptHead, live: dict[str, Member]) -> str:
@@ -314,4 +313,4 @@
     return rendezvous(kept.lot_id, sorted(live))[0]
 
 
-__all__ = ["LotOwner", "heir_of"]
+__all__ = ["LotOwner", "heir_of", "rules_of"]
