Let the look through the lots in the store stand in a module of its own

Ruled out: giving the look its own way to adopt (the owner alone changes whose a lot is). Change: LotAudit in lots/audit.py finds, LotOwner takes over; LotJournal.whole reads what stands behind a head.

--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -130,6 +130,13 @@
         kept = self.head(lot_id)
         if kept is None:
             raise LotMissingError(lot_id)
+        return self.whole(kept)
+
+    def whole(self, kept: KeptHead) -> KeptLot:
+        """Read what stands behind a head.
+
+        :raises StoreError: if no answer came
+        """
         return KeptLot(kept, self.hand_in(kept), self.results(kept, 0))
 
     def hand_in(self, kept: KeptHead) -> Lot:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -1,4 +1,4 @@
-"""Owns lots: takes them in, ends them, takes them over from gateways that are gone."""
+"""Owns lots: takes them in, ends them, takes them over, hands them over."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
 from threadramp.lots.owned import OwnedLot
 from threadramp.platform.store_model import StoreError
 from threadramp.policy.routing import rendezvous
-from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import Adopt
 
@@ -28,11 +27,8 @@
     from threadramp.lots.model import KeptHead, Lot, SavedText
     from threadramp.lots.owned import OwnedLots
 
-AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
-AUDIT_SOON_S = 0.2  # after the gateways changed, so that several changes are looked at together
 GIVE_UP_MARGIN_S = 1.0  # after the time at which a sample may be given up
 END_TRIES = 5  # times that a lot's end is written while others change its head
-KEPT_MARGIN_S = 60.0  # beyond the time for which results stay readable; clocks may differ
 HAND_OVER_TIMEOUT_S = 1.0
 HAND_OVER_PAUSE_S = 0.3  # before lots are offered again that nobody could be given
 
@@ -41,7 +37,6 @@
     """The lots of one gateway.
 
     :param drop: tells the sidecars that a lot's samples are not wanted; true lets them finish
-    :param status_s: seconds for which the results of an ended lot stay readable
     """
 
     def __init__(
@@ -52,7 +47,6 @@
         clock: Clock,
         drop: Callable[[OwnedLot, bool], None],
         checkpoints: Checkpoints,
-        status_s: float,
     ) -> None:
         self.owned = owned
         self.journal = journal
@@ -60,15 +54,10 @@
         self.clock = clock
         self.drop = drop
         self.checkpoints = checkpoints
-        self.kept_s = status_s + KEPT_MARGIN_S
         self.texts = KeptTexts()
         self.stopped = threading.Event()
         self.leaving = False
 
-    def start(self) -> None:
-        """Start looking for lots without an owner."""
-        start_loop(self._audit_loop, self.stopped)
-
     def hand_in(self, lot: Lot, route: Route) -> None:
         """Keep a lot and start on it; a lot that is kept already stays as it is.
 
@@ -125,6 +114,21 @@
         if (head.owner, head.incarnation) == (me.name, me.incarnation):
             self._add(whole, "a gateway that stops", {})
 
+    def take_over(self, kept: KeptHead) -> None:
+        """Take over a lot that lies idle, from what the store has of it.
+
+        :raises NotOwnerError: if somebody else took it over meanwhile
+        :raises LotMissingError: if the store has no such lot any more
+        :raises StoreError: if the change of owner is not known to be kept
+        """
+        if self.owned.get(kept.lot_id) is not None or self.leaving:
+            return
+        me = self.peers.member
+        before = kept.head.owner
+        if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
+            kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
+        self._add(self.journal.whole(kept), before, self.checkpoints.load(kept.lot_id))
+
     def hand_over(self) -> None:
         """Give all open lots to other gateways; for a planned stop, until all are given."""
         self.leaving = True
@@ -193,76 +197,6 @@
         self.drop(owned, True)
         self.checkpoints.forget(owned.lot_id)
 
-    def _audit_loop(self) -> None:
-        """Look through the heads when the gateways changed, and from time to time."""
-        seen: frozenset[tuple[str, str]] = frozenset()
-        last = self.clock.now() - AUDIT_S
-        while not self.stopped.wait(AUDIT_SOON_S):
-            gateways = self._gateways_now()
-            due = gateways != seen or self.clock.now() - last >= AUDIT_S
-            if not due or self.leaving or not self.peers.picture.members.known:
-                continue
-            try:
-                self._audit()
-            except StoreError as error:
-                log_state("audit_failed", error=str(error))
-                continue
-            seen = gateways
-            last = self.clock.now()
-
-    def _gateways_now(self) -> frozenset[tuple[str, str]]:
-        """Return the names and incarnations of the gateways that are believed to live."""
-        return frozenset((one.name, one.incarnation) for one in self.peers.live_gateways())
-
-    def _audit(self) -> None:
-        """Take over the open lots whose owner is gone and that fall to this gateway."""
-        heads = self.journal.heads()
-        self._remove_old(heads)
-        idle = [
-            kept for kept in heads if not kept.head.ended and self.owned.get(kept.lot_id) is None
-        ]
-        if any(kept.head.owner not in self._live() for kept in idle):
-            self.peers.relist_members()  # a gateway that just started may not be seen yet
-        live = self._live()
-        for kept in idle:
-            if heir_of(kept, live) != self.peers.member.name:
-                continue
-            try:
-                self._adopt(kept)
-            except (NotOwnerError, LotMissingError) as error:
-                log_state("not_adopted", lot=kept.lot_id, error=str(error))
-
-    def _remove_old(self, heads: list[KeptHead]) -> None:
-        """Remove the lots that fall to this gateway and that nobody may ask for any more."""
-        limit = self.clock.time_of_day() - self.kept_s
-        names = sorted(self._live())
-        for kept in heads:
-            mine = rendezvous(kept.lot_id, names)[0] == self.peers.member.name
-            if not mine or not kept.head.ended or kept.head.handed_in > limit:
-                continue
-            try:
-                self.journal.remove(kept)
-            except StoreError as error:
-                log_state("lot_not_removed", lot=kept.lot_id, error=str(error))
-                continue
-            self.owned.remove(kept.lot_id)
-            log_state("lot_removed", lot=kept.lot_id, revision=kept.revision)
-
-    def _live(self) -> dict[str, Member]:
-        """Return the gateways that are believed to live, this one among them, by name."""
-        return {one.name: one for one in self.peers.live_gateways()}
-
-    def _adopt(self, kept: KeptHead) -> None:
-        """Take over a lot from what the store has of it."""
-        if self.owned.get(kept.lot_id) is not None or self.leaving:
-            return
-        me = self.peers.member
-        before = kept.head.owner
-        if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
-            kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
-        whole = KeptLot(kept, self.journal.hand_in(kept), self.journal.results(kept, 0))
-        self._add(whole, before, self.checkpoints.load(kept.lot_id))
-
     def _add(self, whole: KeptLot, of: str, texts: dict[str, SavedText]) -> None:
         """Start on a lot that was taken over.
 
@@ -306,11 +240,4 @@
     )
 
 
-def heir_of(kept: KeptHead, live: dict[str, Member]) -> str:
-    """Return the gateway that a lot falls to: its owner's box while a gateway lives there."""
-    if kept.head.owner in live:
-        return kept.head.owner
-    return rendezvous(kept.lot_id, sorted(live))[0]
-
-
-__all__ = ["LotOwner", "heir_of", "rules_of"]
+__all__ = ["LotOwner", "rules_of"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -17,6 +17,7 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.fleet.watcher import Watcher
 from threadramp.lots.appending import Appending
+from threadramp.lots.audit import LotAudit
 from threadramp.lots.checkpoints import Checkpoints
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.owned import OwnedLots
@@ -57,7 +58,7 @@
         for watcher in self.watchers:
             watcher.start()
         self.peers.start()
-        self.owner.start()
+        self.audit.start()
         self.appending.start()
         self.checkpoints.start()
         self.runners.start()
@@ -116,14 +117,9 @@
         self.runners = Runners(owned, self.peers, clock, scoring.begin)
         self.checkpoints = Checkpoints(owned, store, self.incarnation)
         self.owner = LotOwner(
-            owned,
-            journal,
-            self.peers,
-            clock,
-            self.runners.drop,
-            self.checkpoints,
-            self.settings.bounds.status_s,
+            owned, journal, self.peers, clock, self.runners.drop, self.checkpoints
         )
+        self.audit = LotAudit(self.owner, self.settings.bounds.status_s)
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
         self.appending = Appending(owned, journal, clock, self.owner.release, self.metrics)
         self.handler = EdgeHandler(
--- a/tests/lots/test_owner.py
+++ b/tests/lots/test_owner.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from threadramp.fleet.picture import Member
+from threadramp.lots.audit import heir_of
 from threadramp.lots.model import KeptHead, LotHead
-from threadramp.lots.owner import heir_of
 
 
 def kept(owner: str, lot_id: str = "lot") -> KeptHead:
