Remove names and fields that nobody reads; split two long functions

Cause: IMPOSSIBLE_LIMIT, four figures of an engine's report and the time of a lease were never read; the limit of entries in one transaction had a name of its own in lots/checkpoints.py. Ruled out: fields of messages between processes, of settings and of limits (their format or their checks would change). Change: they are gone; MAX_ENTRIES stands beside the transaction; sending a sample and dialling are own functions.

--- a/src/threadramp/core/lot_book.py
+++ b/src/threadramp/core/lot_book.py
@@ -18,7 +18,6 @@
     from threadramp.lots.model import Lot, Sample
 
 FLUSH_AFTER_S = 0.3  # a result that completes no group waits so long for others; calls are priced
-IMPOSSIBLE_LIMIT = 1  # one answer that the sample can never be done is enough
 MAX_CHUNK_CHARACTERS = 400_000  # of text in one chunk, so that a value stays below a megabyte
 
 
@@ -214,7 +213,7 @@
         state.runner = ""
         if outcome is RunOutcome.WHOLE:
             self._text_whole(state, now)
-        elif outcome is RunOutcome.IMPOSSIBLE:
+        elif outcome is RunOutcome.IMPOSSIBLE:  # one such answer is enough
             self._stage(state, ResultState.DEAD, "", now)
         elif outcome is RunOutcome.FAILED:
             self._run_failed(state, now)
--- a/src/threadramp/lots/checkpoints.py
+++ b/src/threadramp/lots/checkpoints.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.model import SavedText, decode_texts, encode
-from threadramp.platform.store_model import Put, StoreError, Transaction
+from threadramp.platform.store_model import MAX_ENTRIES, Put, StoreError, Transaction
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
@@ -27,7 +27,6 @@
 LONG_EVENTS = 25  # a shorter sample is made again within a second
 NEW_EVENTS = 15  # fewer new events are not worth a record
 RECORD_CHARACTERS = 500_000  # a value may have a megabyte
-REMOVED_AT_ONCE = 32  # keys in one transaction
 
 
 class Checkpoints:
@@ -73,8 +72,8 @@
 
     def remove(self, keys: list[str]) -> None:
         """Remove records; one that stays is removed with its lot."""
-        for start in range(0, len(keys), REMOVED_AT_ONCE):
-            some = tuple(keys[start : start + REMOVED_AT_ONCE])
+        for start in range(0, len(keys), MAX_ENTRIES):
+            some = tuple(keys[start : start + MAX_ENTRIES])
             try:
                 self.store.transact(Transaction(removals=some), repeatable=True)
             except StoreError as error:
--- a/src/threadramp/platform/engine.py
+++ b/src/threadramp/platform/engine.py
@@ -45,10 +45,6 @@
     versions: dict[str, int]
     busy: bool
     orders: int
-    waiting: int
-    running: int
-    memory_used: int
-    memory_total: int
 
 
 class _Model(msgspec.Struct):
@@ -56,14 +52,10 @@
     version: int = 0
 
 
-class _Report(msgspec.Struct, rename="camel"):
+class _Report(msgspec.Struct):
     models: list[_Model] = []
     busy: bool = False
     seq: int = 0
-    waiting: int = 0
-    running: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
 
 
 _decode = msgspec.json.Decoder(_Report).decode
@@ -79,10 +71,6 @@
         versions={model.name: model.version for model in found.models},
         busy=found.busy,
         orders=found.seq,
-        waiting=found.waiting,
-        running=found.running,
-        memory_used=found.kv_used,
-        memory_total=found.kv_total,
     )
 
 
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -8,6 +8,7 @@
 import msgspec
 
 ABSENT = 0  # the revision of a key that does not exist
+MAX_ENTRIES = 32  # in one transaction; the store's limit
 
 
 class StoreError(Exception):
@@ -144,6 +145,7 @@
 
 __all__ = [
     "ABSENT",
+    "MAX_ENTRIES",
     "Call",
     "Changes",
     "Committed",
--- a/src/threadramp/platform/store_wire.py
+++ b/src/threadramp/platform/store_wire.py
@@ -54,7 +54,6 @@
 
 
 class _WireLease(msgspec.Struct):
-    ttlMs: float = 0  # noqa: N815 - the platform's spelling
     lease: int = 0
 
 
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -64,19 +64,7 @@
         if not self._register(exchange):
             exchange.close()
             return
-        order = self.run.order
-        exchange.send(
-            "POST",
-            order.sample.path,
-            sample_headers(
-                (*order.sample.headers, ("Host", order.host)),
-                order.sample.id,
-                max(1.0, order.give_up_in_s),
-                self.instance,
-                self.run.count,
-            ),
-            order.sample.body,
-        )
+        self._send(exchange)
         response = exchange.response(HEAD_S)
         head = read_answer(response.status, response.headers)
         if head.not_run:
@@ -90,6 +78,18 @@
         self.version = head.version
         self._take_stream(exchange, response)
 
+    def _send(self, exchange: Exchange) -> None:
+        """Send the sample, to go on behind the events that are here."""
+        order = self.run.order
+        headers = sample_headers(
+            (*order.sample.headers, ("Host", order.host)),
+            order.sample.id,
+            max(1.0, order.give_up_in_s),
+            self.instance,
+            self.run.count,
+        )
+        exchange.send("POST", order.sample.path, headers, order.sample.body)
+
     def _not_begun(self, status: int) -> None:
         """Put the sample back; another start of the engine is not asked again as this one."""
         if status == OTHER_INSTANCE_STATUS:
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -83,6 +83,17 @@
         if socket is not None:
             socket.close()
 
+    def _dial(self, address: str) -> Req0:
+        """Open the socket to an address; it connects by itself."""
+        socket = Req0(resend_time=NO_RESEND_MS)
+        socket.reconnect_time_min = RECONNECT_MIN_MS
+        socket.reconnect_time_max = RECONNECT_MAX_MS
+        socket.recv_max_size = MAX_MESSAGE_BYTES
+        socket.dial(f"tcp://{address}", block=False)
+        self.sockets[address] = socket
+        self.contexts[address] = []
+        return socket
+
     async def _exchange_all(
         self, requests: dict[str, Request], timeout_s: float
     ) -> dict[str, Reply]:
@@ -92,15 +103,7 @@
         return {address: reply for address, reply in pairs if reply is not None}
 
     async def _exchange_one(self, address: str, request: Request, timeout_s: float) -> Reply | None:
-        socket = self.sockets.get(address)
-        if socket is None:
-            socket = Req0(resend_time=NO_RESEND_MS)
-            socket.reconnect_time_min = RECONNECT_MIN_MS
-            socket.reconnect_time_max = RECONNECT_MAX_MS
-            socket.recv_max_size = MAX_MESSAGE_BYTES
-            socket.dial(f"tcp://{address}", block=False)
-            self.sockets[address] = socket
-            self.contexts[address] = []
+        socket = self.sockets.get(address) or self._dial(address)
         free = self.contexts[address]
         # A context whose request timed out is used again: its next request voids the last.
         context = free.pop() if free else socket.new_context()
