Give relaying one module; read spoiled base64 as no answer; kill the sidecar that has the samples

Change: fleet/relaying.py; values are decoded with their bodies; the scenario kills the sidecar that has samples and asks as before that they go on at the other one.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -9,6 +9,7 @@
 
 from threadramp.fleet.model import Pool
 from threadramp.fleet.picture import Member
+from threadramp.fleet.relaying import relay_through
 from threadramp.platform.store_model import Listing
 from threadramp.policy.model_share import models_for
 from threadramp.policy.routing import rendezvous
@@ -20,7 +21,6 @@
     Facts,
     MirrorBeat,
     MirrorCopy,
-    StoreAnswered,
 )
 
 if TYPE_CHECKING:
@@ -38,8 +38,6 @@
 GATEWAYS_A_BEAT = 2
 SILENT_BEATS = 4  # unanswered in a row, 0.5 s apart: about the time in which a freeze is over
 BEATERS = 2  # gateways that regularly beat to one sidecar
-RELAY_TIMEOUT_S = 2.2  # a little longer than the call that is passed on
-RELAY_TRIES = 4  # a peer that is turned away as well says so at once
 REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
 
@@ -141,12 +139,8 @@
 
     def relay(self, call: Call) -> RawAnswer | None:
         """Pass a call to the store through another gateway."""
-        for other in self.gateways()[:RELAY_TRIES]:
-            reply = self.ask(other.address, CallStore(*self.myself, call), RELAY_TIMEOUT_S)
-            if isinstance(reply, StoreAnswered) and reply.answer is not None:
-                log_state("store_call_relayed", path=call.path.split("?")[0], through=other.name)
-                return reply.answer
-        return None
+        addresses = [one.address for one in self.gateways()]
+        return relay_through(addresses, CallStore(*self.myself, call), self.ask)
 
     def facts_for(self, sidecar: Member) -> Facts:
         """Return what a sidecar needs to know."""
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -8,6 +8,7 @@
 import msgspec
 
 ABSENT = 0  # the revision of a key that does not exist
+ANSWERED = (200, 404, 410, 412)  # statuses; all others mean that nothing was done
 MAX_ENTRIES = 32  # in one transaction; the store's limit
 
 
@@ -114,9 +115,6 @@
         """Return the answer, or none if nobody could pass it on."""
 
 
-ANSWERED = (200, 404, 410, 412)  # all other statuses mean that nothing was done
-
-
 class Call(msgspec.Struct, frozen=True):
     """A call to the store as it is sent.
 
--- a/src/threadramp/platform/store_wire.py
+++ b/src/threadramp/platform/store_wire.py
@@ -25,13 +25,13 @@
 
 class _WireItem(msgspec.Struct):
     key: str
-    value: str = ""
+    value: bytes = b""  # spelled in base64
     rev: int = 0
     lease: int = 0
     deleted: bool = False
 
     def decoded(self) -> Item:
-        return Item(self.key, base64.b64decode(self.value), self.rev, self.lease)
+        return Item(self.key, self.value, self.rev, self.lease)
 
 
 class _WireOne(_WireItem):
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -7,6 +7,7 @@
 
 from threadramp.core.lot_book import RunOutcome
 from threadramp.fleet.picture import Member
+from threadramp.fleet.relaying import relay_through
 from threadramp.platform.documents import WEIGHTS_PREFIX
 from threadramp.platform.store_model import StoreError
 from threadramp.report.guard import start_loop
@@ -25,7 +26,6 @@
     Found,
     RunnerStatus,
     Status,
-    StoreAnswered,
     Submit,
     Updates,
 )
@@ -47,8 +47,6 @@
 REPORT_S = 0.2  # the engine's report is free from its own box
 WATCH_S = 0.2
 UNHEARD_S = 3.0  # gateways beat twice a second to a sidecar that is listed
-RELAY_TIMEOUT_S = 2.2
-RELAY_TRIES = 2
 
 
 class Sidecar:
@@ -98,13 +96,8 @@
     def relay(self, call: Call) -> RawAnswer | None:
         """Pass a call to the store through a gateway that was heard lately."""
         recent = sorted(self.gateways, key=lambda address: -self.gateways[address])
-        for address in recent[:RELAY_TRIES]:
-            ask = CallStore(self.member.name, self.member.address, call)
-            reply = self.client.ask(address, ask, RELAY_TIMEOUT_S)
-            if isinstance(reply, StoreAnswered) and reply.answer is not None:
-                log_state("store_call_relayed", path=call.path.split("?")[0], through=address)
-                return reply.answer
-        return None
+        ask = CallStore(self.member.name, self.member.address, call)
+        return relay_through(recent, ask, self.client.ask)
 
     def leave(self) -> None:
         """Take nothing new and end what runs, so that it goes on elsewhere."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -97,9 +97,10 @@
 
 def test_a_spoiled_answer_is_unknown(store, platform_store, monkeypatch):
     put(store, "a")
-    monkeypatch.setattr(store, "direct", lambda call, pool=None: RawAnswer(200, b"{not json"))
-    with pytest.raises(StoreUnknownError):
-        store.get("a")
+    for body in (b"{not json", b'{"key":"a","value":"%%%","rev":1}'):
+        monkeypatch.setattr(store, "direct", lambda call, pool=None, b=body: RawAnswer(200, b))
+        with pytest.raises(StoreUnknownError):
+            store.get("a")
 
 
 def test_a_silent_store_is_unknown_in_time():
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -59,12 +59,13 @@
     for engine in fleet.engines:
         engine.faults.update(events=40, gap_s=0.05)
     assert fleet.hand_in(first, "lot1") == 202
-    wait_for(lambda: fleet.engines[0].runs, "a sample at the first engine")
+    wait_for(lambda: any(engine.runs for engine in fleet.engines), "samples at an engine")
     time.sleep(1.0)
-    fleet.sidecars[0].kill()
+    number = 0 if fleet.engines[0].runs else 1  # either may be ready first and take them all
+    fleet.sidecars[number].kill()
     results = fleet.whole(first, "lot1")
     assert all(row["text"].count("\n") == 39 for row in results)
-    resumed = [run for run in fleet.engines[1].runs if run["after"]]
+    resumed = [run for run in fleet.engines[1 - number].runs if run["after"]]
     assert resumed, "every sample began anew"
 
 
