Let a proof count only the failure of its test; copy what the tests read

Cause: a test of this change reads deploy/ when it is imported; the proofs' copy of the tree lacked that folder, so each proof ended in a collection error, which counted as noticed: the proofs showed nothing. Ruled out: edits that no longer apply (all of the 23 removals' edits stand where they should). Change: the copy holds deploy/ and the pinned requirements; a proof is noticed only if a test FAILED and all were collected. No file under src/ or deploy/ changed.

--- /dev/null
+++ b/tests/tools/test_prove.py
@@ -0,0 +1,29 @@
+"""The proofs' own verdict: only the named test's failure counts as noticing a missing mechanism."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from tools.prove import COPIED, is_noticed
+
+ROOT = Path(__file__).parents[2]
+FAILED = "FAILED tests/scenarios/test_leaving.py::test_x - AssertionError\n1 failed in 3 s"
+NOT_COLLECTED = "ERROR tests/serve/test_deploy.py - FileNotFoundError\n1 error in 1 s"
+
+
+def test_a_failed_test_is_noticed():
+    assert is_noticed(1, FAILED)
+
+
+@pytest.mark.parametrize(
+    ("code", "output"),
+    [(0, "1 passed"), (1, NOT_COLLECTED), (2, NOT_COLLECTED), (5, "no tests ran"), (1, "")],
+)
+def test_whatever_else_ends_a_run_is_not(code, output):
+    assert not is_noticed(code, output)
+
+
+def test_what_is_copied_holds_what_the_tests_read():
+    assert {"deploy", "requirements.txt", "requirements.lock"} <= set(COPIED)
+    assert all((ROOT / name).exists() for name in COPIED)
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -15,7 +15,15 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("src", "tests", "tools", "pyproject.toml")
+COPIED = (
+    "src",
+    "tests",
+    "tools",
+    "deploy",
+    "pyproject.toml",
+    "requirements.txt",
+    "requirements.lock",
+)
 TIMEOUT_S = 240
 AT_ONCE = 2
 
@@ -274,7 +282,19 @@
         except subprocess.TimeoutExpired:
             return True, f"no end within {TIMEOUT_S} s"
         errors = [line[4:] for line in done.stdout.splitlines() if line.startswith("E   ")]
-        return done.returncode == 1, errors[0].strip() if errors else done.stdout[-200:].strip()
+        printed = errors[0].strip() if errors else done.stdout[-200:].strip()
+        return is_noticed(done.returncode, done.stdout), printed
+
+
+def is_noticed(code: int, output: str) -> bool:
+    """Return whether a test failed, and not merely the collection of the tests.
+
+    :param code: pytest's exit code
+    :param output: what pytest printed
+    """
+    lines = output.splitlines()
+    not_collected = any(line.startswith("ERROR ") for line in lines)
+    return code == 1 and not not_collected and any(line.startswith("FAILED ") for line in lines)
 
 
 def apply(path: Path, edit: Edit) -> None:
