Hold callers to the limits of the configuration; share the connections to an endpoint

Ruled out: a time-out for each read (a head that drips byte by byte passes it); a watching thread that shuts sockets down (a thread more, and a race with the answer).

Change: edge/heads.py reads a head until a fixed time and within a size, answers 408 and 431, and gives a connection a thread only once it has said something; limits follow the configuration in force. Idle connections by policy/connection_share.py.

--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -25,7 +25,6 @@
 CONNECT_TIMEOUT_S = 0.3  # a sound endpoint answers within a few ms, across regions within tens
 IDLE_S = 3.0  # a kept connection is used again within this time if the endpoint names none
 IDLE_MARGIN_S = 1.0  # before the time that it names
-IDLE_MOST = 8  # kept connections to one endpoint
 NO_USER_AGENT = {"User-Agent": SKIP_HEADER}
 
 
@@ -156,15 +155,18 @@
             self.opened += 1
         return Exchange(endpoint, connection, False)
 
-    def keep(self, exchange: Exchange, answer: Answer, now: float) -> None:
-        """Keep the connection of an exchange whose answer was read whole."""
+    def keep(self, exchange: Exchange, answer: Answer, now: float, most: int = 1) -> None:
+        """Keep the connection of an exchange whose answer was read whole.
+
+        :param most: connections that may be kept to this endpoint
+        """
         if answer.head.leaving or exchange.connection.sock is None:
             exchange.close()
             return
         until = now + _idle_s(answer)
         with self.lock:
             row = self.idle.setdefault(exchange.endpoint.instance, deque())
-            if len(row) < IDLE_MOST:
+            if len(row) < most:
                 row.append(_Idle(exchange.connection, until))
                 return
         exchange.close()
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -9,6 +9,7 @@
 from threadramp.edge.connections import ExchangeError
 from threadramp.edge.job import Ending, Outcome, has_ended
 from threadramp.platform.headers import to_endpoint
+from threadramp.policy.connection_share import idle_share
 from threadramp.policy.endpoint_choice import SECOND_AFTER
 from threadramp.report.log import log_state
 
@@ -65,6 +66,12 @@
         self.connections.forget(instances)
         self.choice.forget(instances)
 
+    def keep(self, exchange: Exchange, answer: Answer) -> None:
+        """Keep a connection for the next request, within this gateway's share."""
+        belief = self.picture.belief
+        most = idle_share(belief.max_connections(exchange.endpoint.pool), len(belief.gateways()))
+        self.connections.keep(exchange, answer, self.clock.now(), most)
+
     def run(self, job: Job) -> Outcome:
         """Forward a request and return how it ended."""
         return _Run(self, job).run()
@@ -198,7 +205,7 @@
             error = ExchangeError(True, f"the answer to {answer.head.request_id}")
             self._endpoint_failed(endpoint, error, ran=True)
             return None
-        self.parts.connections.keep(exchange, answer, self.now())
+        self.parts.keep(exchange, answer)
         return self._judge(endpoint, answer)
 
     def _judge(self, endpoint: Endpoint, answer: Answer) -> Outcome | None:
--- /dev/null
+++ b/src/threadramp/edge/heads.py
@@ -0,0 +1,128 @@
+"""Takes the heads of callers' requests within the limits of their size and time.
+
+CherryPy's HTTP server bounds neither the time that a whole head takes nor the threads that new
+connections without a request hold; both are done here, on its own types of connection and request.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from cheroot.makefile import MakeFile, StreamReader
+from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
+
+from threadramp.edge.connections import is_readable
+from threadramp.fleet.model import CallerLimits
+from threadramp.report.log import log_state
+
+if TYPE_CHECKING:
+    from cheroot.makefile import StreamWriter
+
+TOO_LARGE = "431 Request Header Fields Too Large"
+LIBRARY_TOO_LARGE = ("413", "414")  # what the library says of a head over the limit
+DISCARD_BYTES = 65_536  # read at once of a head that is refused
+IDLE_MARGIN_S = 1.0  # beyond the idle time, since a request may cross our close
+LEAST_WAIT_S = 0.001  # a time-out of zero would mean not to wait at all
+
+
+class _TimedSocket(socket.SocketIO):
+    """Reads from a socket, and while ``until`` is set, no longer than until then."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__(sock, "rb")
+        self.sock = sock
+        self.until: float | None = None
+
+    def readinto(self, buffer: memoryview) -> int | None:
+        """Read some bytes.
+
+        :raises TimeoutError: if none came in time
+        """
+        if self.until is not None:
+            self.sock.settimeout(max(LEAST_WAIT_S, self.until - time.monotonic()))
+        return super().readinto(buffer)
+
+
+class _CallerReader(StreamReader):
+    """A caller's bytes, some of which must come in time."""
+
+    def __init__(self, sock: socket.socket, bufsize: int) -> None:
+        self.timed = _TimedSocket(sock)
+        super(StreamReader, self).__init__(self.timed, bufsize)  # in place of an untimed socket
+        self.bytes_read = 0
+
+
+def _make_file(sock: socket.socket, mode: str, bufsize: int) -> _CallerReader | StreamWriter:
+    return _CallerReader(sock, bufsize) if "r" in mode else MakeFile(sock, mode, bufsize)
+
+
+class _CallerHead(HTTPRequest):
+    """A request whose head is taken within the limits of its server."""
+
+    def parse_request(self) -> None:
+        """Read the head."""
+        limits = self.server.limits
+        timed = self.conn.rfile.timed
+        self.in_head = True
+        timed.until = time.monotonic() + limits.header_s
+        super().parse_request()  # one that takes too long ends in a time-out, answered with 408
+        self.in_head = False
+        timed.until = None
+        self.conn.socket.settimeout(limits.idle_s)  # for each piece of the body
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a head that can not be served."""
+        if self.in_head:
+            if status.startswith(LIBRARY_TOO_LARGE):
+                status = TOO_LARGE
+            self.close_connection = True
+            log_state("head_refused", status=status)
+        super().simple_response(status, msg)
+        if self.in_head:
+            _read_what_came(self.conn.socket)
+
+
+def _read_what_came(sock: socket.socket) -> None:
+    """Read bytes that nobody wants: a close with unread ones would take the answer back."""
+    sock.settimeout(LEAST_WAIT_S)
+    try:
+        while sock.recv(DISCARD_BYTES):
+            pass
+    except OSError:
+        return  # nothing more has come, or the caller has gone: either way there is no more to do
+
+
+class _CallerConnection(HTTPConnection):
+    """A caller's connection."""
+
+    RequestHandlerClass = _CallerHead
+
+    def __init__(self, server: CallerServer, sock: socket.socket, makefile: object = None) -> None:
+        super().__init__(server, sock, _make_file)
+        self.has_spoken = False
+
+
+class CallerServer(HTTPServer):
+    """CherryPy's HTTP server, with limits that may change while it serves."""
+
+    ConnectionClass = _CallerConnection
+    limits = CallerLimits()
+
+    def keep(self, limits: CallerLimits) -> None:
+        """Hold callers to these limits from now on."""
+        self.limits = limits
+        self.timeout = limits.idle_s + IDLE_MARGIN_S
+        self.max_request_header_size = limits.header_bytes
+
+    def process_conn(self, conn: _CallerConnection) -> None:
+        """Hand a connection to a thread once the caller has sent something."""
+        if conn.has_spoken or is_readable(conn.socket.fileno()):
+            conn.has_spoken = True
+            super().process_conn(conn)
+        else:
+            self.put_conn(conn)
+
+
+__all__ = ["CallerServer"]
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -5,15 +5,18 @@
 import threading
 from typing import TYPE_CHECKING
 
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway
 from urllib3 import HTTPHeaderDict
 
+from threadramp.edge.heads import CallerServer
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Callable, Iterable
 
+    from threadramp.fleet.model import CallerLimits
+
 KEPT_CONNECTIONS = 1000  # of callers, open at once without a request
 BACKLOG = 256
 REASONS = {
@@ -114,6 +117,7 @@
 
     :param handle: answers a request
     :param threads: requests that are served at once
+    :param limits: what callers may send and how long they may take, until others are kept
     """
 
     def __init__(
@@ -121,25 +125,32 @@
         address: str,
         handle: Callable[[CallerRequest], None],
         threads: int,
-        idle_s: float,
-        header_bytes: int = 0,
+        limits: CallerLimits,
     ) -> None:
         host, _, port = address.partition(":")
         self.handle = handle
         self.open = 0
         self.lock = threading.Lock()
-        self.server = HTTPServer((host, int(port)), _Edge, minthreads=threads, maxthreads=threads)
+        self.server = CallerServer((host, int(port)), _Edge, minthreads=threads, maxthreads=threads)
         self.server.edge = self
-        self.server.timeout = idle_s
+        self.server.keep(limits)
         self.server.request_queue_size = BACKLOG
         self.server.keep_alive_conn_limit = KEPT_CONNECTIONS
-        self.server.max_request_header_size = header_bytes
         self.server.server_name = "threadramp"
         self.server.error_log = _log_server_error
         self.server.prepare()
         self.thread = threading.Thread(target=self.server.serve, name="http", daemon=True)
         self.thread.start()
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits that callers are held to."""
+        return self.server.limits
+
+    def keep(self, limits: CallerLimits) -> None:
+        """Hold callers to other limits from now on."""
+        self.server.keep(limits)
+
     def serve(self, request: CallerRequest) -> None:
         """Answer one request and count it while it is open."""
         with self.lock:
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -13,6 +13,7 @@
     Configuration,
     EmptyRequest,
     Endpoint,
+    Pool,
     WeightTarget,
     current_starts,
 )
@@ -73,6 +74,11 @@
         """Return the endpoints of a pool."""
         return [endpoint for endpoint in self.endpoints.values() if endpoint.pool == pool]
 
+    def max_connections(self, pool: str) -> int:
+        """Return how many connections each endpoint of a pool accepts from all callers."""
+        pools = self.configuration.pools if self.configuration is not None else {}
+        return pools.get(pool, Pool(pool)).max_connections
+
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, none if no entry names it."""
         return next((one for one in self.endpoints.values() if one.address == address), None)
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -23,6 +23,7 @@
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
+    from threadramp.edge.connections import Answer, Exchange
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import WeightTarget
     from threadramp.wire.fleet import Facts
@@ -133,7 +134,7 @@
             exchange = self.connections.open(self.endpoint(), self.clock.now(), REPORT_TIMEOUT_S)
             exchange.send("GET", REPORT_PATH, {"Host": self.address}, b"")
             answer = exchange.read(REPORT_TIMEOUT_S)
-            self.connections.keep(exchange, answer, self.clock.now())
+            self.keep(exchange, answer)
             report = read_report(answer.body) if answer.head.status == 200 else None
         except (ExchangeError, ValueError) as error:
             if had:
@@ -156,9 +157,13 @@
         except ExchangeError as error:
             log_state("order_unanswered", version=target.version, error=str(error))
             return OrderOutcome.UNKNOWN
-        self.connections.keep(exchange, answer, self.clock.now())
+        self.keep(exchange, answer)
         return read_order_answer(answer.head.status)
 
+    def keep(self, exchange: Exchange, answer: Answer) -> None:
+        """Keep a connection for the next sample; one for each slot and one for reports."""
+        self.connections.keep(exchange, answer, self.clock.now(), self.facts.slots + 1)
+
     def add_gap(self, seconds: float) -> None:
         """Note the time between two events of a sample."""
         self.gaps.append((self.clock.now(), seconds))
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -138,7 +138,7 @@
             exchange.close()
             self._finish(RunOutcome.CUT, "it stopped within an event")
             return
-        self.engine.connections.keep(exchange, streamed_answer(response), self.clock.now())
+        self.engine.keep(exchange, streamed_answer(response))
         self._finish(RunOutcome.WHOLE, "")
 
     def _take_event(self, event: Event) -> bool:
--- a/src/threadramp/serve/figures.py
+++ b/src/threadramp/serve/figures.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.edge.server import EdgeServer
+from threadramp.fleet.model import CallerLimits
 
 if TYPE_CHECKING:
     from threadramp.edge.server import CallerRequest
@@ -13,7 +14,6 @@
 METRICS_PORT = 9464  # the same in the deploy file
 METRICS_PATH = "/metrics"
 THREADS = 1
-IDLE_S = 16.0
 
 
 def serve_metrics(ip: str, metrics: Metrics) -> EdgeServer:
@@ -25,7 +25,7 @@
         else:
             request.answer(404)
 
-    return EdgeServer(f"{ip}:{METRICS_PORT}", answer, THREADS, IDLE_S)
+    return EdgeServer(f"{ip}:{METRICS_PORT}", answer, THREADS, CallerLimits())
 
 
 __all__ = ["METRICS_PATH", "METRICS_PORT", "serve_metrics"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import asdict
 from random import Random
 
 from threadramp.edge.connections import Connections
@@ -12,6 +13,7 @@
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.emptying import Emptying
 from threadramp.fleet.membership import Membership
+from threadramp.fleet.model import CallerLimits
 from threadramp.fleet.peers import Peers
 from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
 from threadramp.fleet.store_health import StoreHealth
@@ -28,6 +30,7 @@
 from threadramp.platform.store import StoreClient
 from threadramp.policy.endpoint_choice import EndpointChoice
 from threadramp.policy.retries import RetryBudget
+from threadramp.report.log import log_state
 from threadramp.report.metrics import Metrics
 from threadramp.serve.answers import GatewayAnswers
 from threadramp.serve.api import ROLES, Process, in_background
@@ -39,7 +42,6 @@
 HTTP_THREADS = 40  # readers of results may each hold one for a second
 READY_THREADS = 2
 PEER_THREADS = 12
-IDLE_S = 16.0  # callers use a connection again that rested for four fifths of 15 s
 BALANCER_S = 3.5  # two questions a second apart without a good answer, and a margin
 EXIT_MARGIN_S = 0.8  # before the platform kills
 STOP_LOOK_S = 0.1
@@ -66,8 +68,11 @@
         self.sync = SyncServer(
             self.member.address, Unsealed(), self.answers.handle, PEER_THREADS, decode_ask
         )
-        self.ready = EdgeServer(own.ready, self.handler.answer_ready, READY_THREADS, IDLE_S)
-        self.callers = EdgeServer(own.callers, self.handler.handle, HTTP_THREADS, IDLE_S)
+        limits = CallerLimits()  # until the configuration is known
+        self.ready = EdgeServer(own.ready, self.handler.answer_ready, READY_THREADS, limits)
+        self.callers = EdgeServer(own.callers, self.handler.handle, HTTP_THREADS, limits)
+        self.picture.operator.listeners.append(self._keep_limits)
+        self._keep_limits()
         self.figures = serve_metrics(own.ip, self.metrics)
 
     def finish(self) -> None:
@@ -82,6 +87,15 @@
                 break
         in_background(self.membership.leave).join(LEAVE_S)
 
+    def _keep_limits(self) -> None:
+        """Hold callers to the limits of the configuration in force."""
+        configuration = self.picture.belief.configuration
+        if configuration is not None and configuration.limits != self.callers.limits:
+            self.callers.keep(configuration.limits)
+            log_state(
+                "caller_limits", version=configuration.version, **asdict(configuration.limits)
+            )
+
     def _build(self) -> None:
         own = self.settings
         clock = Clock()
--- /dev/null
+++ b/tests/policy/test_connection_share.py
@@ -0,0 +1,20 @@
+"""Idle connections that a gateway may keep."""
+
+from __future__ import annotations
+
+import pytest
+
+from threadramp.policy.connection_share import idle_share
+
+
+@pytest.mark.parametrize(
+    ("max_connections", "gateways", "kept"),
+    [(110, 5, 8), (110, 25, 2), (170, 25, 3), (210, 350, 1), (0, 5, 1), (64, 0, 8)],
+)
+def test_gateways_share_what_an_endpoint_accepts(max_connections, gateways, kept):
+    assert idle_share(max_connections, gateways) == kept
+
+
+def test_all_together_stay_below_what_it_accepts_where_each_may_keep_one():
+    for gateways in range(1, 100):
+        assert gateways * idle_share(200, gateways) <= 200
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -200,7 +200,7 @@
         entry = {"backend": pool, "address": address, "zone": "a", "slots": 6, "state": state}
         self.put(f"servers/{instance}", entry)
 
-    def configure(self, version: int = 3, **route) -> None:
+    def configure(self, version: int = 3, limits: dict | None = None, **route) -> None:
         """Write the configuration."""
         calls = {
             "name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
@@ -216,7 +216,7 @@
             "version": version,
             "routes": [{**calls, **route}, lots],
             "backends": [engines, {"name": "calls"}],
-            "limits": {"maxBodyBytes": 2_000_000},
+            "limits": {"maxBodyBytes": 2_000_000, **(limits or {})},
         }
         self.put("op/config", table)
 
--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -77,6 +77,19 @@
     assert gateway.ready() == 200
 
 
+def test_the_limits_of_the_configuration_hold_once_it_changes(fleet):
+    gateway = fleet.gateways[0]
+    padding = "x" * 3_000
+    assert ask(gateway, X_Padding=padding).status == 200
+    fleet.configure(version=4, limits={"maxHeaderBytes": 2_000})
+    wait_for(lambda: ask(gateway, X_Padding=padding).status == 431, "refused", 2.0)
+    assert ask(gateway).status == 200
+    changes = wait_for(
+        lambda: [row for row in gateway.lines("caller_limits") if row["version"] == 4], "logged"
+    )
+    assert changes[0]["header_bytes"] == 2_000
+
+
 def test_a_planned_stop_finishes_what_is_open(fleet):
     first = fleet.gateways[0]
     fleet.callee.faults["hold_s"] = 1.0
