Pass calls to the store through sidecars too; believe an engine that says it leaves

An engine that left was known to the store at 21.31 s and still given samples at 24.04 s (2.73 s, bound 2).

Ruled out: a slow watch (there was none open); stale copies from peers (all three were behind).

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -9,7 +9,7 @@
 
 from threadramp.fleet.model import Pool
 from threadramp.fleet.picture import Member
-from threadramp.fleet.relaying import relay_through
+from threadramp.fleet.relaying import in_turn, relay_through
 from threadramp.platform.store_model import Listing
 from threadramp.policy.model_share import models_for
 from threadramp.policy.routing import rendezvous
@@ -138,9 +138,14 @@
         self.picture.members.replace(listing, self.clock.now())
 
     def relay(self, call: Call) -> RawAnswer | None:
-        """Pass a call to the store through another gateway."""
-        addresses = [one.address for one in self.gateways()]
-        return relay_through(addresses, CallStore(*self.myself, call), self.ask)
+        """Pass a call to the store through a peer."""
+        ask = CallStore(*self.myself, call)
+        return relay_through(self.ways_to_the_store(), ask, self.ask)
+
+    def ways_to_the_store(self) -> list[str]:
+        """Return the addresses of peers that may have a way, those that were heard lately first."""
+        sidecars = sorted(self.sidecars(), key=lambda one: -self.heard.get(one.address, 0.0))
+        return in_turn([one.address for one in self.gateways()], [one.address for one in sidecars])
 
     def facts_for(self, sidecar: Member) -> Facts:
         """Return what a sidecar needs to know."""
--- a/src/threadramp/platform/engine.py
+++ b/src/threadramp/platform/engine.py
@@ -9,6 +9,7 @@
 
 REPORT_PATH = "/threadramp/report"
 ORDER_PATH = "/threadramp/order"
+LEAVING = "draining"
 
 
 class OrderOutcome(Enum):
@@ -40,11 +41,13 @@
     :param versions: of the weights, by model
     :param busy: whether it carries out an order
     :param orders: how many orders it took since it started
+    :param leaving: whether it wants no new work
     """
 
     versions: dict[str, int]
     busy: bool
     orders: int
+    leaving: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -56,6 +59,7 @@
     models: list[_Model] = []
     busy: bool = False
     seq: int = 0
+    state: str = ""
 
 
 _decode = msgspec.json.Decoder(_Report).decode
@@ -71,6 +75,7 @@
         versions={model.name: model.version for model in found.models},
         busy=found.busy,
         orders=found.seq,
+        leaving=found.state == LEAVING,
     )
 
 
--- a/src/threadramp/platform/standins/endpoint.py
+++ b/src/threadramp/platform/standins/endpoint.py
@@ -51,6 +51,7 @@
         self.busy_until = 0.0
         self.runs: list[dict[str, Any]] = []
         self.running = 0
+        self.state = "ready"
 
     def record(self) -> dict[str, Any]:
         """Return the runs and orders that this endpoint saw."""
@@ -75,6 +76,7 @@
                 "busy": time.monotonic() < self.busy_until,
                 "seq": len(self.orders),
                 "running": self.running,
+                "state": self.state,
             }
         )
 
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -81,7 +81,12 @@
     @property
     def is_ready(self) -> bool:
         """Return whether a sample would start there now."""
-        return self.is_known and not self.is_loading and not self.facts.leaving
+        return self.is_known and not self.is_loading and not self.is_leaving
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether it wants no new work, by its own word or by the list of endpoints."""
+        return self.facts.leaving or (self.report is not None and self.report.leaving)
 
     def endpoint(self) -> Endpoint:
         """Return the engine as an endpoint to send requests to."""
@@ -143,6 +148,7 @@
             return False
         if report is not None and not had:
             log_state("engine_regained", versions=report.versions, orders=report.orders)
+        self._note_leaving(report)
         self.report = report
         return report is not None
 
@@ -160,6 +166,12 @@
         self.keep(exchange, answer)
         return read_order_answer(answer.head.status)
 
+    def _note_leaving(self, report: EngineReport | None) -> None:
+        """Log that the engine says for the first time that it leaves."""
+        said = self.report is not None and self.report.leaving
+        if report is not None and report.leaving and not said:
+            log_state("engine_leaves", instance=self.facts.instance, listed=self.facts.leaving)
+
     def keep(self, exchange: Exchange, answer: Answer) -> None:
         """Keep a connection for the next sample; one for each slot and one for reports."""
         self.connections.keep(exchange, answer, self.clock.now(), self.facts.slots + 1)
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -34,6 +34,7 @@
     from collections.abc import Callable
 
     from threadramp.fleet.clock import Clock
+    from threadramp.fleet.relaying import StoreCalls
     from threadramp.platform.store import StoreClient
     from threadramp.platform.store_model import Call, RawAnswer
     from threadramp.report.metrics import Metrics
@@ -74,6 +75,7 @@
         self.leaving = False
         self.listed_again = clock.now()
         self.on_unlisted: Callable[[], None] = lambda: None
+        self.store_calls: StoreCalls | None = None
 
     def start(self, store: StoreClient) -> None:
         """Start all loops."""
@@ -131,6 +133,8 @@
             return Updates(self.status(), tuple(updates), tuple(unknown))
         if isinstance(ask, Find):
             return Found(self.status(), self.table.find(ask.samples, ask.min_version))
+        if isinstance(ask, CallStore) and self.store_calls is not None:
+            return self.store_calls.answer(ask)
         return Status(self.status()) if isinstance(ask, Beat) else Done()
 
     def _is_ready(self) -> bool:
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -16,14 +16,13 @@
     MirrorBeat,
     ReadBody,
     ReadLot,
-    StoreAnswered,
 )
 
 if TYPE_CHECKING:
     from threadramp.fleet.peers import Peers
+    from threadramp.fleet.relaying import StoreCalls
     from threadramp.lots.owner import LotOwner
     from threadramp.lots.reading import LotReader
-    from threadramp.platform.store import StoreClient
     from threadramp.wire.fleet import AnyAsk, AnyReply
 
 
@@ -31,12 +30,12 @@
     """Answers peers."""
 
     def __init__(
-        self, peers: Peers, owner: LotOwner, reader: LotReader, store: StoreClient
+        self, peers: Peers, owner: LotOwner, reader: LotReader, store_calls: StoreCalls
     ) -> None:
         self.peers = peers
         self.owner = owner
         self.reader = reader
-        self.store = store
+        self.store_calls = store_calls
 
     def handle(self, ask: AnyAsk) -> AnyReply:
         """Answer one question."""
@@ -49,7 +48,7 @@
         if isinstance(ask, EndLot):
             return self._end(ask)
         if isinstance(ask, CallStore):
-            return self._call_store(ask)
+            return self.store_calls.answer(ask)
         if isinstance(ask, Adopt):
             self.owner.adopt(ask.kept)
         return Done()
@@ -63,16 +62,5 @@
             log_state("end_not_kept", lot=ask.lot, asker=ask.sender, error=str(error))
             return LotEnded(True, False)
 
-    def _call_store(self, ask: CallStore) -> StoreAnswered:
-        """Pass a call on; no answer if the store does not serve this process either."""
-        if self.peers.health.is_away:
-            return StoreAnswered(None)
-        try:
-            answer = self.store.direct(ask.call)
-            return StoreAnswered(None if answer.turned_away else answer)
-        except StoreError as error:
-            log_state("relay_failed", asker=ask.sender, error=str(error))
-            return StoreAnswered(None)
-
 
 __all__ = ["GatewayAnswers"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -16,6 +16,7 @@
 from threadramp.fleet.model import CallerLimits
 from threadramp.fleet.peers import Peers
 from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
+from threadramp.fleet.relaying import StoreCalls
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.fleet.watcher import Watcher
 from threadramp.lots.appending import Appending
@@ -116,7 +117,8 @@
         ]
         self.emptying = Emptying(self.member.name, self.picture, store)
         self._build_lots(store, clock)
-        self.answers = GatewayAnswers(self.peers, self.owner, self.reader, store)
+        calls = StoreCalls(store, health)
+        self.answers = GatewayAnswers(self.peers, self.owner, self.reader, calls)
 
     def _build_lots(self, store: StoreClient, clock: Clock) -> None:
         random = Random(self.incarnation)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -7,6 +7,7 @@
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.membership import Membership
 from threadramp.fleet.picture import Member
+from threadramp.fleet.relaying import StoreCalls
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
 from threadramp.report.metrics import Metrics
@@ -47,6 +48,7 @@
         store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
         self.membership = Membership(member, store, own.store.lease_min_s)
         self.sidecar.on_unlisted = self.membership.not_listed
+        self.sidecar.store_calls = StoreCalls(store, health)
         self.server = SyncServer(address, Unsealed(), self.sidecar.handle, THREADS, decode_ask)
         self.membership.start()
         self.sidecar.start(store)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -101,3 +101,26 @@
     clock.at += 1.6
     peers._check_listed(clock.at)
     assert len(noticed) == 1
+
+
+def test_calls_to_the_store_go_through_gateways_and_sidecars_in_turn(peers, clock):
+    """All gateways were cut from the store while sidecars were not: DRAIN broken."""
+    list_members(
+        peers,
+        [
+            member("g0"),
+            member("g1"),
+            member("g2"),
+            member("s1", "sidecar"),
+            member("s2", "sidecar"),
+        ],
+        2,
+    )
+    for address, at in (("g2:1", 1.0), ("g1:1", 2.0), ("s1:1", 3.0), ("s2:1", 4.0)):
+        peers.heard[address] = at
+    assert peers.ways_to_the_store() == ["g1:1", "s2:1", "g2:1", "s1:1"]
+
+
+def test_without_other_gateways_sidecars_are_ways(peers):
+    list_members(peers, [member("g0"), member("s1", "sidecar")], 2)
+    assert peers.ways_to_the_store() == ["s1:1"]
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -112,3 +112,12 @@
     sidecar_engine.learn(facts(instance="i-9", endpoints_revision=9))
     sidecar_engine.learn(facts(instance="i-1", endpoints_revision=8))
     assert sidecar_engine.facts.instance == "i-9"
+
+
+def test_an_engine_that_says_it_leaves_takes_nothing_new(sidecar_engine, engine):
+    """Its gateways may be cut from the list of endpoints; its own report is fresh."""
+    assert sidecar_engine.read_report()
+    assert sidecar_engine.is_ready
+    engine.state = "draining"
+    assert sidecar_engine.read_report()
+    assert not sidecar_engine.is_ready
--- a/tests/serve/test_answers.py
+++ b/tests/serve/test_answers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from threadramp.fleet.relaying import StoreCalls
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
 from threadramp.platform.store_model import Call
@@ -13,15 +14,10 @@
 ASK = CallStore("g1", "g1:1", Call("GET", "/threadramp/kv-key?key=a", b"", 0.5, True))
 
 
-class PeersWithHealth:
-    def __init__(self, clock) -> None:
-        self.health = StoreHealth(clock)
-
-
 @pytest.fixture
 def answers(clock, store_address) -> GatewayAnswers:
     store = StoreClient(store_address, timeout_s=0.5)
-    return GatewayAnswers(PeersWithHealth(clock), None, None, store)
+    return GatewayAnswers(None, None, None, StoreCalls(store, StoreHealth(clock)))
 
 
 def test_a_call_is_passed_on(answers):
@@ -38,6 +34,6 @@
 
 
 def test_a_gateway_without_a_way_says_so_at_once(answers, clock):
-    answers.peers.health.failed(clock.now(), ValueError("away"))
+    answers.store_calls.health.failed(clock.now(), ValueError("away"))
     assert answers.handle(ASK) == StoreAnswered(None)
-    assert answers.store.calls == 0
+    assert answers.store_calls.store.calls == 0
--- /dev/null
+++ b/tests/serve/test_cuts.py
@@ -0,0 +1,68 @@
+"""Processes that are cut from the store while others are not, over real processes."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.serve.fleet import CALLS, PlatformFleet, wait_for
+from tests.serve.way import Way
+
+
+@pytest.fixture
+def ways(fleet_parts):
+    """A fleet whose gateways reach the store through ways that can be shut."""
+    fleet, made = fleet_parts
+    for gateway in fleet.gateways:
+        way = Way(fleet.store_address)
+        made.append(way)
+        gateway.settings["provider"]["address"] = way.address
+        gateway.write()
+    fleet.start()
+    return fleet, made
+
+
+@pytest.fixture
+def fleet_parts(tmp_path, serve):
+    made: list[Way] = []
+    fleet = PlatformFleet(tmp_path, serve)
+    yield fleet, made
+    fleet.close()
+    for way in made:
+        way.close()
+
+
+def ask(gateway, target="/x", name="r1"):
+    return gateway.call("POST", target, host=CALLS, body=b"q", X_Attempt_Id=name)
+
+
+def test_gateways_without_a_way_hear_of_changes_through_sidecars(ways):
+    fleet, made = ways
+    for way in made:
+        way.shut()
+    assert fleet.hand_in(fleet.gateways[0], "lot1") == 202
+    assert len(fleet.whole(fleet.gateways[1], "lot1")) == 6
+    fleet.configure(version=4, pathPrefix="/new/")
+    for gateway in fleet.gateways:
+        wait_for(lambda box=gateway: ask(box, "/new/x").status == 200, "new route", 3.0)
+
+
+def test_an_endpoint_that_leaves_meanwhile_gets_nothing_new(ways):
+    fleet, made = ways
+    for way in made:
+        way.shut()
+    fleet.register("i-c0", "calls", "127.0.0.1:1", state="draining")
+    for gateway in fleet.gateways:
+        wait_for(lambda box=gateway: ask(box).status == 503, "nowhere to go", 3.0)
+
+
+def test_one_gateway_without_a_way_serves_on(ways):
+    fleet, made = ways
+    first, second = fleet.gateways
+    made[0].shut()
+    assert fleet.hand_in(first, "lot1") == 202
+    assert len(fleet.whole(first, "lot1")) == 6
+    fleet.configure(version=4, pathPrefix="/new/")
+    wait_for(lambda: ask(first, "/new/x").status == 200, "new route", 3.0)
+    made[0].open()
+    wait_for(lambda: first.lines("store_regained"), "its own way is used again", 5.0)
+    assert len(fleet.whole(second, "lot1")) == 6
--- /dev/null
+++ b/tests/serve/way.py
@@ -0,0 +1,74 @@
+"""A way between a process and the store that tests can shut."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from contextlib import suppress
+
+PIECE = 65_536
+
+
+class Way:
+    """Passes bytes on to an address; while it is shut, connections are reset."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.partition(":")
+        self.target = (host, int(port))
+        self.is_open = True
+        self.sockets: set[socket.socket] = set()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    def shut(self) -> None:
+        """Reset all connections, and new ones from now on."""
+        self.is_open = False
+        for one in list(self.sockets):
+            _reset(one)
+
+    def open(self) -> None:
+        """Pass connections on again."""
+        self.is_open = True
+
+    def close(self) -> None:
+        """End it."""
+        self.shut()
+        self.listener.close()
+
+    def _accept(self) -> None:
+        with suppress(OSError):  # the listener was closed
+            while True:
+                caller, _ = self.listener.accept()
+                if self.is_open:
+                    threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
+                else:
+                    _reset(caller)
+
+    def _serve(self, caller: socket.socket) -> None:
+        with suppress(OSError):  # one of the two ends has gone
+            target = socket.create_connection(self.target)
+            self.sockets |= {caller, target}
+            threading.Thread(target=self._pass, args=(target, caller), daemon=True).start()
+            self._pass(caller, target)
+
+    def _pass(self, source: socket.socket, target: socket.socket) -> None:
+        with suppress(OSError):
+            while piece := source.recv(PIECE):
+                target.sendall(piece)
+        for one in (source, target):
+            with suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
+        self.sockets -= {source, target}
+
+
+def _reset(one: socket.socket) -> None:
+    with suppress(OSError):
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        one.shutdown(socket.SHUT_RDWR)
+    one.close()
