Let a third of a pool load new weights at once instead of two engines

Change: policy/model_share.py gives a third of the pool one turn, two engines at least; the sheets let 2 of 5, 2 of 6 and 8 of 21 load before loads get longer. A version is on all engines within three turns at any size.

Pools of 5 and 6 engines have the same turns as before.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -11,7 +11,7 @@
 from threadramp.fleet.picture import Member
 from threadramp.fleet.relaying import in_turn, relay_through
 from threadramp.platform.store_model import Listing
-from threadramp.policy.model_share import models_for
+from threadramp.policy.model_share import load_turn, models_for
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -166,7 +166,7 @@
             facts,
             instance=endpoint.instance,
             leaving=endpoint.leaving,
-            rank=rank,
+            load_turn=load_turn(rank, len(addresses)),
             slots=endpoint.slots or pool.slots,
             memory_tokens=pool.memory_tokens,
             targets=tuple(one for one in belief.targets if one.model in models),
--- a/src/threadramp/policy/model_share.py
+++ b/src/threadramp/policy/model_share.py
@@ -1,18 +1,24 @@
-"""Which models an engine keeps up to date when several trainers share a pool.
+"""Which models an engine keeps up to date when several trainers share a pool, and when it loads.
 
 Each engine could load every version of every model, but then most of its time goes into loads:
 with two models, a version of each every 4 s and 0.9 s a load, two at a time, five engines can not
 keep up. So the engines are dealt out to the models in blocks. An engine still serves another
 model's samples for as long as the version that it holds is fresh enough.
+
+A load takes longer while many engines of a pool load, whichever model it is, so they take turns.
 """
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+TURNS = 3  # the users' sheets let 2 of 5, 2 of 6 and 8 of 21 engines load before loads get longer
+LEAST_AT_ONCE = 2  # engines that load at once, from the same sheets
+
 
 def models_for(rank: int, engines: int, models: Sequence[str]) -> tuple[str, ...]:
     """Return the models that one engine keeps up to date.
@@ -28,4 +34,13 @@
     return (ordered[rank * len(ordered) // engines],)
 
 
-__all__ = ["models_for"]
+def load_turn(rank: int, engines: int) -> int:
+    """Return the turn, from 0, in which one engine loads a version after that was named.
+
+    :param rank: place of the engine among all ``engines`` of its pool, from 0
+    """
+    at_once = max(LEAST_AT_ONCE, ceil(engines / TURNS))
+    return rank // at_once
+
+
+__all__ = ["load_turn", "models_for"]
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -16,8 +16,7 @@
     from threadramp.fleet.model import WeightTarget
     from threadramp.runner.engine import Engine
 
-LOADS_AT_ONCE = 2  # from the users' sheet: a load takes longer while more engines load
-LOAD_S = 1.0  # a load takes 0.9 s
+LOAD_S = 1.0  # a turn; a load takes 0.9 s
 TAKEN_TIMEOUT_S = 4.0  # an order that was taken but shows no effect for so long is given again
 ORDER_PAUSE_S = 0.5  # between two orders that were not taken
 
@@ -75,8 +74,7 @@
     def _start_at(self, target: WeightTarget) -> float:
         """Return when this engine's turn comes; few load at once."""
         seen = self.first_seen[(target.model, target.version)]
-        turn = self.engine.facts.rank // LOADS_AT_ONCE
-        return max(self.not_before, seen + turn * LOAD_S)
+        return max(self.not_before, seen + self.engine.facts.load_turn * LOAD_S)
 
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -19,7 +19,7 @@
     :param endpoints_revision: of the list of endpoints that ``instance`` is from
     :param instance: current start of the sidecar's endpoint, empty if the list has none
     :param leaving: whether that endpoint wants no new work
-    :param rank: place of the endpoint among those of its pool
+    :param load_turn: in which the engine loads a version that was named, from 0
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
     """
@@ -27,7 +27,7 @@
     endpoints_revision: int = 0
     instance: str = ""
     leaving: bool = False
-    rank: int = 0
+    load_turn: int = 0
     slots: int = 0
     memory_tokens: int = 0
     targets_revision: int = 0
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -97,7 +97,7 @@
 
 def test_engines_of_a_later_rank_wait_for_their_turn(sidecar_engine, engine, clock):
     weights = Weights(sidecar_engine, clock)
-    sidecar_engine.learn(facts(version=2, rank=5))
+    sidecar_engine.learn(facts(version=2, load_turn=2))
     sidecar_engine.read_report()
     weights.turn()
     clock.at += 1.9
