Let a gateway that the store turns away follow one that has a way

Ruled out: asking less often (a leaving endpoint must be known within 2 s when all gateways are turned away).

--- a/src/threadramp/fleet/following.py
+++ b/src/threadramp/fleet/following.py
@@ -3,6 +3,9 @@
 In a data centre with many gateways two of them watch, and tell the others at once what changed. A
 gateway follows them only while it knows that one of them had the store's own answer lately; else it
 watches itself. So what it believes is never older than a watch of its own plus ``FRESH_S``.
+
+A gateway that the store turns away follows any gateway that has a way: calls that are refused, and
+lists through peers, are priced and bring nothing that beats do not.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 if TYPE_CHECKING:
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.picture import Member, Picture
+    from threadramp.fleet.store_health import StoreHealth
 
 FRESH_S = 1.2  # a renewal each 0.4 s, a question each 0.5 s, and a delay; bounds are 2 s and more
 CALM_S = 3.0  # for so long a watcher must have been fresh before it is followed again
@@ -24,9 +28,10 @@
 class Following:
     """Decides for one gateway."""
 
-    def __init__(self, member: Member, picture: Picture, clock: Clock) -> None:
+    def __init__(self, member: Member, picture: Picture, health: StoreHealth, clock: Clock) -> None:
         self.member = member
         self.picture = picture
+        self.health = health
         self.clock = clock
         self.confirmed: dict[str, float] = {}
         self.fresh_since: float | None = None
@@ -63,20 +68,31 @@
     def follows(self) -> bool:
         """Return whether this gateway needs no watch of its own now."""
         now = self.clock.now()
-        fresh = not self.is_watcher() and any(
-            now - self.confirmed.get(one.name, -FRESH_S) < FRESH_S for one in self.watchers()
-        )
+        away = self.health.is_away
+        fresh = self._is_fresh(self._leaders(away), now)
         with self.lock:
             if not fresh:
                 self.fresh_since = None
             elif self.fresh_since is None:
                 self.fresh_since = now
-            follows = fresh and now - self.fresh_since >= CALM_S
+            follows = fresh and (away or now - self.fresh_since >= CALM_S)
             changed, self.following = follows != self.following, follows
         if changed:
             names = [one.name for one in self.watchers()]
-            log_state("follows" if follows else "watches_itself", watchers=names)
+            log_state("follows" if follows else "watches_itself", watchers=names, away=away)
         return follows
 
+    def _leaders(self, away: bool) -> list[Member]:
+        """Return the gateways that this one may follow now."""
+        if away:
+            others = self.picture.belief.gateways()
+            return [one for one in others if one.name != self.member.name]
+        return [] if self.is_watcher() else self.watchers()
+
+    def _is_fresh(self, leaders: list[Member], now: float) -> bool:
+        """Return whether the store answered one of these lately."""
+        ages = [now - self.confirmed[one.name] for one in leaders if one.name in self.confirmed]
+        return any(age < FRESH_S for age in ages)
+
 
 __all__ = ["FRESH_S", "Following"]
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -69,7 +69,7 @@
         self.list_members: Callable[[], Listing] = lambda: picture.members.copy()
         self.unlisted_since: float | None = None
         self.sharing = MirrorSharing(picture, health, clock)
-        self.following = Following(member, picture, clock)
+        self.following = Following(member, picture, health, clock)
 
     @property
     def myself(self) -> tuple[str, str]:
--- a/tests/fleet/test_following.py
+++ b/tests/fleet/test_following.py
@@ -7,6 +7,7 @@
 
 from threadramp.fleet.following import CALM_S, FRESH_S, Following
 from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store_model import Item, Listing
 
 
@@ -30,7 +31,7 @@
 
 
 def of(name: str, picture: Picture, clock) -> Following:
-    return Following(member(name), picture, clock)
+    return Following(member(name), picture, StoreHealth(clock), clock)
 
 
 @pytest.fixture
@@ -119,3 +120,29 @@
     heirs = [one.name for one in of(left[0], picture, clock).watchers()]
     assert watchers[1] in heirs
     assert len(heirs) == 2
+
+
+def test_one_that_the_store_turns_away_follows_any_gateway_with_a_way(picture, clock, watchers):
+    away = of(watchers[0], picture, clock)
+    away.health.failed(clock.now(), ValueError("turned away"))
+    assert not away.follows()
+    away.note("far", 0.1)
+    assert away.follows()
+
+
+def test_it_watches_itself_again_as_soon_as_its_way_is_open(picture, clock, watchers):
+    away = of(watchers[0], picture, clock)
+    away.health.failed(clock.now(), ValueError("turned away"))
+    away.note("far", 0.1)
+    assert away.follows()
+    away.health.answered(clock.now())
+    assert not away.follows()
+
+
+def test_when_the_store_is_down_for_all_nobody_is_followed(picture, clock, watchers):
+    away = of(watchers[0], picture, clock)
+    away.health.failed(clock.now(), ValueError("down"))
+    away.note("far", 0.1)
+    clock.at += FRESH_S
+    away.note("far", None)
+    assert not away.follows()
