--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -37,7 +37,7 @@
 from threadramp.serve.api import ROLES, Process, in_background
 from threadramp.serve.figures import serve_metrics
 from threadramp.wire.fleet import decode_ask, decode_reply
-from threadramp.wire.seal import Unsealed
+from threadramp.wire.packing import Packing
 from threadramp.wire.sync import SyncClient, SyncServer
 
 HTTP_THREADS = 40  # readers of results may each hold one for a second
@@ -67,7 +67,7 @@
         self.runners.start()
         self.emptying.start()
         self.sync = SyncServer(
-            self.member.address, Unsealed(), self.answers.handle, PEER_THREADS, decode_ask
+            self.member.address, Packing(), self.answers.handle, PEER_THREADS, decode_ask
         )
         limits = CallerLimits()  # until the configuration is known
         self.ready = EdgeServer(own.ready, self.handler.answer_ready, READY_THREADS, limits)
@@ -105,7 +105,7 @@
         self.metrics = Metrics("threadramp")
         self.picture = Picture()
         health = StoreHealth(clock)
-        client = SyncClient(Unsealed(), decode_reply, redial=True)
+        client = SyncClient(Packing(), decode_reply, redial=True)
         self.peers = Peers(self.member, self.picture, client, health, clock)
         store = StoreClient(own.store.address, self.peers.relay, health.observe)
         self.membership = Membership(self.member, store, own.store.lease_min_s)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -18,7 +18,7 @@
 from threadramp.serve.api import ROLES, Process, in_background
 from threadramp.serve.figures import serve_metrics
 from threadramp.wire.fleet import decode_ask, decode_reply
-from threadramp.wire.seal import Unsealed
+from threadramp.wire.packing import Packing
 from threadramp.wire.sync import SyncClient, SyncServer
 
 THREADS = 16  # gateways that may wait for news at once, with room for short questions
@@ -40,7 +40,7 @@
         )
         self.metrics = Metrics("threadramp")
         health = StoreHealth(clock)
-        client = SyncClient(Unsealed(), decode_reply, redial=True)
+        client = SyncClient(Packing(), decode_reply, redial=True)
         engine = Engine(own.endpoint, own.pool, own.name, clock)
         self.sidecar = Sidecar(
             member, engine, Weights(engine, clock), RunTable(clock.now), client, clock, self.metrics
@@ -49,7 +49,7 @@
         self.membership = Membership(member, store, own.store.lease_min_s)
         self.sidecar.on_unlisted = self.membership.not_listed
         self.sidecar.store_calls = StoreCalls(store, health)
-        self.server = SyncServer(address, Unsealed(), self.sidecar.handle, THREADS, decode_ask)
+        self.server = SyncServer(address, Packing(), self.sidecar.handle, THREADS, decode_ask)
         self.membership.start()
         self.sidecar.start(store)
         self.figures = serve_metrics(own.ip, self.metrics)
--- a/src/threadramp/wire/seal.py
+++ b/src/threadramp/wire/seal.py
@@ -38,21 +38,9 @@
         return self.tag(b"sidecar-http").hex()
 
 
-class Unsealed:
-    """Passes byte strings through, where the platform keeps strangers off our ports."""
-
-    def wrap(self, body: bytes) -> bytes:
-        """Return ``body`` as it is."""
-        return body
-
-    def unwrap(self, sealed: bytes) -> bytes | None:
-        """Return the body as it came."""
-        return bytes(sealed)
-
-
 def digest(body: bytes) -> str:
     """Return the short digest by which two bodies are told apart."""
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-__all__ = ["Seal", "Unsealed", "digest"]
+__all__ = ["Seal", "digest"]
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -16,7 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from threadramp.wire.seal import Seal, Unsealed
+    from threadramp.wire.packing import Packing
+    from threadramp.wire.seal import Seal
 
 NO_RESEND_MS = 3_600_000  # the request itself is repeated by whoever still wants the answer
 RECONNECT_MIN_MS = 50
@@ -38,7 +39,7 @@
 
     def __init__(
         self,
-        seal: Seal | Unsealed,
+        seal: Seal | Packing,
         decode: Callable[[bytes], Any] = _replies.decode,
         redial: bool = False,
     ) -> None:
@@ -145,7 +146,7 @@
     def __init__(
         self,
         address: str,
-        seal: Seal | Unsealed,
+        seal: Seal | Packing,
         handle: Callable[[Any], Any],
         threads: int,
         decode: Callable[[bytes], Any] = _requests.decode,
