Doubt removals only where the store may have been away

A waiting watch may be cut at any time; each cut made the gateway doubt removals for 2.5 s, so that an endpoint whose entry goes without a word (some never say that they leave) could get work for longer than the 2 s that are allowed, with the store well all the time.

Ruled out: a shorter doubt for all (entries that lapsed in an outage are back about 2 s after its end).

Change: a cut watch counts as an outage only if the store itself was not heard for a second, more than between two renewals and less than the least time in which an entry lapses; the return of the store counts as before.

--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -24,6 +24,7 @@
 
 WATCH_WAIT_S = 10.0  # each answer is a priced call; a lost store is noticed by lease renewals
 RETRY_PAUSE_S = 0.4
+AWAY_S = 1.0  # longer than between two renewals; entries lapse after 2.2 s without one at the least
 FOLLOW_LOOK_S = 0.1  # how often a gateway that follows others looks whether it still may
 GATHER_S = 0.4  # changes of this time come with one answer, where a moment does not matter
 
@@ -62,18 +63,32 @@
         """Start watching."""
         start_loop(self._run, self.stopped)
 
+    def one_turn(self) -> None:
+        """Follow others, or take one answer of the store."""
+        if self.follows():
+            self._follow()
+            return
+        try:
+            self._turn()
+        except StoreError as error:
+            self._cut(error)
+
     def _run(self) -> None:
         while not self.stopped.is_set():
-            if self.follows():
-                self._follow()
-                continue
-            try:
-                self._turn()
-            except StoreError as error:
-                self.stale = True
-                self.mirror.disturbed(self.clock.now() + LAPSE_HOLD_S)
-                log_state("watch_cut", prefix=self.mirror.prefix, error=str(error))
-                self.stopped.wait(RETRY_PAUSE_S)
+            self.one_turn()
+
+    def _cut(self, error: StoreError) -> None:
+        """Take note of a watch that was cut; that alone says nothing of the entries."""
+        self.stale = True
+        if self._was_away():
+            self.mirror.disturbed(self.clock.now() + LAPSE_HOLD_S)
+        log_state("watch_cut", prefix=self.mirror.prefix, error=str(error))
+        self.stopped.wait(RETRY_PAUSE_S)
+
+    def _was_away(self) -> bool:
+        """Return whether the store may have been away for long enough that entries lapsed."""
+        ago = self.health.confirmed_ago_s()
+        return ago is None or ago > AWAY_S
 
     def _follow(self) -> None:
         """Leave the mirror to what others tell; what this watch knew is old by its next turn."""
