--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PY := $(VENV)/bin/python
 JOBS ?= auto
 
-.PHONY: demo test lint format bench prove
+.PHONY: demo test soak lint format bench prove
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
@@ -17,6 +17,9 @@
 test: $(VENV)/.ready
 	$(PY) -m pytest -n $(JOBS)
 
+soak: $(VENV)/.ready
+	SOAK_S=120 SOAK_SEEDS=4 $(PY) -m pytest -n 4 tests/serve/test_soak.py
+
 lint: $(VENV)/.ready
 	$(VENV)/bin/black --check --quiet src tests tools bench deploy
 	$(VENV)/bin/ruff check src tests tools bench deploy
--- /dev/null
+++ b/tests/serve/test_soak.py
@@ -0,0 +1,23 @@
+"""The soak under faults, a short while in each run of the tests; ``make soak`` takes longer."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from tests.serve.soak import Soak
+
+SECONDS = float(os.environ.get("SOAK_S", "12"))
+SEEDS = range(1, 1 + int(os.environ.get("SOAK_SEEDS", "2")))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nothing_breaks_under_faults(tmp_path, serve, seed):
+    soak = Soak(tmp_path, serve, seed)
+    try:
+        assert soak.run(SECONDS) == []
+        assert soak.taken, "no lot was taken at all"
+        assert soak.answered, "no call was answered at all"
+    finally:
+        soak.close()
