Let sidecars renew their place by the size of the fleet

Cause: docs/CAPACITY.md called the renewals not carried at the target: 3,050 processes each 0.8 s are 3,800 reads a second, more than the store takes.

Ruled out: longer leases for gateways (their renewals also show within a second whether the store answers, and others follow them by it); one lease for several processes (its holder may pause).

Change: policy/renewals.py gives the renewals of all sidecars 0.15 of the store's reads (the rate stands in the settings): 0.8 s up to 240 sidecars at 2,000 reads a second, 9 s for 2,700. A longer pause asks for a longer lease first.

--- a/src/threadramp/fleet/membership.py
+++ b/src/threadramp/fleet/membership.py
@@ -8,6 +8,7 @@
 from threadramp.fleet.picture import MEMBER_PREFIX
 from threadramp.lots.model import encode
 from threadramp.platform.store_model import LeaseGone, Put, StoreError, Transaction
+from threadramp.policy.renewals import LEASE_RENEWALS
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
@@ -17,7 +18,7 @@
     from threadramp.fleet.picture import Member
     from threadramp.platform.store import StoreClient
 
-LEASE_S = 3.0  # a dead process is noticed after this; three renewals may fail meanwhile
+LEASE_S = 3.0  # the shortest: a dead process is noticed after this
 RENEW_S = 0.8
 WATCHER_RENEW_S = 0.4  # of a gateway that others follow: they must know that it has a way
 
@@ -33,7 +34,8 @@
         self.unlisted = threading.Event()
         self.stopped = threading.Event()
         self.woken = threading.Event()
-        self.is_followed: Callable[[], bool] = lambda: False
+        self.granted_s = 0.0
+        self.renew_s: Callable[[], float] = lambda: RENEW_S
 
     def start(self) -> None:
         """Start registering."""
@@ -55,23 +57,35 @@
         except StoreError as error:  # the lease runs out by itself
             log_state("lease_not_ended", lease=self.lease, error=str(error))
 
+    def pause_s(self) -> float:
+        """Return the seconds until the next renewal, within the lease that is held."""
+        return min(self.renew_s(), self.granted_s / LEASE_RENEWALS or RENEW_S)
+
     def _run(self) -> None:
         while not self.stopped.is_set():
             self.woken.clear()
             try:
-                self._turn()
+                self.turn()
             except StoreError as error:
                 log_state("membership_not_renewed", lease=self.lease, error=str(error))
-            self.woken.wait(WATCHER_RENEW_S if self.is_followed() else RENEW_S)
+            self.woken.wait(self.pause_s())
+
+    def turn(self) -> None:
+        """Renew the lease; grant one and write the entry where that is needed.
 
-    def _turn(self) -> None:
+        :raises StoreError: if no answer came
+        """
+        wanted_s = max(self.lease_s, LEASE_RENEWALS * self.renew_s())
+        if wanted_s > self.granted_s:
+            self.lease = 0  # the one that is held runs out by itself
         if self.lease and not self.store.renew_lease(self.lease):
             log_state("lease_over", lease=self.lease)
             self.lease = 0
         if self.lease and not self.unlisted.is_set():
             return
         if not self.lease:
-            self.lease = self.store.grant_lease(self.lease_s)
+            self.lease = self.store.grant_lease(wanted_s)
+            self.granted_s = wanted_s
         self._write()
 
     def _write(self) -> None:
@@ -85,4 +99,4 @@
         log_state("member_written", member=self.member.name, lease=self.lease)
 
 
-__all__ = ["Membership"]
+__all__ = ["RENEW_S", "WATCHER_RENEW_S", "Membership"]
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -159,6 +159,7 @@
             endpoints_revision=belief.endpoints_revision,
             targets_revision=belief.targets_revision,
             listed=sidecar.name in belief.members,
+            sidecars=len(belief.sidecars()),
         )
         if endpoint is None or belief.configuration is None:
             return facts
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -44,11 +44,13 @@
     :param address: ``ip:port``
     :param value_bytes: longest value that it takes
     :param lease_min_s: shortest lease that it grants, seconds
+    :param reads_per_s: reading calls that it takes from the whole fleet, 0 if that is not told
     """
 
     address: str
     value_bytes: int = 1_048_576
     lease_min_s: float = 1.0
+    reads_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -136,7 +138,8 @@
             address = ""
         value_bytes = self._number(table, "valueBytes", 1_048_576, "provider.")
         lease_min_ms = self._number(table, "ttlMinMs", 1000, "provider.")
-        return StoreSettings(address, int(value_bytes), lease_min_ms / 1000)
+        reads_per_s = self._number(table, "readsPerS", 0, "provider.")
+        return StoreSettings(address, int(value_bytes), lease_min_ms / 1000, reads_per_s)
 
     def _bounds(self) -> Bounds:
         table = self._table("bounds")
--- /dev/null
+++ b/src/threadramp/policy/renewals.py
@@ -0,0 +1,25 @@
+"""How often a sidecar renews its place in the list of members, by the size of the fleet.
+
+Each renewal counts as a read at the platform's store, whose rate grows more slowly than the fleet.
+A sidecar that is lost is noticed by its gateways' questions long before its lease runs out.
+"""
+
+from __future__ import annotations
+
+LEAST_S = 0.8  # three renewals may fail within the shortest lease of 3 s
+RATE_SHARE = 0.15  # of the reads that the store takes, for the renewals of all sidecars
+LEASE_RENEWALS = 3.75  # lease in renewals, as for the shortest
+
+
+def renewal_s(sidecars: int, reads_per_s: float) -> float:
+    """Return the seconds between two renewals of one sidecar.
+
+    :param sidecars: in the list of members
+    :param reads_per_s: that the store takes from the whole fleet, 0 if it names no limit
+    """
+    if reads_per_s <= 0:
+        return LEAST_S
+    return max(LEAST_S, sidecars / (RATE_SHARE * reads_per_s))
+
+
+__all__ = ["LEASE_RENEWALS", "LEAST_S", "renewal_s"]
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -73,6 +73,7 @@
         self.gateways: dict[str, float] = {}
         self.stopped = threading.Event()
         self.leaving = False
+        self.sidecars = 0
         self.listed_again = clock.now()
         self.on_unlisted: Callable[[], None] = lambda: None
         self.store_calls: StoreCalls | None = None
@@ -90,6 +91,7 @@
             self.gateways[ask.address] = self.clock.now()
         if isinstance(ask, (Beat, Submit, Collect)):
             self.engine.learn(ask.facts)
+            self.sidecars = ask.facts.sidecars
             self._refresh_table()
             if not ask.facts.listed:
                 self.on_unlisted()
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -12,7 +12,7 @@
 from threadramp.edge.server import EdgeServer
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.emptying import Emptying
-from threadramp.fleet.membership import Membership
+from threadramp.fleet.membership import RENEW_S, WATCHER_RENEW_S, Membership
 from threadramp.fleet.model import CallerLimits
 from threadramp.fleet.peers import Peers
 from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
@@ -88,6 +88,10 @@
                 break
         in_background(self.membership.leave).join(LEAVE_S)
 
+    def _renew_s(self) -> float:
+        """Return the seconds between renewals: gateways that follow this one go by them."""
+        return WATCHER_RENEW_S if self.peers.following.followers() else RENEW_S
+
     def _keep_limits(self) -> None:
         """Hold callers to the limits of the configuration in force."""
         configuration = self.picture.belief.configuration
@@ -123,7 +127,7 @@
             )
             for one in self.picture.mirrors
         ]
-        self.membership.is_followed = lambda: bool(self.peers.following.followers())
+        self.membership.renew_s = self._renew_s
         self.emptying = Emptying(self.member.name, self.picture, store)
         self._build_lots(store, clock)
         calls = StoreCalls(store, health)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -10,6 +10,7 @@
 from threadramp.fleet.relaying import StoreCalls
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
+from threadramp.policy.renewals import renewal_s
 from threadramp.report.metrics import Metrics
 from threadramp.runner.engine import Engine
 from threadramp.runner.runs import RunTable
@@ -47,6 +48,7 @@
         )
         store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
         self.membership = Membership(member, store, own.store.lease_min_s)
+        self.membership.renew_s = lambda: renewal_s(self.sidecar.sidecars, own.store.reads_per_s)
         self.sidecar.on_unlisted = self.membership.not_listed
         self.sidecar.store_calls = StoreCalls(store, health)
         self.server = SyncServer(address, Packing(), self.sidecar.handle, THREADS, decode_ask)
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -22,6 +22,7 @@
     :param load_turn: in which the engine loads a version that was named, from 0
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
+    :param sidecars: in the list of members
     """
 
     endpoints_revision: int = 0
@@ -33,6 +34,7 @@
     targets_revision: int = 0
     targets: tuple[WeightTarget, ...] = ()
     listed: bool = True
+    sidecars: int = 0
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
