--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -1,14 +1,12 @@
 """Keeps lots in the platform's store: one head a lot, under whose revision every change stands.
 
 Two processes that both believe they own a lot can not break it: what counts is the one conditional
-write that takes effect. A write whose answer was lost is sent again as it was; if the head then
-names its nonce, it had taken effect.
+write that takes effect.
 """
 
 from __future__ import annotations
 
 import secrets
-import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -23,30 +21,26 @@
     decode_results,
     encode,
 )
+from threadramp.lots.repeated_writes import SETTLE_S, RepeatedWrites
 from threadramp.platform.store_model import (
     ABSENT,
     Committed,
     Put,
-    StoreError,
     StoreUnknownError,
     Transaction,
 )
-from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from threadramp.lots.model import Lot, Result
     from threadramp.platform.store import StoreClient
-    from threadramp.platform.store_model import Conflict, Item
+    from threadramp.platform.store_model import Item
 
 HEAD_PREFIX = "lot/"
 PART_PREFIX = "lot-part/"
 CHUNK_PREFIX = "lot-chunk/"
 PART_BYTES = 600_000  # a value may have a megabyte, and a body two of these in base64
-SETTLE_S = 2.0  # for so long a write without an answer is sent again; a trainer waits for it
-PAUSE_S = 0.05  # before a write is sent again; doubles with each further time
-PAUSE_MOST_S = 0.4  # the store's outages take seconds
 
 
 class LotMissingError(Exception):
@@ -81,12 +75,12 @@
         parts = [data[start : start + PART_BYTES] for start in range(0, len(data), PART_BYTES)]
         head = msgspec.structs.replace(head, parts=len(parts), nonce=_nonce())
         puts = [Put(_part_key(lot.id, number), part) for number, part in enumerate(parts)]
-        tries = _Tries(patience_s, waits=True)
+        writes = RepeatedWrites(self.store, patience_s, waits=True)
         for put in puts[1:]:
-            self._try(Transaction(puts=(put,)), tries)
+            writes.send(Transaction(puts=(put,)))
         key = HEAD_PREFIX + lot.id
         transaction = Transaction({key: ABSENT}, (puts[0], Put(key, encode(head))))
-        answer = self._settle(key, transaction, head.nonce, tries)
+        answer = writes.settle(key, transaction, head.nonce)
         return KeptHead(lot.id, head, answer.revision) if isinstance(answer, Committed) else None
 
     def append(self, kept: KeptHead, results: Sequence[Result]) -> KeptHead:
@@ -177,7 +171,8 @@
     def _advance(self, kept: KeptHead, head: LotHead, puts: tuple[Put, ...]) -> KeptHead:
         key = HEAD_PREFIX + kept.lot_id
         transaction = Transaction({key: kept.revision}, (*puts, Put(key, encode(head))))
-        answer = self._settle(key, transaction, head.nonce, _Tries(SETTLE_S, waits=False))
+        writes = RepeatedWrites(self.store, SETTLE_S, waits=False)
+        answer = writes.settle(key, transaction, head.nonce)
         if isinstance(answer, Committed):
             return KeptHead(kept.lot_id, head, answer.revision)
         current = answer.current.get(key)
@@ -185,37 +180,6 @@
             raise LotMissingError(kept.lot_id)
         raise NotOwnerError(decode_head(current.value))
 
-    def _settle(
-        self, key: str, transaction: Transaction, nonce: str, tries: _Tries
-    ) -> Committed | Conflict:
-        """Write under a condition until it is known whether the write took effect."""
-        tries.unanswered = 0
-        answer = self._try(transaction, tries)
-        if isinstance(answer, Committed):
-            return answer
-        current = answer.current.get(key)
-        if current is not None and decode_head(current.value).nonce == nonce:
-            log_state("write_settled", key=key, revision=current.revision)
-            return Committed(current.revision)
-        return answer
-
-    def _try(self, transaction: Transaction, tries: _Tries) -> Committed | Conflict:
-        """Send a write until it is answered or the time for it is up.
-
-        :raises StoreRefusedError: if it was not done
-        :raises StoreUnknownError: if it may have been done, or may still be
-        """
-        while True:
-            try:
-                return self.store.transact(transaction, repeatable=True)
-            except StoreError as error:
-                tries.failed(error)
-                if not tries.may_go_on(error):
-                    if tries.unanswered and not isinstance(error, StoreUnknownError):
-                        raise StoreUnknownError(str(error)) from error  # an earlier try may count
-                    raise
-            tries.pause()
-
     def _value(self, key: str) -> bytes:
         item = self.store.get(key)
         if item is None:
@@ -223,36 +187,6 @@
         return item.value
 
 
-class _Tries:
-    """How often one write was sent, and whether it may be sent again.
-
-    :param patience_s: for so long it may be
-    :param waits: whether it is also sent again after the store said that it did nothing
-    """
-
-    def __init__(self, patience_s: float, waits: bool) -> None:
-        self.until = time.monotonic() + patience_s
-        self.waits = waits
-        self.unanswered = 0
-        self.next_pause_s = PAUSE_S
-
-    def failed(self, error: StoreError) -> None:
-        """Count a try that brought no answer."""
-        unanswered = isinstance(error, StoreUnknownError)
-        self.unanswered += unanswered
-        log_state("write_failed", unanswered=unanswered, error=str(error))
-
-    def may_go_on(self, error: StoreError) -> bool:
-        """Return whether there is time for another try."""
-        again = self.waits or isinstance(error, StoreUnknownError)
-        return again and time.monotonic() + self.next_pause_s < self.until
-
-    def pause(self) -> None:
-        """Wait before the next try, longer each time."""
-        time.sleep(self.next_pause_s)
-        self.next_pause_s = min(PAUSE_MOST_S, 2 * self.next_pause_s)
-
-
 def _kept(item: Item) -> KeptHead:
     return KeptHead(item.key.removeprefix(HEAD_PREFIX), decode_head(item.value), item.revision)
 
