Split what peers believe of silence and tell sidecars out of fleet/peers.py

Cause: fleet/peers.py held three things besides its exchanges: counts of unanswered beats, what a sidecar is told, and a second default for a pool that is not configured.

Change: fleet/silence.py (Silence), fleet/facts.py (facts_for), Belief.pool for both users of the default. The watcher doubts removals in one place; the shortest renewal stands once, in policy/renewals.py; public methods of Membership stand before the private ones. Behaviour is the same.

Tests: tests/fleet, tests/edge, tests/policy, tests/runner and tests/lots passed; tests/fleet/test_peers.py takes SILENT_BEATS from its new module, its checks are as before.

--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -69,7 +69,8 @@
     def keep(self, exchange: Exchange, answer: Answer) -> None:
         """Keep a connection for the next request, within this gateway's share."""
         belief = self.picture.belief
-        most = idle_share(belief.max_connections(exchange.endpoint.pool), len(belief.gateways()))
+        pool = belief.pool(exchange.endpoint.pool)
+        most = idle_share(pool.max_connections, len(belief.gateways()))
         self.connections.keep(exchange, answer, self.clock.now(), most)
 
     def run(self, job: Job) -> Outcome:
--- a/src/threadramp/fleet/membership.py
+++ b/src/threadramp/fleet/membership.py
@@ -8,7 +8,7 @@
 from threadramp.fleet.picture import MEMBER_PREFIX
 from threadramp.lots.model import encode
 from threadramp.platform.store_model import LeaseGone, Put, StoreError, Transaction
-from threadramp.policy.renewals import LEASE_RENEWALS
+from threadramp.policy.renewals import LEASE_RENEWALS, LEAST_S
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
@@ -19,7 +19,7 @@
     from threadramp.platform.store import StoreClient
 
 LEASE_S = 3.0  # the shortest: a dead process is noticed after this
-RENEW_S = 0.8
+RENEW_S = LEAST_S
 WATCHER_RENEW_S = 0.4  # of a gateway that others follow: they must know that it has a way
 
 
@@ -61,15 +61,6 @@
         """Return the seconds until the next renewal, within the lease that is held."""
         return min(self.renew_s(), self.granted_s / LEASE_RENEWALS or RENEW_S)
 
-    def _run(self) -> None:
-        while not self.stopped.is_set():
-            self.woken.clear()
-            try:
-                self.turn()
-            except StoreError as error:
-                log_state("membership_not_renewed", lease=self.lease, error=str(error))
-            self.woken.wait(self.pause_s())
-
     def turn(self) -> None:
         """Renew the lease; grant one and write the entry where that is needed.
 
@@ -88,6 +79,15 @@
             self.granted_s = wanted_s
         self._write()
 
+    def _run(self) -> None:
+        while not self.stopped.is_set():
+            self.woken.clear()
+            try:
+                self.turn()
+            except StoreError as error:
+                log_state("membership_not_renewed", lease=self.lease, error=str(error))
+            self.woken.wait(self.pause_s())
+
     def _write(self) -> None:
         put = Put(MEMBER_PREFIX + self.member.name, encode(self.member), self.lease)
         self.unlisted.clear()
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -5,25 +5,15 @@
 import threading
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from threadramp.fleet.facts import facts_for
 from threadramp.fleet.following import Following
-from threadramp.fleet.model import Pool
 from threadramp.fleet.picture import Member
 from threadramp.fleet.relaying import in_turn, relay_through
 from threadramp.fleet.sharing import MirrorSharing
-from threadramp.policy.model_share import load_turn, models_for
+from threadramp.fleet.silence import Silence
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
-from threadramp.report.log import log_state
-from threadramp.wire.fleet import (
-    Beat,
-    CallStore,
-    Facts,
-    MirrorBeat,
-    MirrorChanges,
-    MirrorCopy,
-)
+from threadramp.wire.fleet import Beat, CallStore, MirrorBeat, MirrorChanges, MirrorCopy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,13 +22,12 @@
     from threadramp.fleet.picture import Picture
     from threadramp.fleet.store_health import StoreHealth
     from threadramp.platform.store_model import Call, Changes, Listing, RawAnswer
-    from threadramp.wire.fleet import AnyAsk, AnyReply
+    from threadramp.wire.fleet import AnyAsk, AnyReply, Facts
     from threadramp.wire.sync import SyncClient
 
 BEAT_S = 0.5
 BEAT_TIMEOUT_S = 0.4
 GATEWAYS_A_BEAT = 2
-SILENT_BEATS = 4  # unanswered in a row, 0.5 s apart: about the time in which a freeze is over
 BEATERS = 2  # gateways that regularly beat to one sidecar
 REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
@@ -61,7 +50,7 @@
         self.health = health
         self.clock = clock
         self.heard: dict[str, float] = {}
-        self.silent: dict[tuple[str, str], int] = {}
+        self.silence = Silence()
         self.remembered: dict[str, Member] = {}
         self.listed_at: dict[str, float] = {}
         self.stopped = threading.Event()
@@ -112,12 +101,9 @@
         a whole outage of the store. Taking a lot over from one that lives does no harm.
         """
         listed = self.picture.belief.gateways()
-        live = [one for one in listed if not self._is_silent(one)]
+        live = [one for one in listed if not self.silence.is_silent(one)]
         return live if any(one.name == self.member.name for one in live) else [*live, self.member]
 
-    def _is_silent(self, member: Member) -> bool:
-        return self.silent.get((member.name, member.incarnation), 0) >= SILENT_BEATS
-
     def sidecars(self) -> list[Member]:
         """Return the sidecars in the list of members and those that answered lately.
 
@@ -153,29 +139,7 @@
 
     def facts_for(self, sidecar: Member) -> Facts:
         """Return what a sidecar needs to know."""
-        belief = self.picture.belief
-        endpoint = belief.at_address(sidecar.endpoint)
-        facts = Facts(
-            endpoints_revision=belief.endpoints_revision,
-            targets_revision=belief.targets_revision,
-            listed=sidecar.name in belief.members,
-            sidecars=len(belief.sidecars()),
-        )
-        if endpoint is None or belief.configuration is None:
-            return facts
-        pool = belief.configuration.pools.get(endpoint.pool, Pool(endpoint.pool))
-        addresses = sorted(one.address for one in belief.in_pool(endpoint.pool))
-        rank = addresses.index(endpoint.address)
-        models = models_for(rank, len(addresses), pool.models)
-        return msgspec.structs.replace(
-            facts,
-            instance=endpoint.instance,
-            leaving=endpoint.leaving,
-            load_turn=load_turn(rank, len(addresses)),
-            slots=endpoint.slots or pool.slots,
-            memory_tokens=pool.memory_tokens,
-            targets=tuple(one for one in belief.targets if one.model in models),
-        )
+        return facts_for(sidecar, self.picture.belief)
 
     def spread(self, prefix: str, after: int, changes: Changes) -> None:
         """Tell the gateways that follow this one what changed after a revision."""
@@ -197,8 +161,7 @@
             self.following.follows()  # watches ask only between two answers of the store
 
     def _beat_sidecars(self) -> None:
-        belief = self.picture.belief
-        gateways = [one.name for one in belief.gateways()]
+        gateways = [one.name for one in self.picture.belief.gateways()]
         asks = {}
         for sidecar in self.sidecars():
             if self.member.name in rendezvous(sidecar.name, gateways)[:BEATERS]:
@@ -210,7 +173,7 @@
         asked = self._beaten()
         ask = MirrorBeat(*self.myself, self.sharing.revisions())
         replies = self.ask_all({one.address: ask for one in asked}, BEAT_TIMEOUT_S)
-        self._count_silence(asked, set(replies))
+        self.silence.note(asked, set(replies), self.picture.belief.gateways())
         for member in asked:
             reply = replies.get(member.address)
             if isinstance(reply, MirrorCopy):
@@ -225,22 +188,8 @@
         longest_unheard = others[-GATEWAYS_A_BEAT:]
         if self.following.is_watcher():
             return longest_unheard
-        return list(
-            {one.name: one for one in [*longest_unheard, *self.following.watchers()]}.values()
-        )
-
-    def _count_silence(self, asked: list[Member], answered: set[str]) -> None:
-        listed = {(one.name, one.incarnation) for one in self.picture.belief.gateways()}
-        for gone in self.silent.keys() - listed:
-            del self.silent[gone]
-        for member in asked:
-            key = (member.name, member.incarnation)
-            if member.address in answered:
-                self.silent.pop(key, None)
-                continue
-            self.silent[key] = self.silent.get(key, 0) + 1
-            if self.silent[key] == SILENT_BEATS:
-                log_state("gateway_not_answering", gateway=member.name, beats=SILENT_BEATS)
+        asked = [*longest_unheard, *self.following.watchers()]
+        return list({one.name: one for one in asked}.values())  # each once
 
     def _check_listed(self, now: float) -> None:
         """Notice when the list of members lacks this process for a while."""
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -74,10 +74,10 @@
         """Return the endpoints of a pool."""
         return [endpoint for endpoint in self.endpoints.values() if endpoint.pool == pool]
 
-    def max_connections(self, pool: str) -> int:
-        """Return how many connections each endpoint of a pool accepts from all callers."""
+    def pool(self, name: str) -> Pool:
+        """Return a pool as it is configured, else one with the usual values."""
         pools = self.configuration.pools if self.configuration is not None else {}
-        return pools.get(pool, Pool(pool)).max_connections
+        return pools.get(name, Pool(name))
 
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, none if no entry names it."""
--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -81,7 +81,7 @@
         """Take note of a watch that was cut; that alone says nothing of the entries."""
         self.stale = True
         if self._was_away():
-            self.mirror.disturbed(self.clock.now() + LAPSE_HOLD_S)
+            self._doubt_removals(self.clock.now())
         log_state("watch_cut", prefix=self.mirror.prefix, error=str(error))
         self.stopped.wait(RETRY_PAUSE_S)
 
@@ -94,7 +94,7 @@
         """Leave the mirror to what others tell; what this watch knew is old by its next turn."""
         self.stale = True
         if self.health.is_away:
-            self.mirror.disturbed(self.clock.now() + LAPSE_HOLD_S)
+            self._doubt_removals(self.clock.now())
         self.stopped.wait(FOLLOW_LOOK_S)
 
     def _turn(self) -> None:
@@ -115,10 +115,14 @@
         if self.gathers and changes.items:
             self.stopped.wait(GATHER_S)
 
+    def _doubt_removals(self, now: float) -> None:
+        """Doubt removals for a while from now, since the store was away."""
+        self.mirror.disturbed(now + LAPSE_HOLD_S)
+
     def _returned(self, now: float) -> None:
         """Give up a watch that may hang on a dead connection since before the outage."""
         self.stale = True
-        self.mirror.disturbed(now + LAPSE_HOLD_S)
+        self._doubt_removals(now)
         old, self.pool = self.pool, self.store.watch_pool()
         old.close()
 
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
-from threadramp.fleet.peers import SILENT_BEATS, Peers
+from threadramp.fleet.peers import Peers
 from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.silence import SILENT_BEATS
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store_model import Item, Listing
 from threadramp.wire.fleet import MirrorBeat, MirrorCopy
