Build the gateway's watchers in a function of their own

Change: _new_watchers; the questions that parts ask of the process stand behind what builds it. Behaviour is the same.

Tests: tests/serve passed.

--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -88,19 +88,6 @@
                 break
         in_background(self.membership.leave).join(LEAVE_S)
 
-    def _renew_s(self) -> float:
-        """Return the seconds between renewals: gateways that follow this one go by them."""
-        return WATCHER_RENEW_S if self.peers.following.followers() else RENEW_S
-
-    def _keep_limits(self) -> None:
-        """Hold callers to the limits of the configuration in force."""
-        configuration = self.picture.belief.configuration
-        if configuration is not None and configuration.limits != self.callers.limits:
-            self.callers.keep(configuration.limits)
-            log_state(
-                "caller_limits", version=configuration.version, **asdict(configuration.limits)
-            )
-
     def _build(self) -> None:
         own = self.settings
         clock = Clock()
@@ -113,25 +100,30 @@
         self.peers = Peers(self.member, self.picture, client, health, clock)
         store = StoreClient(own.store.address, self.peers.relay, health.observe)
         self.membership = Membership(self.member, store, own.store.lease_min_s)
+        self.membership.renew_s = self._renew_s
         self.peers.on_unlisted = self.membership.not_listed
         self.peers.list_members = lambda: store.list(MEMBER_PREFIX)
-        self.watchers = [
+        self.watchers = self._new_watchers(store, health, clock)
+        self.emptying = Emptying(self.member.name, self.picture, store)
+        self._build_lots(store, clock)
+        self.answers = GatewayAnswers(
+            self.peers, self.owner, self.reader, StoreCalls(store, health)
+        )
+
+    def _new_watchers(self, store: StoreClient, health: StoreHealth, clock: Clock) -> list[Watcher]:
+        """Return a watcher for each mirror."""
+        return [
             Watcher(
                 one,
                 store,
                 health,
                 clock,
-                gathers=one is not self.picture.operator,
+                gathers=one is not self.picture.operator,  # bounds on its changes are short
                 follows=self.peers.following.follows,
                 spread=self.peers.spread,
             )
             for one in self.picture.mirrors
         ]
-        self.membership.renew_s = self._renew_s
-        self.emptying = Emptying(self.member.name, self.picture, store)
-        self._build_lots(store, clock)
-        calls = StoreCalls(store, health)
-        self.answers = GatewayAnswers(self.peers, self.owner, self.reader, calls)
 
     def _build_lots(self, store: StoreClient, clock: Clock) -> None:
         random = Random(self.incarnation)
@@ -155,5 +147,18 @@
             self.picture, forwarder, self.owner, self.reader, self.metrics, clock
         )
 
+    def _renew_s(self) -> float:
+        """Return the seconds between renewals: gateways that follow this one go by them."""
+        return WATCHER_RENEW_S if self.peers.following.followers() else RENEW_S
+
+    def _keep_limits(self) -> None:
+        """Hold callers to the limits of the configuration in force."""
+        configuration = self.picture.belief.configuration
+        if configuration is not None and configuration.limits != self.callers.limits:
+            self.callers.keep(configuration.limits)
+            log_state(
+                "caller_limits", version=configuration.version, **asdict(configuration.limits)
+            )
+
 
 __all__ = ["GatewayProcess"]
