Give the faults of the soak a module of their own

Change: tests/serve/faults.py holds the faults as they were; put_before in tests/serve/way.py for both. Every check and every fault is as before.

Tests: tests/serve passed.

--- /dev/null
+++ b/tests/serve/faults.py
@@ -0,0 +1,131 @@
+"""The faults that a soak draws from; each returns what heals it."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+from threadramp.config.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.serve.fleet import Box
+    from tests.serve.soak import Soak
+
+FAULTS: Registry[Callable[[Soak], Callable[[], None]]] = Registry()
+
+
+def _restarted(box: Box) -> Callable[[], None]:
+    """Return what starts a process again once it has ended; it may be frozen meanwhile."""
+    ended = box.process
+
+    def heal() -> None:
+        ended.send_signal(signal.SIGCONT)
+        ended.wait()
+        if box.process is ended:  # two faults may have ended it
+            box.start()
+
+    return heal
+
+
+@FAULTS.register("gateway killed")
+def kill_gateway(soak: Soak) -> Callable[[], None]:
+    box = soak.random.choice(soak.fleet.gateways)
+    box.process.kill()
+    return _restarted(box)
+
+
+@FAULTS.register("sidecar killed")
+def kill_sidecar(soak: Soak) -> Callable[[], None]:
+    box = soak.random.choice(soak.fleet.sidecars)
+    box.process.kill()
+    return _restarted(box)
+
+
+@FAULTS.register("gateway stopped as planned")
+def stop_gateway(soak: Soak) -> Callable[[], None]:
+    box = soak.random.choice(soak.fleet.gateways)
+    box.process.send_signal(signal.SIGTERM)
+    return _restarted(box)
+
+
+@FAULTS.register("process frozen")
+def freeze(soak: Soak) -> Callable[[], None]:
+    box = soak.random.choice([*soak.fleet.gateways, *soak.fleet.sidecars])
+    box.process.send_signal(signal.SIGSTOP)
+    return lambda: box.process.send_signal(signal.SIGCONT)
+
+
+@FAULTS.register("all killed")
+def kill_all(soak: Soak) -> Callable[[], None]:
+    for box in soak.fleet.boxes:
+        box.process.kill()
+    heals = [_restarted(box) for box in soak.fleet.boxes]
+    return lambda: [heal() for heal in heals]
+
+
+@FAULTS.register("ways to the store shut")
+def shut_ways(soak: Soak) -> Callable[[], None]:
+    shut = soak.random.sample(soak.ways, 3)
+    for way in shut:
+        way.shut()
+    return lambda: [way.open() for way in shut]
+
+
+def _switch(soak: Soak, **faults: object) -> None:
+    soak.fleet.store.faults.update(faults)
+    soak.fleet.store.faults_changed()
+
+
+@FAULTS.register("store away")
+def store_away(soak: Soak) -> Callable[[], None]:
+    _switch(soak, outage=True)
+    return lambda: _switch(soak, outage=False)
+
+
+@FAULTS.register("store turns calls away")
+def store_full(soak: Soak) -> Callable[[], None]:
+    _switch(soak, calls_per_s=5)
+    return lambda: _switch(soak, calls_per_s=0)
+
+
+@FAULTS.register("answers of the store lost")
+def lose_answers(soak: Soak) -> Callable[[], None]:
+    _switch(soak, lose_answers=6)
+    return lambda: _switch(soak, lose_answers=0)
+
+
+@FAULTS.register("writes done late")
+def late_writes(soak: Soak) -> Callable[[], None]:
+    _switch(soak, late_writes=4, late_s=1.0)
+    return lambda: _switch(soak, late_writes=0)
+
+
+@FAULTS.register("history forgotten")
+def forget(soak: Soak) -> Callable[[], None]:
+    _switch(soak, forget=True)
+    return lambda: None
+
+
+@FAULTS.register("leases revoked")
+def revoke(soak: Soak) -> Callable[[], None]:
+    _switch(soak, revoke=True)
+    return lambda: None
+
+
+@FAULTS.register("engine cuts and refuses")
+def spoil_engine(soak: Soak) -> Callable[[], None]:
+    engine = soak.random.choice(soak.fleet.engines)
+    engine.faults.update(cut=3, reject=5, other_id=1)
+    return lambda: engine.faults.update(cut=0, reject=0, other_id=0)
+
+
+@FAULTS.register("orders unanswered")
+def lose_orders(soak: Soak) -> Callable[[], None]:
+    for engine in soak.fleet.engines:
+        engine.faults.update(unanswered=1)
+    return lambda: None
+
+
+__all__ = ["FAULTS"]
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import signal
 import threading
 import time
 from collections import defaultdict
@@ -16,12 +15,11 @@
 
 from urllib3.exceptions import HTTPError
 
+from tests.serve.faults import FAULTS
 from tests.serve.fleet import CALLS, HOST, PlatformFleet, wait_for
-from tests.serve.way import Way
-from threadramp.config.registry import Registry
+from tests.serve.way import put_before
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from pathlib import Path
 
 EVENTS = 12
@@ -32,7 +30,6 @@
 FAULT_EACH_S = 1.2
 DEADLINE_MS = "6000"
 WHOLE_WITHIN_S = 60.0  # after all is healed; a bound for a busy machine, not a promise
-FAULTS: Registry[Callable[[Soak], Callable[[], None]]] = Registry()
 
 
 class Soak:
@@ -41,10 +38,7 @@
     def __init__(self, folder: Path, serve, seed: int) -> None:
         self.random = Random(seed)
         self.fleet = PlatformFleet(folder, serve, gateways=3, engines=3)
-        self.ways = [Way(self.fleet.store_address) for _ in self.fleet.boxes]
-        for box, way in zip(self.fleet.boxes, self.ways, strict=True):
-            box.settings["provider"]["address"] = way.address
-            box.write()
+        self.ways = [put_before(box, self.fleet.store_address) for box in self.fleet.boxes]
         for engine in self.fleet.engines:
             engine.faults.update(events=EVENTS, gap_s=GAP_S)
         self.version = 1
@@ -210,116 +204,4 @@
             self.broken.append(f"{name} was refused and ran")
 
 
-def _restarted(box) -> Callable[[], None]:
-    """Return what starts a process again once it has ended; it may be frozen meanwhile."""
-    ended = box.process
-
-    def heal() -> None:
-        ended.send_signal(signal.SIGCONT)
-        ended.wait()
-        if box.process is ended:  # two faults may have ended it
-            box.start()
-
-    return heal
-
-
-@FAULTS.register("gateway killed")
-def kill_gateway(soak: Soak) -> Callable[[], None]:
-    box = soak.random.choice(soak.fleet.gateways)
-    box.process.kill()
-    return _restarted(box)
-
-
-@FAULTS.register("sidecar killed")
-def kill_sidecar(soak: Soak) -> Callable[[], None]:
-    box = soak.random.choice(soak.fleet.sidecars)
-    box.process.kill()
-    return _restarted(box)
-
-
-@FAULTS.register("gateway stopped as planned")
-def stop_gateway(soak: Soak) -> Callable[[], None]:
-    box = soak.random.choice(soak.fleet.gateways)
-    box.process.send_signal(signal.SIGTERM)
-    return _restarted(box)
-
-
-@FAULTS.register("process frozen")
-def freeze(soak: Soak) -> Callable[[], None]:
-    box = soak.random.choice([*soak.fleet.gateways, *soak.fleet.sidecars])
-    box.process.send_signal(signal.SIGSTOP)
-    return lambda: box.process.send_signal(signal.SIGCONT)
-
-
-@FAULTS.register("all killed")
-def kill_all(soak: Soak) -> Callable[[], None]:
-    for box in soak.fleet.boxes:
-        box.process.kill()
-    heals = [_restarted(box) for box in soak.fleet.boxes]
-    return lambda: [heal() for heal in heals]
-
-
-@FAULTS.register("ways to the store shut")
-def shut_ways(soak: Soak) -> Callable[[], None]:
-    shut = soak.random.sample(soak.ways, 3)
-    for way in shut:
-        way.shut()
-    return lambda: [way.open() for way in shut]
-
-
-def _switch(soak: Soak, **faults) -> None:
-    soak.fleet.store.faults.update(faults)
-    soak.fleet.store.faults_changed()
-
-
-@FAULTS.register("store away")
-def store_away(soak: Soak) -> Callable[[], None]:
-    _switch(soak, outage=True)
-    return lambda: _switch(soak, outage=False)
-
-
-@FAULTS.register("store turns calls away")
-def store_full(soak: Soak) -> Callable[[], None]:
-    _switch(soak, calls_per_s=5)
-    return lambda: _switch(soak, calls_per_s=0)
-
-
-@FAULTS.register("answers of the store lost")
-def lose_answers(soak: Soak) -> Callable[[], None]:
-    _switch(soak, lose_answers=6)
-    return lambda: _switch(soak, lose_answers=0)
-
-
-@FAULTS.register("writes done late")
-def late_writes(soak: Soak) -> Callable[[], None]:
-    _switch(soak, late_writes=4, late_s=1.0)
-    return lambda: _switch(soak, late_writes=0)
-
-
-@FAULTS.register("history forgotten")
-def forget(soak: Soak) -> Callable[[], None]:
-    _switch(soak, forget=True)
-    return lambda: None
-
-
-@FAULTS.register("leases revoked")
-def revoke(soak: Soak) -> Callable[[], None]:
-    _switch(soak, revoke=True)
-    return lambda: None
-
-
-@FAULTS.register("engine cuts and refuses")
-def spoil_engine(soak: Soak) -> Callable[[], None]:
-    engine = soak.random.choice(soak.fleet.engines)
-    engine.faults.update(cut=3, reject=5, other_id=1)
-    return lambda: engine.faults.update(cut=0, reject=0, other_id=0)
-
-
-@FAULTS.register("orders unanswered")
-def lose_orders(soak: Soak) -> Callable[[], None]:
-    for engine in soak.fleet.engines:
-        engine.faults.update(unanswered=1)
-    return lambda: None
-
-
-__all__ = ["FAULTS", "Soak"]
+__all__ = ["Soak"]
--- a/tests/serve/test_cuts.py
+++ b/tests/serve/test_cuts.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.serve.fleet import CALLS, PlatformFleet, wait_for
-from tests.serve.way import Way
+from tests.serve.way import Way, put_before
 
 
 @pytest.fixture
@@ -13,10 +13,7 @@
     """A fleet whose gateways reach the store through ways that can be shut."""
     fleet, made = fleet_parts
     for gateway in fleet.gateways:
-        way = Way(fleet.store_address)
-        made.append(way)
-        gateway.settings["provider"]["address"] = way.address
-        gateway.write()
+        made.append(put_before(gateway, fleet.store_address))
     fleet.start()
     for gateway in fleet.gateways:  # one that knows no peer yet has no other way
         wait_for(lambda box=gateway: len(box.lines("member")) >= 4, f"{gateway.name} knows all")
--- a/tests/serve/way.py
+++ b/tests/serve/way.py
@@ -5,6 +5,10 @@
 import socket
 import threading
 from contextlib import suppress
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tests.serve.fleet import Box
 
 PIECE = 65_536
 
@@ -67,8 +71,19 @@
         self.sockets -= {source, target}
 
 
+def put_before(box: Box, store_address: str) -> Way:
+    """Let a process that has not started yet reach the store through a way."""
+    way = Way(store_address)
+    box.settings["provider"]["address"] = way.address
+    box.write()
+    return way
+
+
 def _reset(one: socket.socket) -> None:
     with suppress(OSError):
         one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         one.shutdown(socket.SHUT_RDWR)
     one.close()
+
+
+__all__ = ["Way", "put_before"]
