Split LotOwner.hand_in; put private methods behind public ones

Cause: hand_in both kept a lot and began it, in 28 lines; the engine's note of leaving stood between public methods; "spoken" said in a picture that a caller has sent bytes.

Change: LotOwner._begin, the order in runner/engine.py, has_sent in edge/heads.py. Behaviour is the same.

--- a/src/threadramp/edge/heads.py
+++ b/src/threadramp/edge/heads.py
@@ -101,7 +101,7 @@
 
     def __init__(self, server: CallerServer, sock: socket.socket, makefile: object = None) -> None:
         super().__init__(server, sock, _make_file)
-        self.has_spoken = False
+        self.has_sent = False
 
 
 class CallerServer(HTTPServer):
@@ -118,8 +118,8 @@
 
     def process_conn(self, conn: _CallerConnection) -> None:
         """Hand a connection to a thread once the caller has sent something."""
-        if conn.has_spoken or is_readable(conn.socket.fileno()):
-            conn.has_spoken = True
+        if conn.has_sent or is_readable(conn.socket.fileno()):
+            conn.has_sent = True
             super().process_conn(conn)
         else:
             self.put_conn(conn)
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -72,20 +72,7 @@
         if kept is None:
             log_state("lot_known", lot=lot.id)
             return
-        rules = rules_of(kept.head, self.clock.now())
-        owned = OwnedLot(LotBook(lot, rules), kept)
-        reused = self.texts.use(owned.book)
-        self.owned.add(owned)
-        log_state(
-            "lot_taken",
-            lot=lot.id,
-            step=lot.step,
-            model=lot.model,
-            samples=len(lot.samples),
-            min_version=lot.min_version,
-            revision=kept.revision,
-            reused=reused,
-        )
+        self._begin(lot, kept)
 
     def end(self, lot_id: str) -> bool:
         """End a lot, wherever it is owned; false if the store has no such lot.
@@ -172,6 +159,23 @@
         self.release(owned)
         log_state("handed_over", lot=owned.lot_id, to=heir.name)
 
+    def _begin(self, lot: Lot, kept: KeptHead) -> None:
+        """Start on a lot that has just been kept."""
+        rules = rules_of(kept.head, self.clock.now())
+        owned = OwnedLot(LotBook(lot, rules), kept)
+        reused = self.texts.use(owned.book)
+        self.owned.add(owned)
+        log_state(
+            "lot_taken",
+            lot=lot.id,
+            step=lot.step,
+            model=lot.model,
+            samples=len(lot.samples),
+            min_version=lot.min_version,
+            revision=kept.revision,
+            reused=reused,
+        )
+
     def _end_kept(self, kept: KeptHead) -> KeptHead:
         """Write the end, over any change that another owner makes meanwhile."""
         for _ in range(END_TRIES):
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -166,12 +166,6 @@
         self.keep(exchange, answer)
         return read_order_answer(answer.head.status)
 
-    def _note_leaving(self, report: EngineReport | None) -> None:
-        """Log that the engine says for the first time that it leaves."""
-        said = self.report is not None and self.report.leaving
-        if report is not None and report.leaving and not said:
-            log_state("engine_leaves", instance=self.facts.instance, listed=self.facts.leaving)
-
     def keep(self, exchange: Exchange, answer: Answer) -> None:
         """Keep a connection for the next sample; one for each slot and one for reports."""
         self.connections.keep(exchange, answer, self.clock.now(), self.facts.slots + 1)
@@ -188,5 +182,11 @@
         chosen = recent or [seconds for _, seconds in kept]
         return median(chosen) * 1000 if chosen else 0.0
 
+    def _note_leaving(self, report: EngineReport | None) -> None:
+        """Log that the engine says for the first time that it leaves."""
+        said = self.report is not None and self.report.leaving
+        if report is not None and report.leaving and not said:
+            log_state("engine_leaves", instance=self.facts.instance, listed=self.facts.leaving)
+
 
 __all__ = ["Engine", "EngineFacts"]
