Split what gateways and sidecars tell of engines and samples out of wire/fleet.py

Change: wire/runner.py holds Facts, RunnerStatus, RunOrder and RunUpdate as they were; imports follow. What goes over the wire is the same.

Tests: tests/wire, tests/runner, tests/policy, tests/lots, tests/platform, tests/fleet and tests/serve passed; four test modules take these names from the new module.

--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from threadramp.policy.model_share import load_turn, models_for
-from threadramp.wire.fleet import Facts
+from threadramp.wire.runner import Facts
 
 if TYPE_CHECKING:
     from threadramp.fleet.model import Endpoint
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -22,7 +22,8 @@
     from threadramp.fleet.picture import Picture
     from threadramp.fleet.store_health import StoreHealth
     from threadramp.platform.store_model import Call, Changes, Listing, RawAnswer
-    from threadramp.wire.fleet import AnyAsk, AnyReply, Facts
+    from threadramp.wire.fleet import AnyAsk, AnyReply
+    from threadramp.wire.runner import Facts
     from threadramp.wire.sync import SyncClient
 
 BEAT_S = 0.5
--- a/src/threadramp/lots/news.py
+++ b/src/threadramp/lots/news.py
@@ -13,7 +13,8 @@
     from threadramp.fleet.clock import Clock
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.policy.sample_placement import RunnerView
-    from threadramp.wire.fleet import RunnerStatus, RunUpdate, Updates
+    from threadramp.wire.fleet import Updates
+    from threadramp.wire.runner import RunnerStatus, RunUpdate
 
 
 class RunnerNews:
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -23,10 +23,10 @@
     Drop,
     Find,
     Found,
-    RunOrder,
     Submit,
     Updates,
 )
+from threadramp.wire.runner import RunOrder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -11,7 +11,7 @@
     from collections.abc import Sequence
 
     from threadramp.fleet.picture import Member
-    from threadramp.wire.fleet import RunnerStatus
+    from threadramp.wire.runner import RunnerStatus
 
 SLOW_FACTOR = 1.7  # against the usual gap between events; the slow engines seen were 2.6 to 3.8
 SPEED_STEP = 1.15  # engines whose gaps differ by less than this count as equally fast
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -26,7 +26,7 @@
     from threadramp.edge.connections import Answer, Exchange
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import WeightTarget
-    from threadramp.wire.fleet import Facts
+    from threadramp.wire.runner import Facts
 
 REPORT_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 1.0
--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_book import RunOutcome
-from threadramp.wire.fleet import RunUpdate
+from threadramp.wire.runner import RunUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from threadramp.wire.fleet import RunOrder
+    from threadramp.wire.runner import RunOrder
 
 
 @dataclass
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from threadramp.wire.fleet import RunOrder, RunUpdate
+    from threadramp.wire.runner import RunOrder, RunUpdate
 
 QUEUE = 2  # samples that may wait beyond the slots, so that a slot is not idle for a round trip
 SILENCE_S = 1.0  # a gateway that asks for nothing for so long may have sent its samples elsewhere
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -24,11 +24,11 @@
     Drop,
     Find,
     Found,
-    RunnerStatus,
     Status,
     Submit,
     Updates,
 )
+from threadramp.wire.runner import RunnerStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/policy/test_sample_placement.py
+++ b/tests/policy/test_sample_placement.py
@@ -10,7 +10,7 @@
     room_elsewhere,
     usual_gap_ms,
 )
-from threadramp.wire.fleet import RunnerStatus
+from threadramp.wire.runner import RunnerStatus
 
 NOW = 50.0
 
--- a/tests/runner/test_chains.py
+++ b/tests/runner/test_chains.py
@@ -15,7 +15,7 @@
 from tests.core.test_lot_book import make_book, make_sample
 from threadramp.core.lot_book import Phase, RunOutcome
 from threadramp.runner.runs import RunTable
-from threadramp.wire.fleet import RunOrder
+from threadramp.wire.runner import RunOrder
 
 SAMPLES = 3
 LENGTH = 6
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -7,7 +7,7 @@
 from threadramp.core.lot_book import RunOutcome
 from threadramp.lots.model import Sample
 from threadramp.runner.runs import RunTable
-from threadramp.wire.fleet import RunOrder
+from threadramp.wire.runner import RunOrder
 
 
 def order(name: str, **fields) -> RunOrder:
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -10,7 +10,7 @@
 from threadramp.fleet.model import WeightTarget
 from threadramp.runner.engine import Engine
 from threadramp.runner.weights import Weights
-from threadramp.wire.fleet import Facts
+from threadramp.wire.runner import Facts
 
 
 def facts(version: int = 0, revision: int = 10, instance: str = "i-1", **more) -> Facts:
