Annotate what the soak takes; say what _idle_s returns

Cause: two parameters in tests/serve/soak.py had no type, and edge/connections.py a function without a docstring.

Change: annotations and a docstring only. Behaviour and checks are the same.

Tests: tests/serve/test_soak.py, tests/edge and tests/wire passed.

--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -200,6 +200,7 @@
 
 
 def _idle_s(answer: Answer) -> float:
+    """Return the seconds for which a connection is used again, by what the endpoint names."""
     for name, value in answer.headers:
         if name.lower() == "keep-alive":
             digits = value.rpartition("=")[2].strip()
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -20,8 +20,12 @@
 from tests.serve.way import put_before
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
+    from tests.serve.fleet import Box
+    from threadramp.standins.server import StandIn
+
 EVENTS = 12
 GAP_S = 0.04
 SAMPLES = 8
@@ -35,7 +39,7 @@
 class Soak:
     """One soak; ``run`` returns what was broken, empty if nothing was."""
 
-    def __init__(self, folder: Path, serve, seed: int) -> None:
+    def __init__(self, folder: Path, serve: Callable[[StandIn], str], seed: int) -> None:
         self.random = Random(seed)
         self.fleet = PlatformFleet(folder, serve, gateways=3, engines=3)
         self.ways = [put_before(box, self.fleet.store_address) for box in self.fleet.boxes]
@@ -170,7 +174,7 @@
                     self._note(lot, place, row)
             self._check_rows(lot, least, rows)
 
-    def _rows(self, gateway, lot: str) -> list[dict] | None:
+    def _rows(self, gateway: Box, lot: str) -> list[dict] | None:
         """Return all results of a lot, page by page; none if some are missing yet."""
         rows: list[dict] = []
         while True:
