Let a stopping gateway read nothing new before it ends

With callers that never pause the old code ended with requests open: the new test in tests/serve/test_callers.py failed on it.

Ruled out: a request from before the SIGTERM (sent 3.5 s after it); an endpoint at fault.

Change: a stopping gateway serves on until the balancer has turned away and half a second was quiet, or 2.3 s before the kill; then it closes connections on which a request comes without reading it, finishes what was read and ends. What counts as busy begins when a connection is handed to a thread, not when its handler runs.

--- a/src/threadramp/edge/heads.py
+++ b/src/threadramp/edge/heads.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -103,6 +104,13 @@
         super().__init__(server, sock, _make_file)
         self.has_sent = False
 
+    def communicate(self) -> bool:
+        """Serve one request; true if the connection is kept."""
+        try:
+            return super().communicate()
+        finally:
+            self.server.served()
+
 
 class CallerServer(HTTPServer):
     """CherryPy's HTTP server, with limits that may change while it serves."""
@@ -110,6 +118,12 @@
     ConnectionClass = _CallerConnection
     limits = CallerLimits()
 
+    def __init__(self, *args: object, **options: object) -> None:
+        super().__init__(*args, **options)
+        self.taken = 0
+        self.is_closing = False
+        self.lock = threading.Lock()
+
     def keep(self, limits: CallerLimits) -> None:
         """Hold callers to these limits from now on."""
         self.limits = limits
@@ -118,11 +132,27 @@
 
     def process_conn(self, conn: _CallerConnection) -> None:
         """Hand a connection to a thread once the caller has sent something."""
-        if conn.has_sent or is_readable(conn.socket.fileno()):
-            conn.has_sent = True
+        if not conn.has_sent and not is_readable(conn.socket.fileno()):
+            self.put_conn(conn)
+            return
+        conn.has_sent = True
+        with self.lock:
+            takes = not self.is_closing
+            self.taken += takes
+        if takes:
             super().process_conn(conn)
         else:
-            self.put_conn(conn)
+            conn.close()  # nothing was read of it, so that its caller may ask elsewhere
+
+    def served(self) -> None:
+        """Count a connection that its thread is done with for now."""
+        with self.lock:
+            self.taken -= 1
+
+    def take_nothing_new(self) -> None:
+        """Close connections on which a request comes from now on, without reading it."""
+        with self.lock:
+            self.is_closing = True
 
 
 __all__ = ["CallerServer"]
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -129,8 +129,6 @@
     ) -> None:
         host, _, port = address.partition(":")
         self.handle = handle
-        self.open = 0
-        self.lock = threading.Lock()
         self.server = CallerServer((host, int(port)), _Edge, minthreads=threads, maxthreads=threads)
         self.server.edge = self
         self.server.keep(limits)
@@ -151,15 +149,18 @@
         """Hold callers to other limits from now on."""
         self.server.keep(limits)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is being read or answered."""
+        return self.server.taken > 0
+
+    def take_nothing_new(self) -> None:
+        """Read no further request; those that were read are answered."""
+        self.server.take_nothing_new()
+
     def serve(self, request: CallerRequest) -> None:
-        """Answer one request and count it while it is open."""
-        with self.lock:
-            self.open += 1
-        try:
-            self.handle(request)
-        finally:
-            with self.lock:
-                self.open -= 1
+        """Answer one request."""
+        self.handle(request)
 
 
 def _log_server_error(message: str = "", level: int = 20, traceback: bool = False) -> None:
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -45,7 +45,9 @@
 PEER_THREADS = 12
 BALANCER_S = 3.5  # two questions a second apart without a good answer, and a margin
 EXIT_MARGIN_S = 0.8  # before the platform kills
-STOP_LOOK_S = 0.1
+STOP_LOOK_S = 0.05
+QUIET_S = 0.5  # without a request, after which a stopping gateway takes no more
+LAST_ANSWERS_S = 1.5  # for what was read last; routes of the users' sheets time out after 1.1 s
 LEAVE_S = 0.3  # the list of members drops a process that does not take itself out as well
 
 
@@ -82,12 +84,25 @@
         self.handler.stopping = True
         in_background(self.owner.hand_over)  # the store may be slow, and the end is near
         last = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        while time.monotonic() < last:
+        self._wait_until_quiet(began + BALANCER_S, last - LAST_ANSWERS_S)
+        self.callers.take_nothing_new()
+        while self.callers.is_busy and time.monotonic() < last:
             time.sleep(STOP_LOOK_S)
-            if time.monotonic() - began > BALANCER_S and not self.callers.open:
-                break
         in_background(self.membership.leave).join(LEAVE_S)
 
+    def _wait_until_quiet(self, least: float, most: float) -> None:
+        """Serve on until the balancer has turned away and no caller asks for a while.
+
+        Where few gateways of a data centre are left it sends callers to those that stop, too.
+        """
+        quiet_since = time.monotonic()
+        while (now := time.monotonic()) < most:
+            if self.callers.is_busy:
+                quiet_since = now
+            if now > least and now - quiet_since > QUIET_S:
+                return
+            time.sleep(STOP_LOOK_S)
+
     def _build(self) -> None:
         own = self.settings
         clock = Clock()
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from contextlib import closing
+from typing import TYPE_CHECKING
 
 import pytest
 
 from threadramp.edge.server import CallerRequest, EdgeServer
 from threadramp.fleet.model import CallerLimits
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 THREADS = 2
 LIMITS = CallerLimits(header_bytes=2_000, body_bytes=1_000, header_s=0.5, idle_s=1.0)
 REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -52,6 +57,14 @@
     return found
 
 
+def wait_until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    until = time.monotonic() + 5.0
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.01)
+
+
 def drip(caller: socket.socket, data: bytes, gap_s: float) -> None:
     """Send byte by byte until all is sent or the other side closes."""
     for place in range(len(data)):
@@ -158,3 +171,39 @@
         rest_of(caller)
         assert time.monotonic() - started < 4.0
     edge.server.stop()
+
+
+def test_one_that_closes_reads_nothing_new_and_finishes_what_it_read():
+    """A request that came as the process ended was read, passed on and never answered (LOST)."""
+    release = threading.Event()
+    served = []
+
+    def answer(request: CallerRequest) -> None:
+        served.append(request.path)
+        release.wait(5.0)
+        request.answer(200, body=b"ok")
+
+    edge = EdgeServer("127.0.0.1:0", answer, THREADS, LIMITS)
+    with (
+        closing(socket.create_connection(edge.server.bind_addr, timeout=5.0)) as first,
+        closing(socket.create_connection(edge.server.bind_addr, timeout=5.0)) as second,
+    ):
+        first.sendall(REQUEST)
+        wait_until(lambda: served)
+        edge.take_nothing_new()
+        second.sendall(REQUEST)
+        assert rest_of(second) == b""
+        assert edge.is_busy
+        release.set()
+        assert first.recv(4096).startswith(b"HTTP/1.1 200")
+        wait_until(lambda: not edge.is_busy)
+    assert served == ["/a"]
+    edge.server.stop()
+
+
+def test_it_is_busy_while_a_head_is_read(server):
+    with closing(server.connect()) as caller:
+        caller.sendall(REQUEST[:9])
+        wait_until(lambda: server.edge.is_busy)
+        caller.sendall(REQUEST[9:])
+        wait_until(lambda: not server.edge.is_busy)
--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import threading
 import time
 
+from urllib3.exceptions import HTTPError
+
 from tests.serve.fleet import CALLS, PORTS, wait_for
 
 
@@ -108,6 +111,36 @@
     assert [row["box"] for row in first.lines("stopped")] == [first.name]
 
 
+def test_a_planned_stop_runs_no_request_that_it_does_not_answer(fleet):
+    """Callers that the balancer sends to the last moment are answered, or not read at all."""
+    first = fleet.gateways[0]
+    fleet.callee.faults["hold_s"] = 0.05
+    unanswered: set[str] = set()
+    stopped = threading.Event()
+
+    def keep_asking(caller: int) -> None:
+        for number in itertools.count():
+            name = f"c{caller}-{number}"
+            try:
+                ask(first, name=name)
+            except HTTPError:
+                unanswered.add(name)
+            if stopped.is_set():
+                return
+
+    threads = [threading.Thread(target=keep_asking, args=(n,)) for n in range(6)]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    first.process.send_signal(signal.SIGTERM)
+    first.process.wait(8.0)
+    stopped.set()
+    for thread in threads:
+        thread.join()
+    assert unanswered  # they asked until it was gone
+    assert not unanswered & {run["id"] for run in fleet.callee.runs}
+
+
 def test_a_planned_stop_hands_the_lots_over(fleet):
     first, second = fleet.gateways
     for engine in fleet.engines:
