--- a/tests/serve/conftest.py
+++ b/tests/serve/conftest.py
@@ -15,6 +15,8 @@
 @pytest.fixture
 def fleet(tmp_path, serve) -> Iterator[PlatformFleet]:
     made = PlatformFleet(tmp_path, serve)
-    made.start()
-    yield made
-    made.close()
+    try:  # a set-up that fails leaves no process behind either
+        made.start()
+        yield made
+    finally:
+        made.close()
--- a/tests/serve/test_cuts.py
+++ b/tests/serve/test_cuts.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from tests.serve.fleet import CALLS, PlatformFleet, wait_for
 from tests.serve.way import Way, put_before
+from threadramp.fleet.membership import LEASE_S
 
 
 @pytest.fixture
@@ -20,6 +23,16 @@
     return fleet, made
 
 
+@pytest.fixture
+def sidecar_ways(fleet_parts):
+    """A fleet whose sidecars reach the store through ways that can be shut."""
+    fleet, made = fleet_parts
+    for sidecar in fleet.sidecars:
+        made.append(put_before(sidecar, fleet.store_address))
+    fleet.start()
+    return fleet, made
+
+
 @pytest.fixture
 def fleet_parts(tmp_path, serve):
     made: list[Way] = []
@@ -65,3 +78,25 @@
     made[0].open()
     wait_for(lambda: first.lines("store_regained"), "its own way is used again", 5.0)
     assert len(fleet.whole(second, "lot1")) == 6
+
+
+def test_sidecars_without_a_way_hear_of_versions_and_stay_listed(sidecar_ways):
+    fleet, made = sidecar_ways
+    for way in made:
+        way.shut()
+    fleet.name_version(2)
+    for engine in fleet.engines:
+        wait_for(lambda one=engine: one.versions["m"] == 2, f"{engine.instance} loads", 8.0)
+    time.sleep(LEASE_S + 1.0)  # a place that nobody renews is gone by then
+    assert len(fleet.keys("member/")) == len(fleet.gateways) + len(fleet.sidecars)
+    assert fleet.hand_in(fleet.gateways[0], "lot1", min_version=2) == 202
+    assert len(fleet.whole(fleet.gateways[0], "lot1")) == 6
+
+
+def test_a_slow_store_makes_hand_ins_slow_and_loses_nothing(fleet):
+    fleet.store.faults["delay_s"] = 0.4
+    assert fleet.hand_in(fleet.gateways[0], "lot1") == 202
+    assert len(fleet.whole(fleet.gateways[1], "lot1")) == 6
+    fleet.configure(version=4, pathPrefix="/new/")
+    for gateway in fleet.gateways:
+        wait_for(lambda box=gateway: ask(box, "/new/x").status == 200, "new route", 3.0)
--- a/tests/serve/test_following.py
+++ b/tests/serve/test_following.py
@@ -15,10 +15,12 @@
 @pytest.fixture
 def followed(tmp_path, serve):
     fleet = PlatformFleet(tmp_path, serve, gateways=GATEWAYS, engines=1)
-    fleet.start()
-    wait_for(lambda: len(followers(fleet)) == GATEWAYS - 2, "two follow", 15.0)
-    yield fleet
-    fleet.close()
+    try:  # a set-up that fails leaves no process behind either
+        fleet.start()
+        wait_for(lambda: len(followers(fleet)) == GATEWAYS - 2, "two follow", 15.0)
+        yield fleet
+    finally:
+        fleet.close()
 
 
 def followers(fleet) -> list:
