Tell the gateway that runs a lot of an end that another one wrote

The gateway that was asked for the end did not list the lot's gateway yet (a fleet that has just started), wrote the end to the store itself and told nobody; the lot's gateway learned of it only with its next append, until when it let samples begin (rule UNASKED allows 3 s). Change: an end that is written for a lot that runs elsewhere is told to all gateways until one says that it ran the lot, 8 s at most; the look through all heads notices ends of lots that run here.

--- a/src/threadramp/lots/audit.py
+++ b/src/threadramp/lots/audit.py
@@ -65,6 +65,9 @@
     def _audit(self) -> None:
         """Take over the open lots whose owner is gone and that fall to this gateway."""
         heads = self.journal.heads()
+        for kept in heads:
+            if kept.head.ended:
+                self.owner.ended_elsewhere(kept)
         self._remove_old(heads)
         idle = [
             kept for kept in heads if not kept.head.ended and self.owned.get(kept.lot_id) is None
--- /dev/null
+++ b/src/threadramp/lots/end_notices.py
@@ -0,0 +1,79 @@
+"""Tells other gateways of ends that this one wrote for lots that it does not run.
+
+The store keeps an end, but nobody watches the heads of lots there: calls are priced. A gateway that
+runs a lot would learn of an end only with its next write, and begin samples that nobody wants.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from threadramp.report.guard import start_loop
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import EndKept, LotEnded
+
+if TYPE_CHECKING:
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.peers import Peers
+    from threadramp.lots.model import KeptHead
+
+TOLD_FOR_S = 8.0  # a gateway that was not listed, frozen or cut off is in touch again by then
+TURN_S = 0.3  # samples may begin for 3 s after an end on the users' sheets
+ANSWER_S = 0.4
+
+
+class EndNotices:
+    """Repeats each notice to all gateways until one says that it ran the lot."""
+
+    def __init__(self, peers: Peers, clock: Clock) -> None:
+        self.peers = peers
+        self.clock = clock
+        self.open: dict[str, tuple[KeptHead, float]] = {}
+        self.lock = threading.Lock()
+        self.any_open = threading.Event()
+        self.stopped = threading.Event()
+
+    def start(self) -> None:
+        """Start telling."""
+        start_loop(self._run, self.stopped)
+
+    def tell(self, kept: KeptHead) -> None:
+        """Let the others know of an end that the store keeps."""
+        with self.lock:
+            self.open.setdefault(kept.lot_id, (kept, self.clock.now() + TOLD_FOR_S))
+        self.any_open.set()
+
+    def one_turn(self) -> bool:
+        """Tell what is to be told; true if there is more to tell later."""
+        with self.lock:
+            notices = list(self.open.values())
+        for kept, until in notices:
+            runner = self._runner_of(kept)
+            if runner or self.clock.now() >= until:
+                log_state("end_told", lot=kept.lot_id, gateway=runner, revision=kept.revision)
+                with self.lock:
+                    del self.open[kept.lot_id]
+        with self.lock:
+            return bool(self.open)
+
+    def _run(self) -> None:
+        while not self.stopped.is_set():
+            self.any_open.wait()
+            self.any_open.clear()
+            while self.one_turn():
+                self.stopped.wait(TURN_S)
+
+    def _runner_of(self, kept: KeptHead) -> str:
+        """Tell all gateways; returns the one that ran the lot, empty if none said so."""
+        gateways = self.peers.gateways()
+        ask = EndKept(*self.peers.myself, kept)
+        replies = self.peers.ask_all({one.address: ask for one in gateways}, ANSWER_S)
+        for one in gateways:
+            reply = replies.get(one.address)
+            if isinstance(reply, LotEnded) and reply.owned:
+                return one.name
+        return ""
+
+
+__all__ = ["TOLD_FOR_S", "EndNotices"]
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -37,6 +37,7 @@
     """The lots of one gateway.
 
     :param drop: tells the sidecars that a lot's samples are not wanted; true lets them finish
+    :param tell_end: lets other gateways know of the end of a lot that does not run here
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         clock: Clock,
         drop: Callable[[OwnedLot, bool], None],
         checkpoints: Checkpoints,
+        tell_end: Callable[[KeptHead], None],
     ) -> None:
         self.owned = owned
         self.journal = journal
@@ -54,6 +56,7 @@
         self.clock = clock
         self.drop = drop
         self.checkpoints = checkpoints
+        self.tell_end = tell_end
         self.texts = KeptTexts()
         self.stopped = threading.Event()
         self.leaving = False
@@ -87,7 +90,16 @@
         kept = self.journal.head(lot_id)
         if kept is None:
             return False
-        self._end_kept(kept)
+        self.tell_end(self._end_kept(kept))
+        return True
+
+    def ended_elsewhere(self, kept: KeptHead) -> bool:
+        """Stop working on a lot whose end another gateway wrote; false if it does not run here."""
+        owned = self.owned.get(kept.lot_id)
+        if owned is None:
+            return False
+        if not owned.book.ended:
+            self._ended(owned, kept)
         return True
 
     def release(self, owned: OwnedLot) -> None:
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -11,6 +11,7 @@
     Adopt,
     CallStore,
     Done,
+    EndKept,
     EndLot,
     LotEnded,
     MirrorBeat,
@@ -51,6 +52,9 @@
             return self.reader.body_for_peer(ask)
         if isinstance(ask, EndLot):
             return self._end(ask)
+        if isinstance(ask, EndKept):
+            runs_here = self.owner.ended_elsewhere(ask.kept)
+            return LotEnded(runs_here, runs_here)
         if isinstance(ask, CallStore):
             return self.store_calls.answer(ask)
         if isinstance(ask, Adopt):
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -22,6 +22,7 @@
 from threadramp.lots.appending import Appending
 from threadramp.lots.audit import LotAudit
 from threadramp.lots.checkpoints import Checkpoints
+from threadramp.lots.end_notices import EndNotices
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.owned import OwnedLots
 from threadramp.lots.owner import LotOwner
@@ -67,6 +68,7 @@
         self.appending.start()
         self.checkpoints.start()
         self.runners.start()
+        self.end_notices.start()
         self.emptying.start()
         self.sync = SyncServer(
             self.member.address, Packing(), self.answers.handle, PEER_THREADS, decode_ask
@@ -152,8 +154,15 @@
         scoring = Scoring(owned, self.picture, forwarder, clock)
         self.runners = Runners(owned, self.peers, clock, scoring.begin)
         self.checkpoints = Checkpoints(owned, store, self.incarnation)
+        self.end_notices = EndNotices(self.peers, clock)
         self.owner = LotOwner(
-            owned, journal, self.peers, clock, self.runners.drop, self.checkpoints
+            owned,
+            journal,
+            self.peers,
+            clock,
+            self.runners.drop,
+            self.checkpoints,
+            self.end_notices.tell,
         )
         self.audit = LotAudit(self.owner, self.settings.bounds.status_s)
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from threadramp.lots.model import KeptLot, Result
+from threadramp.lots.model import KeptHead, KeptLot, Result
 from threadramp.platform.store_model import Call, Item, RawAnswer, Removal
 from threadramp.wire.runner import Facts, RunnerStatus, RunOrder, RunUpdate
 
@@ -116,6 +116,12 @@
     lot: str
 
 
+class EndKept(Ask, frozen=True):
+    """The end of a lot that the sender wrote to the store; the receiver may run that lot."""
+
+    kept: KeptHead
+
+
 class Adopt(Ask, frozen=True):
     """A lot that the receiver owns now, as the store has it."""
 
@@ -188,7 +194,10 @@
 
 
 class LotEnded(Message, frozen=True):
-    """Whether the lot's end is kept."""
+    """Whether the lot's end is kept.
+
+    :param owned: whether the answering gateway ran the lot
+    """
 
     owned: bool
     kept: bool
@@ -210,6 +219,7 @@
     | ReadLot
     | ReadBody
     | EndLot
+    | EndKept
     | Adopt
 )
 AnyReply = (
@@ -239,6 +249,7 @@
     "Collect",
     "Done",
     "Drop",
+    "EndKept",
     "EndLot",
     "Find",
     "Found",
--- /dev/null
+++ b/tests/lots/test_end_notices.py
@@ -0,0 +1,169 @@
+"""An end that one gateway wrote reaches the gateway that runs the lot."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from tests.core.test_lot_book import make_book, make_sample
+from threadramp.fleet.peers import Peers
+from threadramp.fleet.picture import Member, Picture
+from threadramp.fleet.store_health import StoreHealth
+from threadramp.lots.audit import LotAudit
+from threadramp.lots.end_notices import TOLD_FOR_S, EndNotices
+from threadramp.lots.journal import LotJournal
+from threadramp.lots.model import LotHead
+from threadramp.lots.owned import OwnedLot, OwnedLots
+from threadramp.lots.owner import LotOwner
+from threadramp.lots.reading import LotReader
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import Item, Listing
+from threadramp.serve.answers import GatewayAnswers
+from threadramp.wire.fleet import Done, EndKept, LotEnded
+
+HEAD = LotHead("g1", "1", 0.0, 7.5, 40.0, 3, False, 3, 0, 0, 0, False, "")
+
+
+class Wires:
+    """Messages between gateways; some addresses may not answer."""
+
+    def __init__(self) -> None:
+        self.answers: dict[str, GatewayAnswers] = {}
+        self.silent: set[str] = set()
+
+    def ask(self, address, ask, timeout_s):
+        reached = address in self.answers and address not in self.silent
+        return self.answers[address].handle(ask) if reached else None
+
+    def exchange(self, asks, timeout_s):
+        replies = {address: self.ask(address, ask, timeout_s) for address, ask in asks.items()}
+        return {address: reply for address, reply in replies.items() if reply is not None}
+
+
+class Checkpoints:
+    """Keeps nothing."""
+
+    def forget(self, lot_id: str) -> None:
+        """Take note of nothing."""
+
+
+class Gateway:
+    """The lots of one gateway."""
+
+    def __init__(self, name: str, wires: Wires, clock, store_address: str) -> None:
+        member = Member(name, "gateway", "1", f"{name}:1", "a", "")
+        self.picture = Picture()
+        self.journal = LotJournal(StoreClient(store_address, timeout_s=0.5))
+        peers = Peers(member, self.picture, wires, StoreHealth(clock), clock)
+        self.owned = OwnedLots()
+        self.dropped: list[str] = []
+        self.notices = EndNotices(peers, clock)
+        self.owner = LotOwner(
+            self.owned, self.journal, peers, clock, self._drop, Checkpoints(), self.notices.tell
+        )
+        self.reader = LotReader(self.owned, self.owner, self.journal, peers, clock)
+        wires.answers[member.address] = GatewayAnswers(peers, self.owner, self.reader, None)
+
+    def _drop(self, owned: OwnedLot, let_finish: bool) -> None:
+        self.dropped.append(owned.lot_id)
+
+    def know(self, *names: str) -> None:
+        members = [Member(name, "gateway", "1", f"{name}:1", "a", "") for name in names]
+        items = tuple(Item(f"member/{m.name}", msgspec.msgpack.encode(m), 1) for m in members)
+        self.picture.members.replace(Listing(items, self.picture.members.revision + 1), 0.0)
+
+    def own(self) -> OwnedLot:
+        book = make_book(*[make_sample(name, "g") for name in "abc"])
+        owned = OwnedLot(book, self.journal.create(book.lot, HEAD))
+        self.owned.add(owned)
+        return owned
+
+
+@pytest.fixture
+def wires() -> Wires:
+    return Wires()
+
+
+@pytest.fixture
+def running(wires, clock, store_address) -> Gateway:
+    """The gateway that runs the lot."""
+    return Gateway("g1", wires, clock, store_address)
+
+
+@pytest.fixture
+def other(wires, clock, store_address) -> Gateway:
+    return Gateway("g0", wires, clock, store_address)
+
+
+def test_an_end_by_a_gateway_that_does_not_know_the_owner_yet_reaches_it(running, other, clock):
+    owned = running.own()
+    other.know("g0")
+    other.reader.end("lot")
+    assert not owned.book.ended
+    assert other.notices.one_turn()
+    other.know("g0", "g1")
+    assert not other.notices.one_turn()
+    assert owned.book.ended
+    assert owned.kept.head.ended
+    assert running.dropped == ["lot"]
+
+
+def test_an_end_that_an_owner_did_not_answer_reaches_it_later(running, other, wires):
+    owned = running.own()
+    other.know("g0", "g1")
+    wires.silent.add("g1:1")
+    other.reader.end("lot")
+    assert other.notices.one_turn()
+    wires.silent.clear()
+    assert not other.notices.one_turn()
+    assert owned.book.ended
+
+
+def test_an_end_reaches_the_gateway_that_took_the_lot_over_meanwhile(running, other, wires, clock):
+    wires.silent.add("g2:1")
+    other.know("g0", "g1", "g2")
+    book = make_book(*[make_sample(name, "g") for name in "abc"])
+    kept = other.journal.create(book.lot, HEAD)
+    wires.silent.add("g1:1")
+    other.reader.end("lot")  # it goes by the owner before
+    running.owned.add(OwnedLot(book, kept))
+    wires.silent.discard("g1:1")
+    other.notices.one_turn()
+    assert book.ended
+
+
+def test_a_notice_that_no_owner_takes_is_given_up_after_a_while(running, other, clock):
+    running.journal.create(make_book(make_sample("a", "g")).lot, HEAD)
+    other.know("g0", "g1")
+    other.reader.end("lot")
+    assert other.notices.one_turn()
+    clock.at += TOLD_FOR_S + 0.1
+    assert not other.notices.one_turn()
+
+
+def test_an_end_that_its_owner_wrote_needs_no_notice(running, other):
+    running.own()
+    other.know("g0", "g1")
+    other.reader.end("lot")
+    assert not other.notices.one_turn()
+
+
+def test_a_notice_of_an_end_that_is_known_changes_nothing(running, other):
+    owned = running.own()
+    running.reader.end("lot")
+    reply = running.reader.peers.client.ask("g1:1", EndKept("g0", "g0:1", owned.kept), 1.0)
+    assert reply == LotEnded(True, True)
+    assert running.dropped == ["lot"]
+    gone = running.reader.peers.client.ask("g0:1", EndKept("g1", "g1:1", owned.kept), 1.0)
+    assert gone == LotEnded(False, False)
+    assert not isinstance(gone, Done)
+
+
+def test_the_audit_notices_the_end_of_a_lot_that_runs_here(running, other):
+    owned = running.own()
+    running.know("g0", "g1")
+    kept = running.journal.head("lot")
+    running.journal.change(kept, ended=True)
+    LotAudit(running.owner, status_s=120.0)._audit()
+    assert owned.book.ended
+    assert running.dropped == ["lot"]
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 
@@ -130,6 +131,44 @@
     assert fleet.results(first, "lot1")["total"] == 30
 
 
+def test_an_end_while_the_lots_gateway_is_frozen_reaches_it_when_it_wakes(fleet):
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=400, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=30) == 202
+    wait_for(lambda: fleet.results(second, "lot1") is not None, "second knows the lot")
+    wait_for(lambda: all(engine.runs for engine in fleet.engines), "samples began at both")
+    first.process.send_signal(signal.SIGSTOP)
+    try:
+        assert second.call("DELETE", "/threadramp/lots/lot1").status == 200
+    finally:
+        first.process.send_signal(signal.SIGCONT)
+    time.sleep(1.5)
+    began = [len(engine.runs) for engine in fleet.engines]
+    time.sleep(1.5)
+    assert [len(engine.runs) for engine in fleet.engines] == began
+
+
+def test_an_end_at_a_gateway_that_does_not_list_the_lots_gateway_stops_its_samples(fleet):
+    first, second = fleet.gateways
+    fleet.engines[0].faults.update(events=400, gap_s=0.05)
+    fleet.engines[1].faults["reject"] = 1_000_000  # its sidecar has samples that did not begin
+    assert fleet.hand_in(first, "lot1", samples=30) == 202
+    wait_for(lambda: len(fleet.engines[0].runs) >= 6, "samples began")
+    wait_for(lambda: fleet.engines[1].faults["reject"] < 1_000_000, "samples are tried")
+    wait_for(lambda: fleet.results(second, "lot1") is not None, "second knows the lot")
+    fleet.remove("member/front-0")
+    wait_for(
+        lambda: any(row["member"] == "front-0" for row in second.lines("member_gone")),
+        "second lists the first no more",
+    )
+    assert second.call("DELETE", "/threadramp/lots/lot1").status == 200
+    time.sleep(3.0)  # samples may begin for so long after an end
+    fleet.engines[1].faults["reject"] = 0
+    time.sleep(1.5)
+    assert fleet.engines[1].runs == []
+
+
 def test_the_body_of_a_sample_is_told_at_every_gateway(fleet):
     first, second = fleet.gateways
     for engine in fleet.engines:
