Pass streaming routes on event by event, and resume them elsewhere

Ruled out: a thread a caller to watch for its leaving (one thread looks at all callers); a second try for streams (they are not idempotent unless resumable). The rank of a route goes along with its streams and with the samples of its lots. Found on the way: has_ended() waited for up to the idle time on a socket with a time-out unless it was known to be readable; it looks first now (the tests of streams hung before).

--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -15,7 +15,7 @@
 from threadramp.platform.headers import read_answer
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterator, Mapping
 
     from urllib3 import BaseHTTPResponse
 
@@ -26,6 +26,7 @@
 IDLE_S = 3.0  # a kept connection is used again within this time if the endpoint names none
 IDLE_MARGIN_S = 1.0  # before the time that it names
 IDLE_MOST_S = 30.0  # whatever it names
+PIECE_BYTES = 65_536  # of a body that is taken as it comes
 NO_USER_AGENT = {"User-Agent": SKIP_HEADER}
 
 
@@ -105,7 +106,13 @@
 
         :raises ExchangeError: if it is not whole
         """
-        response = self.response(timeout_s)
+        return self.rest(self.response(timeout_s))
+
+    def rest(self, response: BaseHTTPResponse) -> Answer:
+        """Read the body of an answer whose head was read.
+
+        :raises ExchangeError: if it is not whole
+        """
         try:
             body = response.read(decode_content=False)
         except (OSError, HTTPError, ValueError) as error:
@@ -118,6 +125,15 @@
         self.connection.close()
 
 
+def body_pieces(response: BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield the bytes of a body as they come."""
+    if response.chunked:
+        yield from response.read_chunked(PIECE_BYTES, decode_content=False)
+        return
+    while data := response.read1(PIECE_BYTES, decode_content=False):
+        yield data
+
+
 def streamed_answer(response: BaseHTTPResponse) -> Answer:
     """Return an answer whose body was taken piece by piece."""
     return _answer(response, b"")
@@ -209,4 +225,12 @@
     return IDLE_S
 
 
-__all__ = ["Answer", "Connections", "Exchange", "ExchangeError", "is_readable", "streamed_answer"]
+__all__ = [
+    "Answer",
+    "Connections",
+    "Exchange",
+    "ExchangeError",
+    "body_pieces",
+    "is_readable",
+    "streamed_answer",
+]
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -27,6 +27,7 @@
 
     from threadramp.edge.forward import Forwarder
     from threadramp.edge.server import CallerRequest
+    from threadramp.edge.streaming import StreamForwarder
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import Route
     from threadramp.fleet.picture import Picture
@@ -51,6 +52,7 @@
         self,
         picture: Picture,
         forwarder: Forwarder,
+        streams: StreamForwarder,
         owner: LotOwner,
         reader: LotReader,
         metrics: Metrics,
@@ -58,6 +60,7 @@
     ) -> None:
         self.picture = picture
         self.forwarder = forwarder
+        self.streams = streams
         self.owner = owner
         self.reader = reader
         self.metrics = metrics
@@ -130,9 +133,14 @@
             until=started + min(limits),
             caller=request.socket,
         )
-        outcome = self.forwarder.run(job)
+        if route.kind is RouteKind.STREAM:
+            outcome = self.streams.run(job, request, self.stopping)
+        else:
+            outcome = self.forwarder.run(job)
         took = self.clock.now() - started
         self.metrics.latency(route.name, took)
+        if outcome.first_event_s is not None:
+            self.metrics.latency(f"{route.name} first event", outcome.first_event_s)
         self.metrics.count("answer", outcome.ending.value)
         self._pass_on(request, outcome, route, took)
 
@@ -145,6 +153,8 @@
             status = answer.head.status
             headers = to_caller(answer.headers)
             request.answer(status, headers, answer.body, answer.reason, close=self.stopping)
+        elif outcome.ending in (Ending.STREAMED, Ending.CUT):
+            status = 200
         elif outcome.ending is Ending.NOT_RUN:
             status = 503
             self._answer_later(request, 503, outcome.retry_after_s)
--- a/src/threadramp/edge/job.py
+++ b/src/threadramp/edge/job.py
@@ -7,19 +7,23 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from threadramp.edge.connections import is_readable
+
 if TYPE_CHECKING:
     from threadramp.edge.connections import Answer
     from threadramp.fleet.model import Route
 
 
 class Ending(Enum):
-    """How a forwarded request ended."""
+    """How a forwarded request ended; ``CUT`` is a stream that began and could not go on."""
 
     ANSWERED = "answered"
     NOT_RUN = "not run"
     UNKNOWN = "unknown"
     TIME_OVER = "time over"
     CALLER_GONE = "caller gone"
+    STREAMED = "streamed"
+    CUT = "cut"
 
 
 @dataclass(frozen=True)
@@ -48,16 +52,22 @@
     """How it ended.
 
     :param answer: of the endpoint, if there is one to pass on
+    :param first_event_s: seconds until a stream's first event was passed on, none if none was
     """
 
     ending: Ending
     answer: Answer | None = None
     retry_after_s: float = 0.0
+    first_event_s: float | None = None
 
 
 def has_ended(caller: socket.socket) -> bool:
     """Return whether the caller closed its connection."""
     try:
+        if not is_readable(
+            caller.fileno()
+        ):  # a socket with a time-out would wait in the call below
+            return False
         return caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
     except BlockingIOError:
         return False
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -85,19 +85,45 @@
         close: bool = False,
     ) -> None:
         """Send a whole answer."""
-        phrase = reason or REASONS.get(status, "Status")
-        self.raw.status = f"{status} {phrase}".encode("latin-1")
-        pairs = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
+        self._head(status, headers, reason, close)
+        pairs = self.raw.outheaders
         bodiless = status < 200 or status in (204, 304)
         if not bodiless and not any(name.lower() == b"content-length" for name, _ in pairs):
             pairs.append((b"Content-Length", str(len(body)).encode()))
-        self.raw.outheaders = pairs
-        if close:
-            self.raw.close_connection = True
         self.raw.ensure_headers_sent()
         if body and self.raw.method != b"HEAD":
             self.raw.write(body)
 
+    def begin(
+        self, status: int, headers: Iterable[tuple[str, str]], reason: str, close: bool
+    ) -> None:
+        """Send the head of an answer whose body follows in pieces."""
+        self._head(status, headers, reason, close)
+        self.raw.ensure_headers_sent()
+
+    def write(self, data: bytes) -> None:
+        """Send a piece of the body.
+
+        :raises OSError: if the caller has gone
+        """
+        self.raw.write(data)
+
+    def cut(self) -> None:
+        """Close the connection in the middle of an answer, without its end."""
+        self.raw.chunked_write = False
+        self.raw.close_connection = True
+
+    def _head(
+        self, status: int, headers: Iterable[tuple[str, str]], reason: str, close: bool
+    ) -> None:
+        phrase = reason or REASONS.get(status, "Status")
+        self.raw.status = f"{status} {phrase}".encode("latin-1")
+        self.raw.outheaders = [
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers
+        ]
+        if close:
+            self.raw.close_connection = True
+
     def drop(self) -> None:
         """Close the connection without an answer; the caller has gone."""
         self.raw.close_connection = True
--- /dev/null
+++ b/src/threadramp/edge/streaming.py
@@ -0,0 +1,263 @@
+"""Passes the answer of a streaming route on, event by event, as the events come.
+
+Only whole events are passed on. A stream that breaks off goes on at another endpoint behind the
+last event that the caller has, if its route allows that; else its connection is cut, so that it can
+not look complete.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from urllib3.exceptions import HTTPError
+
+from threadramp.edge.attempts import ANSWER_MARGIN_S, Attempts, EndpointAccess
+from threadramp.edge.connections import ExchangeError, body_pieces, streamed_answer
+from threadramp.edge.job import Ending, Outcome
+from threadramp.platform.headers import read_answer, resume_after, stream_headers, to_caller
+from threadramp.report.log import log_state
+from threadramp.runner.events import EventReader
+
+if TYPE_CHECKING:
+    from urllib3 import BaseHTTPResponse
+
+    from threadramp.edge.caller_watch import CallerWatch
+    from threadramp.edge.connections import Exchange
+    from threadramp.edge.job import Job
+    from threadramp.edge.server import CallerRequest
+    from threadramp.fleet.model import Endpoint
+    from threadramp.platform.headers import AnswerHead
+    from threadramp.runner.events import Event
+
+SILENT_S = 1.2  # a load of weights pauses streams for 0.9 s; callers leave after 2 s of silence
+LEAST_WAIT_S = 0.05
+GO_BACK_MOST = 3  # times that a stream goes on at an endpoint where it broke off before
+EVENTS_TYPE = "text/event-stream"
+
+
+class StreamBrokenError(Exception):
+    """A stream that stopped before its end.
+
+    :param instance: endpoint that it came from
+    """
+
+    def __init__(self, instance: str, reason: str) -> None:
+        self.instance = instance
+        super().__init__(reason)
+
+
+class CallerLeftError(Exception):
+    """The caller takes no more."""
+
+
+class StreamForwarder:
+    """Forwards requests of streaming routes."""
+
+    def __init__(self, access: EndpointAccess, watch: CallerWatch) -> None:
+        self.access = access
+        self.watch = watch
+
+    def run(self, job: Job, request: CallerRequest, closes: bool) -> Outcome:
+        """Forward a request; its answer is on its way to the caller if the outcome is ``STREAMED``.
+
+        :param closes: whether the caller's connection is closed behind the answer
+        """
+        return _Stream(self, job, request, closes).run()
+
+
+class _Stream(Attempts):
+    """One stream on its way."""
+
+    def __init__(
+        self, parts: StreamForwarder, job: Job, request: CallerRequest, closes: bool
+    ) -> None:
+        super().__init__(parts.access, job)
+        self.watch = parts.watch
+        self.request = request
+        self.closes = closes
+        self.begun = False
+        self.first = resume_after(request.headers)
+        self.count = self.first
+        self.went_back = 0
+        self.began = self.now()
+        self.first_at = 0.0
+
+    def headers(self, time_left: float, instance: str) -> dict[str, str]:
+        """Return the headers with which the stream begins or goes on."""
+        route = self.job.route
+        return stream_headers(self.job.headers, time_left, instance, self.count, route.priority)
+
+    def run(self) -> Outcome:
+        """Try endpoints until the stream is whole or can not go on."""
+        self.parts.budget.first_attempt()
+        try:
+            while True:
+                outcome = self._turn()
+                if outcome is not None:
+                    return self._ended(outcome)
+        finally:
+            self.close_all()
+
+    def _turn(self) -> Outcome | None:
+        if self.now() >= self.job.until - ANSWER_MARGIN_S:
+            return self.given_up(Ending.TIME_OVER)
+        outcome = self.next_try()
+        if outcome is not None or not self.tries.open:
+            return outcome
+        exchange = self.tries.open[0]
+        try:
+            with self.watch.watching(self.request.socket, exchange):
+                return self._take(exchange)
+        except CallerLeftError:
+            exchange.close()
+            return self._left()
+        except (ExchangeError, StreamBrokenError) as error:
+            exchange.close()
+            return self._broken(exchange, error)
+        finally:
+            self.closed(exchange)
+
+    def next_try(self) -> Outcome | None:
+        """Send to one more endpoint, or back to one where the stream broke off."""
+        again = self._where_to_go_back()
+        if not again:
+            return super().next_try()
+        self.went_back += 1
+        chosen = self.parts.choice.choose(again, self.tries.rejected, self.now())
+        if chosen is None:
+            return self.given_up(Ending.UNKNOWN)
+        self.send(chosen)
+        return None
+
+    def _where_to_go_back(self) -> list[Endpoint]:
+        """Return the endpoints where it broke off, if there are no others that it may go to."""
+        route = self.job.route
+        if not self.begun or not route.may_repeat or self.went_back >= GO_BACK_MOST:
+            return []
+        pool = self.parts.picture.belief.in_pool(self.pool)
+        ran = self.tries.ran
+        if len(ran) < route.max_attempts and len(pool) > len(ran):
+            return []
+        return [one for one in pool if one.instance in ran]
+
+    def _ended(self, outcome: Outcome) -> Outcome:
+        """Return the outcome; a stream that has begun and is not whole is cut."""
+        if self.begun and outcome.ending is not Ending.STREAMED:
+            self.request.cut()
+            log_state(
+                "stream_cut",
+                request=self.job.request_id,
+                ending=outcome.ending.value,
+                events=self.count - self.first,
+            )
+            return Outcome(Ending.CUT)
+        first_s = self.first_at - self.began if self.first_at else None
+        return replace(outcome, first_event_s=first_s)
+
+    def _broken(self, exchange: Exchange, error: Exception) -> Outcome | None:
+        """Note a stream that broke off; it may go on elsewhere."""
+        if self.watch.has_left(self.request.socket):
+            return self._left()
+        self.endpoint_failed(exchange.endpoint, ExchangeError(True, str(error)), ran=True)
+        return None
+
+    def _left(self) -> Outcome:
+        log_state("caller_gone", request=self.job.request_id, events=self.count - self.first)
+        return Outcome(Ending.CALLER_GONE)
+
+    def _take(self, exchange: Exchange) -> Outcome | None:
+        response = exchange.response(self._patience_s())
+        head = read_answer(response.status, response.headers)
+        if not self.is_own(exchange, head):
+            return None
+        if head.not_run:
+            exchange.close()
+            self.rejected(exchange.endpoint, head.status)
+            return None
+        if response.status != 200 or not head.signature or not _is_stream(response):
+            return self._other_answer(exchange, response, head)
+        self._begin(response)
+        self._pass_events(exchange, response)
+        self.parts.keep(exchange, streamed_answer(response))
+        self.parts.choice.answered(exchange.endpoint, head.load, self.now())
+        return Outcome(Ending.STREAMED)
+
+    def _other_answer(
+        self, exchange: Exchange, response: BaseHTTPResponse, head: AnswerHead
+    ) -> Outcome | None:
+        """Take an answer that is no stream: a failure, or one whose endpoint is at fault."""
+        answer = exchange.rest(response)
+        if 200 <= head.status < 300 and not head.signature:
+            raise StreamBrokenError(exchange.endpoint.instance, "no signature")
+        if head.status >= 500:
+            pause = self.parts.choice.erred(exchange.endpoint, self.now())
+            reason = ExchangeError(True, f"status {head.status}")
+            self.note_failure(exchange.endpoint, reason, True, pause)
+            self.tries.last_failure = answer
+            return None
+        if self.begun:
+            raise StreamBrokenError(exchange.endpoint.instance, f"status {head.status}")
+        return Outcome(Ending.ANSWERED, answer)
+
+    def _begin(self, response: BaseHTTPResponse) -> None:
+        """Send the head, which stays that of the first endpoint."""
+        if self.begun:
+            log_state("stream_resumed", request=self.job.request_id, after=self.count)
+            return
+        self.begun = True
+        headers = to_caller(tuple(response.headers.iteritems()))
+        self.request.begin(response.status, headers, response.reason or "", self.closes)
+
+    def _pass_events(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
+        """Pass whole events on until the stream's end.
+
+        :raises StreamBrokenError: if it stops before
+        """
+        reader = EventReader()
+        instance = exchange.endpoint.instance
+        try:
+            exchange.connection.sock.settimeout(self._patience_s())
+            for data in body_pieces(response):
+                for event in reader.feed(data):
+                    self._pass_one(event, instance)
+                exchange.connection.sock.settimeout(self._patience_s())
+        except (OSError, HTTPError, ValueError, AttributeError) as error:
+            raise StreamBrokenError(instance, repr(error)) from error
+        if not reader.is_between_events:
+            raise StreamBrokenError(instance, "it stopped within an event")
+
+    def _pass_one(self, event: Event, instance: str) -> None:
+        """Pass an event on.
+
+        :raises StreamBrokenError: if it is not the next one
+        :raises CallerLeftError: if the caller takes no more
+        """
+        follows = event.number == self.count + 1
+        if not follows and (self.job.route.may_repeat or event.number <= self.count):
+            raise StreamBrokenError(instance, f"event {event.number} after {self.count}")
+        try:
+            self.request.write(event.raw)
+        except OSError as error:
+            raise CallerLeftError from error
+        self.count = event.number
+        self.first_at = self.first_at or self.now()
+
+    def _patience_s(self) -> float:
+        """Return for how long an endpoint may be silent now."""
+        left = self.job.until - self.now()
+        if self._may_go_on_elsewhere():
+            left = min(left, SILENT_S)
+        return max(LEAST_WAIT_S, left)
+
+    def _may_go_on_elsewhere(self) -> bool:
+        route = self.job.route
+        others = len(self.parts.picture.belief.in_pool(self.pool)) > len(self.tries.ran) + 1
+        return route.may_repeat and others and len(self.tries.ran) + 1 < route.max_attempts
+
+
+def _is_stream(response: BaseHTTPResponse) -> bool:
+    return response.headers.get("Content-Type", "").startswith(EVENTS_TYPE)
+
+
+__all__ = ["StreamForwarder"]
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -57,7 +57,8 @@
     @property
     def may_repeat(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind in (RouteKind.REPEATABLE, RouteKind.SAMPLES)
+        resumes = self.kind is RouteKind.STREAM and self.resumable
+        return resumes or self.kind in (RouteKind.REPEATABLE, RouteKind.SAMPLES)
 
 
 @dataclass(frozen=True)
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+USUAL_RANK = 5  # what engines take where none is named
+
 
 class Reward(msgspec.Struct, frozen=True, array_like=True):
     """The call that scores a sample once its text is whole."""
@@ -86,6 +88,7 @@
     :param chunks: pieces of results that are kept
     :param listed: positions in those pieces
     :param nonce: names the write that made this head, so that its writer knows it again
+    :param rank: of its route among what engines run, 0 is the most urgent
     """
 
     owner: str
@@ -101,6 +104,7 @@
     listed: int
     ended: bool
     nonce: str
+    rank: int = USUAL_RANK
 
 
 class SavedText(msgspec.Struct, frozen=True, array_like=True):
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -155,6 +155,7 @@
             listed=0,
             ended=False,
             nonce="",
+            rank=route.priority,
         )
 
     def _give_to(self, owned: OwnedLot, heir: Member) -> None:
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -261,6 +261,7 @@
             new_lineage=secrets.token_hex(4),
             due=book.rules.due - self.clock.now(),
             give_up_in_s=book.rules.give_up_at - self.clock.now(),
+            rank=lot.kept.head.rank,
         )
 
     def _move_from_slow(self) -> None:
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -21,6 +21,7 @@
 LENGTH_GUESS = "X-Length-Hint"
 PRIORITY = "X-Request-Priority"
 MS_PER_S = 1000.0
+LAST_RANK = 9  # the least urgent that endpoints know
 OTHER_INSTANCE_STATUS = 421
 REJECTED_STATUSES = (421, 429, 503)
 
@@ -105,17 +106,41 @@
     return headers
 
 
+def stream_headers(
+    incoming: Iterable[tuple[str, str]], time_left: float, instance: str, after: int, rank: int
+) -> dict[str, str]:
+    """Return the headers with which a caller's stream begins or goes on at an endpoint.
+
+    :param after: events that the caller has; the endpoint goes on behind them
+    :param rank: of the route, 0 is the most urgent
+    """
+    headers = to_endpoint(incoming, time_left, instance)
+    headers[PRIORITY] = str(min(LAST_RANK, max(0, rank)))
+    if after:
+        headers[RESUME_AFTER] = str(after)
+    return headers
+
+
+def resume_after(headers: Mapping[str, str]) -> int:
+    """Return the number of the last event that a caller has, 0 if it has none."""
+    return whole_number(headers.get(RESUME_AFTER, ""))
+
+
 def sample_headers(
-    given: Iterable[tuple[str, str]], sample: str, time_left: float, instance: str, after: int
+    given: Iterable[tuple[str, str]],
+    sample: str,
+    time_left: float,
+    instance: str,
+    after: int,
+    rank: int,
 ) -> dict[str, str]:
     """Return the headers with which a sample goes to an engine.
 
     :param after: events that are already here; the engine goes on behind them
+    :param rank: of its lot's route, 0 is the most urgent
     """
-    headers = to_endpoint(given, time_left, instance)
+    headers = stream_headers(given, time_left, instance, after, rank)
     headers[REQUEST_ID] = sample
-    if after:
-        headers[RESUME_AFTER] = str(after)
     return headers
 
 
@@ -191,8 +216,10 @@
     "order_headers",
     "read_answer",
     "request_id",
+    "resume_after",
     "reward_headers",
     "sample_headers",
+    "stream_headers",
     "time_left_s",
     "to_caller",
     "to_endpoint",
--- a/src/threadramp/platform/standins/endpoint.py
+++ b/src/threadramp/platform/standins/endpoint.py
@@ -102,7 +102,8 @@
             return Response(503, b"", NOT_RUN)
         after = int(request.headers.get("last-event-id", 0))
         with self.lock:
-            self.runs.append({"id": name, "after": after, "target": "/".join(request.path)})
+            run = {"id": name, "after": after, "target": "/".join(request.path)}
+            self.runs.append(run | {"rank": request.headers.get("x-request-priority", "")})
         if self.use_up("fail"):
             return Response(500)
         if self.use_up("impossible"):
--- a/src/threadramp/runner/events.py
+++ b/src/threadramp/runner/events.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 from threadramp.platform.headers import version_line, whole_number
 
+_END = re.compile(rb"(\r?\n\r?\n)")
+
 
 @dataclass(frozen=True)
 class Event:
@@ -13,11 +16,13 @@
 
     :param number: counts from 1 over the whole text of the sample
     :param version: of the weights, from this event on; 0 if it names none
+    :param raw: its bytes as they came
     """
 
     number: int
     text: str
     version: int
+    raw: bytes
 
 
 class EventReader:
@@ -28,10 +33,9 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; returns the events that are whole now."""
-        self.pending = (self.pending + data).replace(b"\r\n", b"\n")
-        blocks = self.pending.split(b"\n\n")
-        self.pending = blocks.pop()
-        return [_event(block) for block in blocks if block.strip()]
+        *parts, self.pending = _END.split(self.pending + data)
+        blocks = zip(parts[::2], parts[1::2], strict=True)
+        return [_event(block, end) for block, end in blocks if block.strip()]
 
     @property
     def is_between_events(self) -> bool:
@@ -39,11 +43,11 @@
         return not self.pending.strip()
 
 
-def _event(block: bytes) -> Event:
+def _event(block: bytes, end: bytes) -> Event:
     number = 0
     version = 0
     lines = []
-    for line in block.decode("utf-8", "replace").split("\n"):
+    for line in block.decode("utf-8", "replace").replace("\r\n", "\n").split("\n"):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "data":
@@ -52,7 +56,7 @@
             number = whole_number(value)
         else:
             version = version_line(line) or version
-    return Event(number, "\n".join(lines), version)
+    return Event(number, "\n".join(lines), version, block + end)
 
 
 __all__ = ["Event", "EventReader"]
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -8,14 +8,12 @@
 from urllib3.exceptions import HTTPError
 
 from threadramp.core.lot_book import RunOutcome
-from threadramp.edge.connections import ExchangeError, streamed_answer
+from threadramp.edge.connections import ExchangeError, body_pieces, streamed_answer
 from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from urllib3 import BaseHTTPResponse
 
     from threadramp.edge.connections import Exchange
@@ -29,7 +27,6 @@
 CONNECT_S = 0.5
 HEAD_S = 15.0  # a full engine lets a sample wait; one that is stuck is left sooner by its gateway
 SILENT_S = 5.0  # a stream that brings nothing for so long is cut; a load of weights takes 0.9 s
-READ_BYTES = 65_536
 
 
 class SampleRun:
@@ -87,6 +84,7 @@
             max(1.0, order.give_up_in_s),
             self.instance,
             self.run.count,
+            order.rank,
         )
         exchange.send("POST", order.sample.path, headers, order.sample.body)
 
@@ -125,7 +123,7 @@
         exchange.connection.sock.settimeout(SILENT_S)
         self.last_event = self.clock.now()
         try:
-            for data in _pieces(response):
+            for data in body_pieces(response):
                 for event in reader.feed(data):
                     if not self._take_event(event):
                         exchange.close()
@@ -173,13 +171,4 @@
     return RunOutcome.IMPOSSIBLE if status == 422 else RunOutcome.CUT
 
 
-def _pieces(response: BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield the bytes of a body as they come."""
-    if response.chunked:
-        yield from response.read_chunked(READ_BYTES, decode_content=False)
-        return
-    while data := response.read1(READ_BYTES, decode_content=False):
-        yield data
-
-
 __all__ = ["SampleRun"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -6,10 +6,12 @@
 from dataclasses import asdict
 from random import Random
 
+from threadramp.edge.caller_watch import CallerWatch
 from threadramp.edge.connections import Connections
 from threadramp.edge.forward import Forwarder
 from threadramp.edge.handler import EdgeHandler
 from threadramp.edge.server import EdgeServer
+from threadramp.edge.streaming import StreamForwarder
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.emptying import Emptying
 from threadramp.fleet.membership import RENEW_S, WATCHER_RENEW_S, Membership
@@ -69,6 +71,7 @@
         self.checkpoints.start()
         self.runners.start()
         self.end_notices.start()
+        self.caller_watch.start()
         self.emptying.start()
         self.sync = SyncServer(
             self.member.address, Packing(), self.answers.handle, PEER_THREADS, decode_ask
@@ -148,6 +151,8 @@
         forwarder = Forwarder(
             self.picture, connections, EndpointChoice(random), RetryBudget(), clock
         )
+        self.caller_watch = CallerWatch()
+        streams = StreamForwarder(forwarder, self.caller_watch)
         self.picture.endpoints.listeners.append(forwarder.forget_gone)
         owned = OwnedLots()
         journal = LotJournal(store)
@@ -168,7 +173,7 @@
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
         self.appending = Appending(owned, journal, clock, self.owner.release, self.metrics)
         self.handler = EdgeHandler(
-            self.picture, forwarder, self.owner, self.reader, self.metrics, clock
+            self.picture, forwarder, streams, self.owner, self.reader, self.metrics, clock
         )
 
     def _renew_s(self) -> float:
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from threadramp.fleet.model import WeightTarget
-from threadramp.lots.model import Sample
+from threadramp.lots.model import USUAL_RANK, Sample
 
 
 class Facts(msgspec.Struct, frozen=True, array_like=True):
@@ -61,6 +61,7 @@
     :param new_lineage: name of the chain if a new run has to be begun
     :param due: seconds until its lot is due, negative if it is late; smaller goes first
     :param give_up_in_s: seconds after which nobody wants it any more
+    :param rank: of the lot's route, 0 is the most urgent
     """
 
     sample: Sample
@@ -72,6 +73,7 @@
     new_lineage: str
     due: float
     give_up_in_s: float
+    rank: int = USUAL_RANK
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -31,9 +31,9 @@
 
 
 def test_a_sample_goes_on_behind_its_events():
-    headers = sample_headers([("X-Model", "m")], "s1", 10.0, "i-1", 7)
+    headers = sample_headers([("X-Model", "m")], "s1", 10.0, "i-1", 7, 2)
     assert (headers["X-Attempt-Id"], headers["Last-Event-Id"]) == ("s1", "7")
-    assert "Last-Event-Id" not in sample_headers([], "s1", 10.0, "i-1", 0)
+    assert "Last-Event-Id" not in sample_headers([], "s1", 10.0, "i-1", 0, 2)
 
 
 def test_an_answers_head_is_decoded():
--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import itertools
 import signal
 import threading
@@ -193,3 +194,23 @@
     assert bad.process.wait(10.0) == 2
     (line,) = bad.lines("settings_refused")
     assert "provider.address" in line["findings"][0]
+
+
+def test_a_streaming_route_is_passed_on_event_by_event(fleet):
+    fleet.configure(version=4, kind="streaming", resumable=True, backend="engines")
+    for engine in fleet.engines:
+        engine.faults.update(events=6, gap_s=0.2, cut=1)
+    gateway = fleet.gateways[0]
+    wait_for(lambda: gateway.lines("configuration")[-1]["version"] == 4, "in force")
+    started = time.monotonic()
+    connection = http.client.HTTPConnection(gateway.ip, PORTS["front"], timeout=10)
+    head = {"Host": CALLS, "X-Attempt-Id": "s1", "X-Model": "m"}
+    connection.request("POST", "/talk", b"prompt", head)
+    response = connection.getresponse()
+    first = b"id: 1\ndata: s1-1\n\n"
+    assert response.read(len(first)) == first
+    assert time.monotonic() - started < 0.9
+    rest = b"".join(f"id: {n}\ndata: s1-{n}\n\n".encode() for n in range(2, 7))
+    assert response.read() == rest
+    connection.close()
+    assert wait_for(lambda: gateway.lines("stream_resumed"), "it broke and went on")
