--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -201,7 +201,7 @@
     for engine in fleet.engines:
         engine.faults.update(events=6, gap_s=0.2, cut=1)
     gateway = fleet.gateways[0]
-    wait_for(lambda: gateway.lines("configuration")[-1]["version"] == 4, "in force")
+    wait_for(lambda: 4 in [row["version"] for row in gateway.lines("configuration")], "in force")
     started = time.monotonic()
     connection = http.client.HTTPConnection(gateway.ip, PORTS["front"], timeout=10)
     head = {"Host": CALLS, "X-Attempt-Id": "s1", "X-Model": "m"}
