Tell a dropped idle connection from an endpoint that failed

Cause: an endpoint may drop an idle connection earlier than it named; the next request on it is reset. Such a reset counted as a failure of the endpoint (avoided for 0.5 s and more) and as an endpoint that ran the request, so that a repeatable request whose kept connections were all stale ended as 502 though every endpoint was sound (tests/edge/test_stale_connections.py, failed first). Ruled out: asking before use (the connection looks open until something is sent). Change: an error on a kept connection before any byte of an answer is marked stale; the endpoint's other kept connections are closed, it is not avoided, and what may be repeated goes out again; a request that may run once is not repeated once its bytes left. A sample whose connection was stale runs again at once.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -159,7 +159,11 @@
 
         :param ran: whether the job may have run there
         """
-        self.note_failure(endpoint, error, ran, self.parts.choice.failed(endpoint, self.now()))
+        if error.stale:
+            self._connection_stale(endpoint, error, ran)
+        else:
+            pause = self.parts.choice.failed(endpoint, self.now())
+            self.note_failure(endpoint, error, ran, pause)
 
     def note_failure(
         self, endpoint: Endpoint, error: ExchangeError, ran: bool, pause: float
@@ -182,6 +186,18 @@
             avoided_s=pause,
         )
 
+    def _connection_stale(self, endpoint: Endpoint, error: ExchangeError, ran: bool) -> None:
+        """Note that a kept connection was closed; the endpoint may be asked on a new one."""
+        self.parts.connections.forget_one(endpoint.instance)  # the others rested as long
+        self.tries.may_have_run |= ran
+        log_state(
+            "connection_stale",
+            request=self.job.request_id,
+            instance=endpoint.instance,
+            error=str(error),
+            may_have_run=ran,
+        )
+
     def given_up(self, ending: Ending) -> Outcome:
         """Return what the caller may be told, given all that was tried."""
         failure = self.tries.last_failure
--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ProtocolError
 from urllib3.util import SKIP_HEADER
 
 from threadramp.platform.headers import read_answer
@@ -34,10 +34,12 @@
     """An exchange that brought no whole answer.
 
     :param sent: whether the request may have reached the endpoint
+    :param stale: whether a kept connection was found closed; that says nothing of the endpoint
     """
 
-    def __init__(self, sent: bool, reason: str) -> None:
+    def __init__(self, sent: bool, reason: str, stale: bool = False) -> None:
         self.sent = sent
+        self.stale = stale
         super().__init__(reason)
 
 
@@ -87,7 +89,7 @@
             )
         except (OSError, HTTPError) as error:
             self.close()
-            raise ExchangeError(True, repr(error)) from error
+            raise ExchangeError(True, repr(error), self._is_stale(error)) from error
 
     def response(self, timeout_s: float) -> BaseHTTPResponse:
         """Return the answer with its head read and its body to come.
@@ -99,7 +101,11 @@
             return self.connection.getresponse()
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             self.close()
-            raise ExchangeError(True, repr(error)) from error
+            raise ExchangeError(True, repr(error), self._is_stale(error)) from error
+
+    def _is_stale(self, error: Exception) -> bool:
+        """Return whether a kept connection broke before a byte of an answer came."""
+        return self.reused and isinstance(error, (ConnectionError, ProtocolError))
 
     def read(self, timeout_s: float) -> Answer:
         """Read the whole answer.
@@ -190,11 +196,15 @@
 
     def forget(self, instances: set[str]) -> None:
         """Close the kept connections of endpoints that are gone."""
+        for gone in [one for one in list(self.idle) if one not in instances]:
+            self.forget_one(gone)
+
+    def forget_one(self, instance: str) -> None:
+        """Close the kept connections of one start of an endpoint."""
         with self.lock:
-            rows = [self.idle.pop(one) for one in list(self.idle) if one not in instances]
-        for row in rows:
-            for idle in row:
-                idle.connection.close()
+            row = self.idle.pop(instance, ())
+        for idle in row:
+            idle.connection.close()
 
     def _kept(self, endpoint: Endpoint, now: float) -> HTTPConnection | None:
         while True:
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -159,7 +159,9 @@
         """Note a stream that broke off; it may go on elsewhere."""
         if self.watch.has_left(self.request.socket):
             return self._left()
-        self.endpoint_failed(exchange.endpoint, ExchangeError(True, str(error)), ran=True)
+        if not isinstance(error, ExchangeError):
+            error = ExchangeError(True, str(error))
+        self.endpoint_failed(exchange.endpoint, error, ran=True)
         return None
 
     def _left(self) -> Outcome:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -49,12 +49,23 @@
     def execute(self) -> None:
         """Run it to its end, or put it back if the engine did not begin with it."""
         try:
-            self._execute()
+            self._execute_once_more_if_stale()
         except ExchangeError as error:
             self._finish(RunOutcome.CUT, str(error))
         except Exception as error:  # the sample would hang for ever else
             self._finish(RunOutcome.CUT, repr(error))
 
+    def _execute_once_more_if_stale(self) -> None:
+        """Run it, again at once where the engine had dropped a kept connection."""
+        try:
+            self._execute()
+        except ExchangeError as error:
+            if not error.stale:
+                raise
+            log_state("connection_stale", sample=self.run.order.sample.id, error=str(error))
+            self.engine.connections.forget(set())  # the others were dropped by then as well
+            self._execute()
+
     def _execute(self) -> None:
         endpoint = self.engine.endpoint()
         exchange = self.engine.connections.open(endpoint, self.clock.now(), CONNECT_S)
--- /dev/null
+++ b/tests/edge/test_stale_connections.py
@@ -0,0 +1,113 @@
+"""Endpoints that drop idle connections without a word: the next request on one is reset."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+import time
+from contextlib import suppress
+from random import Random
+
+import pytest
+
+from threadramp.edge.connections import Answer, Connections, Exchange, ExchangeError
+from threadramp.edge.forward import Forwarder
+from threadramp.edge.job import Ending, Job
+from threadramp.fleet.clock import Clock
+from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
+from threadramp.fleet.picture import Belief, Picture
+from threadramp.policy.endpoint_choice import EndpointChoice
+from threadramp.policy.retries import RetryBudget
+
+ANSWER = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
+RESET = struct.pack("ii", 1, 0)  # close without a word to the other side
+
+
+class Dropping:
+    """Answers the first request of each connection and resets at the second."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.requests = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def endpoint(self) -> Endpoint:
+        host, port = self.listener.getsockname()
+        return Endpoint(f"i-{port}", "p", f"{host}:{port}", "a", 6)
+
+    def _accept(self) -> None:
+        with suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.recv(65_536)
+        self.requests += 1
+        connection.sendall(ANSWER)
+        connection.recv(65_536)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        connection.close()
+
+
+@pytest.fixture
+def dropping():
+    made = [Dropping(), Dropping()]
+    yield made
+    for one in made:
+        one.listener.close()
+
+
+def carry_out(exchange: Exchange) -> Answer:
+    exchange.send("POST", "/", {"Host": "h"}, b"q")
+    return exchange.read(1.0)
+
+
+def test_a_kept_connection_that_was_dropped_is_told_from_an_endpoint_that_failed(dropping):
+    connections = Connections()
+    exchange = connections.open(dropping[0].endpoint, 0.0, 1.0)
+    connections.keep(exchange, carry_out(exchange), 0.0)
+    with pytest.raises(ExchangeError) as failure:
+        carry_out(connections.open(dropping[0].endpoint, 0.0, 1.0))
+    assert failure.value.stale
+    assert failure.value.sent
+
+
+def test_a_new_connection_that_breaks_is_not_stale(dropping):
+    exchange = Connections().open(dropping[0].endpoint, 0.0, 1.0)
+    carry_out(exchange)
+    with pytest.raises(ExchangeError) as failure:
+        carry_out(exchange)
+    assert not failure.value.stale
+
+
+def test_a_request_that_runs_once_is_not_sent_again_after_its_bytes_left(dropping):
+    picture = Picture()
+    only = dropping[0].endpoint
+    picture.belief = Belief(endpoints={only.instance: only})
+    forwarder = Forwarder(picture, Connections(), EndpointChoice(Random(1)), RetryBudget(), Clock())
+    route = Route("r", "h", "/", RouteKind.ONCE, (PoolShare("p", 1.0),), 2.0, 1.0, 3)
+    endings = []
+    for _ in range(6):
+        until = time.monotonic() + 2.0
+        job = Job("req", "POST", "/", (("Host", "h"),), b"", route, until)
+        endings.append(forwarder.run(job).ending)
+    assert set(endings) <= {Ending.ANSWERED, Ending.UNKNOWN}
+    assert dropping[0].requests == endings.count(Ending.ANSWERED)
+
+
+def test_an_endpoint_is_not_avoided_for_an_idle_connection_that_it_dropped(dropping):
+    picture = Picture()
+    endpoints = {one.endpoint.instance: one.endpoint for one in dropping}
+    picture.belief = Belief(endpoints=endpoints)
+    choice = EndpointChoice(Random(1))
+    forwarder = Forwarder(picture, Connections(), choice, RetryBudget(), Clock())
+    route = Route("r", "h", "/", RouteKind.REPEATABLE, (PoolShare("p", 1.0),), 2.0, 1.0, 3)
+    for _ in range(8):
+        until = time.monotonic() + 2.0
+        outcome = forwarder.run(Job("req", "POST", "/", (("Host", "h"),), b"q", route, until))
+        assert outcome.ending is Ending.ANSWERED
+    assert sum(one.requests for one in dropping) == 8
+    assert all(record.suspended_until == 0.0 for record in choice.records.values())
