Make fewer calls to the store: sure owners, shut ways left alone, ends told once

Cause: calls to the store are the largest price on the larger sheets. Change: an owner whose conditional write was taken within 0.8 s is sure without a look; it looks for its readers elsewhere, who believe its word that it is sure. A listing is not sent on a way that is known to be shut when no peer has one; renewals find out when it is open. The look through all heads waits 1 s after one that failed. Tests: tests/lots/test_reading.py, tests/lots/test_end_notices.py, tests/platform/test_store.py.

--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -81,10 +81,13 @@
             with self.owned.lock:
                 lot.book.append_failed()
         else:
-            self._listed(lot, grown, chunk)
+            self._listed(lot, grown, chunk, started)
 
-    def _listed(self, lot: OwnedLot, grown: KeptHead, chunk: tuple[Result, ...]) -> None:
+    def _listed(
+        self, lot: OwnedLot, grown: KeptHead, chunk: tuple[Result, ...], started: float
+    ) -> None:
         with self.owned.lock:
+            lot.sure_at = started
             lot.kept = grown
             lot.book.appended(chunk)
             self.owned.tell_listed()
--- a/src/threadramp/lots/audit.py
+++ b/src/threadramp/lots/audit.py
@@ -17,6 +17,7 @@
     from threadramp.lots.owner import LotOwner
 
 AUDIT_S = 10.0  # how often the heads in the store are looked through; each look is a priced call
+AUDIT_AGAIN_S = 1.0  # after a look that failed
 AUDIT_SOON_S = 0.2  # after the gateways changed, so that several changes are looked at together
 KEPT_MARGIN_S = 60.0  # beyond the time for which results stay readable; clocks may differ
 
@@ -54,6 +55,7 @@
                 self._audit()
             except StoreError as error:
                 log_state("audit_failed", error=str(error))
+                self.stopped.wait(AUDIT_AGAIN_S)
                 continue
             seen = gateways
             last = self.clock.now()
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -21,11 +21,14 @@
 
     :param kept: its head; replaced with each write
     :param looked: whether sidecars were asked for text that they kept of its samples
+    :param sure_at: time at which the store last took a write of ours under the head's condition, so
+        that nobody else can have owned it before
     """
 
     book: LotBook
     kept: KeptHead
     looked: bool = False
+    sure_at: float = float("-inf")
 
     @property
     def lot_id(self) -> str:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -90,7 +90,9 @@
         kept = self.journal.head(lot_id)
         if kept is None:
             return False
-        self.tell_end(self._end_kept(kept))
+        ended = self._end_kept(kept)
+        if ended.revision != kept.revision:  # else it had ended before, and that was told
+            self.tell_end(ended)
         return True
 
     def ended_elsewhere(self, kept: KeptHead) -> bool:
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.owned import Page, first_page
+from threadramp.platform.store_model import StoreError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import EndLot, LotEnded, LotPage, ReadBody, ReadLot, SampleBody
 
@@ -104,11 +105,14 @@
 
     def page_for_peer(self, ask: ReadLot) -> LotPage:
         """Answer another gateway that reads a lot of ours."""
-        until = self.clock.now() + ask.wait_s
-        page = self.owned.page(ask.lot, ask.after, lambda: until - self.clock.now())
+        try:
+            page = self._own_page(ask.lot, ask.after, ask.wait_s)
+        except (LotUnknownError, StoreError) as error:
+            log_state("not_sure_of_lot", lot=ask.lot, asker=ask.sender, error=str(error))
+            page = None
         if page is None:
             return LotPage(0, False, ())
-        return LotPage(page.total, page.ended, page.results)
+        return LotPage(page.total, page.ended, page.results, True)
 
     def body_for_peer(self, ask: ReadBody) -> SampleBody:
         """Answer another gateway that wants a body of a lot of ours."""
@@ -122,7 +126,7 @@
         """Return results of a lot of ours, none if it is not ours, or not any more."""
         until = self.clock.now() + wait_s
         page = self.owned.page(lot_id, after, lambda: until - self.clock.now())
-        if page is None or page.results or after >= page.total:
+        if page is None or page.results or after >= page.total or self._is_sure(lot_id):
             return page
         kept = self._head_if_listed(lot_id, after)
         if kept is None:
@@ -138,12 +142,12 @@
         if after < len(cached.results):
             return Page(cached.kept.head.total, False, first_page(cached.results[after:]))
         page = self._from_owner(cached, after, wait_s)
-        if page is None:
-            return self._from_store(cached, after)
-        if page.results or after >= page.total:
-            return page
-        known = self._head_if_listed(lot_id, after)  # it may not own the lot any more
-        return page if known is None else self._from_store(cached, after)
+        return page if page is not None else self._from_store(cached, after)
+
+    def _is_sure(self, lot_id: str) -> bool:
+        """Return whether a write of ours lately showed that a lot is ours."""
+        owned = self.owned.get(lot_id)
+        return owned is not None and self.clock.now() - owned.sure_at < LOOK_S
 
     def _head_if_listed(self, lot_id: str, after: int) -> KeptHead | None:
         """Return a lot's head if the store has a result at a position, looked up now and then.
@@ -206,6 +210,8 @@
         reply = self.peers.ask(member.address, ask, wait_s + OWNER_TIMEOUT_S)
         if not isinstance(reply, LotPage) or not reply.total:
             return None
+        if not reply.sure and not reply.results and after < reply.total:
+            return None
         with self.lock:
             if len(cached.results) == after:
                 cached.results.extend(reply.results)
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -103,7 +103,9 @@
             query = {"pathPrefix": prefix}
             if after:
                 query["after"] = after
-            answer = self._ask("GET", f"{KEY_ROOT}/kv-range?{urlencode(query)}")
+            answer = self._ask(
+                "GET", f"{KEY_ROOT}/kv-range?{urlencode(query)}", direct_when_shut=False
+            )
             page = read_page(answer)
             items.extend(page.items)
             # Changes between two pages are seen again by a watch from the first page's revision.
@@ -203,12 +205,16 @@
         body: bytes = b"",
         repeatable: bool | None = None,
         probes: bool = False,
+        direct_when_shut: bool = True,
     ) -> RawAnswer:
         """Send a call directly, then through a peer where that is safe.
 
         While the direct way is known to be shut the peer comes first.
 
         :param probes: whether this call finds out if the direct way is open again
+        :param direct_when_shut: whether the direct way is tried though it is known to be shut and
+            no peer has one; all processes list again and again, and refused calls are priced
+        :raises StoreError: if no answer came
         """
         again = method == "GET" if repeatable is None else repeatable
         call = Call(method, path, body, self.timeout_s, again)
@@ -216,6 +222,8 @@
         relayed = self._relayed(call) if peer_first else None
         if relayed is not None:
             return _checked(relayed)
+        if peer_first and self.relay is not None and not direct_when_shut:
+            raise StoreRefusedError("not sent: the way is shut, and no peer has one")
         try:
             return self._observed(call)
         except StoreError as error:
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -179,11 +179,15 @@
 
 
 class LotPage(Message, frozen=True):
-    """Results of a lot; ``total`` is 0 if the answering gateway does not own it."""
+    """Results of a lot; ``total`` is 0 if the answering gateway does not own it.
+
+    :param sure: whether the store lately showed that it does, so that no further result stands
+    """
 
     total: int
     ended: bool
     results: tuple[Result, ...]
+    sure: bool = False
 
 
 class SampleBody(Message, frozen=True):
--- a/tests/lots/test_end_notices.py
+++ b/tests/lots/test_end_notices.py
@@ -167,3 +167,13 @@
     LotAudit(running.owner, status_s=120.0)._audit()
     assert owned.book.ended
     assert running.dropped == ["lot"]
+
+
+def test_an_end_that_comes_again_long_after_is_not_told_again(running, other, clock):
+    running.journal.create(make_book(make_sample("a", "g")).lot, HEAD)
+    other.know("g0", "g1")
+    other.reader.end("lot")
+    clock.at += TOLD_FOR_S + 0.1
+    assert not other.notices.one_turn()
+    other.reader.end("lot")
+    assert not other.notices.one_turn()
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -12,10 +12,10 @@
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.model import LotHead, Result, ResultState
 from threadramp.lots.owned import OwnedLot, OwnedLots
-from threadramp.lots.reading import LotReader, LotUnknownError
+from threadramp.lots.reading import LOOK_S, LotReader, LotUnknownError
 from threadramp.platform.store import StoreClient
 from threadramp.platform.store_model import Item, Listing, StoreError
-from threadramp.wire.fleet import LotPage
+from threadramp.wire.fleet import LotPage, ReadLot
 
 HEAD = LotHead("g1", "1", 0.0, 7.5, 40.0, 3, False, 3, 0, 0, 0, False, "")
 MEMBERS = [Member(f"g{n}", "gateway", "1", f"g{n}:1", "a", "") for n in range(3)]
@@ -143,3 +143,48 @@
     platform_store.faults["calls_per_s"] = 0.001
     platform_store.faults_changed()
     assert world.names() == ["a"]
+
+
+def test_an_owner_whose_write_was_just_taken_needs_no_look(world, platform_store):
+    world.append("a")
+    world.own()
+    world.owned.get("lot").sure_at = world.clock.now()
+    before = platform_store.counts["reads"]
+    assert world.names(1) == []
+    assert platform_store.counts["reads"] == before
+    world.clock.at += LOOK_S + 0.1
+    assert world.names(1) == []
+    assert platform_store.counts["reads"] == before + 1
+
+
+def test_a_reader_elsewhere_believes_an_owner_that_is_sure(world, platform_store):
+    world.append("a")
+    world.client.replies["g1:1"] = LotPage(3, False, (result("a"),), True)
+    assert world.names() == ["a"]
+    world.client.replies["g1:1"] = LotPage(3, False, (), True)
+    before = platform_store.counts["reads"]
+    for _ in range(4):
+        world.clock.at += 0.5
+        assert world.names(1) == []
+    assert platform_store.counts["reads"] == before
+
+
+def test_an_owner_answers_a_peer_only_when_it_is_sure(world, platform_store):
+    world.append("a")
+    world.own()
+    ask = ReadLot("g2", "g2:1", "lot", 1, 0.0)
+    assert world.reader.page_for_peer(ask) == LotPage(3, False, (), True)
+    world.kept = world.journal.change(world.kept, owner="g2")
+    world.append("b")
+    world.clock.at += LOOK_S + 0.1
+    assert world.reader.page_for_peer(ask).total == 0
+    assert world.owned.get("lot") is None
+
+
+def test_an_owner_without_a_way_is_not_sure_for_a_peer(world, platform_store):
+    world.append("a")
+    world.own()
+    platform_store.faults["calls_per_s"] = 0.001
+    platform_store.faults_changed()
+    page = world.reader.page_for_peer(ReadLot("g2", "g2:1", "lot", 1, 0.0))
+    assert (page.total, page.sure) == (0, False)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -204,3 +204,27 @@
     """No connection, no call: a hand-in may be told that it will not run, and when to come back."""
     with pytest.raises(StoreRefusedError):
         StoreClient(free_address, timeout_s=0.3).transact(Transaction(puts=(Put("a", b"1"),)))
+
+
+def test_lists_leave_a_shut_way_alone_until_a_call_that_probes_finds_it_open(store_address):
+    """All processes of a fleet list again and again in an outage; refused calls are priced."""
+    cut_off = StoreClient("127.0.0.1:1", lambda call: None, timeout_s=0.3)
+    for _ in range(4):
+        with pytest.raises(StoreRefusedError):
+            cut_off.list("a")
+    assert cut_off.calls == 1
+    with pytest.raises(StoreRefusedError):
+        cut_off.renew_lease(1)
+    assert cut_off.calls == 2
+    host, _, port = store_address.partition(":")
+    cut_off.pool = type(cut_off.pool)(host, int(port), retries=False)
+    assert cut_off.renew_lease(1) is False
+    assert cut_off.list("a").items == ()
+
+
+def test_lists_of_a_process_without_peers_go_on_trying():
+    alone = StoreClient("127.0.0.1:1", None, timeout_s=0.3)
+    for _ in range(3):
+        with pytest.raises(StoreRefusedError):
+            alone.list("a")
+    assert alone.calls == 3
