--- a/src/threadramp/cli/report.py
+++ b/src/threadramp/cli/report.py
@@ -1,14 +1,20 @@
-"""``threadramp report burn``."""
+"""``threadramp report burn`` and ``threadramp report day``."""
 
 from __future__ import annotations
 
 from pathlib import Path
 
 import msgspec
-from cleo.helpers import option
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
 
-from threadramp.cli.api import CLIENT_OPTIONS, ClientCommand, ExitCode, command
+from threadramp.cli.api import CLIENT_OPTIONS, ClientCommand, ExitCode, command, fail
 from threadramp.report.burn import burn_html, burn_report, burn_text
+from threadramp.report.day import DayLog
+
+DEFAULT_TARGET = "0.95"  # share of good events; the users name none
+WINDOW_SHARES = (0.1, 0.3, 1.0)  # of the day
+LEAST_SPAN_S = 1.0  # of a plot
 
 
 @command
@@ -34,4 +40,73 @@
         return ExitCode.OK
 
 
-__all__ = ["ReportBurnCommand"]
+@command
+class ReportDayCommand(Command):
+    """Report on the logs of the platform's processes."""
+
+    name = "report day"
+    description = "Report from logs how fast the error budgets of routes and lots were spent."
+    arguments = [argument("logs", "Files with the processes' lines.", multiple=True)]
+    options = [
+        option(
+            "target", None, "Share of events that should be good.", False, default=DEFAULT_TARGET
+        ),
+        option("json", None, "Print JSON."),
+        option("html", None, "Write an HTML page with a plot to this file.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Print the report, and write the page if one is asked for."""
+        try:
+            target = _share(self.option("target"))
+            log = _read_logs(self.argument("logs"))
+        except (OSError, ValueError) as error:
+            return fail(self, str(error), "nothing was reported", ExitCode.USAGE)
+        records = log.records(target)
+        windows_s = [log.span_s * share for share in WINDOW_SHARES]
+        report = burn_report(records, windows_s)
+        if self.option("html"):
+            page = burn_html(records, windows_s, max(LEAST_SPAN_S, log.span_s))
+            Path(self.option("html")).write_text(page, encoding="utf-8")
+        shown = msgspec.json.encode(report).decode() if self.option("json") else burn_text(report)
+        self.line(shown)
+        for line in _notes(log):
+            self.line_error(line)
+        return ExitCode.OK
+
+
+def _share(text: str) -> float:
+    """Return a share between 0 and 1.
+
+    :raises ValueError: if the text is none
+    """
+    share = float(text)
+    if not 0.0 < share < 1.0:
+        raise ValueError(f"target {text}: expected a share between 0 and 1")
+    return share
+
+
+def _read_logs(paths: list[str]) -> DayLog:
+    """Read files of log lines.
+
+    :raises OSError: if one can not be read
+    """
+    log = DayLog()
+    for path in paths:
+        with Path(path).open(encoding="utf-8", errors="replace") as lines:
+            log.read(lines)
+    return log
+
+
+def _notes(log: DayLog) -> list[str]:
+    """Return what stands beside the table."""
+    notes = []
+    if log.store_away:
+        longest = max(away.seconds for away in log.store_away)
+        notes.append(f"the store was away {len(log.store_away)} times, {longest:.1f} s at the most")
+    if log.unreadable:
+        notes.append(f"{log.unreadable} lines could not be read")
+    return notes
+
+
+__all__ = ["ReportBurnCommand", "ReportDayCommand"]
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -168,6 +168,7 @@
             status=status,
             ending=outcome.ending.value,
             ms=round(took * 1000, 1),
+            target_ms=round(route.target_s * 1000),
         )
 
     def _hand_in(self, request: CallerRequest, route: Route, body: bytes) -> None:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -188,6 +188,7 @@
             samples=len(lot.samples),
             min_version=lot.min_version,
             revision=kept.revision,
+            due_s=kept.head.result_target_s,
             reused=reused,
         )
 
--- a/src/threadramp/report/burn.py
+++ b/src/threadramp/report/burn.py
@@ -10,13 +10,14 @@
 from threadramp.core.burn import WINDOWS_S
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from threadramp.core.burn import BurnPoint, ObjectiveRecord
 
 PLOT_POINTS = 60
 PLOT_SPAN_S = 3600.0
 MINUTE_S = 60
+SHORT_SPAN_S = 300.0  # shorter ones are told in seconds
 
 
 class WindowBurn(msgspec.Struct, frozen=True):
@@ -41,14 +42,19 @@
     windows: tuple[WindowBurn, ...]
 
 
-def burn_report(records: Iterable[ObjectiveRecord]) -> list[ObjectiveBurn]:
-    """Return the burn of each objective, all gateways' events together."""
+def burn_report(
+    records: Iterable[ObjectiveRecord], windows_s: Sequence[float] = WINDOWS_S
+) -> list[ObjectiveBurn]:
+    """Return the burn of each objective, all gateways' events together.
+
+    :param windows_s: lengths of the windows, each of which ends now
+    """
     merged = _merge(records)
     return [
         ObjectiveBurn(
             name,
             target,
-            tuple(_window(points, target, span_s, 0.0) for span_s in WINDOWS_S),
+            tuple(_window(points, target, span_s, 0.0) for span_s in windows_s),
         )
         for name, (target, points) in merged.items()
     ]
@@ -59,39 +65,51 @@
     lines = [f"{'objective':18} {'target':>7} {'window':>8} {'events':>10} {'good':>8} {'burn':>7}"]
     for objective in report:
         for window in objective.windows:
-            minutes = f"{window.window_s / MINUTE_S:.0f} min"
             lines.append(
-                f"{objective.name:18} {objective.target:7.3f} {minutes:>8} "
+                f"{objective.name:18} {objective.target:7.3f} {_length(window.window_s):>8} "
                 f"{window.events:10.0f} {window.good_share:8.4f} {window.burn:7.2f}"
             )
     return "\n".join(lines)
 
 
-def burn_html(records: Iterable[ObjectiveRecord]) -> str:
-    """Return a page with the table and a plot of the last hour, which needs nothing else."""
+def burn_html(
+    records: Iterable[ObjectiveRecord],
+    windows_s: Sequence[float] = WINDOWS_S,
+    span_s: float = PLOT_SPAN_S,
+) -> str:
+    """Return a page with the table and a plot, which needs nothing else.
+
+    :param span_s: seconds before now that the plot shows
+    """
     records = list(records)
+    in_seconds = span_s < SHORT_SPAN_S
     chart = pygal.Line(
         js=(),
         show_dots=False,
-        x_title="minutes ago",
+        x_title="seconds ago" if in_seconds else "minutes ago",
         y_title="burn",
         height=360,
         disable_xml_declaration=True,
     )
-    step_s = PLOT_SPAN_S / PLOT_POINTS
-    ages = [PLOT_SPAN_S - index * step_s for index in range(PLOT_POINTS)]
-    chart.x_labels = [f"{age / MINUTE_S:.0f}" for age in ages]
+    step_s = span_s / PLOT_POINTS
+    ages = [span_s - index * step_s for index in range(PLOT_POINTS)]
+    chart.x_labels = [f"{age if in_seconds else age / MINUTE_S:.0f}" for age in ages]
     chart.x_labels_major_count = 7
     chart.show_minor_x_labels = False
     for name, (target, points) in _merge(records).items():
         chart.add(name, [_window(points, target, step_s, age - step_s).burn for age in ages])
-    table = burn_text(burn_report(records))
+    table = burn_text(burn_report(records, windows_s))
     return (
         "<!doctype html><meta charset='utf-8'><title>threadramp: service-level burn</title>"
         f"<h1>Service-level burn</h1><pre>{table}</pre>{chart.render(is_unicode=True)}"
     )
 
 
+def _length(span_s: float) -> str:
+    """Return the length of a window for people."""
+    return f"{span_s:.0f} s" if span_s < SHORT_SPAN_S else f"{span_s / MINUTE_S:.0f} min"
+
+
 def _merge(
     records: Iterable[ObjectiveRecord],
 ) -> dict[str, tuple[float, list[BurnPoint]]]:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -73,3 +73,24 @@
     code, _, errors = run("standin nothing 127.0.0.1:1")
     assert code == ExitCode.USAGE
     assert "boxes, engine, kv, platform_engine, service, weights" in errors
+
+
+def test_a_days_logs_are_reported(run, tmp_path: Path) -> None:
+    path = tmp_path / "front.log"
+    row = '{"message_type":"threadramp:answered","timestamp":1.0,"route":"r","status":200,'
+    path.write_text(row + '"ms":5.0,"target_ms":200}\n{"odd\n')
+    page = tmp_path / "day.html"
+    code, output, errors = run(f"report day {path} --html {page}")
+    assert code == ExitCode.OK
+    assert "route r" in output
+    assert "1 lines could not be read" in errors
+    assert "<svg" in page.read_text()
+
+
+def test_a_log_that_is_not_there_or_a_bad_share_is_refused(run, tmp_path: Path) -> None:
+    code, _, errors = run(f"report day {tmp_path / 'missing.log'}")
+    assert code == ExitCode.USAGE
+    assert "missing.log" in errors
+    code, _, errors = run(f"report day {tmp_path / 'missing.log'} --target 2")
+    assert code == ExitCode.USAGE
+    assert "expected a share between 0 and 1" in errors
