Count a request's time from when it was there; send nothing for callers that left meanwhile

Ruled out: more threads (the queue only moves). Change: a request's time runs from when its connection became readable; before the first send it is looked at whether the caller is still there. Tests, which failed first: tests/edge/test_server.py (a thread that is busy), tests/edge/test_forward.py.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -86,6 +86,10 @@
         self.tries = Tries()
         self.pool = parts.choice.pool_for(job.route)
 
+    def caller_has_left(self) -> bool:
+        """Return whether the caller left while its request waited to be read."""
+        return self.job.caller is not None and has_ended(self.job.caller)
+
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
         """Return the headers with which the job goes to an endpoint."""
         return to_endpoint(self.job.headers, time_left, instance)
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -37,6 +37,8 @@
 
     def run(self) -> Outcome:
         """Try endpoints until it ends."""
+        if self.caller_has_left():
+            return Outcome(Ending.CALLER_GONE)
         self.parts.budget.first_attempt()
         try:
             while True:
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -86,7 +86,7 @@
         request.answer(200 if ready else 503)
 
     def _serve(self, request: CallerRequest) -> None:
-        started = self.clock.now()
+        started = request.arrived
         configuration = self.picture.belief.configuration
         if configuration is None:
             self._refuse(request, 503, START_RETRY_S, "no configuration yet")
--- a/src/threadramp/edge/heads.py
+++ b/src/threadramp/edge/heads.py
@@ -103,6 +103,7 @@
     def __init__(self, server: CallerServer, sock: socket.socket, makefile: object = None) -> None:
         super().__init__(server, sock, _make_file)
         self.has_sent = False
+        self.arrived = 0.0
 
     def communicate(self) -> bool:
         """Serve one request; true if the connection is kept."""
@@ -136,6 +137,7 @@
             self.put_conn(conn)
             return
         conn.has_sent = True
+        conn.arrived = time.monotonic()  # it may wait for a thread from here on
         with self.lock:
             takes = not self.is_closing
             self.taken += takes
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -63,6 +63,11 @@
         """Return the caller's socket."""
         return self.raw.conn.socket
 
+    @property
+    def arrived(self) -> float:
+        """Return the monotonic time at which its first bytes were there."""
+        return self.raw.conn.arrived
+
     def body(self, limit: int) -> bytes:
         """Read the whole body.
 
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -90,6 +90,8 @@
 
     def run(self) -> Outcome:
         """Try endpoints until the stream is whole or can not go on."""
+        if self.caller_has_left():
+            return Outcome(Ending.CALLER_GONE)
         self.parts.budget.first_attempt()
         try:
             while True:
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -189,3 +189,11 @@
     fleet.forwarder.forget_gone()
     assert not fleet.connections.idle
     assert not fleet.choice.records
+
+
+def test_a_request_of_a_caller_that_left_before_is_not_sent(fleet):
+    fleet.add()
+    ours, theirs = socket.socketpair()
+    theirs.close()
+    assert fleet.run(caller=ours).ending is Ending.CALLER_GONE
+    assert fleet.runs == 0
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -207,3 +207,25 @@
         wait_until(lambda: server.edge.is_busy)
         caller.sendall(REQUEST[9:])
         wait_until(lambda: not server.edge.is_busy)
+
+
+def test_a_request_that_waits_for_a_thread_counts_from_when_it_was_there():
+    """The time that a caller gives runs on while all threads are busy."""
+    waited: list[float] = []
+
+    def answer_slowly(request: CallerRequest) -> None:
+        waited.append(time.monotonic() - request.arrived)
+        time.sleep(0.4)
+        answer_ok(request)
+
+    edge = EdgeServer("127.0.0.1:0", answer_slowly, 1, LIMITS)
+    try:
+        callers = [socket.create_connection(edge.server.bind_addr, timeout=5.0) for _ in range(3)]
+        for caller in callers:
+            caller.sendall(REQUEST)
+        for caller in callers:
+            assert caller.recv(4096)
+            caller.close()
+    finally:
+        edge.server.stop()
+    assert [round(one / 0.4) for one in waited] == [0, 1, 2]
