Let a lot's gateway ask the engines of its model only, in large pools

Cause: a lot's gateway kept a long question open at every sidecar of the fleet: 2,700 threads at the target (docs/CAPACITY.md said so), and worked out each sidecar's facts from all endpoints and members. Ruled out: the shard of the own interface (rendezvous over all engines): engines are dealt out to models in blocks, so only a ninth of such a shard would hold the lot's model. Change: in pools of more than 32 engines those are asked that keep a model of an open lot up to date, besides those that have its samples; a view works out once where each endpoint stands.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,6 +21,9 @@
 from threadramp.core.progress import SampleProgress
 from threadramp.core.sidecar import SidecarCore
 from threadramp.core.step import StepAssembly
+from threadramp.fleet.facts import facts_for, serves_any
+from threadramp.fleet.model import Configuration, Endpoint, Pool, WeightTarget
+from threadramp.fleet.picture import Belief, Member
 from threadramp.policy.placement import LeastLoaded
 from threadramp.policy.subset import gateway_subset
 from threadramp.policy.tail import TAILS
@@ -45,6 +48,7 @@
 TARGET_GATEWAYS = 350
 COVERAGE = 3
 MODELS = ("a", "b", "c")
+TRAINERS = 9
 BEATS = 20
 MS = 1000
 KB = 1024
@@ -239,6 +243,32 @@
         report("used key: memory", keys, allocated_kb(fill) / keys, "KB")
 
 
+def platform_belief(engines: int) -> Belief:
+    """Return what a gateway believes of a pool of engines with a sidecar each."""
+    addresses = [f"10.0.{n // 250}.{n % 250}:80" for n in range(engines)]
+    endpoints = {f"i-{n}": Endpoint(f"i-{n}", "p", one, "a", 8) for n, one in enumerate(addresses)}
+    members = {
+        f"s{n}": Member(f"s{n}", "sidecar", "1", f"s{n}:1", "a", one)
+        for n, one in enumerate(addresses)
+    }
+    models = tuple(f"m{n}" for n in range(TRAINERS))
+    configuration = Configuration(pools={"p": Pool("p", models=models)})
+    targets = tuple(WeightTarget(model, 2, 5) for model in models)
+    return Belief(configuration, endpoints, members, targets)
+
+
+def measure_facts() -> None:
+    """Measure what a gateway on the platform works out for each question to a sidecar."""
+    for engines in (300, 900, TARGET_ENDPOINTS):
+        belief = platform_belief(engines)
+        sidecars = belief.sidecars()
+        facts_for(sidecars[0], belief)
+        cost = processor_ms(lambda: [facts_for(one, belief) for one in sidecars], 1)  # noqa: B023
+        report("facts for one sidecar, processor", engines, cost / engines, "ms")
+        asked = sum(serves_any(one, {"m0"}, belief) for one in sidecars)
+        report("engines asked for one lot", engines, asked, "")
+
+
 def main() -> None:
     """Measure all slopes."""
     print(f"{'slope':46} {'size':>7} {'figure':>12}")
@@ -246,6 +276,7 @@
     measure_changes()
     measure_steps()
     measure_held()
+    measure_facts()
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB
     report("peak memory of this program", 1, peak, "MB")
 
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -7,9 +7,12 @@
 import msgspec
 
 from threadramp.policy.model_share import load_turn, models_for
+from threadramp.policy.subset import SMALL_POOL
 from threadramp.wire.runner import Facts
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from threadramp.fleet.model import Endpoint
     from threadramp.fleet.picture import Belief, Member
 
@@ -20,7 +23,7 @@
         endpoints_revision=belief.endpoints_revision,
         targets_revision=belief.targets_revision,
         listed=sidecar.name in belief.members,
-        sidecars=len(belief.sidecars()),
+        sidecars=len(belief.by_role.get("sidecar", ())),
     )
     endpoint = belief.at_address(sidecar.endpoint)
     if endpoint is None or belief.configuration is None:
@@ -28,21 +31,36 @@
     return _with_endpoint(facts, endpoint, belief)
 
 
+def serves_any(sidecar: Member, models: Set[str], belief: Belief) -> bool:
+    """Return whether a sidecar's engine is one that a gateway asks for samples of these models.
+
+    In a small pool every engine is asked, in a large one those that keep such a model up to date,
+    so that a lot's gateway need not know all engines.
+    """
+    endpoint = belief.at_address(sidecar.endpoint)
+    if endpoint is None:
+        return True  # it may be listed in a moment; until then it takes nothing
+    place = belief.places[endpoint.address]
+    if place.engines <= SMALL_POOL:
+        return True
+    kept = models_for(place.rank, place.engines, belief.pool(endpoint.pool).models)
+    return not models.isdisjoint(kept)
+
+
 def _with_endpoint(facts: Facts, endpoint: Endpoint, belief: Belief) -> Facts:
     """Add what is known of the sidecar's endpoint and its place in its pool."""
     pool = belief.pool(endpoint.pool)
-    addresses = sorted(one.address for one in belief.in_pool(endpoint.pool))
-    rank = addresses.index(endpoint.address)
-    models = models_for(rank, len(addresses), pool.models)
+    place = belief.places[endpoint.address]
+    models = models_for(place.rank, place.engines, pool.models)
     return msgspec.structs.replace(
         facts,
         instance=endpoint.instance,
         leaving=endpoint.leaving,
-        load_turn=load_turn(rank, len(addresses)),
+        load_turn=load_turn(place.rank, place.engines),
         slots=endpoint.slots or pool.slots,
         memory_tokens=pool.memory_tokens,
         targets=tuple(one for one in belief.targets if one.model in models),
     )
 
 
-__all__ = ["facts_for"]
+__all__ = ["facts_for", "serves_any"]
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -5,7 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.fleet.facts import facts_for
+from threadramp.fleet.facts import facts_for, serves_any
 from threadramp.fleet.following import Following
 from threadramp.fleet.picture import Member
 from threadramp.fleet.relaying import in_turn, relay_through
@@ -16,7 +16,7 @@
 from threadramp.wire.fleet import Beat, CallStore, MirrorBeat, MirrorChanges, MirrorCopy
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
 
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.picture import Picture
@@ -120,6 +120,11 @@
                 del self.remembered[name]
         return [self.remembered[name] for name in sorted(self.remembered)]
 
+    def sidecars_for(self, models: Set[str]) -> list[Member]:
+        """Return the sidecars whose engines are asked for samples of these models."""
+        belief = self.picture.belief
+        return [one for one in self.sidecars() if serves_any(one, models, belief)]
+
     def relist_members(self) -> None:
         """Read the list of members from the store itself.
 
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -4,6 +4,7 @@
 
 import threading
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -58,6 +59,18 @@
 decode_member = msgspec.msgpack.Decoder(Member).decode
 
 
+@dataclass(frozen=True)
+class Place:
+    """Where an endpoint stands in its pool, in the order of addresses.
+
+    :param rank: from 0
+    :param engines: endpoints of the pool
+    """
+
+    rank: int
+    engines: int
+
+
 @dataclass(frozen=True)
 class Belief:
     """One consistent view; replaced as a whole."""
@@ -81,15 +94,40 @@
 
     def at_address(self, address: str) -> Endpoint | None:
         """Return the endpoint at an address, none if no entry names it."""
-        return next((one for one in self.endpoints.values() if one.address == address), None)
+        return self.by_address.get(address)
+
+    @cached_property
+    def by_address(self) -> dict[str, Endpoint]:
+        """Return the endpoints by address; worked out once for each view."""
+        return {one.address: one for one in self.endpoints.values()}
+
+    @cached_property
+    def places(self) -> dict[str, Place]:
+        """Return where each endpoint stands in its pool, by address; worked out once."""
+        pools: dict[str, list[str]] = {}
+        for address in sorted(self.by_address):
+            pools.setdefault(self.by_address[address].pool, []).append(address)
+        return {
+            address: Place(rank, len(row))
+            for row in pools.values()
+            for rank, address in enumerate(row)
+        }
 
     def sidecars(self) -> list[Member]:
         """Return the sidecars, in the order of their names."""
-        return [one for _, one in sorted(self.members.items()) if one.role == "sidecar"]
+        return list(self.by_role.get("sidecar", ()))
 
     def gateways(self) -> list[Member]:
         """Return the gateways, in the order of their names."""
-        return [one for _, one in sorted(self.members.items()) if one.role == "gateway"]
+        return list(self.by_role.get("gateway", ()))
+
+    @cached_property
+    def by_role(self) -> dict[str, tuple[Member, ...]]:
+        """Return the members by role, in the order of their names; worked out once."""
+        rows: dict[str, list[Member]] = {}
+        for _, one in sorted(self.members.items()):
+            rows.setdefault(one.role, []).append(one)
+        return {role: tuple(row) for role, row in rows.items()}
 
 
 class Picture:
@@ -220,4 +258,4 @@
             log_state("version_named", model=target.model, version=target.version)
 
 
-__all__ = ["MEMBER_PREFIX", "Belief", "Member", "Picture", "decode_member"]
+__all__ = ["MEMBER_PREFIX", "Belief", "Member", "Picture", "Place", "decode_member"]
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -65,6 +65,7 @@
         self.news = RunnerNews(owned, clock, on_scoring)
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
+        self.asked: frozenset[str] = frozenset()
         self.lock = threading.Lock()
         self.stopped = threading.Event()
 
@@ -92,9 +93,11 @@
             self._send()
 
     def _refresh(self) -> None:
-        """Keep one view and one collector for each sidecar in the list."""
-        members = {one.name: one for one in self.peers.sidecars()}
+        """Keep one view and one collector for each sidecar that may run samples of our lots."""
+        models = {lot.book.lot.model for lot in self.owned.open()}
+        members = {one.name: one for one in self.peers.sidecars_for(models)}
         with self.lock:
+            self.asked = frozenset(members)
             for name in self.views.keys() - members.keys() - self.collectors:
                 del self.views[name]
             for name, member in members.items():
@@ -115,7 +118,7 @@
         ).start()
 
     def _collect_from(self, name: str) -> None:
-        """Collect from one sidecar for as long as it is listed or has samples of ours."""
+        """Collect from one sidecar for as long as it is asked for samples or has some of ours."""
         while not self.stopped.is_set():
             view = self.views[name]
             try:
@@ -135,7 +138,7 @@
             return False
         with self.owned.lock:
             have = {key: n for lot in lots for key, n in lot.book.at_runner(name).items()}
-        if not have and name not in self.peers.remembered:
+        if not have and name not in self.asked:
             return False
         ask = Collect(*self.peers.myself, self.peers.facts_for(view.member), have, COLLECT_WAIT_S)
         reply = self.peers.ask(view.member.address, ask, COLLECT_WAIT_S + ANSWER_MARGIN_S)
