Let operators choose between each and every second version; count versions behind

Change: deploy/threadramp.toml, our own settings on the platform, checked at the start with the place of each finding; weights.versions_apart 1 (as before, the usual value) or 2: half of a pool loads the even, half the odd versions, and an engine that has fallen behind the newest whatever its number. The `listed` line and a counter say how many versions each listed text is behind the newest named.

--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -56,6 +56,7 @@
         facts,
         instance=endpoint.instance,
         leaving=endpoint.leaving,
+        rank=place.rank,
         load_turn=load_turn(place.rank, place.engines),
         slots=endpoint.slots or pool.slots,
         memory_tokens=pool.memory_tokens,
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -83,6 +83,10 @@
     empty_requests: tuple[EmptyRequest, ...] = ()
     endpoints_revision: int = 0
 
+    def newest_version(self, model: str) -> int:
+        """Return the newest version that is named of a model, 0 if none is."""
+        return max((one.version for one in self.targets if one.model == model), default=0)
+
     def in_pool(self, pool: str) -> list[Endpoint]:
         """Return the endpoints of a pool."""
         return [endpoint for endpoint in self.endpoints.values() if endpoint.pool == pool]
--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -29,6 +29,7 @@
     """Writes the results of all owned lots, one write at a time for each.
 
     :param on_other_owner: called when a lot has changed hands
+    :param newest: returns the newest version that is named of a model, 0 if none is
     """
 
     def __init__(
@@ -38,12 +39,14 @@
         clock: Clock,
         on_other_owner: Callable[[OwnedLot], None],
         metrics: Metrics,
+        newest: Callable[[str], int],
     ) -> None:
         self.owned = owned
         self.journal = journal
         self.clock = clock
         self.on_other_owner = on_other_owner
         self.metrics = metrics
+        self.newest = newest
         self.pool = ThreadPoolExecutor(THREADS, thread_name_prefix="append")
         self.stopped = threading.Event()
 
@@ -93,13 +96,23 @@
             self.owned.tell_listed()
         for result in chunk:
             self.metrics.count("listed", result.state.value)
+        behind = self._versions_behind(lot, chunk)
         log_state(
             "listed",
             lot=lot.lot_id,
             samples=[result.sample for result in chunk],
+            behind=behind,
             positions=grown.head.listed,
             revision=grown.revision,
         )
 
+    def _versions_behind(self, lot: OwnedLot, chunk: tuple[Result, ...]) -> list[int]:
+        """Count how far the oldest version in each text is behind the newest that is named."""
+        newest = self.newest(lot.book.lot.model)
+        behind = [max(0, newest - min(result.versions)) for result in chunk if result.versions]
+        for versions in behind:
+            self.metrics.count("versions_behind", str(versions))
+        return behind
+
 
 __all__ = ["Appending"]
--- a/src/threadramp/lots/end_notices.py
+++ b/src/threadramp/lots/end_notices.py
@@ -19,7 +19,7 @@
     from threadramp.lots.model import KeptHead
 
 TOLD_FOR_S = 8.0  # a gateway that was not listed, frozen or cut off is in touch again by then
-TURN_S = 0.3  # doubles; samples may begin for 3 s after an end on the users' sheets
+TURN_S = 0.3  # samples may begin for 3 s after an end on the users' sheets
 ANSWER_S = 0.4
 
 
@@ -61,12 +61,8 @@
         while not self.stopped.is_set():
             self.any_open.wait()
             self.any_open.clear()
-            pause = TURN_S
-            while self.one_turn() and not self.stopped.wait(pause):
-                pause *= 2
-                if self.any_open.is_set():  # another notice came: it is as urgent as the first was
-                    self.any_open.clear()
-                    pause = TURN_S
+            while self.one_turn() and not self.stopped.wait(TURN_S):
+                pass
 
     def _runner_of(self, kept: KeptHead) -> str:
         """Tell all gateways; returns the one that ran the lot, empty if none said so."""
--- a/src/threadramp/policy/model_share.py
+++ b/src/threadramp/policy/model_share.py
@@ -43,4 +43,16 @@
     return rank // at_once
 
 
-__all__ = ["load_turn", "models_for"]
+def takes_version(rank: int, version: int, held: int, apart: int) -> bool:
+    """Return whether an engine loads a version that is newer than the one that it holds.
+
+    Lots allow the version before the newest, so an engine that loads every second one serves every
+    lot; one that has fallen further behind loads the newest whatever its number.
+
+    :param rank: place of the engine among the engines of its pool, from 0
+    :param apart: 1 if each engine loads each version, 2 if half of them the even ones
+    """
+    return (version + rank) % apart == 0 or held < version - 1
+
+
+__all__ = ["load_turn", "models_for", "takes_version"]
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -44,6 +44,7 @@
 
     instance: str = ""
     leaving: bool = False
+    rank: int = 0
     load_turn: int = 0
     slots: int = 0
     endpoints_revision: int = -1
@@ -109,6 +110,7 @@
                     held,
                     instance=facts.instance,
                     leaving=facts.leaving,
+                    rank=facts.rank,
                     load_turn=facts.load_turn,
                     slots=facts.slots or held.slots,
                     endpoints_revision=facts.endpoints_revision,
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.platform.engine import OrderOutcome
+from threadramp.policy.model_share import takes_version
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -22,9 +23,13 @@
 
 
 class Weights:
-    """Decides when the engine is ordered to load what."""
+    """Decides when the engine is ordered to load what.
 
-    def __init__(self, engine: Engine, clock: Clock) -> None:
+    :param versions_apart: 1 if the engine loads each version, 2 if every second one
+    """
+
+    def __init__(self, engine: Engine, clock: Clock, versions_apart: int = 1) -> None:
+        self.versions_apart = versions_apart
         self.engine = engine
         self.clock = clock
         self.first_seen: dict[tuple[str, int], float] = {}
@@ -65,12 +70,18 @@
         missing = [
             target
             for target in self.engine.facts.targets
-            if 0 < report.versions.get(target.model, 0) < target.version
+            if self._is_wanted(target, report.versions.get(target.model, 0))
         ]
         for target in missing:
             self.first_seen.setdefault((target.model, target.version), self.clock.now())
         return min(missing, key=lambda target: target.revision) if missing else None
 
+    def _is_wanted(self, target: WeightTarget, held: int) -> bool:
+        """Return whether the engine is to load a version; it holds 0 of a model that it lacks."""
+        rank = self.engine.facts.rank
+        is_newer = 0 < held < target.version
+        return is_newer and takes_version(rank, target.version, held, self.versions_apart)
+
     def _start_at(self, target: WeightTarget) -> float:
         """Return when this engine's turn comes; few load at once."""
         seen = self.first_seen[(target.model, target.version)]
--- a/src/threadramp/serve/api.py
+++ b/src/threadramp/serve/api.py
@@ -9,15 +9,19 @@
 import threading
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from threadramp.config.findings import FindingsError
 from threadramp.config.registry import Registry
 from threadramp.platform.settings import read_settings, settings_path
 from threadramp.report.log import flush_logs, log_state, log_to_stdout
+from threadramp.serve.own_settings import read_own_settings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from threadramp.platform.settings import BoxSettings
+    from threadramp.serve.own_settings import OwnSettings
 
 ROLES: Registry[type[Process]] = Registry()
 SETTINGS_LOOK_S = 1.0  # how often the settings file is looked at; it changes without a signal too
@@ -29,10 +33,12 @@
 
     :param settings: as they were at the start; what may change is read again
     :param stamp: tells the state of the settings file from which they were read
+    :param own: our own settings; they hold until the process ends
     """
 
-    def __init__(self, settings: BoxSettings, stamp: tuple[int, int]) -> None:
+    def __init__(self, settings: BoxSettings, stamp: tuple[int, int], own: OwnSettings) -> None:
         self.settings = settings
+        self.own = own
         self.stamp = stamp
         self.incarnation = secrets.token_hex(4)
         self.stop = threading.Event()
@@ -55,7 +61,13 @@
         signal.signal(signal.SIGINT, lambda *_: self.stop.set())
         signal.signal(signal.SIGHUP, lambda *_: self.reload.set())
         name = type(self).__name__
-        log_state("start", process=name, box=self.settings.name, incarnation=self.incarnation)
+        log_state(
+            "start",
+            process=name,
+            box=self.settings.name,
+            incarnation=self.incarnation,
+            own=msgspec.to_builtins(self.own),
+        )
         self.start()
         while not self.stop.wait(SETTINGS_LOOK_S):
             now = _stamp()
@@ -91,11 +103,12 @@
     stamp = _stamp()  # before the file is read, so that no change after it is missed
     try:
         settings = read_settings(settings_path())
+        own = read_own_settings()
     except FindingsError as error:
         log_state("settings_refused", findings=[str(one) for one in error.findings])
         flush_logs()
         return BAD_SETTINGS
-    ROLES[role](settings, stamp).run()
+    ROLES[role](settings, stamp, own).run()
     os._exit(0)  # threads that still wait for an answer would hold the process up
 
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -171,7 +171,14 @@
         )
         self.audit = LotAudit(self.owner, self.settings.bounds.status_s)
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
-        self.appending = Appending(owned, journal, clock, self.owner.release, self.metrics)
+        self.appending = Appending(
+            owned,
+            journal,
+            clock,
+            self.owner.release,
+            self.metrics,
+            lambda model: self.picture.belief.newest_version(model),
+        )
         self.handler = EdgeHandler(
             self.picture, forwarder, streams, self.owner, self.reader, self.metrics, clock
         )
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -43,9 +43,9 @@
         health = StoreHealth(clock)
         client = SyncClient(Packing(), decode_reply, redial=True)
         engine = Engine(own.endpoint, own.pool, own.name, clock)
-        self.sidecar = Sidecar(
-            member, engine, Weights(engine, clock), RunTable(clock.now), client, clock, self.metrics
-        )
+        weights = Weights(engine, clock, self.own.weights.versions_apart)
+        table = RunTable(clock.now)
+        self.sidecar = Sidecar(member, engine, weights, table, client, clock, self.metrics)
         store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
         self.membership = Membership(member, store, own.store.lease_min_s)
         self.membership.renew_s = lambda: renewal_s(self.sidecar.sidecars, own.store.reads_per_s)
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -18,6 +18,7 @@
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
     :param sidecars: in the list of members
+    :param rank: place of the engine among the engines of its pool, from 0
     """
 
     endpoints_revision: int = 0
@@ -30,6 +31,7 @@
     targets: tuple[WeightTarget, ...] = ()
     listed: bool = True
     sidecars: int = 0
+    rank: int = 0
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/policy/test_model_share.py
+++ b/tests/policy/test_model_share.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from threadramp.policy.model_share import load_turn, models_for
+from threadramp.policy.model_share import load_turn, models_for, takes_version
 
 
 @pytest.mark.parametrize(("engines", "models"), [(1, 2), (2, 2), (5, 2), (3, 3), (7, 3), (2, 5)])
@@ -44,3 +44,26 @@
     """Two at a time whatever the pool: the last of 21 engines waited ten turns."""
     assert max(turns(engines)) == 2
     assert max(turns(engines).count(turn) for turn in range(3)) <= -(-engines // 3)
+
+
+def test_each_engine_loads_each_version_unless_the_operator_says_otherwise():
+    assert all(
+        takes_version(rank, version, version - 1, 1) for rank in range(4) for version in (5, 6)
+    )
+
+
+def test_every_second_version_half_of_the_engines_load_and_all_serve_the_lots_of_each_step():
+    held = dict.fromkeys(range(6), 1)
+    loads = 0
+    for version in range(2, 12):
+        for rank, before in held.items():
+            if takes_version(rank, version, before, 2):
+                held[rank] = version
+                loads += 1
+        assert sorted(held.values()) == [version - 1] * 3 + [version] * 3
+    assert loads == 30
+
+
+def test_an_engine_that_has_fallen_behind_loads_the_newest_whatever_its_number():
+    assert takes_version(0, 7, 4, 2)
+    assert not takes_version(0, 7, 6, 2)
--- /dev/null
+++ b/tests/serve/test_own_settings.py
@@ -0,0 +1,38 @@
+"""Our own settings file on the platform."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from threadramp.config.findings import FindingsError
+from threadramp.serve.own_settings import OwnSettings, read_own_settings
+
+DEPLOYED = Path(__file__).parents[2] / "deploy" / "threadramp.toml"
+
+
+def test_the_file_that_is_deployed_is_good():
+    assert read_own_settings(DEPLOYED) == OwnSettings()
+
+
+def test_without_a_file_the_usual_values_hold(tmp_path):
+    assert read_own_settings(tmp_path / "none.toml").weights.versions_apart == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        ("[weights]\nversions_apart = 3\n", "weights.versions_apart"),
+        ('[weights]\nversions_apart = "two"\n', "weights.versions_apart"),
+        ("[weights]\nversion_apart = 2\n", "version_apart"),
+        ("[other]\n", "other"),
+        ("[weights\n", "own.toml"),
+    ],
+)
+def test_bad_settings_are_refused_with_their_place(tmp_path, text, place):
+    path = tmp_path / "own.toml"
+    path.write_text(text)
+    with pytest.raises(FindingsError) as failure:
+        read_own_settings(path)
+    assert place in str(failure.value.findings[0])
