Tell the gateway before of the end of a lot that was taken over from it

Ruled out: notices that come too late (none was sent). Change: an end of a lot that was taken over from another box is told to all gateways as well; not after a planned hand-over, whose giver has let go. Notices repeat each 0.3 s for 3 s, then each second.

--- a/src/threadramp/lots/end_notices.py
+++ b/src/threadramp/lots/end_notices.py
@@ -1,7 +1,8 @@
-"""Tells other gateways of ends that this one wrote for lots that it does not run.
+"""Tells other gateways of ends that this one wrote for lots that another may be running.
 
 The store keeps an end, but nobody watches the heads of lots there: calls are priced. A gateway that
-runs a lot would learn of an end only with its next write, and begin samples that nobody wants.
+runs a lot, or believes so since it does not know that another took it over, would learn of an end
+only with its next write, and begin samples that nobody wants.
 """
 
 from __future__ import annotations
@@ -19,7 +20,9 @@
     from threadramp.lots.model import KeptHead
 
 TOLD_FOR_S = 8.0  # a gateway that was not listed, frozen or cut off is in touch again by then
-TURN_S = 0.3  # samples may begin for 3 s after an end on the users' sheets
+URGENT_S = 3.0  # samples may begin for so long after an end on the users' sheets
+TURN_S = 0.3  # while a notice is urgent
+LATER_TURN_S = 1.0
 ANSWER_S = 0.4
 
 
@@ -61,8 +64,14 @@
         while not self.stopped.is_set():
             self.any_open.wait()
             self.any_open.clear()
-            while self.one_turn() and not self.stopped.wait(TURN_S):
-                pass
+            while self.one_turn():
+                self.stopped.wait(self._pause_s())
+
+    def _pause_s(self) -> float:
+        with self.lock:
+            newest = max((until for _, until in self.open.values()), default=0.0)
+        age = TOLD_FOR_S - (newest - self.clock.now())
+        return TURN_S if age < URGENT_S else LATER_TURN_S
 
     def _runner_of(self, kept: KeptHead) -> str:
         """Tell all gateways; returns the one that ran the lot, empty if none said so."""
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -21,6 +21,7 @@
 
     :param kept: its head; replaced with each write
     :param looked: whether sidecars were asked for text that they kept of its samples
+    :param others: whether another box ran it before, which may not know that it does not any more
     :param sure_at: time at which the store last took a write of ours under the head's condition, so
         that nobody else can have owned it before
     """
@@ -28,6 +29,7 @@
     book: LotBook
     kept: KeptHead
     looked: bool = False
+    others: bool = False
     sure_at: float = float("-inf")
 
     @property
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -37,7 +37,7 @@
     """The lots of one gateway.
 
     :param drop: tells the sidecars that a lot's samples are not wanted; true lets them finish
-    :param tell_end: lets other gateways know of the end of a lot that does not run here
+    :param tell_end: lets other gateways know of the end of a lot that may run there
     """
 
     def __init__(
@@ -84,8 +84,11 @@
         """
         owned = self.owned.get(lot_id)
         if owned is not None:
+            had_ended = owned.kept.head.ended
             kept = self._end_kept(owned.kept)
             self._ended(owned, kept)
+            if owned.others and not had_ended:
+                self.tell_end(kept)
             return True
         kept = self.journal.head(lot_id)
         if kept is None:
@@ -114,7 +117,7 @@
         me = self.peers.member
         head = whole.kept.head
         if (head.owner, head.incarnation) == (me.name, me.incarnation):
-            self._add(whole, "a gateway that stops", {})
+            self._add(whole, "a gateway that stops", False, {})  # it has let go of the lot
 
     def take_over(self, kept: KeptHead) -> None:
         """Take over a lot that lies idle, from what the store has of it.
@@ -129,7 +132,8 @@
         before = kept.head.owner
         if (kept.head.owner, kept.head.incarnation) != (me.name, me.incarnation):
             kept = self.journal.change(kept, owner=me.name, incarnation=me.incarnation)
-        self._add(self.journal.whole(kept), before, self.checkpoints.load(kept.lot_id))
+        texts = self.checkpoints.load(kept.lot_id)
+        self._add(self.journal.whole(kept), before, before != me.name, texts)
 
     def hand_over(self) -> None:
         """Give all open lots to other gateways; for a planned stop, until all are given."""
@@ -218,10 +222,11 @@
         self.drop(owned, True)
         self.checkpoints.forget(owned.lot_id)
 
-    def _add(self, whole: KeptLot, of: str, texts: dict[str, SavedText]) -> None:
+    def _add(self, whole: KeptLot, of: str, others: bool, texts: dict[str, SavedText]) -> None:
         """Start on a lot that was taken over.
 
         :param of: whose it was
+        :param others: whether another box may believe that it still is
         """
         kept = whole.kept
         book = LotBook(whole.lot, self._rules_again(kept), whole.results)
@@ -230,7 +235,7 @@
             for name, text in texts.items()
             if book.prefill(name, text.events, text.versions, text.lineage)
         ]
-        if not self.owned.add(OwnedLot(book, kept)):
+        if not self.owned.add(OwnedLot(book, kept, others=others)):
             return
         log_state(
             "lot_adopted",
--- a/tests/lots/test_end_notices.py
+++ b/tests/lots/test_end_notices.py
@@ -43,6 +43,10 @@
 class Checkpoints:
     """Keeps nothing."""
 
+    def load(self, lot_id: str) -> dict:
+        """Return nothing."""
+        return {}
+
     def forget(self, lot_id: str) -> None:
         """Take note of nothing."""
 
@@ -132,6 +136,29 @@
     assert book.ended
 
 
+def test_an_end_of_a_lot_that_was_taken_over_reaches_the_gateway_that_ran_it(running, other):
+    """It was not listed for a moment, and does not know that its lot went to another."""
+    owned = running.own()
+    other.know("g0")
+    other.owner.take_over(owned.kept)
+    other.reader.end("lot")
+    assert other.dropped == ["lot"]
+    assert not owned.book.ended
+    other.know("g0", "g1")
+    assert not other.notices.one_turn()
+    assert owned.book.ended
+    assert running.dropped == ["lot"]
+
+
+def test_an_end_of_a_lot_of_the_process_before_on_the_same_box_needs_no_notice(running, other):
+    old = running.own()
+    running.owned.remove("lot")
+    running.owner.peers.member = Member("g1", "gateway", "2", "g1:1", "a", "")
+    running.owner.take_over(old.kept)
+    running.reader.end("lot")
+    assert not running.notices.one_turn()
+
+
 def test_a_notice_that_no_owner_takes_is_given_up_after_a_while(running, other, clock):
     running.journal.create(make_book(make_sample("a", "g")).lot, HEAD)
     other.know("g0", "g1")
