Keep the run loop of forwarding once, in Attempts

The loop over tries, its look at the time and its end stood in _Run and in _Stream alike. Attempts has it now; each way to forward says how it waits for an answer, and a stream how it ends.

Behaviour is unchanged. Ran tests/edge, tests/runner, tests/serve/test_callers.py and tests/serve/test_lots.py: passed. In a run before, of tests/edge, tests/runner and tests/serve/test_callers.py, test_a_kept_connection_that_was_dropped_is_told_from_an_endpoint_that_failed failed once; the failing path is that of Connections alone, which this change does not touch.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -77,7 +77,7 @@
 
 
 class Attempts:
-    """The tries of one job."""
+    """The tries of one job; each way to forward says how it waits for the answer to a try."""
 
     def __init__(self, parts: EndpointAccess, job: Job) -> None:
         self.parts = parts
@@ -86,6 +86,27 @@
         self.tries = Tries()
         self.pool = parts.choice.pool_for(job.route)
 
+    def run(self) -> Outcome:
+        """Try endpoints until the job has ended."""
+        if self.caller_has_left():
+            return Outcome(Ending.CALLER_GONE)
+        self.parts.budget.first_attempt()
+        try:
+            while True:
+                outcome = self._turn()
+                if outcome is not None:
+                    return self.ended(outcome)
+        finally:
+            self.close_all()
+
+    def await_answer(self) -> Outcome | None:
+        """Wait for the exchanges that are open; none if the job goes on."""
+        raise NotImplementedError
+
+    def ended(self, outcome: Outcome) -> Outcome:
+        """Return the outcome as it is told, while the open exchanges still stand."""
+        return outcome
+
     def caller_has_left(self) -> bool:
         """Return whether the caller left while its request waited to be read."""
         return self.job.caller is not None and has_ended(self.job.caller)
@@ -214,6 +235,15 @@
             return Outcome(Ending.NOT_RUN, retry_after_s=RETRY_AFTER_S)
         return Outcome(ending, retry_after_s=RETRY_AFTER_S)
 
+    def _turn(self) -> Outcome | None:
+        if self.now() >= self.job.until - ANSWER_MARGIN_S:
+            return self.given_up(Ending.TIME_OVER)
+        if not self.tries.open:
+            outcome = self.next_try()
+            if outcome is not None or not self.tries.open:
+                return outcome
+        return self.await_answer()
+
     def _pause(self, seconds: float) -> Outcome | None:
         caller = self.job.caller
         if caller is None:
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -35,34 +35,12 @@
         super().__init__(parts, job)
         self.second_at = 0.0
 
-    def run(self) -> Outcome:
-        """Try endpoints until it ends."""
-        if self.caller_has_left():
-            return Outcome(Ending.CALLER_GONE)
-        self.parts.budget.first_attempt()
-        try:
-            while True:
-                outcome = self._turn()
-                if outcome is not None:
-                    return outcome
-        finally:
-            self.close_all()
-
     def send(self, endpoint: Endpoint) -> None:
         """Send to an endpoint; a second one is asked if it is late."""
         super().send(endpoint)
         self.second_at = self.now() + self.job.route.target_s * SECOND_AFTER
 
-    def _turn(self) -> Outcome | None:
-        if self.now() >= self.job.until - ANSWER_MARGIN_S:
-            return self.given_up(Ending.TIME_OVER)
-        if not self.tries.open:
-            outcome = self.next_try()
-            if outcome is not None or not self.tries.open:
-                return outcome
-        return self._wait()
-
-    def _wait(self) -> Outcome | None:
+    def await_answer(self) -> Outcome | None:
         """Wait for an answer, the caller's end, or the time for a second try."""
         poll = select.poll()
         by_descriptor = {exchange.fileno(): exchange for exchange in self.tries.open}
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -12,7 +12,7 @@
 
 from urllib3.exceptions import HTTPError
 
-from threadramp.edge.attempts import ANSWER_MARGIN_S, Attempts, EndpointAccess
+from threadramp.edge.attempts import Attempts, EndpointAccess
 from threadramp.edge.connections import ExchangeError, body_pieces, streamed_answer
 from threadramp.edge.job import Ending, Outcome
 from threadramp.platform.headers import read_answer, resume_after, stream_headers, to_caller
@@ -88,25 +88,8 @@
         route = self.job.route
         return stream_headers(self.job.headers, time_left, instance, self.count, route.priority)
 
-    def run(self) -> Outcome:
-        """Try endpoints until the stream is whole or can not go on."""
-        if self.caller_has_left():
-            return Outcome(Ending.CALLER_GONE)
-        self.parts.budget.first_attempt()
-        try:
-            while True:
-                outcome = self._turn()
-                if outcome is not None:
-                    return self._ended(outcome)
-        finally:
-            self.close_all()
-
-    def _turn(self) -> Outcome | None:
-        if self.now() >= self.job.until - ANSWER_MARGIN_S:
-            return self.given_up(Ending.TIME_OVER)
-        outcome = self.next_try()
-        if outcome is not None or not self.tries.open:
-            return outcome
+    def await_answer(self) -> Outcome | None:
+        """Pass on what the one open exchange brings."""
         exchange = self.tries.open[0]
         try:
             with self.watch.watching(self.request.socket, exchange):
@@ -143,7 +126,7 @@
             return []
         return [one for one in pool if one.instance in ran]
 
-    def _ended(self, outcome: Outcome) -> Outcome:
+    def ended(self, outcome: Outcome) -> Outcome:
         """Return the outcome; a stream that has begun and is not whole is cut."""
         if self.begun and outcome.ending is not Ending.STREAMED:
             self.request.cut()
