Let an engine hold the facts as they were told, without copying fields

The engine holds Facts itself now: all of it is as new as the list of endpoints, but for the named versions and their revision.

Behaviour is unchanged. Ran tests/runner, tests/edge, tests/serve/test_callers.py and tests/serve/test_lots.py: passed.

--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -4,10 +4,11 @@
 
 import threading
 from collections import deque
-from dataclasses import dataclass, replace
 from statistics import median
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from threadramp.edge.connections import Connections, ExchangeError
 from threadramp.fleet.model import Endpoint
 from threadramp.platform.engine import (
@@ -21,35 +22,19 @@
 )
 from threadramp.platform.headers import order_headers
 from threadramp.report.log import log_state
+from threadramp.wire.runner import Facts
 
 if TYPE_CHECKING:
     from threadramp.edge.connections import Answer, Exchange
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import WeightTarget
-    from threadramp.wire.runner import Facts
 
 REPORT_TIMEOUT_S = 0.5
 ORDER_TIMEOUT_S = 1.0
 GAPS = 32  # of the last events, from which the usual gap is taken
 GAP_AGE_S = 2.0  # older gaps count only while there are no newer ones
 GAP_KEPT_S = 12.0  # an even older one says nothing; slow spells lasted 8 s
-
-
-@dataclass(frozen=True)
-class EngineFacts:
-    """What gateways told of the engine.
-
-    :param instance: its current start, empty if no gateway knows it
-    """
-
-    instance: str = ""
-    leaving: bool = False
-    rank: int = 0
-    load_turn: int = 0
-    slots: int = 0
-    endpoints_revision: int = -1
-    targets: tuple[WeightTarget, ...] = ()
-    targets_revision: int = -1
+NOTHING_TOLD = Facts(endpoints_revision=-1, targets_revision=-1)  # older than all that is told
 
 
 class Engine:
@@ -61,7 +46,7 @@
         self.holder = holder
         self.clock = clock
         self.connections = Connections()
-        self.facts = EngineFacts()
+        self.facts = NOTHING_TOLD
         self.report: EngineReport | None = None
         self.ordered: WeightTarget | None = None
         self.over = ""
@@ -94,30 +79,28 @@
         return Endpoint(self.facts.instance, self.pool, self.address, "", self.facts.slots)
 
     def learn(self, facts: Facts) -> None:
-        """Take over what a gateway knows, unless it is older than what is known."""
+        """Take over what a gateway knows, unless it is older than what is known.
+
+        The named versions are as new as their own revision, all else as the list of endpoints.
+        """
         with self.lock:
             held = self.facts
-            if facts.endpoints_revision >= held.endpoints_revision:
-                if facts.instance != held.instance:
-                    log_state(
-                        "engine_instance",
-                        instance=facts.instance,
-                        before=held.instance,
-                        revision=facts.endpoints_revision,
-                    )
-                    self.ordered = None
-                held = replace(
-                    held,
-                    instance=facts.instance,
-                    leaving=facts.leaving,
-                    rank=facts.rank,
-                    load_turn=facts.load_turn,
-                    slots=facts.slots or held.slots,
-                    endpoints_revision=facts.endpoints_revision,
+            listed = facts if facts.endpoints_revision >= held.endpoints_revision else held
+            named = facts if facts.targets_revision >= held.targets_revision else held
+            if listed.instance != held.instance:
+                log_state(
+                    "engine_instance",
+                    instance=listed.instance,
+                    before=held.instance,
+                    revision=listed.endpoints_revision,
                 )
-            if facts.targets_revision >= held.targets_revision:
-                held = replace(held, targets=facts.targets, targets_revision=facts.targets_revision)
-            self.facts = held
+                self.ordered = None
+            self.facts = replace(
+                listed,
+                slots=listed.slots or held.slots,
+                targets=named.targets,
+                targets_revision=named.targets_revision,
+            )
 
     def is_another(self, instance: str) -> None:
         """Note that the engine is not that start any more; gateways will tell the next one."""
@@ -191,4 +174,4 @@
             log_state("engine_leaves", instance=self.facts.instance, listed=self.facts.leaving)
 
 
-__all__ = ["Engine", "EngineFacts"]
+__all__ = ["Engine"]
