Split what a stream's caller has from the choice of its endpoints

streaming.py did two things: choosing where a stream begins and goes on, and passing its events on to the caller. The second is CallerStream in caller_stream.py now, with what it counts and its errors.

Behaviour is unchanged.

--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -1,8 +1,7 @@
-"""Passes the answer of a streaming route on, event by event, as the events come.
+"""Forwards requests of streaming routes.
 
-Only whole events are passed on. A stream that breaks off goes on at another endpoint behind the
-last event that the caller has, if its route allows that; else its connection is cut, so that it can
-not look complete.
+A stream that breaks off goes on at another endpoint behind the last event that the caller has, if
+its route allows that; else its connection is cut, so that it can not look complete.
 """
 
 from __future__ import annotations
@@ -10,14 +9,16 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from urllib3.exceptions import HTTPError
-
 from threadramp.edge.attempts import Attempts, EndpointAccess
-from threadramp.edge.connections import ExchangeError, body_pieces, streamed_answer
+from threadramp.edge.caller_stream import (
+    CallerLeftError,
+    CallerStream,
+    StreamBrokenError,
+)
+from threadramp.edge.connections import ExchangeError, streamed_answer
 from threadramp.edge.job import Ending, Outcome
-from threadramp.platform.headers import read_answer, resume_after, stream_headers, to_caller
+from threadramp.platform.headers import read_answer, stream_headers
 from threadramp.report.log import log_state
-from threadramp.runner.events import EventReader
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
@@ -28,7 +29,6 @@
     from threadramp.edge.server import CallerRequest
     from threadramp.fleet.model import Endpoint
     from threadramp.platform.headers import AnswerHead
-    from threadramp.runner.events import Event
 
 SILENT_S = 1.2  # a load of weights pauses streams for 0.9 s; callers leave after 2 s of silence
 LEAST_WAIT_S = 0.05
@@ -36,21 +36,6 @@
 EVENTS_TYPE = "text/event-stream"
 
 
-class StreamBrokenError(Exception):
-    """A stream that stopped before its end.
-
-    :param instance: endpoint that it came from
-    """
-
-    def __init__(self, instance: str, reason: str) -> None:
-        self.instance = instance
-        super().__init__(reason)
-
-
-class CallerLeftError(Exception):
-    """The caller takes no more."""
-
-
 class StreamForwarder:
     """Forwards requests of streaming routes."""
 
@@ -75,18 +60,15 @@
         super().__init__(parts.access, job)
         self.watch = parts.watch
         self.request = request
-        self.closes = closes
-        self.begun = False
-        self.first = resume_after(request.headers)
-        self.count = self.first
+        self.stream = CallerStream(job, request, closes, self.now)
         self.went_back = 0
-        self.began = self.now()
-        self.first_at = 0.0
 
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
         """Return the headers with which the stream begins or goes on."""
         route = self.job.route
-        return stream_headers(self.job.headers, time_left, instance, self.count, route.priority)
+        return stream_headers(
+            self.job.headers, time_left, instance, self.stream.last, route.priority
+        )
 
     def await_answer(self) -> Outcome | None:
         """Pass on what the one open exchange brings."""
@@ -118,7 +100,7 @@
     def _where_to_go_back(self) -> list[Endpoint]:
         """Return the endpoints where it broke off, if there are no others that it may go to."""
         route = self.job.route
-        if not self.begun or not route.may_repeat or self.went_back >= GO_BACK_MOST:
+        if not self.stream.begun or not route.may_repeat or self.went_back >= GO_BACK_MOST:
             return []
         pool = self.parts.picture.belief.in_pool(self.pool)
         ran = self.tries.ran
@@ -128,17 +110,10 @@
 
     def ended(self, outcome: Outcome) -> Outcome:
         """Return the outcome; a stream that has begun and is not whole is cut."""
-        if self.begun and outcome.ending is not Ending.STREAMED:
-            self.request.cut()
-            log_state(
-                "stream_cut",
-                request=self.job.request_id,
-                ending=outcome.ending.value,
-                events=self.count - self.first,
-            )
+        if self.stream.begun and outcome.ending is not Ending.STREAMED:
+            self.stream.cut(outcome.ending)
             return Outcome(Ending.CUT)
-        first_s = self.first_at - self.began if self.first_at else None
-        return replace(outcome, first_event_s=first_s)
+        return replace(outcome, first_event_s=self.stream.first_event_s)
 
     def _broken(self, exchange: Exchange, error: Exception) -> Outcome | None:
         """Note a stream that broke off; it may go on elsewhere."""
@@ -150,7 +125,7 @@
         return None
 
     def _left(self) -> Outcome:
-        log_state("caller_gone", request=self.job.request_id, events=self.count - self.first)
+        log_state("caller_gone", request=self.job.request_id, events=self.stream.passed)
         return Outcome(Ending.CALLER_GONE)
 
     def _take(self, exchange: Exchange) -> Outcome | None:
@@ -164,8 +139,8 @@
             return None
         if response.status != 200 or not head.signature or not _is_stream(response):
             return self._other_answer(exchange, response, head)
-        self._begin(response)
-        self._pass_events(exchange, response)
+        self.stream.begin(response)
+        self.stream.pass_events(exchange, response, self._patience_s)
         self.parts.keep(exchange, streamed_answer(response))
         self.parts.choice.answered(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
@@ -183,53 +158,10 @@
             self.note_failure(exchange.endpoint, reason, True, pause)
             self.tries.last_failure = answer
             return None
-        if self.begun:
+        if self.stream.begun:
             raise StreamBrokenError(exchange.endpoint.instance, f"status {head.status}")
         return Outcome(Ending.ANSWERED, answer)
 
-    def _begin(self, response: BaseHTTPResponse) -> None:
-        """Send the head, which stays that of the first endpoint."""
-        if self.begun:
-            log_state("stream_resumed", request=self.job.request_id, after=self.count)
-            return
-        self.begun = True
-        headers = to_caller(tuple(response.headers.iteritems()))
-        self.request.begin(response.status, headers, response.reason or "", self.closes)
-
-    def _pass_events(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
-        """Pass whole events on until the stream's end.
-
-        :raises StreamBrokenError: if it stops before
-        """
-        reader = EventReader()
-        instance = exchange.endpoint.instance
-        try:
-            exchange.connection.sock.settimeout(self._patience_s())
-            for data in body_pieces(response):
-                for event in reader.feed(data):
-                    self._pass_one(event, instance)
-                exchange.connection.sock.settimeout(self._patience_s())
-        except (OSError, HTTPError, ValueError, AttributeError) as error:
-            raise StreamBrokenError(instance, repr(error)) from error
-        if not reader.is_between_events:
-            raise StreamBrokenError(instance, "it stopped within an event")
-
-    def _pass_one(self, event: Event, instance: str) -> None:
-        """Pass an event on.
-
-        :raises StreamBrokenError: if it is not the next one
-        :raises CallerLeftError: if the caller takes no more
-        """
-        follows = event.number == self.count + 1
-        if not follows and (self.job.route.may_repeat or event.number <= self.count):
-            raise StreamBrokenError(instance, f"event {event.number} after {self.count}")
-        try:
-            self.request.write(event.raw)
-        except OSError as error:
-            raise CallerLeftError from error
-        self.count = event.number
-        self.first_at = self.first_at or self.now()
-
     def _patience_s(self) -> float:
         """Return for how long an endpoint may be silent now."""
         left = self.job.until - self.now()
