Split lots of other gateways from the answers to trainers' calls

reading.py answered for lots of this gateway and read those of others, with their own cache and lock. LotsElsewhere in lots/elsewhere.py has the second now. The cache and the looks no longer share a lock; nothing takes both.

Behaviour is unchanged.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -8,7 +8,7 @@
 from threadramp.edge.job import Ending, Job, Outcome
 from threadramp.edge.server import BodyTooLongError
 from threadramp.fleet.model import CallerLimits, RouteKind
-from threadramp.lots.reading import LotUnknownError
+from threadramp.lots.elsewhere import LotUnknownError
 from threadramp.lots.repeated_writes import SETTLE_S
 from threadramp.platform.headers import RETRY_AFTER, request_id, time_left_s, to_caller, wait_s
 from threadramp.platform.store_model import StoreError, StoreRefusedError
--- /dev/null
+++ b/src/threadramp/lots/elsewhere.py
@@ -0,0 +1,155 @@
+"""Reads and ends lots of other gateways: from memory, through the owner, else from the store."""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from threadramp.lots.owned import Page, first_page
+from threadramp.report.log import log_state
+from threadramp.wire.fleet import EndLot, LotEnded, LotPage, ReadBody, ReadLot, SampleBody
+
+if TYPE_CHECKING:
+    from threadramp.fleet.peers import Peers
+    from threadramp.fleet.picture import Member
+    from threadramp.lots.journal import LotJournal
+    from threadramp.lots.model import KeptHead, Lot, Result
+
+OWNER_TIMEOUT_S = 0.8  # beyond the time for which the reader lets us wait
+CACHED_LOTS = 64
+END_TIMEOUT_S = 3.0
+
+
+class LotUnknownError(Exception):
+    """The store itself says that there is no such lot."""
+
+
+@dataclass
+class CachedLot:
+    """What was read of a lot that another gateway owns; positions never change.
+
+    :param lot: what was handed in, none while nobody asked for it
+    """
+
+    kept: KeptHead
+    results: list[Result] = field(default_factory=list)
+    lot: Lot | None = None
+
+
+class LotsElsewhere:
+    """The lots that other gateways own, as this one sees them."""
+
+    def __init__(self, journal: LotJournal, peers: Peers) -> None:
+        self.journal = journal
+        self.peers = peers
+        self.cache: OrderedDict[str, CachedLot] = OrderedDict()
+        self.lock = threading.Lock()
+
+    def page(self, lot_id: str, after: int, wait_s: float) -> Page:
+        """Return results from a position on.
+
+        :raises LotUnknownError: if there is no such lot
+        :raises StoreError: if nobody who is sure could be reached
+        """
+        cached = self._cached(lot_id)
+        if after < len(cached.results):
+            return Page(cached.kept.head.total, False, first_page(cached.results[after:]))
+        page = self._from_owner(cached, after, wait_s)
+        return page if page is not None else self._from_store(cached, after)
+
+    def body(self, lot_id: str, sample: str) -> bytes | None:
+        """Return the body of a sample, none if there is no such sample.
+
+        :raises LotUnknownError: if there is no such lot
+        :raises StoreError: if nobody who is sure could be reached
+        """
+        cached = self._cached(lot_id)
+        if cached.lot is None:
+            found = self._body_from_owner(cached, sample)
+            if found is not None and found.owned:
+                return found.body
+            cached.lot = self.journal.hand_in(cached.kept)
+        bodies = {one.id: one.body for one in cached.lot.samples}
+        return bodies.get(sample)
+
+    def end(self, lot_id: str) -> bool:
+        """Let the owner end a lot; true if it says that the end is kept.
+
+        :raises LotUnknownError: if there is no such lot
+        :raises StoreError: if the store does not tell whose it is
+        """
+        member = self._owner(self._cached(lot_id))
+        if member is None:
+            return False
+        ask = EndLot(*self.peers.myself, lot_id)
+        reply = self.peers.ask(member.address, ask, END_TIMEOUT_S)
+        return isinstance(reply, LotEnded) and reply.kept
+
+    def _cached(self, lot_id: str) -> CachedLot:
+        with self.lock:
+            cached = self.cache.get(lot_id)
+            if cached is not None:
+                self.cache.move_to_end(lot_id)
+                return cached
+        kept = self.journal.head(lot_id)
+        if kept is None:
+            raise LotUnknownError(lot_id)
+        with self.lock:
+            cached = self.cache.setdefault(lot_id, CachedLot(kept))
+            while len(self.cache) > CACHED_LOTS:
+                self.cache.popitem(last=False)
+        return cached
+
+    def _owner(self, cached: CachedLot) -> Member | None:
+        member = self.peers.picture.belief.members.get(cached.kept.head.owner)
+        if member is None or member.incarnation != cached.kept.head.incarnation:
+            return None
+        return None if member.name == self.peers.member.name else member
+
+    def _from_owner(self, cached: CachedLot, after: int, wait_s: float) -> Page | None:
+        member = self._owner(cached)
+        if member is None:
+            return None
+        ask = ReadLot(*self.peers.myself, cached.kept.lot_id, after, wait_s)
+        reply = self.peers.ask(member.address, ask, wait_s + OWNER_TIMEOUT_S)
+        if not isinstance(reply, LotPage) or not reply.total:
+            return None
+        if not reply.sure and not reply.results and after < reply.total:
+            return None
+        with self.lock:
+            if len(cached.results) == after:
+                cached.results.extend(reply.results)
+        return Page(reply.total, reply.ended, reply.results)
+
+    def _body_from_owner(self, cached: CachedLot, sample: str) -> SampleBody | None:
+        member = self._owner(cached)
+        if member is None:
+            return None
+        ask = ReadBody(*self.peers.myself, cached.kept.lot_id, sample)
+        reply = self.peers.ask(member.address, ask, OWNER_TIMEOUT_S)
+        return reply if isinstance(reply, SampleBody) else None
+
+    def _from_store(self, cached: CachedLot, after: int) -> Page:
+        """Read from the store what neither memory nor the owner gave."""
+        kept = self.journal.head(cached.kept.lot_id)
+        if kept is None:
+            raise LotUnknownError(cached.kept.lot_id)
+        if kept.head.listed > after:
+            results = self.journal.results(kept, 0)
+            with self.lock:
+                if len(results) > len(cached.results):
+                    cached.results = list(results)
+        cached.kept = kept
+        log_state(
+            "lot_read_from_store",
+            lot=kept.lot_id,
+            owner=kept.head.owner,
+            listed=kept.head.listed,
+            revision=kept.revision,
+        )
+        return Page(kept.head.total, kept.head.ended, first_page(cached.results[after:]))
+
+
+__all__ = ["LotUnknownError", "LotsElsewhere"]
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -9,10 +9,11 @@
 from threadramp.fleet.peers import Peers
 from threadramp.fleet.picture import Member, Picture
 from threadramp.fleet.store_health import StoreHealth
+from threadramp.lots.elsewhere import LotUnknownError
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.model import LotHead, Result, ResultState
 from threadramp.lots.owned import OwnedLot, OwnedLots
-from threadramp.lots.reading import LOOK_S, LotReader, LotUnknownError
+from threadramp.lots.reading import LOOK_S, LotReader
 from threadramp.platform.store import StoreClient
 from threadramp.platform.store_model import Item, Listing, StoreError
 from threadramp.wire.fleet import LotPage, ReadLot
