Print and write both reports on burn in one place

Both commands declared the same two options and repeated the same lines for text, JSON and page.

Behaviour is unchanged.

--- a/src/threadramp/cli/report.py
+++ b/src/threadramp/cli/report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import msgspec
 from cleo.commands.command import Command
@@ -12,9 +13,18 @@
 from threadramp.report.burn import burn_html, burn_report, burn_text
 from threadramp.report.day import DayLog
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from threadramp.report.burn import ObjectiveBurn
+
 DEFAULT_TARGET = "0.95"  # share of good events; the users name none
 WINDOW_SHARES = (0.1, 0.3, 1.0)  # of the day
 LEAST_SPAN_S = 1.0  # of a plot
+FORM_OPTIONS = [
+    option("json", None, "Print JSON."),
+    option("html", None, "Write an HTML page with a plot to this file.", flag=False),
+]
 
 
 @command
@@ -25,18 +35,13 @@
     description = "Report how fast the error budgets are spent, over all gateways that are named."
     options = [
         *CLIENT_OPTIONS,
-        option("json", None, "Print JSON."),
-        option("html", None, "Write an HTML page with a plot to this file.", flag=False),
+        *FORM_OPTIONS,
     ]
 
     def run_client(self) -> int:
         """Print the report, and write the page if one is asked for."""
         records = self.operator().burn_records()
-        report = burn_report(records)
-        if self.option("html"):
-            Path(self.option("html")).write_text(burn_html(records), encoding="utf-8")
-        shown = msgspec.json.encode(report).decode() if self.option("json") else burn_text(report)
-        self.line(shown)
+        _show(self, burn_report(records), lambda: burn_html(records))
         return ExitCode.OK
 
 
@@ -51,8 +56,7 @@
         option(
             "target", None, "Share of events that should be good.", False, default=DEFAULT_TARGET
         ),
-        option("json", None, "Print JSON."),
-        option("html", None, "Write an HTML page with a plot to this file.", flag=False),
+        *FORM_OPTIONS,
     ]
 
     def handle(self) -> int:
@@ -63,18 +67,22 @@
         except (OSError, ValueError) as error:
             return fail(self, str(error), "nothing was reported", ExitCode.USAGE)
         records = log.records(target)
-        windows_s = [log.span_s * share for share in WINDOW_SHARES]
+        span_s = log.span_s
+        windows_s = [span_s * share for share in WINDOW_SHARES]
         report = burn_report(records, windows_s)
-        if self.option("html"):
-            page = burn_html(records, windows_s, max(LEAST_SPAN_S, log.span_s))
-            Path(self.option("html")).write_text(page, encoding="utf-8")
-        shown = msgspec.json.encode(report).decode() if self.option("json") else burn_text(report)
-        self.line(shown)
+        _show(self, report, lambda: burn_html(records, windows_s, max(LEAST_SPAN_S, span_s)))
         for line in _notes(log):
             self.line_error(line)
         return ExitCode.OK
 
 
+def _show(asked: Command, report: list[ObjectiveBurn], page: Callable[[], str]) -> None:
+    """Print a report, and write its page if one is asked for."""
+    if asked.option("html"):
+        Path(asked.option("html")).write_text(page(), encoding="utf-8")
+    asked.line(msgspec.json.encode(report).decode() if asked.option("json") else burn_text(report))
+
+
 def _share(text: str) -> float:
     """Return a share between 0 and 1.
 
