--- a/tests/edge/test_stale_connections.py
+++ b/tests/edge/test_stale_connections.py
@@ -24,7 +24,7 @@
 RESET = struct.pack("ii", 1, 0)  # close without a word to the other side
 
 
-class Dropping:
+class DroppingEndpoint:
     """Answers the first request of each connection and resets at the second."""
 
     def __init__(self) -> None:
@@ -54,7 +54,7 @@
 
 @pytest.fixture
 def dropping():
-    made = [Dropping(), Dropping()]
+    made = [DroppingEndpoint(), DroppingEndpoint()]
     yield made
     for one in made:
         one.listener.close()
--- a/tests/lots/test_end_notices.py
+++ b/tests/lots/test_end_notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 import pytest
 
@@ -21,11 +23,19 @@
 from threadramp.serve.answers import GatewayAnswers
 from threadramp.wire.fleet import Done, EndKept, LotEnded
 
+if TYPE_CHECKING:
+    from threadramp.core.lot_book import LotBook
+
 HEAD = LotHead("g1", "1", 0.0, 7.5, 40.0, 3, False, 3, 0, 0, 0, False, "")
 
 
-class Wires:
-    """Messages between gateways; some addresses may not answer."""
+def book_of(names: str) -> LotBook:
+    """Return the book of a lot with one sample for each letter."""
+    return make_book(*[make_sample(name, "g") for name in names])
+
+
+class LocalClient:
+    """Carries messages between gateways; some addresses may not answer."""
 
     def __init__(self) -> None:
         self.answers: dict[str, GatewayAnswers] = {}
@@ -54,11 +64,11 @@
 class Gateway:
     """The lots of one gateway."""
 
-    def __init__(self, name: str, wires: Wires, clock, store_address: str) -> None:
+    def __init__(self, name: str, client: LocalClient, clock, store_address: str) -> None:
         member = Member(name, "gateway", "1", f"{name}:1", "a", "")
         self.picture = Picture()
         self.journal = LotJournal(StoreClient(store_address, timeout_s=0.5))
-        peers = Peers(member, self.picture, wires, StoreHealth(clock), clock)
+        peers = Peers(member, self.picture, client, StoreHealth(clock), clock)
         self.owned = OwnedLots()
         self.dropped: list[str] = []
         self.notices = EndNotices(peers, clock)
@@ -66,7 +76,7 @@
             self.owned, self.journal, peers, clock, self._drop, Checkpoints(), self.notices.tell
         )
         self.reader = LotReader(self.owned, self.owner, self.journal, peers, clock)
-        wires.answers[member.address] = GatewayAnswers(peers, self.owner, self.reader, None)
+        client.answers[member.address] = GatewayAnswers(peers, self.owner, self.reader, None)
 
     def _drop(self, owned: OwnedLot, let_finish: bool) -> None:
         self.dropped.append(owned.lot_id)
@@ -77,29 +87,29 @@
         self.picture.members.replace(Listing(items, self.picture.members.revision + 1), 0.0)
 
     def own(self) -> OwnedLot:
-        book = make_book(*[make_sample(name, "g") for name in "abc"])
+        book = book_of("abc")
         owned = OwnedLot(book, self.journal.create(book.lot, HEAD))
         self.owned.add(owned)
         return owned
 
 
 @pytest.fixture
-def wires() -> Wires:
-    return Wires()
+def client() -> LocalClient:
+    return LocalClient()
 
 
 @pytest.fixture
-def running(wires, clock, store_address) -> Gateway:
+def running(client, clock, store_address) -> Gateway:
     """The gateway that runs the lot."""
-    return Gateway("g1", wires, clock, store_address)
+    return Gateway("g1", client, clock, store_address)
 
 
 @pytest.fixture
-def other(wires, clock, store_address) -> Gateway:
-    return Gateway("g0", wires, clock, store_address)
+def other(client, clock, store_address) -> Gateway:
+    return Gateway("g0", client, clock, store_address)
 
 
-def test_an_end_by_a_gateway_that_does_not_know_the_owner_yet_reaches_it(running, other, clock):
+def test_an_end_by_a_gateway_that_does_not_know_the_owner_yet_reaches_it(running, other):
     owned = running.own()
     other.know("g0")
     other.reader.end("lot")
@@ -112,26 +122,26 @@
     assert running.dropped == ["lot"]
 
 
-def test_an_end_that_an_owner_did_not_answer_reaches_it_later(running, other, wires):
+def test_an_end_that_an_owner_did_not_answer_reaches_it_later(running, other, client):
     owned = running.own()
     other.know("g0", "g1")
-    wires.silent.add("g1:1")
+    client.silent.add("g1:1")
     other.reader.end("lot")
     assert other.notices.one_turn()
-    wires.silent.clear()
+    client.silent.clear()
     assert not other.notices.one_turn()
     assert owned.book.ended
 
 
-def test_an_end_reaches_the_gateway_that_took_the_lot_over_meanwhile(running, other, wires, clock):
-    wires.silent.add("g2:1")
+def test_an_end_reaches_the_gateway_that_took_the_lot_over_meanwhile(running, other, client):
+    client.silent.add("g2:1")
     other.know("g0", "g1", "g2")
-    book = make_book(*[make_sample(name, "g") for name in "abc"])
+    book = book_of("abc")
     kept = other.journal.create(book.lot, HEAD)
-    wires.silent.add("g1:1")
+    client.silent.add("g1:1")
     other.reader.end("lot")  # it goes by the owner before
     running.owned.add(OwnedLot(book, kept))
-    wires.silent.discard("g1:1")
+    client.silent.discard("g1:1")
     other.notices.one_turn()
     assert book.ended
 
@@ -160,7 +170,7 @@
 
 
 def test_a_notice_that_no_owner_takes_is_given_up_after_a_while(running, other, clock):
-    running.journal.create(make_book(make_sample("a", "g")).lot, HEAD)
+    running.journal.create(book_of("a").lot, HEAD)
     other.know("g0", "g1")
     other.reader.end("lot")
     assert other.notices.one_turn()
@@ -197,7 +207,7 @@
 
 
 def test_an_end_that_comes_again_long_after_is_not_told_again(running, other, clock):
-    running.journal.create(make_book(make_sample("a", "g")).lot, HEAD)
+    running.journal.create(book_of("a").lot, HEAD)
     other.know("g0", "g1")
     other.reader.end("lot")
     clock.at += TOLD_FOR_S + 0.1
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -170,7 +170,7 @@
     assert platform_store.counts["reads"] == before
 
 
-def test_an_owner_answers_a_peer_only_when_it_is_sure(world, platform_store):
+def test_an_owner_answers_a_peer_only_when_it_is_sure(world):
     world.append("a")
     world.own()
     ask = ReadLot("g2", "g2:1", "lot", 1, 0.0)
