--- a/tests/edge/test_stale_connections.py
+++ b/tests/edge/test_stale_connections.py
@@ -24,6 +24,18 @@
 RESET = struct.pack("ii", 1, 0)  # close without a word to the other side
 
 
+def read_request(connection: socket.socket) -> None:
+    """Read a whole request; its head and its body may come apart."""
+    found = b""
+    while b"\r\n\r\n" not in found:
+        found += connection.recv(65_536)
+    head, _, body = found.partition(b"\r\n\r\n")
+    named = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+    length = int(named[0].partition(b":")[2]) if named else 0
+    while len(body) < length:
+        body += connection.recv(65_536)
+
+
 class DroppingEndpoint:
     """Answers the first request of each connection and resets at the second."""
 
@@ -44,10 +56,10 @@
                 threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        connection.recv(65_536)
+        read_request(connection)
         self.requests += 1
         connection.sendall(ANSWER)
-        connection.recv(65_536)
+        connection.recv(65_536)  # the first bytes of the second request
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         connection.close()
 
