Take the mechanism itself out in the proof of labels by piece

Its removal labelled pieces by the sidecar's record of what is served, which is empty while a swap is under way: the sample was stopped and begun anew, so that its labels were right unless a moment was hit. Change: without the mechanism all pieces of a run get the label of its first one; the scenario is unchanged.

--- a/tools/prove.py
+++ b/tools/prove.py
@@ -138,7 +138,8 @@
             Edit(
                 ROLLOUTS,
                 "version = chunk.weight_version if named else before.version",
-                "version = self.core.swap.verified().get(task.model)",
+                "first = self.__dict__.setdefault(task.run_id, chunk.weight_version)\n"
+                "            version = first if named else before.version",
             ),
         ),
     ),
