Take back the grace for tickets of a drained endpoint

Ruled out: a shorter grace (the same, less often). Conclusion: grace, if at all, only for calls that a gateway sent on before it knew of the drain.

--- a/src/threadramp/core/sidecar.py
+++ b/src/threadramp/core/sidecar.py
@@ -39,7 +39,6 @@
 MAX_QUEUE = 256
 MAX_KEPT_ANSWERS = 4096
 DEFAULT_RESERVE = "none"
-BOUND_GRACE_S = 0.25  # a ticket taken just before a drain was heard of is on its way this long
 
 
 @dataclass(frozen=True)
@@ -104,7 +103,6 @@
             now,
         )
         self.stopping = False
-        self.drained_at: float | None = None
         self.pausing = 0
 
     # -- configuration ---------------------------------------------------------------------
@@ -126,21 +124,6 @@
         endpoint = self.endpoint
         return self.stopping or endpoint is None or endpoint.drain
 
-    def _refuses_as_leaving(self, bound: bool, now: float) -> bool:
-        """Return whether a call comes too late; one that is bound here can go nowhere else."""
-        if not self.leaving:
-            return False
-        in_grace = self.drained_at is not None and now - self.drained_at < BOUND_GRACE_S
-        return self.stopping or not (bound and in_grace)
-
-    def _note_drain(self, now: float) -> None:
-        """Note since when this process knows that an operator has its endpoint leave."""
-        endpoint = self.endpoint
-        if endpoint is None or not endpoint.drain:
-            self.drained_at = None
-        elif self.drained_at is None:
-            self.drained_at = now
-
     def declared_versions(self) -> dict[str, int]:
         """Return the declared version of each model that the pool serves."""
         pool = self.pool
@@ -155,7 +138,6 @@
         """Note the time; after a freeze nothing about the engine is taken for granted."""
         if self.freeze.observe(now):
             self.swap.lost_time(now)
-        self._note_drain(now)
 
     def orders_due(self, now: float) -> list[Order | ReadVersions]:
         """Return what to do towards the declared versions."""
@@ -223,7 +205,7 @@
     def _refuse_call(self, request: CallRequest, deadline: float, now: float) -> Refusal | None:
         if request.revision < self.chain.revision:
             return Refusal.not_run(Reason.SENDER_BEHIND, "the gateway has an older revision")
-        if self._refuses_as_leaving(request.binding is not None, now):
+        if self.leaving:
             return Refusal.not_run(Reason.LEAVING, "the endpoint is leaving", 1)
         if deadline <= now:
             return Refusal.not_run(Reason.DEADLINE, "its deadline has passed")
@@ -308,7 +290,6 @@
         if request.snapshot is not None:
             self.chain.restore(request.snapshot)
         self.chain.apply(request.changes)
-        self._note_drain(now)
         if self.marks.merge(request.marks):
             self.samples.drop_closed()
         self.samples.sweep(now)
