Let engines of small pools hold all models, load in turns, and move samples to faster engines

What waited not then often ran at an engine that is 1.3 times slower for good: 187 events in 9.5 to 10.5 s instead of 7.2. Ruled out: recovery after the final fault (samples are sent 0.25 s after the processes start), the reading by trainers (ends follow the last read by 0.35 to 0.5 s, which is theirs), a load's effect on running samples (none).

--- a/src/threadramp/core/lot_book.py
+++ b/src/threadramp/core/lot_book.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.model import Result, ResultState
+from threadramp.policy.lengths import Lengths
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -47,6 +48,7 @@
 
     :param runner: sidecar that runs it, empty if none does
     :param events: data of the events so far
+    :param events_before: how many there were when the sidecar was asked
     :param versions: of the weights, one for each event
     :param lineage: names the chain of events that the sidecar said it goes on with
     :param confirmed: whether the sidecar that was asked last said so; none of its events counts
@@ -60,6 +62,7 @@
     runner: str = ""
     last_runner: str = ""
     events: list[str] = field(default_factory=list)
+    events_before: int = 0
     versions: list[int] = field(default_factory=list)
     lineage: str = ""
     confirmed: bool = False
@@ -93,8 +96,15 @@
 class LotBook:
     """All samples of one lot."""
 
-    def __init__(self, lot: Lot, rules: LotRules, listed: Sequence[Result] = ()) -> None:
+    def __init__(
+        self,
+        lot: Lot,
+        rules: LotRules,
+        listed: Sequence[Result] = (),
+        lengths: Lengths | None = None,
+    ) -> None:
         self.lot = lot
+        self.lengths = lengths or Lengths()
         self.rules = rules
         self.listed: list[Result] = list(listed)
         self.ended = False
@@ -123,13 +133,13 @@
             if state.phase is Phase.WAITING and state.not_before <= now
         ]
         # A long sample decides when its group is whole, so it starts first.
-        found.sort(key=lambda state: -self.expected_left(state))
+        found.sort(key=lambda state: -self.events_left(state))
         return found
 
-    def expected_left(self, state: SampleState) -> float:
-        """Return about how many tokens are still to come."""
+    def events_left(self, state: SampleState) -> float:
+        """Return about how many events are still to come."""
         expected = state.sample.expected_tokens or state.sample.tokens
-        return expected - len(state.events)
+        return self.lengths.left(expected, len(state.events))
 
     def at_runner(self, runner: str) -> dict[str, int]:
         """Return the samples that a sidecar said it runs, with the events that are here."""
@@ -146,6 +156,7 @@
         state.runner = runner
         state.last_runner = runner
         state.confirmed = False
+        state.events_before = len(state.events)
 
     def accepted(self, sample: str, runner: str, lineage: str) -> bool:
         """Note that a sidecar runs a sample, and which chain of events it goes on with."""
@@ -212,6 +223,7 @@
             return None
         state.runner = ""
         if outcome is RunOutcome.WHOLE:
+            self.lengths.ended(state.sample.expected_tokens, len(state.events))
             self._text_whole(state, now)
         elif outcome is RunOutcome.IMPOSSIBLE:  # one such answer is enough
             self._stage(state, ResultState.DEAD, "", now)
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -6,8 +6,7 @@
 
 import msgspec
 
-from threadramp.policy.model_share import load_turn, models_for
-from threadramp.policy.subset import SMALL_POOL
+from threadramp.policy.model_share import is_shared, model_share
 from threadramp.wire.runner import Facts
 
 if TYPE_CHECKING:
@@ -41,26 +40,25 @@
     if endpoint is None:
         return True  # it may be listed in a moment; until then it takes nothing
     place = belief.places[endpoint.address]
-    if place.engines <= SMALL_POOL:
+    if is_shared(place.engines):
         return True
-    kept = models_for(place.rank, place.engines, belief.pool(endpoint.pool).models)
-    return not models.isdisjoint(kept)
+    share = model_share(place.rank, place.engines, belief.pool(endpoint.pool).models)
+    return not models.isdisjoint(share.shifts)
 
 
 def _with_endpoint(facts: Facts, endpoint: Endpoint, belief: Belief) -> Facts:
     """Add what is known of the sidecar's endpoint and its place in its pool."""
     pool = belief.pool(endpoint.pool)
     place = belief.places[endpoint.address]
-    models = models_for(place.rank, place.engines, pool.models)
+    share = model_share(place.rank, place.engines, pool.models)
     return msgspec.structs.replace(
         facts,
         instance=endpoint.instance,
         leaving=endpoint.leaving,
-        rank=place.rank,
-        load_turn=load_turn(place.rank, place.engines),
+        share=share,
         slots=endpoint.slots or pool.slots,
         memory_tokens=pool.memory_tokens,
-        targets=tuple(one for one in belief.targets if one.model in models),
+        targets=tuple(one for one in belief.targets if one.model in share.shifts),
     )
 
 
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -11,6 +11,7 @@
 from threadramp.lots.model import KeptLot, LotHead
 from threadramp.lots.owned import OwnedLot
 from threadramp.platform.store_model import StoreError
+from threadramp.policy.lengths import Lengths
 from threadramp.policy.routing import rendezvous
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import Adopt
@@ -58,6 +59,7 @@
         self.checkpoints = checkpoints
         self.tell_end = tell_end
         self.texts = KeptTexts()
+        self.lengths: dict[str, Lengths] = {}
         self.stopped = threading.Event()
         self.leaving = False
 
@@ -181,7 +183,7 @@
     def _begin(self, lot: Lot, kept: KeptHead) -> None:
         """Start on a lot that has just been kept."""
         rules = rules_of(kept.head, self.clock.now())
-        owned = OwnedLot(LotBook(lot, rules), kept)
+        owned = OwnedLot(LotBook(lot, rules, lengths=self._lengths_of(lot)), kept)
         reused = self.texts.use(owned.book)
         self.owned.add(owned)
         log_state(
@@ -229,7 +231,8 @@
         :param others: whether another box may believe that it still is
         """
         kept = whole.kept
-        book = LotBook(whole.lot, self._rules_again(kept), whole.results)
+        lengths = self._lengths_of(whole.lot)
+        book = LotBook(whole.lot, self._rules_again(kept), whole.results, lengths)
         reused = [
             name
             for name, text in texts.items()
@@ -247,6 +250,10 @@
             texts=len(reused),
         )
 
+    def _lengths_of(self, lot: Lot) -> Lengths:
+        """Return what was learned of the lengths of a model's samples."""
+        return self.lengths.setdefault(lot.model, Lengths())
+
     def _rules_again(self, kept: KeptHead) -> LotRules:
         """Return the rules of a lot that was handed in some time ago."""
         age = max(0.0, self.clock.time_of_day() - kept.head.handed_in)
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -6,19 +6,18 @@
 import threading
 from typing import TYPE_CHECKING
 
+from msgspec.structs import replace
+
 from threadramp.core.lot_book import Phase
 from threadramp.lots.news import RunnerNews
-from threadramp.policy.sample_placement import (
-    RunnerView,
-    is_slow,
-    place,
-    room_elsewhere,
-    usual_gap_ms,
-)
+from threadramp.policy.hurry import engines_to_hurry
+from threadramp.policy.moves import RunningSample, to_faster
+from threadramp.policy.sample_placement import RunnerView, place
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
     Accepted,
+    Beat,
     Collect,
     Drop,
     Find,
@@ -44,6 +43,7 @@
 NOT_TAKEN_PAUSE_S = 0.1
 SILENT_PAUSE_S = 0.3
 FIND_TIMEOUT_S = 0.4
+HURRY_AGAIN_S = 0.4  # an engine that was asked shows that it loads within 0.2 s
 
 
 class Runners:
@@ -66,6 +66,7 @@
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
         self.asked: frozenset[str] = frozenset()
+        self.hurried_at = 0.0
         self.lock = threading.Lock()
         self.stopped = threading.Event()
 
@@ -89,8 +90,9 @@
                 continue
             self._refresh()
             self._look()
-            self._move_from_slow()
+            self._move_to_faster()
             self._send()
+            self._hurry()
 
     def _refresh(self) -> None:
         """Keep one view and one collector for each sidecar that may run samples of our lots."""
@@ -218,6 +220,25 @@
                 batches.setdefault(view.member.name, []).append((lot, name))
         return batches
 
+    def _hurry(self) -> None:
+        """Ask for loads where samples wait that no engine can run."""
+        now = self.clock.now()
+        views = list(self.views.values())
+        asks = {}
+        for lot in self.owned.open():
+            wanted = lot.book.lot
+            with self.owned.lock:
+                waits = bool(lot.book.waiting(now))
+            if not waits:
+                continue
+            for view in engines_to_hurry(views, wanted.model, wanted.min_version, now):
+                facts = replace(self.peers.facts_for(view.member), hurry=wanted.model)
+                asks[view.member.address] = Beat(*self.peers.myself, facts)
+        if asks and now - self.hurried_at > HURRY_AGAIN_S:
+            self.hurried_at = now
+            log_state("loads_hurried", sidecars=sorted(asks))
+            self.peers.ask_all(asks, FIND_TIMEOUT_S)
+
     def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
         """Send samples to one sidecar and note which it took."""
         name = view.member.name
@@ -265,27 +286,46 @@
             due=book.rules.due - self.clock.now(),
             give_up_in_s=book.rules.give_up_at - self.clock.now(),
             rank=lot.kept.head.rank,
+            model=book.lot.model,
         )
 
-    def _move_from_slow(self) -> None:
-        """Take long samples from engines that are slow while others have room for them."""
+    def _move_to_faster(self) -> None:
+        """Take samples from engines where others would be done sooner."""
         views = list(self.views.values())
-        usual = usual_gap_ms(views)
-        for view in [view for view in views if is_slow(view, usual)]:
-            for lot in self.owned.open():
-                wanted = lot.book.lot
-                room = room_elsewhere(views, wanted.model, wanted.min_version, self.clock.now())
-                self._move(lot, view, room)
-
-    def _move(self, lot: OwnedLot, view: RunnerView, room: int) -> None:
-        """Take the longest samples of a lot from a sidecar, as many as there is room for."""
+        with self.owned.lock:
+            running = [one for lot in self.owned.open() for one in self._running(lot)]
+        moved: dict[tuple[str, str], list[str]] = {}
+        for one in to_faster(running, views, self.clock.now()):
+            moved.setdefault((one.lot, one.runner), []).append(one.sample)
+        for (lot_id, runner), samples in moved.items():
+            lot = self.owned.get(lot_id)
+            if lot is not None:
+                self._move(lot, self.views[runner], samples)
+
+    def _running(self, lot: OwnedLot) -> list[RunningSample]:
+        """Return the samples of a lot that run."""
+        book = lot.book
+        wanted = book.lot
+        return [
+            RunningSample(
+                lot.lot_id,
+                name,
+                wanted.model,
+                wanted.min_version,
+                state.runner,
+                len(state.events) - state.events_before,
+                book.events_left(state),
+            )
+            for name, state in book.states.items()
+            if state.phase is Phase.RUNNING and state.confirmed and state.runner in self.views
+        ]
+
+    def _move(self, lot: OwnedLot, view: RunnerView, samples: list[str]) -> None:
+        """Take samples of a lot from a sidecar."""
         name = view.member.name
         with self.owned.lock:
             have = lot.book.at_runner(name)
-            longest = sorted(
-                have, key=lambda sample: -lot.book.expected_left(lot.book.states[sample])
-            )
-            moved = {sample: have[sample] for sample in longest[:room]}
+            moved = {sample: have[sample] for sample in samples if sample in have}
         if not moved:
             return
         log_state("samples_moved", lot=lot.lot_id, sidecar=name, samples=sorted(moved))
--- a/src/threadramp/policy/model_share.py
+++ b/src/threadramp/policy/model_share.py
@@ -1,58 +1,163 @@
-"""Which models an engine keeps up to date when several trainers share a pool, and when it loads.
-
-Each engine could load every version of every model, but then most of its time goes into loads:
-with two models, a version of each every 4 s and 0.9 s a load, two at a time, five engines can not
-keep up. So the engines are dealt out to the models in blocks. An engine still serves another
-model's samples for as long as the version that it holds is fresh enough.
-
-A load takes longer while many engines of a pool load, whichever model it is, so they take turns.
+"""Which versions of which models an engine loads when several trainers share a pool, and when.
+
+The load that this answers: several models on one pool, a version of each named every few seconds,
+0.9 s for a load and longer while many engines load, lots handed in in bursts as their version is
+named. Engines could load every version of every model, but then most of their time goes into loads.
+
+A lot of step k takes version k - 1 and newer, so a version that is loaded serves the lots of two
+steps. In a small pool each engine therefore holds all models. Engines load in turns by the clock,
+few at once, whatever is named when; in its turn an engine loads a version that was named lately,
+else a model of which it can run nothing. That is as many loads as if the engines were dealt out to
+the models, but each lot finds more engines, an engine that leaves is missed by all models alike,
+and a model with more work takes more of the pool. Only samples of the model that is loaded wait.
+
+Grounds (third customer's sheet, 20 days of five kinds; docs/design/load.md): mean wait of a lot's
+last sample 0.20 s; 0.39 s where versions were loaded as soon as they were named (six loads at once
+took 2.4 s each); 1 to 3 s in bursts where the engines were dealt out in blocks.
+In a large pool the engines are dealt out in blocks, so that a lot's gateway need not know them all.
 """
 
 from __future__ import annotations
 
-from math import ceil
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from threadramp.policy.subset import SMALL_POOL
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 TURNS = 3  # the users' sheets let 2 of 5, 2 of 6 and 8 of 21 engines load before loads get longer
 LEAST_AT_ONCE = 2  # engines that load at once, from the same sheets
+TURN_S = 1.0  # a load takes 0.9 s
+BEGIN_SHARE = 0.4  # of a turn; engines are looked at each 0.2 s, and a load fits into the turn
+
+
+@dataclass(frozen=True)
+class ModelShare:
+    """What one engine loads.
+
+    :param shifts: by model, the place at which it comes where several models wait for a load;
+        empty if the engine loads nothing
+    :param turn: in which the engine begins to load, from 0
+    :param turns: after so many it is its turn again
+    """
+
+    shifts: dict[str, int]
+    turn: int = 0
+    turns: int = 1
+
+    def new_s(self, versions_apart: int) -> float:
+        """Return for how long after its naming a version is loaded by the engines in turn.
+
+        So long that an even share of them comes up: all engines for one model, a third for three.
 
+        :param versions_apart: 2 if an engine is to load every second version only
+        """
+        return self.turns * TURN_S / max(1, len(self.shifts)) / versions_apart
 
-def models_for(rank: int, engines: int, models: Sequence[str]) -> tuple[str, ...]:
-    """Return the models that one engine keeps up to date.
+
+def is_shared(engines: int) -> bool:
+    """Return whether each engine of a pool of that size holds all models of the pool."""
+    return engines <= SMALL_POOL
+
+
+def model_share(rank: int, engines: int, models: Sequence[str]) -> ModelShare:
+    """Return what one engine loads.
 
     :param rank: place of the engine among ``engines``, from 0
     :param models: all models of the pool
     """
     ordered = sorted(models)
     if not ordered:
-        return ()
-    if engines <= len(ordered):
-        return tuple(model for place, model in enumerate(ordered) if place % engines == rank)
-    return (ordered[rank * len(ordered) // engines],)
+        return ModelShare({})
+    turns = -(-engines // load_at_once(engines))
+    turn = rank % turns
+    if not is_shared(engines):
+        return ModelShare({ordered[rank * len(ordered) // engines]: 0}, turn, turns)
+    shifts = {model: (rank + place) % len(ordered) for place, model in enumerate(ordered)}
+    return ModelShare(shifts, turn, turns)
 
 
-def load_turn(rank: int, engines: int) -> int:
-    """Return the turn, from 0, in which one engine loads a version after that was named.
-
-    :param rank: place of the engine among all ``engines`` of its pool, from 0
-    """
-    at_once = max(LEAST_AT_ONCE, ceil(engines / TURNS))
-    return rank // at_once
+def load_at_once(engines: int) -> int:
+    """Return how many engines of a pool load at once before loads get longer."""
+    return max(LEAST_AT_ONCE, engines // TURNS)
 
 
-def takes_version(rank: int, version: int, held: int, apart: int) -> bool:
-    """Return whether an engine loads a version that is newer than the one that it holds.
+def is_turn(turn: int, turns: int, seconds: float) -> bool:
+    """Return whether an engine may begin to load now, so that few of a pool load at once.
 
-    Lots allow the version before the newest, so an engine that loads every second one serves every
-    lot; one that has fallen further behind loads the newest whatever its number.
+    All engines have the same turns, whichever model they load and however many versions are named
+    together; where each began when its version was named, six loaded at once, for 2.4 s, and again
+    as soon as they were done.
 
-    :param rank: place of the engine among the engines of its pool, from 0
-    :param apart: 1 if each engine loads each version, 2 if half of them the even ones
+    :param seconds: of the time of day, which differs little from box to box
     """
-    return (version + rank) % apart == 0 or held < version - 1
+    if turns <= 1:
+        return True
+    now = seconds / TURN_S
+    return int(now) % turns == turn and now % 1 < BEGIN_SHARE
 
 
-__all__ = ["load_turn", "models_for", "takes_version"]
+@dataclass(frozen=True)
+class NamedVersion:
+    """The newest version that is named of a model, and what an engine has of it.
+
+    :param held: version that the engine holds, 0 if it lacks the model
+    :param known_s: seconds for which the engine's sidecar has known that the version is named
+    """
+
+    model: str
+    version: int
+    held: int
+    known_s: float
+
+    @property
+    def is_wanted(self) -> bool:
+        """Return whether the engine has an older version of the model."""
+        return 0 < self.held < self.version
+
+    @property
+    def is_useless(self) -> bool:
+        """Return whether the engine can run nothing of the newest lot, which allows one before."""
+        return 0 < self.held < self.version - 1
+
+
+def next_load(
+    named: Sequence[NamedVersion],
+    share: ModelShare,
+    seconds: float,
+    versions_apart: int = 1,
+    hurried: str = "",
+) -> NamedVersion | None:
+    """Return which version an engine begins to load now, none if it begins none.
+
+    In its turn it loads what was named lately: the lot of the next version may be handed in any
+    moment, and takes this one. Else it makes up for a model of which it can run nothing. Where
+    there are several, as after an outage, engines in a row begin with different models; all began
+    with the one that was furthest behind, and the lots of another waited 9.7 s.
+
+    :param seconds: of the time of day
+    :param versions_apart: 2 if an engine is to load every second version only
+    :param hurried: model that a gateway wants now, since no engine can run what waits for it
+    """
+    wanted = [one for one in named if one.is_wanted]
+    for one in wanted:
+        if one.model == hurried and one.is_useless:
+            return one
+    if not is_turn(share.turn, share.turns, seconds):
+        return None
+    new_s = share.new_s(versions_apart)
+    due = [one for one in wanted if one.known_s < new_s or one.is_useless]
+    return min(due, key=lambda one: (one.known_s >= new_s, share.shifts[one.model]), default=None)
+
+
+__all__ = [
+    "ModelShare",
+    "NamedVersion",
+    "is_shared",
+    "is_turn",
+    "load_at_once",
+    "model_share",
+    "next_load",
+]
--- /dev/null
+++ b/src/threadramp/policy/moves.py
@@ -0,0 +1,83 @@
+"""Which running samples go on at a faster engine.
+
+The load that this answers: steps that wait for their longest samples, on engines of one pool that
+differ in speed: lasting (one in three was 1.3 times slower) or for a spell (2.6 to 3.8 times, 6 to
+8 s). A sample of 187 events takes 7.0 s at one engine and 9.5 s at another, its lot is due after
+7.5 s, and where it starts is often decided by which engines hold a version that is fresh enough.
+A run goes on elsewhere behind its last event; its prompt and text are read again, some 30 ms.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from threadramp.policy.sample_placement import has_fresh, usual_gap_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from threadramp.policy.sample_placement import RunnerView
+
+MOVE_S = 0.3  # a move takes 0.1 to 0.2 s between the last event here and the next there; twice that
+SETTLED_EVENTS = 10  # that it had at its engine; so a sample is not moved on at once, to and fro
+FASTER = 1.2  # gaps of equal engines differ by less: 37 to 42 ms, with one to twelve samples
+
+
+@dataclass(frozen=True)
+class RunningSample:
+    """A sample that runs.
+
+    :param runner: name of the sidecar that runs it
+    :param here: events that it had there
+    :param left: events that are about to come
+    """
+
+    lot: str
+    sample: str
+    model: str
+    min_version: int
+    runner: str
+    here: int
+    left: float
+
+
+def to_faster(
+    running: Sequence[RunningSample], views: Sequence[RunnerView], now: float
+) -> list[RunningSample]:
+    """Return the samples that are done sooner elsewhere though they lose the time of a move.
+
+    Those that gain most choose first; no more leave than there is room for.
+    """
+    usual = usual_gap_ms(views)
+    gaps = {view.member.name: _gap_ms(view, usual) for view in views}
+    room = {view.member.name: view.free(now) for view in views}
+    moved = []
+    settled = [one for one in running if one.here >= SETTLED_EVENTS]
+    for one in sorted(settled, key=lambda one: -one.left * gaps.get(one.runner, 0.0)):
+        here = gaps.get(one.runner, 0.0)
+        able = [
+            view
+            for view in views
+            if room[view.member.name]
+            and has_fresh(view, one.model, one.min_version)
+            and _pays(one.left, here, gaps[view.member.name])
+        ]
+        if able:
+            fastest = min(able, key=lambda view: gaps[view.member.name])
+            room[fastest.member.name] -= 1
+            moved.append(one)
+    return moved
+
+
+def _pays(left: float, here_ms: float, there_ms: float) -> bool:
+    """Return whether a sample is done sooner at another engine."""
+    return here_ms > FASTER * there_ms > 0 and left * (here_ms - there_ms) / 1000 > MOVE_S
+
+
+def _gap_ms(view: RunnerView, usual: float) -> float:
+    """Return the time between two events at an engine; one that tells none is taken as usual."""
+    return view.status.gap_ms or usual if view.status is not None else 0.0
+
+
+__all__ = ["RunningSample", "to_faster"]
--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -7,13 +7,14 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from threadramp.wire.runner import is_changing
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from threadramp.fleet.picture import Member
     from threadramp.wire.runner import RunnerStatus
 
-SLOW_FACTOR = 1.7  # against the usual gap between events; the slow engines seen were 2.6 to 3.8
 SPEED_STEP = 1.15  # engines whose gaps differ by less than this count as equally fast
 STATUS_AGE_S = 2.0  # a sidecar that was silent for longer gets nothing
 
@@ -31,11 +32,13 @@
     taken: int = 0
     heard: float = 0.0
 
+    def is_ready(self, now: float) -> bool:
+        """Return whether it was heard lately and takes samples."""
+        return self.status is not None and self.status.ready and now - self.heard <= STATUS_AGE_S
+
     def free(self, now: float) -> int:
         """Return how many samples it could start now."""
-        if self.status is None or not self.status.ready or now - self.heard > STATUS_AGE_S:
-            return 0
-        return max(0, self.status.slots - self.taken)
+        return max(0, self.status.slots - self.taken) if self.is_ready(now) else 0
 
 
 def usual_gap_ms(views: Sequence[RunnerView]) -> float:
@@ -44,11 +47,6 @@
     return median(gaps) if gaps else 0.0
 
 
-def is_slow(view: RunnerView, usual: float) -> bool:
-    """Return whether a sidecar's engine is much slower than usual."""
-    return bool(usual and view.status and view.status.gap_ms > SLOW_FACTOR * usual)
-
-
 def place(
     views: Sequence[RunnerView],
     model: str,
@@ -77,16 +75,14 @@
     return min(able, key=rank)
 
 
-def room_elsewhere(views: Sequence[RunnerView], model: str, min_version: int, now: float) -> int:
-    """Return how many samples the engines could take that are not slow."""
-    usual = usual_gap_ms(views)
-    sound = [view for view in views if not is_slow(view, usual)]
-    return sum(view.free(now) for view in sound if _is_able(view, model, min_version, now))
-
-
 def _is_able(view: RunnerView, model: str, min_version: int, now: float) -> bool:
     """Return whether a sidecar could start a sample now with weights that are fresh enough."""
-    if view.status is None or not view.free(now):
+    return view.free(now) > 0 and has_fresh(view, model, min_version)
+
+
+def has_fresh(view: RunnerView, model: str, min_version: int) -> bool:
+    """Return whether an engine holds weights that are fresh enough and do not change just now."""
+    if view.status is None or is_changing(view.status.loading, model):
         return False
     return view.status.versions.get(model, 0) >= min_version
 
@@ -102,4 +98,4 @@
     return int(log(view.status.gap_ms / fastest, SPEED_STEP))
 
 
-__all__ = ["RunnerView", "is_slow", "place", "room_elsewhere", "usual_gap_ms"]
+__all__ = ["RunnerView", "has_fresh", "place", "usual_gap_ms"]
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -22,7 +22,7 @@
 )
 from threadramp.platform.headers import order_headers
 from threadramp.report.log import log_state
-from threadramp.wire.runner import Facts
+from threadramp.wire.runner import ANY_MODEL, Facts
 
 if TYPE_CHECKING:
     from threadramp.edge.connections import Answer, Exchange
@@ -49,6 +49,7 @@
         self.facts = NOTHING_TOLD
         self.report: EngineReport | None = None
         self.ordered: WeightTarget | None = None
+        self.loaded_last = ""
         self.over = ""
         self.gaps: deque[tuple[float, float]] = deque(maxlen=GAPS)
         self.lock = threading.Lock()
@@ -58,6 +59,15 @@
         """Return whether it changes weights or is about to."""
         return self.ordered is not None or (self.report is not None and self.report.busy)
 
+    @property
+    def loading(self) -> str:
+        """Return the model whose weights change now or are about to, empty if none do.
+
+        Only its samples are rejected meanwhile; those of other models run as ever. What an order
+        concerns that an earlier process gave is not known.
+        """
+        return (self.loaded_last or ANY_MODEL) if self.is_loading else ""
+
     @property
     def is_known(self) -> bool:
         """Return whether it answers and is the start that gateways told."""
@@ -67,7 +77,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether a sample would start there now."""
-        return self.is_known and not self.is_loading and not self.is_leaving
+        return self.is_known and not self.is_leaving
 
     @property
     def is_leaving(self) -> bool:
@@ -97,6 +107,7 @@
                 self.ordered = None
             self.facts = replace(
                 listed,
+                hurry="",
                 slots=listed.slots or held.slots,
                 targets=named.targets,
                 targets_revision=named.targets_revision,
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -7,6 +7,7 @@
 
 from threadramp.core.lot_book import RunOutcome
 from threadramp.runner.run import Run
+from threadramp.wire.runner import is_changing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +32,7 @@
         self.runs: dict[str, Run] = {}
         self.slots = 0
         self.accepting = False
+        self.loading = ""
         self.changed = threading.Condition(threading.RLock())
 
     @property
@@ -57,7 +59,7 @@
                 return None
             running = [run for run in self.runs.values() if run.is_open and run.started]
             now = self.now()
-            waiting = [run for run in self.runs.values() if run.may_start(now)]
+            waiting = [run for run in self.runs.values() if self._may_start(run, now)]
             if not waiting:
                 return None
             if len(running) >= self.slots and not self._make_room(running):
@@ -141,7 +143,7 @@
         return found
 
     def collect(
-        self, have: dict[str, int], wait_s: float, readiness: Callable[[], bool]
+        self, have: dict[str, int], wait_s: float, readiness: Callable[[], object]
     ) -> tuple[list[RunUpdate], list[str]]:
         """Return news and unknown samples; waits until a sample ends or the time is over."""
         until = self.now() + wait_s
@@ -184,12 +186,16 @@
                 return True
         return False
 
+    def _may_start(self, run: Run, now: float) -> bool:
+        """Return whether a run waits for a start that the engine would not reject."""
+        return run.may_start(now) and not is_changing(self.loading, run.order.model)
+
     def _submit_one(self, order: RunOrder) -> bool:
         name = order.sample.id
         run = self.runs.get(name)
         if run is not None and run.serves(order):
             return self._go_on(run, order)
-        if not self._has_room():
+        if not self._has_room(order):
             return False
         if run is not None and run.is_open:
             _call([self._cut(run)])
@@ -201,7 +207,7 @@
     def _go_on(self, run: Run, order: RunOrder) -> bool:
         """Let a run that is here serve an order."""
         needs_start = run.outcome in (RunOutcome.CUT, RunOutcome.FAILED)
-        if needs_start and not self._has_room():
+        if needs_start and not self._has_room(order):
             return False
         run.order = order
         run.wanted = True
@@ -213,8 +219,9 @@
             run.cancel = None
         return True
 
-    def _has_room(self) -> bool:
-        return self.accepting and self.taken < self.slots + QUEUE
+    def _has_room(self, order: RunOrder) -> bool:
+        able = self.accepting and not is_changing(self.loading, order.model)
+        return able and self.taken < self.slots + QUEUE
 
     def _make_room(self, running: list[Run]) -> bool:
         """End a run that only later lots may want, for one that is wanted now."""
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -91,6 +91,8 @@
             self.gateways[ask.address] = self.clock.now()
         if isinstance(ask, (Beat, Submit, Collect)):
             self.engine.learn(ask.facts)
+            if ask.facts.hurry:
+                self.weights.hurry(ask.facts.hurry)
             self.sidecars = ask.facts.sidecars
             self._refresh_table()
             if not ask.facts.listed:
@@ -120,6 +122,7 @@
             taken=self.table.taken,
             versions=report.versions if report is not None else {},
             gap_ms=round(self.engine.gap_ms(), 1),
+            loading=self.engine.loading,
         )
 
     def _answer(self, ask: AnyAsk) -> AnyReply:
@@ -127,11 +130,11 @@
             taken = self.table.submit(ask.orders)
             return Accepted(self.status(), taken)
         if isinstance(ask, Collect):
-            updates, unknown = self.table.collect(ask.have, ask.wait_s, self._is_ready)
+            updates, unknown = self.table.collect(ask.have, ask.wait_s, self._readiness)
             return Updates(self.status(), tuple(updates), tuple(unknown))
         if isinstance(ask, Drop):
             self.table.drop(ask.have, ask.let_finish)
-            updates, unknown = self.table.collect(ask.have, 0.0, self._is_ready)
+            updates, unknown = self.table.collect(ask.have, 0.0, self._readiness)
             return Updates(self.status(), tuple(updates), tuple(unknown))
         if isinstance(ask, Find):
             return Found(self.status(), self.table.find(ask.samples, ask.min_version))
@@ -142,12 +145,16 @@
     def _is_ready(self) -> bool:
         return self.engine.is_ready and not self.leaving
 
+    def _readiness(self) -> tuple[bool, str]:
+        """Return what gateways want to know of as soon as it changes."""
+        return (self._is_ready(), self.engine.loading)
+
     def _refresh_table(self) -> None:
         with self.table.changed:
             self.table.slots = self.engine.facts.slots
-            accepting = self._is_ready()
-            if accepting != self.table.accepting:
-                self.table.accepting = accepting
+            seen = (self._is_ready(), self.engine.loading)
+            if seen != (self.table.accepting, self.table.loading):
+                self.table.accepting, self.table.loading = seen
                 self.table.changed.notify_all()
 
     def _engine_loop(self) -> None:
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.platform.engine import OrderOutcome
-from threadramp.policy.model_share import takes_version
+from threadramp.policy.model_share import NamedVersion, next_load
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -17,8 +17,8 @@
     from threadramp.fleet.model import WeightTarget
     from threadramp.runner.engine import Engine
 
-LOAD_S = 1.0  # a turn; a load takes 0.9 s
 TAKEN_TIMEOUT_S = 4.0  # an order that was taken but shows no effect for so long is given again
+HURRY_S = 0.6  # a gateway asks again while it has to; the engine is looked at each 0.2 s
 ORDER_PAUSE_S = 0.5  # between two orders that were not taken
 
 
@@ -32,8 +32,9 @@
         self.versions_apart = versions_apart
         self.engine = engine
         self.clock = clock
-        self.first_seen: dict[tuple[str, int], float] = {}
+        self.first_seen: dict[str, tuple[int, float]] = {}
         self.ordered_at = 0.0
+        self.hurried = ("", 0.0)
         self.not_before = 0.0
 
     def turn(self) -> None:
@@ -44,8 +45,10 @@
         self._check_ordered()
         if self.engine.is_loading or not self.engine.is_known:
             return
+        if self.clock.now() < self.not_before:
+            return
         target = self._next_target()
-        if target is not None and self.clock.now() >= self._start_at(target):
+        if target is not None:
             self._order(target)
 
     def _check_ordered(self) -> None:
@@ -65,33 +68,43 @@
             self.engine.ordered = None
 
     def _next_target(self) -> WeightTarget | None:
-        """Return the named version that the engine lacks, the one named first before others."""
-        report = self.engine.report
-        missing = [
-            target
-            for target in self.engine.facts.targets
-            if self._is_wanted(target, report.versions.get(target.model, 0))
-        ]
-        for target in missing:
-            self.first_seen.setdefault((target.model, target.version), self.clock.now())
-        return min(missing, key=lambda target: target.revision) if missing else None
-
-    def _is_wanted(self, target: WeightTarget, held: int) -> bool:
-        """Return whether the engine is to load a version; it holds 0 of a model that it lacks."""
-        rank = self.engine.facts.rank
-        is_newer = 0 < held < target.version
-        return is_newer and takes_version(rank, target.version, held, self.versions_apart)
-
-    def _start_at(self, target: WeightTarget) -> float:
-        """Return when this engine's turn comes; few load at once."""
-        seen = self.first_seen[(target.model, target.version)]
-        return max(self.not_before, seen + self.engine.facts.load_turn * LOAD_S)
+        """Return the version to load now, none if it is not time for any."""
+        facts = self.engine.facts
+        named = {self._named(one): one for one in facts.targets if one.model in facts.share.shifts}
+        seconds = self.clock.time_of_day()
+        apart = self.versions_apart
+        chosen = next_load(list(named), facts.share, seconds, apart, self._hurried())
+        return named[chosen] if chosen is not None else None
+
+    def _named(self, target: WeightTarget) -> NamedVersion:
+        """Return a named version beside what the engine has of it."""
+        now = self.clock.now()
+        version, since = self.first_seen.get(target.model, (0, now))
+        if version != target.version:
+            since = now
+            self.first_seen[target.model] = (target.version, now)
+        return NamedVersion(
+            model=target.model,
+            version=target.version,
+            held=self.engine.report.versions.get(target.model, 0),
+            known_s=now - since,
+        )
+
+    def hurry(self, model: str) -> None:
+        """Take note that no engine can run what waits for a model."""
+        self.hurried = (model, self.clock.now())
+
+    def _hurried(self) -> str:
+        """Return the model that a gateway wants at once, empty if none is."""
+        model, at = self.hurried
+        return model if self.clock.now() - at < HURRY_S else ""
 
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
         instance = self.engine.facts.instance
         fence = self.engine.facts.targets_revision  # of all models, so that it never falls
         self.engine.ordered = target
+        self.engine.loaded_last = target.model
         self.ordered_at = self.clock.now()
         outcome = self.engine.order(target, fence, report.orders)
         log_state(
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -6,6 +6,9 @@
 
 from threadramp.fleet.model import WeightTarget
 from threadramp.lots.model import USUAL_RANK, Sample
+from threadramp.policy.model_share import ModelShare
+
+ANY_MODEL = "*"  # where weights change and it is not known of which model
 
 
 class Facts(msgspec.Struct, frozen=True, array_like=True):
@@ -14,24 +17,24 @@
     :param endpoints_revision: of the list of endpoints that ``instance`` is from
     :param instance: current start of the sidecar's endpoint, empty if the list has none
     :param leaving: whether that endpoint wants no new work
-    :param load_turn: in which the engine loads a version that was named, from 0
+    :param hurry: model whose newest version it is to load at once, empty if there is none
+    :param share: what the engine loads of the models of its pool
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
     :param sidecars: in the list of members
-    :param rank: place of the engine among the engines of its pool, from 0
     """
 
     endpoints_revision: int = 0
     instance: str = ""
     leaving: bool = False
-    load_turn: int = 0
     slots: int = 0
     memory_tokens: int = 0
     targets_revision: int = 0
     targets: tuple[WeightTarget, ...] = ()
     listed: bool = True
     sidecars: int = 0
-    rank: int = 0
+    share: ModelShare = ModelShare({})
+    hurry: str = ""
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -44,6 +47,7 @@
     :param taken: samples that run or wait
     :param versions: of the weights, by model
     :param gap_ms: usual time between two events of a sample lately, 0 if none came
+    :param loading: model whose weights change now or ``ANY_MODEL``, empty if none do
     """
 
     incarnation: str
@@ -53,6 +57,7 @@
     taken: int
     versions: dict[str, int]
     gap_ms: float
+    loading: str = ""
 
 
 class RunOrder(msgspec.Struct, frozen=True, array_like=True):
@@ -64,6 +69,7 @@
     :param due: seconds until its lot is due, negative if it is late; smaller goes first
     :param give_up_in_s: seconds after which nobody wants it any more
     :param rank: of the lot's route, 0 is the most urgent
+    :param model: whose weights are to make it
     """
 
     sample: Sample
@@ -76,6 +82,7 @@
     due: float
     give_up_in_s: float
     rank: int = USUAL_RANK
+    model: str = ""
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -96,4 +103,12 @@
     outcome: str
 
 
-__all__ = ["Facts", "RunOrder", "RunUpdate", "RunnerStatus"]
+def is_changing(loading: str, model: str) -> bool:
+    """Return whether the weights of a model change, so that its samples would be rejected.
+
+    :param loading: of the engine's status
+    """
+    return bool(loading) and (loading in (model, ANY_MODEL) or not model)
+
+
+__all__ = ["ANY_MODEL", "is_changing", "Facts", "RunOrder", "RunUpdate", "RunnerStatus"]
--- a/tests/policy/test_model_share.py
+++ b/tests/policy/test_model_share.py
@@ -1,69 +1,123 @@
-"""Engines dealt out to models."""
+"""What engines load when several trainers share a pool, and in which turn."""
 
 from __future__ import annotations
 
 import pytest
 
-from threadramp.policy.model_share import load_turn, models_for, takes_version
+from threadramp.policy.model_share import (
+    NamedVersion,
+    is_shared,
+    is_turn,
+    load_at_once,
+    model_share,
+    next_load,
+)
+
+
+def named(model: str, version: int, held: int, known_s: float = 0.0) -> NamedVersion:
+    return NamedVersion(model, version, held, known_s)
 
 
-@pytest.mark.parametrize(("engines", "models"), [(1, 2), (2, 2), (5, 2), (3, 3), (7, 3), (2, 5)])
-def test_every_model_has_an_engine_and_every_engine_a_model(engines, models):
+@pytest.mark.parametrize(("engines", "models"), [(1, 2), (2, 2), (5, 2), (8, 3), (2, 5)])
+def test_in_a_small_pool_every_engine_holds_every_model(engines, models):
     names = [f"m{number}" for number in range(models)]
-    dealt = [models_for(rank, engines, names) for rank in range(engines)]
-    assert all(dealt)
-    assert {model for row in dealt for model in row} == set(names)
+    assert all(set(model_share(rank, engines, names).shifts) == set(names) for rank in range(2))
 
 
-def test_the_engines_are_dealt_out_evenly():
-    dealt = [models_for(rank, 5, ["a", "b"]) for rank in range(5)]
-    assert dealt == [("a",), ("a",), ("a",), ("b",), ("b",)]
+def test_engines_in_a_row_begin_with_different_models():
+    first = [
+        min(share.shifts, key=share.shifts.__getitem__)
+        for share in (model_share(rank, 8, ["a", "b", "c"]) for rank in range(6))
+    ]
+    assert first == ["a", "c", "b", "a", "c", "b"]
 
 
-def test_one_model_is_on_all_engines():
-    assert {models_for(rank, 6, ["a"]) for rank in range(6)} == {("a",)}
+def test_in_a_large_pool_the_engines_are_dealt_out_evenly():
+    shares = [model_share(rank, 300, ["a", "b", "c"]) for rank in range(300)]
+    assert not is_shared(300)
+    assert [sum(set(one.shifts) == {model} for one in shares) for model in "abc"] == [100] * 3
 
 
 def test_a_pool_without_models_has_nothing_to_load():
-    assert models_for(0, 3, []) == ()
+    assert next_load([], model_share(0, 3, ()), 0.1) is None
 
 
-def turns(engines: int) -> list[int]:
-    return [load_turn(rank, engines) for rank in range(engines)]
+@pytest.mark.parametrize(("engines", "at_once"), [(1, 2), (5, 2), (6, 2), (8, 2), (21, 7)])
+def test_few_engines_have_the_same_turn(engines, at_once):
+    shares = [model_share(rank, engines, ["m"]) for rank in range(engines)]
+    assert load_at_once(engines) == at_once
+    turns = [share.turn for share in shares]
+    assert max(turns.count(turn) for turn in turns) <= at_once
 
 
-@pytest.mark.parametrize(
-    ("engines", "expected"), [(1, [0]), (5, [0, 0, 1, 1, 2]), (6, [0, 0, 1, 1, 2, 2])]
-)
-def test_few_engines_load_two_at_a_time(engines, expected):
-    assert turns(engines) == expected
+@pytest.mark.parametrize("engines", [6, 21, 300, 2_700])
+def test_a_version_is_on_all_engines_within_four_turns(engines):
+    """Two at a time whatever the pool: the last of 21 engines waited ten turns."""
+    assert {model_share(rank, engines, ["m"]).turns for rank in range(engines)} <= {3, 4}
 
 
-@pytest.mark.parametrize("engines", [7, 21, 300, 2_700])
-def test_a_version_is_on_all_engines_within_three_turns(engines):
-    """Two at a time whatever the pool: the last of 21 engines waited ten turns."""
-    assert max(turns(engines)) == 2
-    assert max(turns(engines).count(turn) for turn in range(3)) <= -(-engines // 3)
+def test_a_turn_begins_at_its_time_only():
+    assert is_turn(1, 4, 401.1)
+    assert not is_turn(1, 4, 401.9)  # the load would last into the next turn
+    assert not is_turn(1, 4, 402.1)
+    assert is_turn(0, 1, 402.9)  # an engine with nobody to wait for
+
+
+def test_what_was_named_lately_is_loaded_in_turn():
+    share = model_share(0, 8, ["a", "b", "c"])
+    lately = named("a", 5, 4)
+    assert next_load([lately], share, 400.1) == lately
+    assert next_load([lately], share, 401.1) is None
+    assert next_load([named("a", 5, 4, known_s=2.0)], share, 400.1) is None
+
+
+def test_what_was_named_lately_goes_before_a_model_of_which_nothing_can_be_run():
+    share = model_share(0, 8, ["a", "b", "c"])
+    lately = named("b", 5, 4)
+    behind = named("a", 5, 2, known_s=9.0)
+    assert next_load([behind, lately], share, 400.1) == lately
+    assert next_load([behind], share, 400.1) == behind
+
+
+def test_after_an_outage_every_model_is_on_some_engine_after_one_turn_each():
+    """All engines began with the model furthest behind; the lots of another waited 9.7 s."""
+    begun = set()
+    for rank in range(8):
+        share = model_share(rank, 8, ["a", "b", "c"])
+        row = [named(model, 9, 1, known_s=9.0) for model in "abc"]
+        begun.add(next_load(row, share, share.turn + 0.1).model)
+    assert begun == {"a", "b", "c"}
+
+
+def test_a_hurried_model_does_not_wait_for_the_turn():
+    share = model_share(0, 8, ["a", "b"])
+    behind = named("b", 5, 3, known_s=9.0)
+    assert next_load([named("a", 5, 4), behind], share, 402.9, hurried="b") == behind
+    assert next_load([named("b", 5, 4)], share, 402.9, hurried="b") is None  # it can run the lot
+
+
+def loads(start: float, apart: int) -> int:
+    """Return how many of six engines load a version that was named at a time."""
+    begun = 0
+    for rank in range(6):
+        share = model_share(rank, 6, ["m"])
+        ticks = [start + 0.2 * n for n in range(30)]
+        begun += any(next_load([named("m", 7, 6, at - start)], share, at, apart) for at in ticks)
+    return begun
+
+
+STARTS = [400 + 0.05 + 0.1 * n for n in range(30)]
 
 
-def test_each_engine_loads_each_version_unless_the_operator_says_otherwise():
-    assert all(
-        takes_version(rank, version, version - 1, 1) for rank in range(4) for version in (5, 6)
-    )
+def test_of_one_model_each_engine_loads_each_version():
+    assert {loads(start, 1) for start in STARTS} == {6}
 
 
-def test_every_second_version_half_of_the_engines_load_and_all_serve_the_lots_of_each_step():
-    held = dict.fromkeys(range(6), 1)
-    loads = 0
-    for version in range(2, 12):
-        for rank, before in held.items():
-            if takes_version(rank, version, before, 2):
-                held[rank] = version
-                loads += 1
-        assert sorted(held.values()) == [version - 1] * 3 + [version] * 3
-    assert loads == 30
+def test_where_the_operator_says_so_half_of_the_engines_load_each_version():
+    counts = [loads(start, 2) for start in STARTS]
+    assert 2.4 <= sum(counts) / len(counts) <= 3.6
+    assert min(counts) >= 2
 
 
-def test_an_engine_that_has_fallen_behind_loads_the_newest_whatever_its_number():
-    assert takes_version(0, 7, 4, 2)
-    assert not takes_version(0, 7, 6, 2)
+def test_a_model_that_the_engine_lacks_is_not_loaded():
+    assert next_load([named("a", 5, 0)], model_share(0, 1, ["a"]), 0.1) is None
--- a/tests/policy/test_sample_placement.py
+++ b/tests/policy/test_sample_placement.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from threadramp.fleet.picture import Member
-from threadramp.policy.sample_placement import (
-    RunnerView,
-    is_slow,
-    place,
-    room_elsewhere,
-    usual_gap_ms,
-)
-from threadramp.wire.runner import RunnerStatus
+from threadramp.policy.sample_placement import RunnerView, place
+from threadramp.wire.runner import ANY_MODEL, RunnerStatus
 
 NOW = 50.0
 
@@ -47,14 +43,12 @@
     assert chosen([view("a")], avoid="a") == "a"
 
 
-def test_an_engine_is_slow_against_the_usual_gap():
-    views = [view("a"), view("b"), view("c", gap=120.0)]
-    usual = usual_gap_ms(views)
-    assert [is_slow(one, usual) for one in views] == [False, False, True]
-
-
-def test_room_counts_only_where_the_sample_may_run():
-    """Samples were moved to and fro where the only engine fresh enough was the slow one."""
-    views = [view("a", version=2), view("b", version=2), view("c", gap=120.0, version=3)]
-    assert room_elsewhere(views, "m", 3, NOW) == 0
-    assert room_elsewhere(views, "m", 2, NOW) == 24
+def test_samples_of_other_models_go_to_an_engine_that_loads():
+    """All samples waited while one model of the engine was loaded, for 0.9 s and more."""
+    loading = view("a")
+    loading.status = replace(loading.status, loading="other")
+    assert chosen([loading]) == "a"
+    loading.status = replace(loading.status, loading="m")
+    assert chosen([loading]) is None
+    loading.status = replace(loading.status, loading=ANY_MODEL)
+    assert chosen([loading]) is None
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -56,6 +56,15 @@
     assert table.next_start() is None
 
 
+def test_while_a_model_is_loaded_samples_of_other_models_start(table):
+    table.submit((order("a", model="m"), order("b", model="other")))
+    table.loading = "m"
+    assert [run.order.sample.id for run in iter(table.next_start, None)] == ["b"]
+    assert table.submit((order("c", model="m"), order("d", model="other"))).keys() == {"d"}
+    table.loading = ""
+    assert table.next_start().order.sample.id == "a"
+
+
 def test_the_lot_that_is_due_first_goes_first_and_of_it_the_longest_sample(table):
     table.submit((order("late", due=9.0), order("short"), order("long", expected=900)))
     assert [table.next_start().order.sample.id for _ in range(2)] == ["long", "short"]
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -8,9 +8,10 @@
 
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.model import WeightTarget
+from threadramp.policy.model_share import ModelShare
 from threadramp.runner.engine import Engine
 from threadramp.runner.weights import Weights
-from threadramp.wire.runner import Facts
+from threadramp.wire.runner import ANY_MODEL, Facts
 
 
 def facts(version: int = 0, revision: int = 10, instance: str = "i-1", **more) -> Facts:
@@ -21,6 +22,7 @@
         slots=12,
         targets_revision=revision,
         targets=targets,
+        share=more.pop("share", ModelShare({"m": 0})),
         **more,
     )
 
@@ -66,7 +68,11 @@
 
 def test_the_fence_is_the_newest_of_all_models(sidecar_engine, engine):
     weights = Weights(sidecar_engine, Clock())
-    sidecar_engine.learn(Facts(1, "i-1", False, 0, 12, 0, 110, (WeightTarget("m", 5, 100),), True))
+    targets = (WeightTarget("m", 5, 100),)
+    share = ModelShare({"m": 0})
+    sidecar_engine.learn(
+        Facts(1, "i-1", slots=12, targets_revision=110, targets=targets, share=share)
+    )
     turn_until(weights, lambda: engine.orders)
     assert engine.orders[0]["fence"] == 110
 
@@ -95,19 +101,44 @@
     turn_until(weights, lambda: engine.orders)
 
 
-def test_engines_of_a_later_rank_wait_for_their_turn(sidecar_engine, engine, clock):
+def test_an_engine_waits_for_its_turn(sidecar_engine, engine, clock):
     weights = Weights(sidecar_engine, clock)
-    sidecar_engine.learn(facts(version=2, load_turn=2))
+    now = int(clock.time_of_day() + 0.5) % 4
+    sidecar_engine.learn(facts(version=2, share=ModelShare({"m": 0}, turn=(now + 2) % 4, turns=4)))
     sidecar_engine.read_report()
     weights.turn()
-    clock.at += 1.9
+    clock.at += 1.5
     weights.turn()
     assert engine.orders == []
-    clock.at += 0.2
+    clock.at += 0.6
+    weights.turn()
+    assert len(engine.orders) == 1
+
+
+def test_a_hurried_engine_does_not_wait_for_its_turn(sidecar_engine, engine, clock):
+    weights = Weights(sidecar_engine, clock)
+    now = int(clock.time_of_day() + 0.5) % 4
+    sidecar_engine.learn(facts(version=3, share=ModelShare({"m": 0}, turn=(now + 2) % 4, turns=4)))
+    sidecar_engine.read_report()
+    weights.hurry("m")
     weights.turn()
     assert len(engine.orders) == 1
 
 
+def test_only_the_model_that_is_loaded_is_told_to_change(sidecar_engine, engine):
+    weights = Weights(sidecar_engine, Clock())
+    sidecar_engine.learn(facts(version=2))
+    turn_until(weights, lambda: engine.orders)
+    assert sidecar_engine.is_ready
+    assert sidecar_engine.loading == "m"
+
+
+def test_an_order_of_an_earlier_process_may_concern_any_model(sidecar_engine, engine):
+    sidecar_engine.order(WeightTarget("m", 2, 10), 10, 0)
+    assert sidecar_engine.read_report()
+    assert sidecar_engine.loading == ANY_MODEL
+
+
 def test_older_facts_change_nothing(sidecar_engine):
     sidecar_engine.learn(facts(instance="i-9", endpoints_revision=9))
     sidecar_engine.learn(facts(instance="i-1", endpoints_revision=8))
