--- a/src/threadramp/cli/report.py
+++ b/src/threadramp/cli/report.py
@@ -12,6 +12,7 @@
 from threadramp.cli.api import CLIENT_OPTIONS, ClientCommand, ExitCode, command, fail
 from threadramp.report.burn import burn_html, burn_report, burn_text
 from threadramp.report.day import DayLog
+from threadramp.report.lot_times import call_text, lot_plot, lot_text
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,7 +71,14 @@
         span_s = log.span_s
         windows_s = [span_s * share for share in WINDOW_SHARES]
         report = burn_report(records, windows_s)
-        _show(self, report, lambda: burn_html(records, windows_s, max(LEAST_SPAN_S, span_s)))
+        lots = log.lot_times()
+        _show(
+            self,
+            report,
+            lambda: burn_html(records, windows_s, max(LEAST_SPAN_S, span_s)) + _lots_html(log),
+        )
+        if lots and not self.option("json"):
+            self.line(f"\n{lot_text(lots)}\n\n{call_text(log.store_calls)}")
         for line in _notes(log):
             self.line_error(line)
         return ExitCode.OK
@@ -83,6 +91,13 @@
     asked.line(msgspec.json.encode(report).decode() if asked.option("json") else burn_text(report))
 
 
+def _lots_html(log: DayLog) -> str:
+    """Return what the page says of the day's lots and calls."""
+    lots = log.lot_times()
+    tables = f"{lot_text(lots)}\n\n{call_text(log.store_calls)}"
+    return f"<h1>Lots</h1><pre>{tables}</pre>{lot_plot(lots)}" if lots else ""
+
+
 def _share(text: str) -> float:
     """Return a share between 0 and 1.
 
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -61,6 +61,7 @@
     :param relay: asked when the direct way is shut
     :param timeout_s: seconds after which a call is given up
     :param observe: told of each call on the direct way: none if it was answered, else what failed
+    :param count: told the cause of each call on the direct way
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         relay: Relay | None = None,
         observe: Callable[[StoreError | None], None] = lambda error: None,
         timeout_s: float = CALL_TIMEOUT_S,
+        count: Callable[[str], None] = lambda cause: None,
     ) -> None:
         host, _, port = address.partition(":")
         self.pool = HTTPConnectionPool(host, int(port), maxsize=POOL_SIZE, retries=False)
@@ -77,6 +79,7 @@
         self.relay = relay
         self.observe = observe
         self.timeout_s = timeout_s
+        self.count = count
         self.lock = threading.Lock()
         self.calls = 0
         self.shut = False
@@ -86,7 +89,8 @@
 
         :raises StoreError: if no answer came
         """
-        answer = self._ask("GET", f"{KEY_ROOT}/kv-key?{urlencode({'key': key})}")
+        path = f"{KEY_ROOT}/kv-key?{urlencode({'key': key})}"
+        answer = self._ask(_cause("read", key), "GET", path)
         if answer.status == 404:
             return None
         return read_item(answer)
@@ -103,9 +107,8 @@
             query = {"pathPrefix": prefix}
             if after:
                 query["after"] = after
-            answer = self._ask(
-                "GET", f"{KEY_ROOT}/kv-range?{urlencode(query)}", direct_when_shut=False
-            )
+            path = f"{KEY_ROOT}/kv-range?{urlencode(query)}"
+            answer = self._ask(_cause("list", prefix), "GET", path, direct_when_shut=False)
             page = read_page(answer)
             items.extend(page.items)
             # Changes between two pages are seen again by a watch from the first page's revision.
@@ -125,7 +128,7 @@
         """
         query = {"pathPrefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
         path = f"{KEY_ROOT}/kv-watch?{urlencode(query)}"
-        call = Call("GET", path, b"", wait_s + WATCH_MARGIN_S, True)
+        call = Call("GET", path, b"", wait_s + WATCH_MARGIN_S, True, _cause("watch", prefix))
         answer = _checked(self.direct(call, pool))
         if answer.status == 410:
             return HistoryGone()
@@ -145,7 +148,9 @@
         :raises StoreUnknownError: if it may have been done
         """
         body = transaction_body(transaction)
-        answer = self._ask("POST", f"{KEY_ROOT}/kv-txn", body, repeatable)
+        keys = [*(put.key for put in transaction.puts), *transaction.removals]
+        cause = _cause("write" if transaction.puts else "remove", keys[0] if keys else "")
+        answer = self._ask(cause, "POST", f"{KEY_ROOT}/kv-txn", body, repeatable)
         if answer.status == 404:
             return LeaseGone()
         if answer.status == 412:
@@ -158,7 +163,8 @@
         :raises StoreError: if no answer came
         """
         path = f"{KEY_ROOT}/kv-lease"
-        return read_lease(self._ask("POST", path, lease_body(ttl_s), repeatable=True))
+        answer = self._ask("grant lease", "POST", path, lease_body(ttl_s), repeatable=True)
+        return read_lease(answer)
 
     def renew_lease(self, lease: int) -> bool:
         """Renew a lease; false if it is over.
@@ -166,7 +172,7 @@
         :raises StoreError: if no answer came
         """
         path = f"{KEY_ROOT}/kv-keep/{lease}"
-        answer = self._ask("POST", path, b"", repeatable=True, probes=True)
+        answer = self._ask("renew lease", "POST", path, b"", repeatable=True, probes=True)
         return answer.status != 404
 
     def end_lease(self, lease: int) -> None:
@@ -174,7 +180,8 @@
 
         :raises StoreError: if no answer came
         """
-        self._ask("DELETE", f"{KEY_ROOT}/kv-lease-end/{lease}", repeatable=True)
+        path = f"{KEY_ROOT}/kv-lease-end/{lease}"
+        self._ask("end lease", "DELETE", path, repeatable=True)
 
     def direct(self, call: Call, pool: HTTPConnectionPool | None = None) -> RawAnswer:
         """Send a call on our own way to the store.
@@ -184,6 +191,7 @@
         """
         with self.lock:
             self.calls += 1
+        self.count(call.cause)
         headers = {"Content-Type": "application/json"} if call.body else {}
         timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=call.timeout_s)
         try:
@@ -200,6 +208,7 @@
 
     def _ask(
         self,
+        cause: str,
         method: str,
         path: str,
         body: bytes = b"",
@@ -211,13 +220,14 @@
 
         While the direct way is known to be shut the peer comes first.
 
+        :param cause: as which it is counted
         :param probes: whether this call finds out if the direct way is open again
         :param direct_when_shut: whether the direct way is tried though it is known to be shut and
             no peer has one; all processes list again and again, and refused calls are priced
         :raises StoreError: if no answer came
         """
         again = method == "GET" if repeatable is None else repeatable
-        call = Call(method, path, body, self.timeout_s, again)
+        call = Call(method, path, body, self.timeout_s, again, cause)
         peer_first = self.shut and not probes
         relayed = self._relayed(call) if peer_first else None
         if relayed is not None:
@@ -249,6 +259,11 @@
         return None if self.relay is None else self.relay(call)
 
 
+def _cause(what: str, key: str) -> str:
+    """Return what a call does and the kind of keys that it is about."""
+    return f"{what} {key.partition('/')[0]}"
+
+
 def _checked(answer: RawAnswer) -> RawAnswer:
     """Return the answer if the store itself gave it."""
     if answer.turned_away:
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -120,6 +120,7 @@
 
     :param timeout_s: seconds to wait for the answer
     :param repeatable: whether it may be sent again when its outcome is unknown
+    :param cause: as which it is counted, also where a peer passes it on
     """
 
     method: str
@@ -127,6 +128,7 @@
     body: bytes
     timeout_s: float
     repeatable: bool
+    cause: str = ""
 
 
 class RawAnswer(msgspec.Struct, frozen=True):
--- a/src/threadramp/report/day.py
+++ b/src/threadramp/report/day.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -14,6 +15,7 @@
 import msgspec
 
 from threadramp.core.burn import BurnPoint, ObjectiveRecord
+from threadramp.report.lot_times import LotRuns, LotTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -21,6 +23,7 @@
 KIND_PREFIX = "threadramp:"
 FIRST_FAILURE_STATUS = 400
 SAMPLES = "samples in time"
+WHOLE = "whole"
 
 
 @dataclass(frozen=True)
@@ -45,6 +48,8 @@
 
     at: float
     due_s: float
+    model: str = ""
+    step: int = 0
 
 
 @dataclass(frozen=True)
@@ -63,6 +68,8 @@
         self.lots: dict[str, TakenLot] = {}
         self.listings: list[tuple[str, float, int]] = []
         self.store_away: list[StoreAway] = []
+        self.store_calls: Counter[tuple[str, str]] = Counter()
+        self.runs = LotRuns()
         self.unreadable = 0
         self.last_at = 0.0
 
@@ -101,6 +108,23 @@
         events = self.events()
         return self.last_at - events[0].at if events else 0.0
 
+    def lot_times(self) -> list[LotTimes]:
+        """Return what became of each lot, in the order of their hand-in."""
+        listed: dict[str, float] = {}
+        for lot_id, at, _ in self.listings:
+            listed[lot_id] = max(at, listed.get(lot_id, at))
+        return [
+            LotTimes(
+                lot=lot_id,
+                model=lot.model,
+                step=lot.step,
+                due_s=lot.due_s,
+                listed_s=listed[lot_id] - lot.at if lot_id in listed else None,
+                wait_s=self.runs.wait_of_longest(lot_id, lot.at),
+            )
+            for lot_id, lot in sorted(self.lots.items(), key=lambda item: item[1].at)
+        ]
+
     def _take(self, row: dict[str, Any]) -> None:
         at = row["timestamp"]
         self.last_at = max(self.last_at, at)
@@ -127,7 +151,8 @@
 
 
 def _take_lot(log: DayLog, at: float, row: dict[str, Any]) -> None:
-    log.lots.setdefault(row["lot"], TakenLot(at, row.get("due_s", 0.0)))
+    due_s = row.get("due_s", 0.0)
+    log.lots.setdefault(row["lot"], TakenLot(at, due_s, row.get("model", ""), row.get("step", 0)))
 
 
 def _take_listing(log: DayLog, at: float, row: dict[str, Any]) -> None:
@@ -138,11 +163,28 @@
     log.store_away.append(StoreAway(at, row["away_s"]))
 
 
+def _take_calls(log: DayLog, at: float, row: dict[str, Any]) -> None:
+    for cause, count in row["calls"].items():
+        log.store_calls[cause, row["role"]] += count
+
+
+def _take_sent(log: DayLog, at: float, row: dict[str, Any]) -> None:
+    log.runs.sent(at, row["taken"])
+
+
+def _take_run(log: DayLog, at: float, row: dict[str, Any]) -> None:
+    if row["outcome"] == WHOLE:
+        log.runs.whole(row["lot"], row["sample"], row["events"])
+
+
 _TAKERS: dict[str, Callable[[DayLog, float, dict[str, Any]], None]] = {
     "answered": _take_answer,
     "lot_taken": _take_lot,
     "listed": _take_listing,
     "store_regained": _take_return,
+    "store_calls": _take_calls,
+    "samples_sent": _take_sent,
+    "run_ended": _take_run,
 }
 
 __all__ = ["DayEvent", "DayLog", "StoreAway", "TakenLot"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -34,6 +34,7 @@
 from threadramp.platform.store import StoreClient
 from threadramp.policy.endpoint_choice import EndpointChoice
 from threadramp.policy.retries import RetryBudget
+from threadramp.report.call_tally import CallTally
 from threadramp.report.log import log_state
 from threadramp.report.metrics import Metrics
 from threadramp.serve.answers import GatewayAnswers
@@ -118,7 +119,9 @@
         health = StoreHealth(clock)
         client = SyncClient(Packing(), decode_reply, redial=True)
         self.peers = Peers(self.member, self.picture, client, health, clock)
-        store = StoreClient(own.store.address, self.peers.relay, health.observe)
+        tally = CallTally(self.metrics, "gateway")
+        tally.start()
+        store = StoreClient(own.store.address, self.peers.relay, health.observe, count=tally.note)
         self.membership = Membership(self.member, store, own.store.lease_min_s)
         self.membership.renew_s = self._renew_s
         self.peers.on_unlisted = self.membership.not_listed
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -11,6 +11,7 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
 from threadramp.policy.renewals import renewal_s
+from threadramp.report.call_tally import CallTally
 from threadramp.report.metrics import Metrics
 from threadramp.runner.engine import Engine
 from threadramp.runner.runs import RunTable
@@ -46,7 +47,9 @@
         weights = Weights(engine, clock, self.own.weights.versions_apart)
         table = RunTable(clock.now)
         self.sidecar = Sidecar(member, engine, weights, table, client, clock, self.metrics)
-        store = StoreClient(own.store.address, self.sidecar.relay, health.observe)
+        tally = CallTally(self.metrics, "sidecar")
+        tally.start()
+        store = StoreClient(own.store.address, self.sidecar.relay, health.observe, count=tally.note)
         self.membership = Membership(member, store, own.store.lease_min_s)
         self.membership.renew_s = lambda: renewal_s(self.sidecar.sidecars, own.store.reads_per_s)
         self.sidecar.on_unlisted = self.membership.not_listed
--- /dev/null
+++ b/tests/report/test_call_tally.py
@@ -0,0 +1,48 @@
+"""Calls to the store by cause."""
+
+from __future__ import annotations
+
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import Put, StoreError, Transaction
+from threadramp.report import call_tally
+from threadramp.report.call_tally import CallTally
+from threadramp.report.metrics import Metrics
+
+
+def test_calls_are_counted_and_told_once(monkeypatch):
+    told = []
+    monkeypatch.setattr(call_tally, "log_state", lambda what, **fields: told.append(fields))
+    metrics = Metrics("t")
+    tally = CallTally(metrics, "gateway")
+    for cause in ("write lot", "write lot", "watch op"):
+        tally.note(cause)
+    tally.tell()
+    tally.tell()
+    assert told == [{"role": "gateway", "calls": {"write lot": 2, "watch op": 1}}]
+    assert b'kind="store_call",label="write lot"} 2.0' in metrics.text()
+
+
+def test_each_call_is_counted_with_its_cause_also_one_that_fails():
+    causes = []
+    client = StoreClient("127.0.0.1:1", count=causes.append)  # nobody listens there
+    calls = [
+        lambda: client.get("lot/a"),
+        lambda: client.list("servers/"),
+        lambda: client.transact(Transaction(puts=(Put("lot-text/a/1", b""),))),
+        lambda: client.transact(Transaction(removals=("lot-text/a/1",))),
+        lambda: client.renew_lease(3),
+        lambda: client.watch("op/", 1, 0.1, client.watch_pool()),
+    ]
+    for call in calls:
+        try:
+            call()
+        except StoreError:
+            continue
+    assert causes == [
+        "read lot",
+        "list servers",
+        "write lot-text",
+        "remove lot-text",
+        "renew lease",
+        "watch op",
+    ]
