Let the callers' client take a new ticket where its endpoint has begun to leave

Cause of the red scenario (an operator drains an endpoint under load): a ticket taken just before its sidecar heard of the drain is refused "not run: leaving", truly; the scenario's callers sent raw requests and gave up. Ruled out before: grace at the sidecar (two scenarios want "not run" right after a drain). Change: CallerClient.call_once takes a new ticket on that refusal, for tickets of its own only, within its deadline; what may have run is never made again. The scenario's callers now make transfers as users do, by that client; it still asks that each transfer was answered, ran once, and that the drained endpoint got none. The platform's roles do not import the client.

--- a/src/threadramp/client/caller.py
+++ b/src/threadramp/client/caller.py
@@ -13,7 +13,7 @@
 from threadramp.client.http import Api, checked, refusal_of
 from threadramp.wire import headers
 from threadramp.wire.lines import response_lines
-from threadramp.wire.outcomes import Outcome
+from threadramp.wire.outcomes import Outcome, Reason
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -77,14 +77,33 @@
     ) -> CallResult:
         """Make a call that must not run twice, and resend it safely until its outcome is known.
 
+        A ticket is bound to one endpoint. Where that one has begun to leave since a ticket was
+        taken here, the call was not run and never will be by it, so that a new one is taken.
+
         :param ticket: from an earlier try of the same call; empty to take a new one
         :raises OutcomeUnknownError: if it may have run; the error carries the ticket
         :raises RequestRefusedError: if it was not run
         """
-        fresh = not ticket
-        ticket = ticket or self.ticket(pool)
         deadline = time.monotonic() + deadline_s
-        attempt = 1 if fresh else 2
+        if ticket:
+            return self._call_with(ticket, pool, path, body, deadline, attempt=2)
+        while True:
+            try:
+                return self._call_with(self.ticket(pool), pool, path, body, deadline, attempt=1)
+            except RequestRefusedError as error:
+                if error.refusal.reason is not Reason.LEAVING or time.monotonic() >= deadline:
+                    raise
+                time.sleep(RESEND_PAUSE_S)
+
+    def _call_with(
+        self, ticket: str, pool: str, path: str, body: Any, deadline: float, attempt: int
+    ) -> CallResult:
+        """Make a call with one ticket.
+
+        :param attempt: 1 if nothing was sent with that ticket before
+        :raises OutcomeUnknownError: if it may have run; the error carries the ticket
+        :raises RequestRefusedError: if it was not run
+        """
         reason = "no answer came"
         while (left := deadline - time.monotonic()) > 0:
             sent = {headers.TICKET: ticket, headers.ATTEMPT: str(attempt)}
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -10,6 +10,7 @@
 from tools.fleet import EndpointPlan, Fleet, wait_for
 from urllib3.exceptions import HTTPError
 
+from threadramp.client.errors import OutcomeUnknownError, RequestRefusedError
 from threadramp.client.http import refusal_of
 from threadramp.wire import headers
 from threadramp.wire.outcomes import Outcome
@@ -113,6 +114,22 @@
         self.sends.setdefault(name, []).append(future)
         return future
 
+    def call_once(self, name: str, gateway: int) -> Future[Sent]:
+        """Make a transfer by the client library, in the background."""
+        future = self.pool.submit(self._call_once, f"gateway-{gateway}", name)
+        self.sends.setdefault(name, []).append(future)
+        return future
+
+    def _call_once(self, gateway: str, name: str) -> Sent:
+        body = {"id": name, "amount": 25}
+        try:
+            result = self.fleet.caller(gateway).call_once(BANK, "/transfers", body, deadline_s=5.0)
+        except RequestRefusedError as error:
+            return Sent(error.refusal.outcome.value, error.refusal.reason.value)
+        except OutcomeUnknownError as error:
+            return Sent(Outcome.UNKNOWN.value, str(error))
+        return Sent(Outcome.RAN.value, "", result.body)
+
     def _send(self, gateway: str, name: str, sent: dict[str, str], patience_s: float) -> Sent:
         api = self.fleet.caller(gateway).api
         body = {"id": name, "amount": 25}
