Do not try again a sample that an engine rejects after its lot has ended

Cause of the end scenario that failed once (lot1-s4 began more than 3 s after the acknowledged end, UNASKED): a sample on its way to the engine counted as started, so it was let finish when its lot ended; the engine rejected it, it was put back, and was tried until it began. Ruled out: a lost end (the sidecar had the drop), the test's waits. Change: what was dropped meanwhile ends when it is put back. The new test failed on the code before, without chance.

--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -88,9 +88,15 @@
             return True
 
     def put_back(self, run: Run, life: int) -> None:
-        """Let a sample wait again that the engine did not begin."""
+        """Let a sample wait again that the engine did not begin, unless its lot has ended.
+
+        It may have been dropped while it was on its way to the engine; it never began, so nobody
+        would let it finish.
+        """
         with self.changed:
-            if run.life == life and run.is_open:
+            if run.life == life and run.is_open and not run.wanted:
+                self._end(run, RunOutcome.CUT)
+            elif run.life == life and run.is_open:
                 run.started = False
                 run.cancel = None
                 pause = min(REJECTED_MOST_S, REJECTED_S * 2**run.rejections)
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -56,6 +56,16 @@
     assert table.next_start() is None
 
 
+def test_a_sample_that_was_dropped_on_its_way_to_the_engine_is_not_tried_again(table, clock):
+    """It was still tried, and began more than 3 s after the end of its lot (UNASKED)."""
+    (run,) = begin(table, order("a"))
+    table.drop({"a": 0}, let_finish=True)
+    table.put_back(run, run.life)  # the engine rejected it
+    clock.at += 60.0
+    assert table.next_start() is None
+    assert run.outcome is RunOutcome.CUT
+
+
 def test_while_a_model_is_loaded_samples_of_other_models_start(table):
     table.submit((order("a", model="m"), order("b", model="other")))
     table.loading = "m"
