Tell how long a cut watch had waited, and which removals are doubted

Sight for the incident: a cut watch says for how long it had waited and when the store last answered other calls, so that a silent connection (waited 11 s, answered 0.3 s ago) is told from an outage; an entry that is believed though the store lacks it has a line of its own (removal_doubted).

--- a/src/threadramp/fleet/mirror.py
+++ b/src/threadramp/fleet/mirror.py
@@ -85,6 +85,11 @@
         with self.lock:
             return dict(self.items)
 
+    def doubted(self) -> dict[str, float]:
+        """Return until when items that went are still believed, by key."""
+        with self.lock:
+            return dict(self.lapsed)
+
     def copy(self) -> Listing:
         """Return what a peer may take over; lapsed items are left out."""
         with self.lock:
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -144,6 +144,7 @@
         self.belief = Belief()
         self.changed = threading.Condition()
         self.decoded: dict[str, tuple[int, object]] = {}
+        self.doubted: dict[str, float] = {}
         self.lock = threading.Lock()
         for mirror in self.mirrors:
             mirror.listeners.append(self._rebuild)
@@ -163,6 +164,7 @@
             old = self.belief
             self.belief = self._build()
             _log_changes(old, self.belief)
+            self._log_doubts()
         with self.changed:
             self.changed.notify_all()
 
@@ -179,6 +181,13 @@
             endpoints_revision=self.endpoints.revision,
         )
 
+    def _log_doubts(self) -> None:
+        """Log entries that are believed a while longer though the store lacks them now."""
+        found = self.endpoints.doubted() | self.members.doubted()
+        for key in found.keys() - self.doubted.keys():
+            log_state("removal_doubted", key=key, until=round(found[key], 3))
+        self.doubted = found
+
     def _decoded_under(
         self, prefix: str, items: dict[str, Item], read: Callable[[Item], Any]
     ) -> list[Any]:
--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -56,6 +56,7 @@
         self.clock = clock
         self.pool = store.watch_pool()
         self.stale = True
+        self.asked_at = clock.now()
         self.stopped = threading.Event()
         health.on_return.append(self._returned)
 
@@ -82,9 +83,20 @@
         self.stale = True
         if self._was_away():
             self._doubt_removals(self.clock.now())
-        log_state("watch_cut", prefix=self.mirror.prefix, error=str(error))
+        self._log_cut(error)
         self.stopped.wait(RETRY_PAUSE_S)
 
+    def _log_cut(self, error: StoreError) -> None:
+        """Log for how long it had waited, beside when the store last answered other calls."""
+        confirmed_ago_s = self.health.confirmed_ago_s()
+        log_state(
+            "watch_cut",
+            prefix=self.mirror.prefix,
+            error=str(error),
+            waited_s=round(self.clock.now() - self.asked_at, 3),
+            confirmed_ago_s=None if confirmed_ago_s is None else round(confirmed_ago_s, 3),
+        )
+
     def _was_away(self) -> bool:
         """Return whether the store may have been away for long enough that entries lapsed."""
         ago = self.health.confirmed_ago_s()
@@ -102,6 +114,7 @@
             listing = self.store.list(self.mirror.prefix)
             self.stale = False
             self.mirror.replace(listing, self.clock.now())
+        self.asked_at = self.clock.now()
         changes = self.store.watch(
             self.mirror.prefix, self.mirror.revision, WATCH_WAIT_S, self.pool
         )
--- a/tests/fleet/test_picture.py
+++ b/tests/fleet/test_picture.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
+from threadramp.fleet import picture as picture_module
 from threadramp.fleet.picture import Member, Picture
-from threadramp.platform.store_model import Item, Listing
+from threadramp.platform.store_model import Changes, Item, Listing, Removal
 
 
 def entry(instance: str, address: str, revision: int, state: str = "ready") -> Item:
@@ -66,3 +67,16 @@
     assert not picture.is_complete
     picture.endpoints.replace(Listing((), 3), 0.0)
     assert picture.is_complete
+
+
+def test_a_removal_that_is_doubted_is_told_once(picture, monkeypatch):
+    told = []
+    monkeypatch.setattr(
+        picture_module, "log_state", lambda what, **fields: told.append((what, fields))
+    )
+    picture.endpoints.replace(Listing((entry("i-1", "10.0.0.1:80", 4),), 4), 0.0)
+    picture.endpoints.disturbed(12.5)
+    picture.endpoints.apply(Changes((), (Removal("servers/i-1", 5),), 5), 10.0)
+    picture.endpoints.apply(Changes((entry("i-2", "10.0.0.2:80", 6),), (), 6), 10.5)
+    doubted = [fields for what, fields in told if what == "removal_doubted"]
+    assert doubted == [{"key": "servers/i-1", "until": 12.5}]
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from threadramp.fleet import watcher as watcher_module
 from threadramp.fleet.mirror import LAPSE_HOLD_S, Mirror
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.fleet.watcher import AWAY_S, Watcher
@@ -115,3 +116,26 @@
     watcher.spread = lambda prefix, after, changes: told.append((prefix, after, changes.revision))
     turn(watcher, Changes((Item("servers/b", b"v", 6),), (), 6), Changes((), (), 9))
     assert told == [("servers/", 5, 6), ("servers/", 6, 9)]
+
+
+def test_a_cut_watch_tells_how_long_it_waited_and_when_the_store_last_answered(
+    watcher, health, clock, monkeypatch
+):
+    """That tells a silent connection from a store that was away."""
+    told = []
+    monkeypatch.setattr(
+        watcher_module, "log_state", lambda what, **fields: told.append((what, fields))
+    )
+    turn(watcher, Changes((), (), 5))
+    asked_at = clock.now()
+
+    def cut(prefix, after, wait_s, pool):
+        clock.at += 11.0
+        health.answered(clock.now() - 0.3)
+        raise StoreUnknownError("no answer")
+
+    watcher.store.watch = cut
+    watcher.one_turn()
+    what, fields = told[-1]
+    assert what == "watch_cut"
+    assert (fields["waited_s"], fields["confirmed_ago_s"]) == (clock.now() - asked_at, 0.3)
