--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -149,7 +149,8 @@
             address = serve(engine)
             self.sidecars.append(self._box(folder, "sidecar", f"side-{number}", address))
             self.register(engine.instance, "engines", address)
-        self.register("i-c0", "calls", serve(self.callee))
+        self.callee_address = serve(self.callee)
+        self.register("i-c0", "calls", self.callee_address)
         self.configure()
         self.name_version(1)
 
--- a/tests/serve/way.py
+++ b/tests/serve/way.py
@@ -1,4 +1,4 @@
-"""A way between a process and the store that tests can shut."""
+"""A way between a process and the store that tests can shut or let go silent."""
 
 from __future__ import annotations
 
@@ -14,13 +14,17 @@
 
 
 class Way:
-    """Passes bytes on to an address; while it is shut, connections are reset."""
+    """Passes bytes on to an address; while it is shut, connections are reset.
+
+    Connections that went silent pass nothing on any more, and neither end hears of the other's end.
+    """
 
     def __init__(self, target: str) -> None:
         host, _, port = target.partition(":")
         self.target = (host, int(port))
         self.is_open = True
         self.sockets: set[socket.socket] = set()
+        self.silent: set[socket.socket] = set()
         self.listener = socket.create_server(("127.0.0.1", 0))
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -36,6 +40,10 @@
         for one in list(self.sockets):
             _reset(one)
 
+    def silence(self) -> None:
+        """Let all connections that are open now go silent for good; new ones work."""
+        self.silent |= self.sockets
+
     def open(self) -> None:
         """Pass connections on again."""
         self.is_open = True
@@ -64,7 +72,10 @@
     def _pass(self, source: socket.socket, target: socket.socket) -> None:
         with suppress(OSError):
             while piece := source.recv(PIECE):
-                target.sendall(piece)
+                if source not in self.silent:
+                    target.sendall(piece)
+        if source in self.silent:
+            return
         for one in (source, target):
             with suppress(OSError):
                 one.shutdown(socket.SHUT_RDWR)
