Believe a silent connection to the store no longer than the bounds allow

Cause: that no answer came was taken for "nothing changed" (a watch was waited on for 11 s), and for "the store is away" (a call on a kept connection). A watch that hung since before an outage was not given up either: closing the library's pool leaves the connection alone that a call waits on. Class: the silence of one open connection was read as a statement about what stands at its other end. Ruled out: requests that wait in a gateway, samples that wait at a sidecar, copies between gateways (all of them blind). Change: watches of the configuration and the endpoints wait for 1.7 s (contact_s less 1.3); one that stays out makes all open connections suspect, as does a call that a new connection answered after a kept one had not; connections of watches are cut by their socket; no answer on a kept connection is no outage, so no removal is doubted for it (threshold 1.0 -> 1.9 s); renewals stay out for 0.8 s at most instead of 1.2; a listing's difference is told to followers. Price not measured yet.

--- a/src/threadramp/fleet/mirror.py
+++ b/src/threadramp/fleet/mirror.py
@@ -8,7 +8,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.platform.store_model import Changes, Item, Listing
+from threadramp.platform.store_model import Changes, Item, Listing, Removal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -114,4 +114,16 @@
             listener()
 
 
-__all__ = ["LAPSE_HOLD_S", "Mirror"]
+def difference(before: dict[str, Item], listing: Listing) -> Changes:
+    """Return what a listing shows that was not known before."""
+    found = {item.key for item in listing.items}
+    newer = [
+        item
+        for item in listing.items
+        if item.key not in before or before[item.key].revision < item.revision
+    ]
+    gone = [Removal(key, listing.revision) for key in before if key not in found]
+    return Changes(tuple(newer), tuple(gone), listing.revision)
+
+
+__all__ = ["LAPSE_HOLD_S", "Mirror", "difference"]
--- a/src/threadramp/fleet/store_health.py
+++ b/src/threadramp/fleet/store_health.py
@@ -12,9 +12,17 @@
 
     from threadramp.fleet.clock import Clock
 
+# Longer than between two answers where a renewal's connection went silent: 0.8 s until it is sent
+# and as long until it is given up. Entries lapse after 2.2 s without a renewal at the least.
+AWAY_S = 1.9
+
 
 class StoreHealth:
-    """Notes answers and failures; tells when the store goes away and comes back."""
+    """Notes answers and failures; tells when the store goes away and comes back.
+
+    It also came back where no call failed but none was answered for so long that entries may have
+    lapsed.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -56,6 +64,8 @@
         """Note an answer that came on our own way to the store."""
         with self.lock:
             since, self.away_since = self.away_since, None
+            if since is None and self._was_unheard(now):
+                since = self.confirmed_at
             self.confirmed_at = now
             if since is not None:
                 self.returned_at = now
@@ -64,5 +74,14 @@
             for tell in self.on_return:
                 tell(now)
 
+    def was_away(self) -> bool:
+        """Return whether the store may be away, or was for so long that entries may have lapsed."""
+        with self.lock:
+            heard = self.confirmed_at is not None and self.away_since is None
+            return not heard or self._was_unheard(self.clock.now())
+
+    def _was_unheard(self, now: float) -> bool:
+        return self.confirmed_at is not None and now - self.confirmed_at > AWAY_S
+
 
-__all__ = ["StoreHealth"]
+__all__ = ["AWAY_S", "StoreHealth"]
--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -1,6 +1,10 @@
 """Keeps a mirror in step with the store: list, then watch, then list again when history is gone.
 
 Where others watch for this gateway, it does neither, until they have no way or are silent.
+
+That a watch brings nothing may mean that nothing changed or that its connection passes nothing any
+more. So each wait is short enough for the bounds on what it would bring, one that stays out makes
+all open connections suspect, and so does another call that stays out while the store answers.
 """
 
 from __future__ import annotations
@@ -8,8 +12,8 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.fleet.mirror import LAPSE_HOLD_S
-from threadramp.platform.store_model import HistoryGone, StoreError
+from threadramp.fleet.mirror import LAPSE_HOLD_S, difference
+from threadramp.platform.store_model import GivenUpError, HistoryGone, StoreError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
@@ -22,9 +26,12 @@
     from threadramp.platform.store import StoreClient
     from threadramp.platform.store_model import Changes
 
-WATCH_WAIT_S = 10.0  # each answer is a priced call; a lost store is noticed by lease renewals
+WATCH_WAIT_S = 10.0  # each answer is a priced call; for what has no bound, or peers tell as well
+# Of the time after which a disturbed box is held to its bounds again: for a watch that stays out
+# (0.6), a listing, and the next beat to sidecars (0.5).
+TOLD_S = 1.3
+WATCH_WAIT_LEAST_S = 0.5  # each wait ends with a priced call
 RETRY_PAUSE_S = 0.4
-AWAY_S = 1.0  # longer than between two renewals; entries lapse after 2.2 s without one at the least
 FOLLOW_LOOK_S = 0.1  # how often a gateway that follows others looks whether it still may
 GATHER_S = 0.4  # changes of this time come with one answer, where a moment does not matter
 
@@ -33,6 +40,7 @@
     """One thread that watches one prefix.
 
     :param gathers: whether changes may wait a little, so that several come with one priced answer
+    :param wait_s: after which the store answers though nothing changed
     :param follows: whether others watch for this gateway now
     :param spread: tells the gateways that follow this one what changed after a revision
     """
@@ -44,21 +52,24 @@
         health: StoreHealth,
         clock: Clock,
         gathers: bool,
+        wait_s: float = WATCH_WAIT_S,
         follows: Callable[[], bool] = lambda: False,
         spread: Callable[[str, int, Changes], None] = lambda prefix, after, changes: None,
     ) -> None:
         self.mirror = mirror
         self.gathers = gathers
+        self.wait_s = wait_s
         self.follows = follows
         self.spread = spread
         self.store = store
         self.health = health
         self.clock = clock
-        self.pool = store.watch_pool()
+        self.line = store.watch_line()
         self.stale = True
-        self.asked_at = clock.now()
+        self.asked_at: float | None = None
         self.stopped = threading.Event()
         health.on_return.append(self._returned)
+        store.on_silence.append(self._give_up)
 
     def start(self) -> None:
         """Start watching."""
@@ -71,6 +82,8 @@
             return
         try:
             self._turn()
+        except GivenUpError as error:
+            self._log_cut(error)
         except StoreError as error:
             self._cut(error)
 
@@ -81,27 +94,33 @@
     def _cut(self, error: StoreError) -> None:
         """Take note of a watch that was cut; that alone says nothing of the entries."""
         self.stale = True
-        if self._was_away():
+        if self.health.was_away():
             self._doubt_removals(self.clock.now())
         self._log_cut(error)
-        self.stopped.wait(RETRY_PAUSE_S)
+        if self._stayed_out():
+            self.store.went_silent()
+        else:
+            self.stopped.wait(RETRY_PAUSE_S)
+
+    def _stayed_out(self) -> bool:
+        """Return whether the last watch waited for longer than the store may take to answer."""
+        waited_s = self._waited_s()
+        return waited_s is not None and waited_s > self.wait_s
+
+    def _waited_s(self) -> float | None:
+        """Return for how long the watch waited, none if a listing failed."""
+        return None if self.asked_at is None else self.clock.now() - self.asked_at
 
     def _log_cut(self, error: StoreError) -> None:
         """Log for how long it had waited, beside when the store last answered other calls."""
-        confirmed_ago_s = self.health.confirmed_ago_s()
         log_state(
             "watch_cut",
             prefix=self.mirror.prefix,
             error=str(error),
-            waited_s=round(self.clock.now() - self.asked_at, 3),
-            confirmed_ago_s=None if confirmed_ago_s is None else round(confirmed_ago_s, 3),
+            waited_s=_rounded(self._waited_s()),
+            confirmed_ago_s=_rounded(self.health.confirmed_ago_s()),
         )
 
-    def _was_away(self) -> bool:
-        """Return whether the store may have been away for long enough that entries lapsed."""
-        ago = self.health.confirmed_ago_s()
-        return ago is None or ago > AWAY_S
-
     def _follow(self) -> None:
         """Leave the mirror to what others tell; what this watch knew is old by its next turn."""
         self.stale = True
@@ -111,33 +130,57 @@
 
     def _turn(self) -> None:
         if self.stale:
-            listing = self.store.list(self.mirror.prefix)
-            self.stale = False
-            self.mirror.replace(listing, self.clock.now())
+            self._list()
         self.asked_at = self.clock.now()
-        changes = self.store.watch(
-            self.mirror.prefix, self.mirror.revision, WATCH_WAIT_S, self.pool
-        )
+        changes = self.store.watch(self.mirror.prefix, self.mirror.revision, self.wait_s, self.line)
         if isinstance(changes, HistoryGone):
             self.stale = True
             log_state("watch_history_gone", prefix=self.mirror.prefix)
             return
         before = self.mirror.revision
         self.mirror.apply(changes, self.clock.now())
-        self.spread(self.mirror.prefix, before, changes)
+        self._spread(before, changes)
         if self.gathers and changes.items:
             self.stopped.wait(GATHER_S)
 
+    def _list(self) -> None:
+        """Read the prefix as a whole, and tell those that follow what differs."""
+        self.asked_at = None
+        listing = self.store.list(self.mirror.prefix)
+        self.stale = False
+        before, known = self.mirror.snapshot(), self.mirror.revision
+        if self.mirror.replace(listing, self.clock.now()) and known:
+            self._spread(known, difference(before, listing))
+
+    def _spread(self, after: int, changes: Changes) -> None:
+        self.spread(self.mirror.prefix, after, changes)
+
     def _doubt_removals(self, now: float) -> None:
         """Doubt removals for a while from now, since the store was away."""
         self.mirror.disturbed(now + LAPSE_HOLD_S)
 
     def _returned(self, now: float) -> None:
         """Give up a watch that may hang on a dead connection since before the outage."""
-        self.stale = True
         self._doubt_removals(now)
-        old, self.pool = self.pool, self.store.watch_pool()
-        old.close()
+        self.store.give_up_lines()
+        self._give_up()
+
+    def _give_up(self) -> None:
+        """Give up the connection of the watch, and list what it may have missed."""
+        self.stale = True
+        self.line.give_up()
+
+
+def watch_wait_s(contact_s: float) -> float:
+    """Return for how long a watch may wait whose changes are bounded.
+
+    :param contact_s: after a disturbance of its connections, a box is held to the bounds again
+    """
+    return max(WATCH_WAIT_LEAST_S, contact_s - TOLD_S)
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
 
 
-__all__ = ["Watcher"]
+__all__ = ["WATCH_WAIT_S", "Watcher", "watch_wait_s"]
--- a/src/threadramp/platform/kv.py
+++ b/src/threadramp/platform/kv.py
@@ -100,15 +100,15 @@
         """
         until = time.monotonic() + wait_s
         held = self.get(key)
-        pool = self.store.watch_pool()
+        line = self.store.watch_line()
         try:
             while held.version == after and (left := until - time.monotonic()) > MIN_WATCH_S:
-                self.store.watch(key, after, left, pool)
+                self.store.watch(key, after, left, line)
                 held = self.get(key)  # a change under the same prefix may be another key's
         except StoreError as error:
             raise KvUnavailableError(str(error)) from error
         finally:
-            pool.close()
+            line.give_up()
         return held
 
     def lease(self, ttl_s: float) -> str:
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -26,12 +26,14 @@
     """Time bounds of this deployment.
 
     :param drain_s: a leaving endpoint gets no new work after this many seconds
+    :param contact_s: after a disturbance of its connections, a box is held to the bounds again
     :param grace_s: seconds between the request to stop and the end of the process
     :param status_s: seconds for which the results of a lot stay readable
     :param checks_fences: whether endpoints refuse an order with an old fencing number
     """
 
     drain_s: float = 2.0
+    contact_s: float = 3.0
     grace_s: float = 8.0
     status_s: float = 120.0
     checks_fences: bool = False
@@ -145,6 +147,7 @@
         table = self._table("bounds")
         return Bounds(
             drain_s=self._number(table, "drainMs", 2000, "bounds.") / 1000,
+            contact_s=self._number(table, "contactMs", 3000, "bounds.") / 1000,
             grace_s=self._number(table, "graceS", 8, "bounds."),
             status_s=self._number(table, "statusS", 120, "bounds."),
             checks_fences=bool(table.get("requireFencing", False)),
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -11,18 +11,16 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
-from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
-
+from threadramp.platform.store_lines import StoreLines
 from threadramp.platform.store_model import (
     Call,
     HistoryGone,
+    KeptLineError,
     LeaseGone,
     Listing,
     RawAnswer,
     StoreError,
     StoreRefusedError,
-    StoreUnknownError,
 )
 from threadramp.platform.store_wire import (
     lease_body,
@@ -38,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from threadramp.platform.store_lines import WatchLine
     from threadramp.platform.store_model import (
         Changes,
         Committed,
@@ -47,10 +46,9 @@
         Transaction,
     )
 
-CONNECT_TIMEOUT_S = 0.6  # two lost opening packets are not waited for
 CALL_TIMEOUT_S = 1.2  # the slowest answers seen take 0.4
-WATCH_MARGIN_S = 1.0  # for the answer to come back once the store's wait is over
-POOL_SIZE = 8  # connections that are kept open
+RENEW_TIMEOUT_S = 0.8  # renewals find out what is silent; with their pause in less than AWAY_S
+WATCH_MARGIN_S = 0.6  # for the answer to come back once the store's wait is over
 KEY_ROOT = "/threadramp"
 
 
@@ -72,10 +70,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         count: Callable[[str], None] = lambda cause: None,
     ) -> None:
-        host, _, port = address.partition(":")
-        self.pool = HTTPConnectionPool(host, int(port), maxsize=POOL_SIZE, retries=False)
-        self.host = host
-        self.port = int(port)
+        self.lines = StoreLines(address)
         self.relay = relay
         self.observe = observe
         self.timeout_s = timeout_s
@@ -83,6 +78,7 @@
         self.lock = threading.Lock()
         self.calls = 0
         self.shut = False
+        self.on_silence: list[Callable[[], None]] = []
 
     def get(self, key: str) -> Item | None:
         """Read one key; the answer is the newest.
@@ -121,25 +117,36 @@
                 return Listing(tuple(items), revision)
 
     def watch(
-        self, prefix: str, after: int, wait_s: float, pool: HTTPConnectionPool
+        self, prefix: str, after: int, wait_s: float, line: WatchLine
     ) -> Changes | HistoryGone:
         """Wait for changes under a prefix; never passed through a peer.
 
         :param after: revision from which on changes are wanted
-        :param pool: made by ``watch_pool``, so that its owner can cut the call short
+        :param line: made by ``watch_line``, so that its owner can give the call up
+        :raises GivenUpError: if its owner gave it up
         :raises StoreError: if no answer came
         """
         query = {"pathPrefix": prefix, "after": after, "waitMs": int(wait_s * 1000)}
         path = f"{KEY_ROOT}/kv-watch?{urlencode(query)}"
         call = Call("GET", path, b"", wait_s + WATCH_MARGIN_S, True, _cause("watch", prefix))
-        answer = _checked(self.direct(call, pool))
+        self._count(call)
+        answer = _checked(line.send(call))
         if answer.status == 410:
             return HistoryGone()
         return read_changes(answer)
 
-    def watch_pool(self) -> HTTPConnectionPool:
-        """Return a connection pool for one watch."""
-        return HTTPConnectionPool(self.host, self.port, maxsize=1, retries=False)
+    def watch_line(self) -> WatchLine:
+        """Return a connection for one watch."""
+        return self.lines.watch_line()
+
+    def give_up_lines(self) -> None:
+        """Use no connection again that is open now."""
+        self.lines.give_up()
+
+    def went_silent(self) -> None:
+        """Take note that open connections pass nothing; the watches have some that are as old."""
+        self.lines.give_up()
+        self._tell_silence()
 
     def transact(
         self, transaction: Transaction, repeatable: bool = False
@@ -175,7 +182,10 @@
         :raises StoreError: if no answer came
         """
         path = f"{KEY_ROOT}/kv-keep/{lease}"
-        answer = self._ask("renew lease", "POST", path, b"", repeatable=True, probes=True)
+        timeout_s = min(RENEW_TIMEOUT_S, self.timeout_s)
+        answer = self._ask(
+            "renew lease", "POST", path, repeatable=True, probes=True, timeout_s=timeout_s
+        )
         return answer.status != 404
 
     def end_lease(self, lease: int) -> None:
@@ -186,28 +196,19 @@
         path = f"{KEY_ROOT}/kv-lease-end/{lease}"
         self._ask("end lease", "DELETE", path, repeatable=True)
 
-    def direct(self, call: Call, pool: HTTPConnectionPool | None = None) -> RawAnswer:
+    def direct(self, call: Call) -> RawAnswer:
         """Send a call on our own way to the store.
 
         :raises StoreRefusedError: if there was no connection to send it on
         :raises StoreUnknownError: if no answer came
         """
+        self._count(call)
+        return self.lines.send(call)
+
+    def _count(self, call: Call) -> None:
         with self.lock:
             self.calls += 1
         self.count(call.cause)
-        headers = {"Content-Type": "application/json"} if call.body else {}
-        timeout = Timeout(connect=CONNECT_TIMEOUT_S, read=call.timeout_s)
-        try:
-            response = (pool or self.pool).urlopen(
-                call.method, call.path, body=call.body or None, headers=headers, timeout=timeout
-            )
-        except (NewConnectionError, ConnectTimeoutError) as error:
-            raise StoreRefusedError(f"not sent: {error!r}") from error
-        except (HTTPError, OSError) as error:
-            raise StoreUnknownError(
-                f"{call.method} {call.path.split('?')[0]}: {error!r}"
-            ) from error
-        return RawAnswer(response.status, response.data)
 
     def _ask(
         self,
@@ -218,6 +219,7 @@
         repeatable: bool | None = None,
         probes: bool = False,
         direct_when_shut: bool = True,
+        timeout_s: float = 0.0,
     ) -> RawAnswer:
         """Send a call directly, then through a peer where that is safe.
 
@@ -227,10 +229,11 @@
         :param probes: whether this call finds out if the direct way is open again
         :param direct_when_shut: whether the direct way is tried though it is known to be shut and
             no peer has one; all processes list again and again, and refused calls are priced
+        :param timeout_s: 0 for the usual one
         :raises StoreError: if no answer came
         """
         again = method == "GET" if repeatable is None else repeatable
-        call = Call(method, path, body, self.timeout_s, again, cause)
+        call = Call(method, path, body, timeout_s or self.timeout_s, again, cause)
         peer_first = self.shut and not probes
         relayed = self._relayed(call) if peer_first else None
         if relayed is not None:
@@ -247,17 +250,43 @@
             return _checked(relayed)
 
     def _observed(self, call: Call) -> RawAnswer:
-        """Send a call directly and note whether the direct way is open."""
+        """Send a call directly and note whether the direct way is open.
+
+        :raises KeptLineError: if that is open: no answer came on a kept connection, and the call
+            may not be repeated; the next one goes on a new connection and tells
+        """
         try:
-            answer = _checked(self.direct(call))
+            answer, was_silent = self._sent(call)
+            answer = _checked(answer)
+        except KeptLineError:
+            raise
         except StoreError as error:
             self.shut = True
             self.observe(error)
             raise
         self.shut = False
         self.observe(None)
+        if was_silent:
+            self._tell_silence()
         return answer
 
+    def _sent(self, call: Call) -> tuple[RawAnswer, bool]:
+        """Send a call, once more if no answer came on a kept connection.
+
+        :returns: its answer, and whether it is the first to show that what was open is silent
+        """
+        try:
+            return self.direct(call), False
+        except KeptLineError as error:
+            if not call.repeatable:
+                raise
+            is_first = error.is_first
+        return self.direct(call), is_first
+
+    def _tell_silence(self) -> None:
+        for tell in self.on_silence:
+            tell()
+
     def _relayed(self, call: Call) -> RawAnswer | None:
         return None if self.relay is None else self.relay(call)
 
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -24,6 +24,21 @@
     """No answer came; the call may have been done, or may be done later."""
 
 
+class KeptLineError(StoreUnknownError):
+    """No answer came on a connection that was used before; that says nothing of the store.
+
+    :param is_first: whether the connections of that time were still in use until this call
+    """
+
+    def __init__(self, reason: str, is_first: bool) -> None:
+        self.is_first = is_first
+        super().__init__(reason)
+
+
+class GivenUpError(StoreUnknownError):
+    """The connection of a call was given up by this process while the call waited."""
+
+
 @dataclass(frozen=True)
 class Item:
     """One key of the store.
@@ -150,8 +165,10 @@
     "Changes",
     "Committed",
     "Conflict",
+    "GivenUpError",
     "HistoryGone",
     "Item",
+    "KeptLineError",
     "LeaseGone",
     "Listing",
     "Put",
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -20,7 +20,7 @@
 from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
 from threadramp.fleet.relaying import StoreCalls
 from threadramp.fleet.store_health import StoreHealth
-from threadramp.fleet.watcher import Watcher
+from threadramp.fleet.watcher import WATCH_WAIT_S, Watcher, watch_wait_s
 from threadramp.lots.appending import Appending
 from threadramp.lots.audit import LotAudit
 from threadramp.lots.checkpoints import Checkpoints
@@ -127,14 +127,21 @@
         self.peers.on_unlisted = self.membership.not_listed
         self.peers.list_members = lambda: store.list(MEMBER_PREFIX)
         self.watchers = self._new_watchers(store, health, clock)
+        store.on_silence.append(self._note_silence)
         self.emptying = Emptying(self.member.name, self.picture, store)
         self._build_lots(store, clock)
         self.answers = GatewayAnswers(
             self.peers, self.owner, self.reader, StoreCalls(store, health)
         )
 
+    def _note_silence(self) -> None:
+        """Tell that open connections to the store passed nothing, while new ones work."""
+        self.metrics.count("store_connections_silent")
+        log_state("store_connections_silent", box=self.member.name)
+
     def _new_watchers(self, store: StoreClient, health: StoreHealth, clock: Clock) -> list[Watcher]:
-        """Return a watcher for each mirror."""
+        """Return a watcher for each mirror; only changes of members are not bounded."""
+        bounded_s = watch_wait_s(self.settings.bounds.contact_s)
         return [
             Watcher(
                 one,
@@ -142,6 +149,7 @@
                 health,
                 clock,
                 gathers=one is not self.picture.operator,  # bounds on its changes are short
+                wait_s=WATCH_WAIT_S if one is self.picture.members else bounded_s,
                 follows=self.peers.following.follows,
                 spread=self.peers.spread,
             )
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import io
+from typing import TYPE_CHECKING
 
 import pytest
 
 from threadramp.fleet import watcher as watcher_module
 from threadramp.fleet.mirror import LAPSE_HOLD_S, Mirror
-from threadramp.fleet.store_health import StoreHealth
-from threadramp.fleet.watcher import AWAY_S, Watcher
+from threadramp.fleet.store_health import AWAY_S, StoreHealth
+from threadramp.fleet.watcher import TOLD_S, Watcher, watch_wait_s
 from threadramp.platform.store_model import (
     Changes,
+    GivenUpError,
     HistoryGone,
     Item,
     Listing,
@@ -19,6 +20,9 @@
     StoreUnknownError,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ENTRY = Item("servers/a", b"v", 5)
 
 
@@ -28,14 +32,26 @@
     def __init__(self) -> None:
         self.answers: list[object] = []
         self.listing = Listing((ENTRY,), 5)
+        self.on_silence: list[Callable[[], None]] = []
+        self.given_up = 0
+
+    def watch_line(self):
+        return self  # it can be given up, and no more is asked of it
+
+    def give_up(self):
+        self.given_up += 1
 
-    def watch_pool(self):
-        return io.BytesIO()  # it can be closed, and no more is asked of it
+    def give_up_lines(self):
+        self.given_up += 1
+
+    def went_silent(self):
+        for tell in self.on_silence:
+            tell()
 
     def list(self, prefix):
         return self.listing
 
-    def watch(self, prefix, after, wait_s, pool):
+    def watch(self, prefix, after, wait_s, line):
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
@@ -129,7 +145,7 @@
     turn(watcher, Changes((), (), 5))
     asked_at = clock.now()
 
-    def cut(prefix, after, wait_s, pool):
+    def cut(prefix, after, wait_s, line):
         clock.at += 11.0
         health.answered(clock.now() - 0.3)
         raise StoreUnknownError("no answer")
@@ -139,3 +155,80 @@
     what, fields = told[-1]
     assert what == "watch_cut"
     assert (fields["waited_s"], fields["confirmed_ago_s"]) == (clock.now() - asked_at, 0.3)
+
+
+def stay_out(watcher: Watcher, clock) -> None:
+    """Let its watch bring no answer until its time is over."""
+
+    def silent(prefix, after, wait_s, line):
+        clock.at += wait_s + 0.6
+        raise StoreUnknownError("timed out")
+
+    answering, watcher.store.watch = watcher.store.watch, silent
+    watcher.one_turn()
+    watcher.store.watch = answering
+
+
+def test_a_watch_that_stays_out_makes_all_open_connections_suspect(watcher, health, clock):
+    """Those of the other watches are as old, and theirs would stay out for as long again."""
+    other = Watcher(watcher.mirror, watcher.store, health, clock, gathers=False)
+    turn(watcher, Changes((), (), 5))
+    other.stale = False
+    given_up = watcher.store.given_up
+    stay_out(watcher, clock)
+    assert watcher.store.given_up == given_up + 2
+    assert other.stale
+
+
+def test_a_watch_that_was_given_up_is_listed_anew_at_once(watcher):
+    pauses = []
+    watcher.stopped.wait = pauses.append
+    turn(watcher, GivenUpError("given up"))
+    watcher.stale = True  # whoever gives it up says so
+    watcher.store.listing = Listing((ENTRY, Item("servers/b", b"v", 8)), 8)
+    turn(watcher, Changes((), (), 8))
+    assert sorted(watcher.mirror.snapshot()) == ["servers/a", "servers/b"]
+    assert pauses == []
+
+
+def test_removals_are_believed_where_only_connections_were_silent(watcher, health, clock):
+    """A renewal on a silent connection takes 1.6 s to be answered on a new one."""
+    turn(watcher, Changes((), (), 5))
+    clock.at += AWAY_S - 0.3
+    watcher.store.listing = Listing((), 7)
+    turn(watcher, StoreUnknownError("timed out"), Changes((), (), 7))
+    health.answered(clock.now())
+    assert watcher.mirror.snapshot() == {}
+
+
+def test_a_listing_that_fails_again_and_again_is_not_asked_without_a_pause(watcher, clock):
+    turn(watcher, Changes((), (), 5))
+    stay_out(watcher, clock)
+    pauses = []
+    watcher.stopped.wait = pauses.append
+
+    def away(prefix):
+        raise StoreUnknownError("away")
+
+    watcher.store.list = away
+    for _ in range(3):
+        watcher.one_turn()
+    assert len(pauses) == 3
+
+
+def test_what_a_listing_shows_is_told_to_those_that_follow(watcher):
+    told = []
+    turn(watcher, Changes((), (), 5))
+    watcher.spread = lambda prefix, after, changes: told.append((after, changes))
+    turn(watcher, StoreUnknownError("cut"))
+    watcher.store.listing = Listing((Item("servers/b", b"v", 8),), 9)
+    turn(watcher, Changes((), (), 9))
+    after, changes = told[0]
+    assert after == 5
+    assert [item.key for item in changes.items] == ["servers/b"]
+    assert changes.removals == (Removal("servers/a", 9),)
+
+
+def test_a_wait_leaves_time_for_sidecars_to_be_told(watcher):
+    assert watch_wait_s(3.0) == pytest.approx(3.0 - TOLD_S)
+    assert watch_wait_s(0.5) > 0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 import pytest
 
 from threadramp.platform.store import StoreClient
+from threadramp.platform.store_lines import StoreLines
 from threadramp.platform.store_model import (
     ABSENT,
     Call,
@@ -69,7 +70,7 @@
     after = put(store, "k/a")
     put(store, "k/b")
     store.transact(Transaction(removals=("k/a",)))
-    changes = store.watch("k/", after, 1.0, store.watch_pool())
+    changes = store.watch("k/", after, 1.0, store.watch_line())
     assert [item.key for item in changes.items] == ["k/b"]
     assert [removal.key for removal in changes.removals] == ["k/a"]
 
@@ -79,7 +80,7 @@
     put(store, "a")
     platform_store.faults["forget"] = True
     platform_store.faults_changed()
-    assert isinstance(store.watch("", after, 0.1, store.watch_pool()), HistoryGone)
+    assert isinstance(store.watch("", after, 0.1, store.watch_line()), HistoryGone)
 
 
 def test_keys_go_with_their_lease(store):
@@ -106,7 +107,7 @@
 def test_a_spoiled_answer_is_unknown(store, platform_store, monkeypatch):
     put(store, "a")
     for body in (b"{not json", b'{"key":"a","value":"%%%","rev":1}'):
-        monkeypatch.setattr(store, "direct", lambda call, pool=None, b=body: RawAnswer(200, b))
+        monkeypatch.setattr(store, "direct", lambda call, b=body: RawAnswer(200, b))
         with pytest.raises(StoreUnknownError):
             store.get("a")
 
@@ -216,8 +217,7 @@
     with pytest.raises(StoreRefusedError):
         cut_off.renew_lease(1)
     assert cut_off.calls == 2
-    host, _, port = store_address.partition(":")
-    cut_off.pool = type(cut_off.pool)(host, int(port), retries=False)
+    cut_off.lines = StoreLines(store_address)
     assert cut_off.renew_lease(1) is False
     assert cut_off.list("a").items == ()
 
--- /dev/null
+++ b/tests/platform/test_store_lines.py
@@ -0,0 +1,124 @@
+"""Connections to the store that pass nothing any more."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from tests.serve.way import Way
+from threadramp.platform.store import StoreClient
+from threadramp.platform.store_model import (
+    Committed,
+    GivenUpError,
+    KeptLineError,
+    Put,
+    StoreUnknownError,
+    Transaction,
+)
+
+TIMEOUT_S = 0.3
+
+
+@pytest.fixture
+def way(store_address):
+    made = Way(store_address)
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def observed() -> list[object]:
+    return []
+
+
+@pytest.fixture
+def store(way, observed) -> StoreClient:
+    return StoreClient(way.address, observe=observed.append, timeout_s=TIMEOUT_S)
+
+
+@pytest.fixture
+def told(store) -> list[str]:
+    found: list[str] = []
+    store.on_silence.append(lambda: found.append("silence"))
+    return found
+
+
+def test_a_read_goes_once_more_on_a_new_connection_and_is_no_outage(store, way, observed, told):
+    store.get("a")
+    way.silence()
+    store.get("a")
+    assert observed == [None, None]
+    assert told == ["silence"]
+
+
+def test_one_silence_is_told_once(store, way, told):
+    for _ in range(3):  # several connections are kept
+        threads = [threading.Thread(target=store.get, args=("a",)) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    way.silence()
+    for _ in range(3):
+        store.get("a")
+    assert told == ["silence"]
+
+
+def test_a_write_is_not_sent_again_and_says_nothing_of_the_store(store, way, observed, told):
+    put = Transaction(puts=(Put("a", b"v"),))
+    store.transact(put)
+    way.silence()
+    with pytest.raises(KeptLineError):
+        store.transact(put)
+    assert observed == [None]
+    assert isinstance(store.transact(put), Committed)
+    assert told == []
+
+
+def test_no_answer_on_a_new_connection_is_an_outage(store, way, platform_store, observed, told):
+    store.get("a")
+    platform_store.faults["delay_s"] = 1.0
+    with pytest.raises(StoreUnknownError):
+        store.get("a")
+    assert isinstance(observed[-1], StoreUnknownError)
+    assert told == []
+
+
+def test_connections_that_were_reset_are_no_outage_either(store, way, observed):
+    store.get("a")
+    way.shut()
+    way.open()
+    store.get("a")
+    assert observed == [None, None]
+
+
+def test_a_watch_that_waits_is_given_up_at_once(store):
+    line = store.watch_line()
+    started = time.monotonic()
+    threading.Timer(0.2, line.give_up).start()
+    with pytest.raises(GivenUpError):
+        store.watch("a", 0, 5.0, line)
+    assert time.monotonic() - started < 1.0
+
+
+def test_a_line_that_was_given_up_or_cut_is_dialed_anew(store, way):
+    line = store.watch_line()
+    line.give_up()
+    assert store.watch("a", 0, 0.05, line).items == ()
+    line.give_up()
+    assert store.watch("a", 0, 0.05, line).items == ()
+    way.shut()
+    way.open()
+    with pytest.raises(StoreUnknownError):
+        store.watch("a", 0, 0.05, line)
+    assert store.watch("a", 0, 0.05, line).items == ()
+
+
+def test_a_watch_is_used_again_for_the_next_wait(store, way):
+    line = store.watch_line()
+    store.watch("a", 0, 0.05, line)
+    opened = len(way.sockets)
+    store.watch("a", 0, 0.05, line)
+    assert len(way.sockets) == opened
--- a/tests/report/test_call_tally.py
+++ b/tests/report/test_call_tally.py
@@ -31,7 +31,7 @@
         lambda: client.transact(Transaction(puts=(Put("lot-text/a/1", b""),))),
         lambda: client.transact(Transaction(removals=("lot-text/a/1",))),
         lambda: client.renew_lease(3),
-        lambda: client.watch("op/", 1, 0.1, client.watch_pool()),
+        lambda: client.watch("op/", 1, 0.1, client.watch_line()),
     ]
     for call in calls:
         try:
--- a/tests/serve/test_silent.py
+++ b/tests/serve/test_silent.py
@@ -18,6 +18,7 @@
 
 CONTACT_S = 3.0  # after a disturbance of its connections, a box is held to the bounds again
 DRAIN_S = 2.0  # a leaving endpoint gets no new work after this
+RESTED_S = 0.95  # renewals use their connection each 0.8 s, watches wait for longer
 
 
 @pytest.fixture
@@ -53,3 +54,51 @@
     ran = len(fleet.callee.runs)
     assert [ask(gateway).status for gateway in fleet.gateways] == [503, 503]
     assert len(fleet.callee.runs) == ran
+
+
+def let_go_silent(made, rested_s: float = 0.0) -> float:
+    """Silence all ways, and return when the boxes are held to the bounds again."""
+    for way in made:
+        way.silence(rested_s)
+    return time.monotonic() + CONTACT_S
+
+
+def wait_until(moment: float) -> None:
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def test_an_endpoint_that_goes_without_a_word_is_sent_nothing(silenced):
+    """No call is answered for 2 s then; that is no outage in which entries lapse."""
+    fleet, made = silenced
+    bound = let_go_silent(made)
+    fleet.remove("servers/i-c0")
+    wait_until(bound)
+    assert [ask(gateway).status for gateway in fleet.gateways] == [503, 503]
+
+
+def test_watches_alone_may_be_silent(silenced):
+    """Renewals are answered all the while, so that nothing else shows it."""
+    fleet, made = silenced
+    time.sleep(RESTED_S)
+    bound = let_go_silent(made, RESTED_S)
+    fleet.register("i-c0", "calls", fleet.callee_address, state="draining")
+    wait_until(bound)
+    assert [ask(gateway).status for gateway in fleet.gateways] == [503, 503]
+    assert not any(gateway.lines("store_lost") for gateway in fleet.gateways)
+
+
+def test_a_new_configuration_is_in_force_in_time(silenced):
+    fleet, made = silenced
+    bound = let_go_silent(made)
+    fleet.configure(version=4, pathPrefix="/new/")
+    wait_until(bound)
+    assert [ask(gateway, "/x").status for gateway in fleet.gateways] == [404, 404]
+    assert [ask(gateway, "/new/x").status for gateway in fleet.gateways] == [200, 200]
+
+
+def test_it_is_told_as_silence_and_not_as_an_outage(silenced):
+    fleet, made = silenced
+    wait_until(let_go_silent(made))
+    for box in fleet.gateways:
+        assert box.lines("store_connections_silent")
+        assert not box.lines("store_lost")
--- a/tests/serve/way.py
+++ b/tests/serve/way.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,7 @@
         self.is_open = True
         self.sockets: set[socket.socket] = set()
         self.silent: set[socket.socket] = set()
+        self.passed_at: dict[socket.socket, float] = {}
         self.listener = socket.create_server(("127.0.0.1", 0))
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -40,9 +42,13 @@
         for one in list(self.sockets):
             _reset(one)
 
-    def silence(self) -> None:
-        """Let all connections that are open now go silent for good; new ones work."""
-        self.silent |= self.sockets
+    def silence(self, rested_s: float = 0.0) -> None:
+        """Let connections that are open now go silent for good; new ones work.
+
+        :param rested_s: only those that passed nothing for so long
+        """
+        until = time.monotonic() - rested_s
+        self.silent |= {one for one in self.sockets if self.passed_at.get(one, 0.0) <= until}
 
     def open(self) -> None:
         """Pass connections on again."""
@@ -73,6 +79,7 @@
         with suppress(OSError):
             while piece := source.recv(PIECE):
                 if source not in self.silent:
+                    self.passed_at[source] = self.passed_at[target] = time.monotonic()
                     target.sendall(piece)
         if source in self.silent:
             return
