Tell the end of a lot to gateways that were listed lately as well

Class, the same as of this incident: that an entry is not to be seen was taken for "nobody is there". Change: gateways that were listed or answered within 10 s are told too (fleet/lately.py, which sidecars use as well).

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -7,6 +7,7 @@
 
 from threadramp.fleet.facts import facts_for, serves_any
 from threadramp.fleet.following import Following
+from threadramp.fleet.lately import Lately
 from threadramp.fleet.picture import Member
 from threadramp.fleet.relaying import in_turn, relay_through
 from threadramp.fleet.sharing import MirrorSharing
@@ -30,6 +31,7 @@
 BEAT_TIMEOUT_S = 0.4
 GATEWAYS_A_BEAT = 2
 BEATERS = 2  # gateways that regularly beat to one sidecar
+GATEWAY_REMEMBERED_S = 10.0  # one that loses its place has listed itself again within 3 s
 REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
 
@@ -52,14 +54,15 @@
         self.clock = clock
         self.heard: dict[str, float] = {}
         self.silence = Silence()
-        self.remembered: dict[str, Member] = {}
-        self.listed_at: dict[str, float] = {}
+        self.sidecars_lately = Lately(REMEMBERED_S)
+        self.other_gateways_lately = Lately(GATEWAY_REMEMBERED_S)
         self.stopped = threading.Event()
         self.on_unlisted: Callable[[], None] = lambda: None
         self.list_members: Callable[[], Listing] = lambda: picture.members.copy()
         self.unlisted_since: float | None = None
         self.sharing = MirrorSharing(picture, health, clock)
         self.following = Following(member, picture, health, clock)
+        picture.members.listeners.append(self._members_changed)
 
     @property
     def myself(self) -> tuple[str, str]:
@@ -95,6 +98,12 @@
         others.sort(key=lambda one: -self.heard.get(one.address, 0.0))
         return others
 
+    def gateways_lately(self) -> list[Member]:
+        """Return the other gateways that are listed, and those that were or answered lately."""
+        now = self.clock.now()
+        self.other_gateways_lately.note(self.gateways(), now)
+        return self.other_gateways_lately.known(self.heard, now)
+
     def live_gateways(self) -> list[Member]:
         """Return the gateways that are listed and not silent, this one among them.
 
@@ -111,14 +120,8 @@
         A sidecar may lose its place in the list without being told; it learns that from us.
         """
         now = self.clock.now()
-        for member in self.picture.belief.sidecars():
-            self.remembered[member.name] = member
-            self.listed_at[member.name] = now
-        for name, member in list(self.remembered.items()):
-            last = max(self.listed_at[name], self.heard.get(member.address, 0.0))
-            if last < now - REMEMBERED_S:
-                del self.remembered[name]
-        return [self.remembered[name] for name in sorted(self.remembered)]
+        self.sidecars_lately.note(self.picture.belief.sidecars(), now)
+        return self.sidecars_lately.known(self.heard, now)
 
     def sidecars_for(self, models: Set[str]) -> list[Member]:
         """Return the sidecars whose engines are asked for samples of these models."""
@@ -156,6 +159,9 @@
         if asks:
             self.ask_all(asks, BEAT_TIMEOUT_S)
 
+    def _members_changed(self) -> None:
+        self.other_gateways_lately.changed(self.gateways(), self.clock.now())
+
     def _run(self) -> None:
         while not self.stopped.wait(BEAT_S):
             now = self.clock.now()
--- a/src/threadramp/lots/end_notices.py
+++ b/src/threadramp/lots/end_notices.py
@@ -74,8 +74,11 @@
         return TURN_S if age < URGENT_S else LATER_TURN_S
 
     def _runner_of(self, kept: KeptHead) -> str:
-        """Tell all gateways; returns the one that ran the lot, empty if none said so."""
-        gateways = self.peers.gateways()
+        """Tell all gateways; returns the one that ran the lot, empty if none said so.
+
+        One that is not listed may run it: it is told before it has listed itself again.
+        """
+        gateways = self.peers.gateways_lately()
         ask = EndKept(*self.peers.myself, kept)
         replies = self.peers.ask_all({one.address: ask for one in gateways}, ANSWER_S)
         for one in gateways:
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from threadramp.fleet.peers import Peers
+from threadramp.fleet.peers import GATEWAY_REMEMBERED_S, Peers
 from threadramp.fleet.picture import Member, Picture
 from threadramp.fleet.silence import SILENT_BEATS
 from threadramp.fleet.store_health import StoreHealth
@@ -70,6 +70,20 @@
     assert names(peers.live_gateways()) == ["g0", "g1", "g2"]
 
 
+def test_a_gateway_that_lost_its_place_is_known_for_a_while(peers, clock):
+    """It may run lots whose end others write, and lists itself again only 2 s later."""
+    list_members(peers, [member("g0"), member("g2")], 2)
+    clock.at += GATEWAY_REMEMBERED_S - 0.1
+    assert names(peers.gateways_lately()) == ["g1", "g2"]
+    clock.at += 0.2
+    assert names(peers.gateways_lately()) == ["g2"]
+
+
+def test_a_gateway_that_is_listed_is_known_however_long_nothing_was_heard_of_it(peers, clock):
+    clock.at += 10 * GATEWAY_REMEMBERED_S
+    assert names(peers.gateways_lately()) == ["g1", "g2"]
+
+
 def test_a_sidecar_that_lost_its_place_is_asked_on_while_it_answers(peers, clock):
     assert names(peers.sidecars()) == ["s1"]
     list_members(peers, [member("g0")], 2)
--- a/tests/lots/test_end_notices.py
+++ b/tests/lots/test_end_notices.py
@@ -122,6 +122,18 @@
     assert running.dropped == ["lot"]
 
 
+def test_an_end_reaches_a_gateway_that_has_just_lost_its_place_in_the_list(running, other, clock):
+    """It heard of the end once it had listed itself again, 2.1 s later, beside load after 3 s."""
+    owned = running.own()
+    other.know("g0", "g1")
+    other.know("g0")
+    clock.at += 1.0
+    other.reader.end("lot")
+    assert not other.notices.one_turn()
+    assert owned.book.ended
+    assert running.dropped == ["lot"]
+
+
 def test_an_end_that_an_owner_did_not_answer_reaches_it_later(running, other, client):
     owned = running.own()
     other.know("g0", "g1")
