Look only at what can pay when samples are moved to faster engines

Engines are looked at fastest first, and the look ends where moving does not pay, since it pays less at those behind. tests/policy/test_moves.py.

--- a/src/threadramp/policy/moves.py
+++ b/src/threadramp/policy/moves.py
@@ -15,7 +15,7 @@
 from threadramp.policy.sample_placement import has_fresh, usual_gap_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from threadramp.policy.sample_placement import RunnerView
 
@@ -52,24 +52,37 @@
     usual = usual_gap_ms(views)
     gaps = {view.member.name: _gap_ms(view, usual) for view in views}
     room = {view.member.name: view.free(now) for view in views}
-    moved = []
+    with_room = [view for view in views if room[view.member.name]]
+    fastest_first = sorted(with_room, key=lambda view: gaps[view.member.name])
     settled = [one for one in running if one.here >= SETTLED_EVENTS]
+    moved = []
     for one in sorted(settled, key=lambda one: -one.left * gaps.get(one.runner, 0.0)):
-        here = gaps.get(one.runner, 0.0)
-        able = [
-            view
-            for view in views
-            if room[view.member.name]
-            and has_fresh(view, one.model, one.min_version)
-            and _pays(one.left, here, gaps[view.member.name])
-        ]
-        if able:
-            fastest = min(able, key=lambda view: gaps[view.member.name])
-            room[fastest.member.name] -= 1
-            moved.append(one)
+        there = _faster(one, fastest_first, gaps)
+        if there is None:
+            continue
+        moved.append(one)
+        room[there.member.name] -= 1
+        if not room[there.member.name]:
+            fastest_first.remove(there)
     return moved
 
 
+def _faster(
+    one: RunningSample, fastest_first: Sequence[RunnerView], gaps: Mapping[str, float]
+) -> RunnerView | None:
+    """Return the fastest engine at which a sample is done sooner, none if there is none."""
+    here = gaps.get(one.runner, 0.0)
+    for view in fastest_first:
+        there = gaps[view.member.name]
+        if not there:
+            continue  # nothing is known of it
+        if not _pays(one.left, here, there):
+            return None  # nor at those behind it
+        if has_fresh(view, one.model, one.min_version):
+            return view
+    return None
+
+
 def _pays(left: float, here_ms: float, there_ms: float) -> bool:
     """Return whether a sample is done sooner at another engine."""
     return here_ms > FASTER * there_ms > 0 and left * (here_ms - there_ms) / 1000 > MOVE_S
--- a/tests/policy/test_moves.py
+++ b/tests/policy/test_moves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from threadramp.fleet.picture import Member
+from threadramp.policy import moves
 from threadramp.policy.moves import RunningSample, to_faster
 from threadramp.policy.sample_placement import RunnerView
 from threadramp.wire.runner import RunnerStatus
@@ -57,3 +58,18 @@
 def test_an_engine_that_tells_no_speed_is_taken_as_usual():
     views = (view("slow", 120.0), view("a"), view("b"), view("idle", 0.0))
     assert moved([sample("long", 90)], *views) == ["long"]
+
+
+def test_a_turn_of_the_target_size_looks_at_little_more_than_what_moves(monkeypatch):
+    """Each running sample was compared with each engine: 0.1 s of processor time a turn."""
+    looks = []
+    monkeypatch.setattr(moves, "has_fresh", lambda *asked: looks.append(asked) or True)
+    views = [view(f"e{n}", 50.0 if n % 3 == 0 else 38.0, taken=9) for n in range(300)]
+    running = [sample(f"s{n}", float(n % 180), f"e{n % 300}") for n in range(2_048)]
+    assert len(to_faster(running, views, NOW)) == len(looks) > 500
+
+
+def test_the_fastest_engine_with_fresh_weights_is_taken_where_faster_ones_have_none():
+    views = (view("slow", 120.0), view("fastest", 37.0, version=1), view("fast", 45.0))
+    assert moved([sample("long", 90, min_version=3)], *views) == ["long"]
+    assert moved([sample("long", 90, min_version=4)], *views) == []
