--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -6,18 +6,15 @@
 import threading
 from typing import TYPE_CHECKING
 
-from msgspec.structs import replace
-
 from threadramp.core.lot_book import Phase
+from threadramp.lots.hurrying import HurriedLoads
+from threadramp.lots.moving import SampleMoves
 from threadramp.lots.news import RunnerNews
-from threadramp.policy.hurry import engines_to_hurry
-from threadramp.policy.moves import RunningSample, to_faster
 from threadramp.policy.sample_placement import RunnerView, place
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
     Accepted,
-    Beat,
     Collect,
     Drop,
     Find,
@@ -43,7 +40,6 @@
 NOT_TAKEN_PAUSE_S = 0.1
 SILENT_PAUSE_S = 0.3
 FIND_TIMEOUT_S = 0.4
-HURRY_AGAIN_S = 0.4  # an engine that was asked shows that it loads within 0.2 s
 
 
 class Runners:
@@ -66,7 +62,8 @@
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
         self.asked: frozenset[str] = frozenset()
-        self.hurried_at = 0.0
+        self.moves = SampleMoves(owned, clock, self._cut)
+        self.hurried = HurriedLoads(owned, peers, clock)
         self.lock = threading.Lock()
         self.stopped = threading.Event()
 
@@ -90,9 +87,9 @@
                 continue
             self._refresh()
             self._look()
-            self._move_to_faster()
+            self.moves.turn(dict(self.views))
             self._send()
-            self._hurry()
+            self.hurried.turn(list(self.views.values()))
 
     def _refresh(self) -> None:
         """Keep one view and one collector for each sidecar that may run samples of our lots."""
@@ -220,25 +217,6 @@
                 batches.setdefault(view.member.name, []).append((lot, name))
         return batches
 
-    def _hurry(self) -> None:
-        """Ask for loads where samples wait that no engine can run."""
-        now = self.clock.now()
-        views = list(self.views.values())
-        asks = {}
-        for lot in self.owned.open():
-            wanted = lot.book.lot
-            with self.owned.lock:
-                waits = bool(lot.book.waiting(now))
-            if not waits:
-                continue
-            for view in engines_to_hurry(views, wanted.model, wanted.min_version, now):
-                facts = replace(self.peers.facts_for(view.member), hurry=wanted.model)
-                asks[view.member.address] = Beat(*self.peers.myself, facts)
-        if asks and now - self.hurried_at > HURRY_AGAIN_S:
-            self.hurried_at = now
-            log_state("loads_hurried", sidecars=sorted(asks))
-            self.peers.ask_all(asks, FIND_TIMEOUT_S)
-
     def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
         """Send samples to one sidecar and note which it took."""
         name = view.member.name
@@ -289,50 +267,9 @@
             model=book.lot.model,
         )
 
-    def _move_to_faster(self) -> None:
-        """Take samples from engines where others would be done sooner."""
-        views = list(self.views.values())
-        with self.owned.lock:
-            running = [one for lot in self.owned.open() for one in self._running(lot)]
-        moved: dict[tuple[str, str], list[str]] = {}
-        for one in to_faster(running, views, self.clock.now()):
-            moved.setdefault((one.lot, one.runner), []).append(one.sample)
-        for (lot_id, runner), samples in moved.items():
-            lot = self.owned.get(lot_id)
-            if lot is not None:
-                self._move(lot, self.views[runner], samples)
-
-    def _running(self, lot: OwnedLot) -> list[RunningSample]:
-        """Return the samples of a lot that run."""
-        book = lot.book
-        wanted = book.lot
-        return [
-            RunningSample(
-                lot.lot_id,
-                name,
-                wanted.model,
-                wanted.min_version,
-                state.runner,
-                len(state.events) - state.events_before,
-                book.events_left(state),
-            )
-            for name, state in book.states.items()
-            if state.phase is Phase.RUNNING and state.confirmed and state.runner in self.views
-        ]
-
-    def _move(self, lot: OwnedLot, view: RunnerView, samples: list[str]) -> None:
-        """Take samples of a lot from a sidecar."""
-        name = view.member.name
-        with self.owned.lock:
-            have = lot.book.at_runner(name)
-            moved = {sample: have[sample] for sample in samples if sample in have}
-        if not moved:
-            return
-        log_state("samples_moved", lot=lot.lot_id, sidecar=name, samples=sorted(moved))
-        self._drop(view, moved, let_finish=False)
-        with self.owned.lock:
-            for sample in moved:
-                lot.book.give_back(sample, name, self.clock.now())
+    def _cut(self, view: RunnerView, have: dict[str, int]) -> None:
+        """End samples at a sidecar and take their last events."""
+        self._drop(view, have, let_finish=False)
 
     def _drop(self, view: RunnerView, have: dict[str, int], let_finish: bool) -> None:
         """Drop samples at a sidecar and take their last events."""
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -51,7 +51,7 @@
         self.facts = NOTHING_TOLD
         self.report: EngineReport | None = None
         self.ordered: WeightTarget | None = None
-        self.loaded_last = ""
+        self.ordered_model = ""
         self.over = ""
         self.gaps: deque[tuple[float, float]] = deque(maxlen=GAPS)
         self.on_silence: Callable[[], None] = lambda: None
@@ -69,7 +69,7 @@
         Only its samples are rejected meanwhile; those of other models run as ever. What an order
         concerns that an earlier process gave is not known.
         """
-        return (self.loaded_last or ANY_MODEL) if self.is_loading else ""
+        return (self.ordered_model or ANY_MODEL) if self.is_loading else ""
 
     @property
     def is_known(self) -> bool:
@@ -110,7 +110,6 @@
                 self.ordered = None
             self.facts = replace(
                 listed,
-                hurry="",
                 slots=listed.slots or held.slots,
                 targets=named.targets,
                 targets_revision=named.targets_revision,
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -174,14 +174,18 @@
         return found
 
     def collect(
-        self, have: dict[str, int], wait_s: float, readiness: Callable[[], object]
+        self, have: dict[str, int], wait_s: float, readiness: Callable[[], tuple[bool, str]]
     ) -> tuple[list[RunUpdate], list[str]]:
-        """Return news and unknown samples; waits until a sample ends or the time is over."""
+        """Return news and unknown samples; waits until a sample ends or the time is over.
+
+        :param readiness: returns whether the engine takes samples, and the model that changes; as
+            soon as it returns something else that is news, too
+        """
         until = self.now() + wait_s
-        was_ready = readiness()
+        before = readiness()
         with self.changed:
             self._touch(have)
-            while not self._has_ended(have) and readiness() == was_ready:
+            while not self._has_ended(have) and readiness() == before:
                 left = until - self.now()
                 if left <= 0:
                     break
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -25,6 +25,7 @@
     Drop,
     Find,
     Found,
+    HurryLoad,
     Status,
     Submit,
     Updates,
@@ -94,12 +95,12 @@
             self.gateways[ask.address] = self.clock.now()
         if isinstance(ask, (Beat, Submit, Collect)):
             self.engine.learn(ask.facts)
-            if ask.facts.hurry:
-                self.weights.hurry(ask.facts.hurry)
             self.sidecars = ask.facts.sidecars
             self._refresh_table()
             if not ask.facts.listed:
                 self.on_unlisted()
+        if isinstance(ask, HurryLoad):
+            self.weights.hurry(ask.model)
         return self._answer(ask)
 
     def relay(self, call: Call) -> RawAnswer | None:
@@ -143,7 +144,7 @@
             return Found(self.status(), self.table.find(ask.samples, ask.min_version))
         if isinstance(ask, CallStore) and self.store_calls is not None:
             return self.store_calls.answer(ask)
-        return Status(self.status()) if isinstance(ask, Beat) else Done()
+        return Status(self.status()) if isinstance(ask, (Beat, HurryLoad)) else Done()
 
     def _is_ready(self) -> bool:
         return self.engine.is_ready and not self.leaving
@@ -155,7 +156,7 @@
     def _refresh_table(self) -> None:
         with self.table.changed:
             self.table.slots = self.engine.facts.slots
-            seen = (self._is_ready(), self.engine.loading)
+            seen = self._readiness()
             if seen != (self.table.accepting, self.table.loading):
                 self.table.accepting, self.table.loading = seen
                 self.table.changed.notify_all()
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from threadramp.platform.engine import OrderOutcome
@@ -22,6 +23,17 @@
 ORDER_PAUSE_S = 0.5  # between two orders that were not taken
 
 
+@dataclass(frozen=True)
+class SeenVersion:
+    """The newest version of a model that this sidecar knows of.
+
+    :param since: time at which it heard of it
+    """
+
+    version: int
+    since: float
+
+
 class Weights:
     """Decides when the engine is ordered to load what.
 
@@ -32,9 +44,10 @@
         self.versions_apart = versions_apart
         self.engine = engine
         self.clock = clock
-        self.first_seen: dict[str, tuple[int, float]] = {}
+        self.seen: dict[str, SeenVersion] = {}
         self.ordered_at = 0.0
-        self.hurried = ("", 0.0)
+        self.hurried_model = ""
+        self.hurried_at = 0.0
         self.not_before = 0.0
 
     def turn(self) -> None:
@@ -79,32 +92,32 @@
     def _named(self, target: WeightTarget) -> NamedVersion:
         """Return a named version beside what the engine has of it."""
         now = self.clock.now()
-        version, since = self.first_seen.get(target.model, (0, now))
-        if version != target.version:
-            since = now
-            self.first_seen[target.model] = (target.version, now)
+        seen = self.seen.get(target.model)
+        if seen is None or seen.version != target.version:
+            seen = SeenVersion(target.version, now)
+            self.seen[target.model] = seen
         return NamedVersion(
             model=target.model,
             version=target.version,
             held=self.engine.report.versions.get(target.model, 0),
-            known_s=now - since,
+            known_s=now - seen.since,
         )
 
     def hurry(self, model: str) -> None:
         """Take note that no engine can run what waits for a model."""
-        self.hurried = (model, self.clock.now())
+        self.hurried_model = model
+        self.hurried_at = self.clock.now()
 
     def _hurried(self) -> str:
         """Return the model that a gateway wants at once, empty if none is."""
-        model, at = self.hurried
-        return model if self.clock.now() - at < HURRY_S else ""
+        return self.hurried_model if self.clock.now() - self.hurried_at < HURRY_S else ""
 
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
         instance = self.engine.facts.instance
         fence = self.engine.facts.targets_revision  # of all models, so that it never falls
         self.engine.ordered = target
-        self.engine.loaded_last = target.model
+        self.engine.ordered_model = target.model
         self.ordered_at = self.clock.now()
         outcome = self.engine.order(target, fence, report.orders)
         log_state(
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -30,6 +30,12 @@
     facts: Facts
 
 
+class HurryLoad(Ask, frozen=True):
+    """Load the newest version of a model now, since no engine can run what waits for it."""
+
+    model: str
+
+
 class MirrorBeat(Ask, frozen=True):
     """A regular sign of life between gateways, with what each has seen of the store.
 
@@ -213,6 +219,7 @@
 
 AnyAsk = (
     Beat
+    | HurryLoad
     | MirrorBeat
     | MirrorChanges
     | Submit
@@ -257,6 +264,7 @@
     "EndLot",
     "Find",
     "Found",
+    "HurryLoad",
     "LotEnded",
     "LotPage",
     "MirrorBeat",
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -17,7 +17,6 @@
     :param endpoints_revision: of the list of endpoints that ``instance`` is from
     :param instance: current start of the sidecar's endpoint, empty if the list has none
     :param leaving: whether that endpoint wants no new work
-    :param hurry: model whose newest version it is to load at once, empty if there is none
     :param share: what the engine loads of the models of its pool
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
@@ -34,7 +33,6 @@
     listed: bool = True
     sidecars: int = 0
     share: ModelShare = ModelShare({})
-    hurry: str = ""
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/tests/lots/test_hurrying.py
@@ -0,0 +1,54 @@
+"""Loads that a lot's gateway asks for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from tests.core.test_lot_book import make_book, make_sample, start
+from tests.policy.test_moves import view
+from threadramp.lots.hurrying import AGAIN_S, HurriedLoads
+from threadramp.lots.model import KeptHead
+from threadramp.lots.owned import OwnedLot, OwnedLots
+from threadramp.wire.fleet import HurryLoad
+
+
+@dataclass
+class Peers:
+    """Notes what is asked."""
+
+    myself: tuple[str, str] = ("g0", "g0:1")
+    asked: list[dict[str, HurryLoad]] = field(default_factory=list)
+
+    def ask_all(self, asks: dict[str, HurryLoad], timeout_s: float) -> dict:
+        self.asked.append(asks)
+        return {}
+
+
+@pytest.fixture
+def hurried(clock) -> HurriedLoads:
+    clock.at = 50.0
+    owned = OwnedLots()
+    book = make_book(make_sample("a", "g"), min_version=4)
+    owned.add(OwnedLot(book, KeptHead("lot", None, 1)))
+    return HurriedLoads(owned, Peers(), clock)
+
+
+def test_engines_are_asked_once_in_a_while_for_a_lot_that_none_can_run(hurried, clock):
+    views = [view("a", version=3), view("b", version=2)]
+    hurried.turn(views)
+    hurried.turn(views)
+    (asks,) = hurried.peers.asked
+    assert asks == {name: HurryLoad("g0", "g0:1", "m") for name in ("a:1", "b:1")}
+    clock.at += AGAIN_S + 0.1
+    hurried.turn(views)
+    assert len(hurried.peers.asked) == 2
+
+
+def test_none_is_asked_where_nothing_waits_or_one_engine_can_run_it(hurried):
+    hurried.turn([view("a", version=4), view("b", version=3)])
+    (lot,) = hurried.owned.open()
+    start(lot.book, "a", "s1")
+    hurried.turn([view("a", version=3)])
+    assert hurried.peers.asked == []
