--- a/src/threadramp/cli/declare.py
+++ b/src/threadramp/cli/declare.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -20,6 +21,31 @@
 REVISION_OPTION = option("revision", "r", "Revision at which the resource must stand.", flag=False)
 
 
+@dataclass(frozen=True)
+class AskedResource:
+    """The resource that a command names.
+
+    :param revision: at which it must stand, none for whatever it stands at
+    """
+
+    kind: str
+    name: str
+    revision: int | None
+
+    @classmethod
+    def from_command(cls, asked: ClientCommand) -> AskedResource:
+        """Read the arguments and options of a command.
+
+        :raises FindingsError: if the revision is none
+        """
+        revision = _revision(asked.option("revision"))
+        return cls(asked.argument("kind"), asked.argument("name"), revision)
+
+    def revision_of(self, held: dict[str, Any]) -> int:
+        """Return the revision at which it is changed, given what is declared now."""
+        return held["revision"] if self.revision is None else self.revision
+
+
 @command
 class ApplyCommand(ClientCommand):
     """Declare all resources of a file."""
@@ -60,15 +86,13 @@
 
     def run_client(self) -> int:
         """Read, change and write back at the revision that was read."""
-        kind = self.argument("kind")
-        name = self.argument("name")
-        wanted = _revision(self.option("revision"))
+        asked = AskedResource.from_command(self)
         operator = self.operator()
-        held = operator.get(kind, name)
-        revision = held["revision"] if wanted is None else wanted
+        held = operator.get(asked.kind, asked.name)
+        revision = asked.revision_of(held)
         spec = held["spec"] | dict(_field(text) for text in self.argument("fields"))
-        changed = operator.put(kind, name, spec, revision)
-        self.line(f"{kind}/{name}: revision {revision} -> {changed}")
+        changed = operator.put(asked.kind, asked.name, spec, revision)
+        self.line(f"{asked.kind}/{asked.name}: revision {revision} -> {changed}")
         return ExitCode.OK
 
 
@@ -83,13 +107,11 @@
 
     def run_client(self) -> int:
         """Delete at the revision that is named or read."""
-        kind = self.argument("kind")
-        name = self.argument("name")
-        wanted = _revision(self.option("revision"))
+        asked = AskedResource.from_command(self)
         operator = self.operator()
-        revision = operator.get(kind, name)["revision"] if wanted is None else wanted
-        changed = operator.delete(kind, name, revision)
-        self.line(f"{kind}/{name}: revision {revision} -> {changed} (deleted)")
+        revision = asked.revision_of(operator.get(asked.kind, asked.name))
+        changed = operator.delete(asked.kind, asked.name, revision)
+        self.line(f"{asked.kind}/{asked.name}: revision {revision} -> {changed} (deleted)")
         return ExitCode.OK
 
 
--- a/src/threadramp/cli/report.py
+++ b/src/threadramp/cli/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from html import escape
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -71,14 +72,13 @@
         span_s = log.span_s
         windows_s = [span_s * share for share in WINDOW_SHARES]
         report = burn_report(records, windows_s)
-        lots = log.lot_times()
         _show(
             self,
             report,
             lambda: burn_html(records, windows_s, max(LEAST_SPAN_S, span_s)) + _lots_html(log),
         )
-        if lots and not self.option("json"):
-            self.line(f"\n{lot_text(lots)}\n\n{call_text(log.store_calls)}")
+        if not self.option("json"):
+            self.line(_tables(log))
         for line in _notes(log):
             self.line_error(line)
         return ExitCode.OK
@@ -91,11 +91,17 @@
     asked.line(msgspec.json.encode(report).decode() if asked.option("json") else burn_text(report))
 
 
+def _tables(log: DayLog) -> str:
+    """Return the tables of lots and of calls to the store, empty if there were no lots."""
+    lots = log.lot_times()
+    return f"\n{lot_text(lots)}\n\n{call_text(log.store_calls)}" if lots else ""
+
+
 def _lots_html(log: DayLog) -> str:
     """Return what the page says of the day's lots and calls."""
-    lots = log.lot_times()
-    tables = f"{lot_text(lots)}\n\n{call_text(log.store_calls)}"
-    return f"<h1>Lots</h1><pre>{tables}</pre>{lot_plot(lots)}" if lots else ""
+    tables = _tables(log)
+    plot = lot_plot(log.lot_times()) if tables else ""
+    return f"<h1>Lots</h1><pre>{escape(tables)}</pre>{plot}" if tables else ""
 
 
 def _share(text: str) -> float:
--- a/src/threadramp/report/day.py
+++ b/src/threadramp/report/day.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from threadramp.core.burn import BurnPoint, ObjectiveRecord
+from threadramp.core.lot_book import RunOutcome
 from threadramp.report.lot_times import LotRuns, LotTimes
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
 KIND_PREFIX = "threadramp:"
 FIRST_FAILURE_STATUS = 400
 SAMPLES = "samples in time"
-WHOLE = "whole"
 
 
 @dataclass(frozen=True)
@@ -173,7 +173,7 @@
 
 
 def _take_run(log: DayLog, at: float, row: dict[str, Any]) -> None:
-    if row["outcome"] == WHOLE:
+    if row["outcome"] == RunOutcome.WHOLE.value:
         log.runs.whole(row["lot"], row["sample"], row["events"])
 
 
--- a/tests/report/test_lot_times.py
+++ b/tests/report/test_lot_times.py
@@ -54,6 +54,15 @@
     assert call_text(calls).splitlines()[-1].split() == ["others", "3"]
 
 
+def test_what_a_trainer_named_is_no_markup_on_the_page(tmp_path):
+    log = tmp_path / "day.log"
+    log.write_text(line("lot_taken", 0.0, lot="<b>a", due_s=7.5, samples=1, model="<script>"))
+    page = tmp_path / "day.html"
+    assert CommandTester(ReportDayCommand()).execute(f"{log} --html {page}") == 0
+    assert "<script>" not in page.read_text()
+    assert "&lt;script&gt;" in page.read_text()
+
+
 def test_the_report_shows_both_and_its_page_has_the_plot(tmp_path):
     log = tmp_path / "day.log"
     log.write_text("\n".join(DAY))
