Send what is late on a kept connection again on a new one

Cause: a kept connection was taken for a sound one as long as no end of it was heard; the second try of a late repeatable request took one that was kept as well, or had no other endpoint to go to. Change: it takes a new connection, if need be to the same endpoint (one worker, so no attempt more), and once that answered before the kept one, what else was kept at the late endpoint is dropped. Requests that may run once are not sent again.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -133,12 +133,15 @@
         tries.rejected.clear()
         return self._pause(REJECTED_PAUSE_S)
 
-    def send(self, endpoint: Endpoint) -> None:
-        """Send to an endpoint; the exchange is open if that worked."""
+    def send(self, endpoint: Endpoint, on_new: bool = False) -> None:
+        """Send to an endpoint; the exchange is open if that worked.
+
+        :param on_new: whether it takes a new connection though others are kept
+        """
         now = self.now()
         left = self.job.until - now
         try:
-            exchange = self.parts.connections.open(endpoint, now, left)
+            exchange = self.parts.connections.open(endpoint, now, left, on_new)
         except ExchangeError as error:
             self.endpoint_failed(endpoint, error, ran=False)
             return
--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -162,12 +162,15 @@
         self.lock = threading.Lock()
         self.opened = 0
 
-    def open(self, endpoint: Endpoint, now: float, timeout_s: float) -> Exchange:
+    def open(
+        self, endpoint: Endpoint, now: float, timeout_s: float, on_new: bool = False
+    ) -> Exchange:
         """Return an exchange on a kept or a new connection.
 
+        :param on_new: whether kept ones are left alone, since they may pass nothing any more
         :raises ExchangeError: if the endpoint can not be reached
         """
-        kept = self._kept(endpoint, now)
+        kept = None if on_new else self._kept(endpoint, now)
         first_s = min(CONNECT_TIMEOUT_S, timeout_s)  # to connect, and to send the request
         if kept is not None:
             kept.timeout = first_s
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -35,9 +35,9 @@
         super().__init__(parts, job)
         self.second_at = 0.0
 
-    def send(self, endpoint: Endpoint) -> None:
+    def send(self, endpoint: Endpoint, on_new: bool = False) -> None:
         """Send to an endpoint; a second one is asked if it is late."""
-        super().send(endpoint)
+        super().send(endpoint, on_new)
         self.second_at = self.now() + self.job.route.target_s * SECOND_AFTER
 
     def await_answer(self) -> Outcome | None:
@@ -68,20 +68,46 @@
         return max(0.001, wait)
 
     def _second_try(self) -> None:
-        """Send a late repeatable request to a second endpoint as well."""
+        """Send a late repeatable request to a second endpoint as well.
+
+        Where it is late on a kept connection, that may pass nothing any more without a sign of it,
+        and so may all that were kept: the second try takes a new one, if need be to the same
+        endpoint.
+        """
         tries = self.tries
         late = len(tries.open) == 1 and self.now() >= self.second_at
         if not late or not self.job.route.may_repeat:
             return
         self.second_at = self.job.until  # asked once
-        used = tries.ran | {one.endpoint.instance for one in tries.open}
-        if len(used) >= self.job.route.max_attempts or not self.parts.budget.retry():
-            return
-        endpoints = self.parts.picture.belief.in_pool(self.pool)
-        chosen = self.parts.choice.choose(endpoints, used | tries.rejected, self.now())
-        if chosen is not None:
-            log_state("second_try", request=self.job.request_id, instance=chosen.instance)
-            self.send(chosen)
+        chosen = self._for_second_try(tries.open[0])
+        if chosen is not None and self.parts.budget.retry():
+            on_new = tries.open[0].reused
+            log_state(
+                "second_try",
+                request=self.job.request_id,
+                instance=chosen.instance,
+                on_new=on_new,
+            )
+            self.send(chosen, on_new)
+
+    def _for_second_try(self, late: Exchange) -> Endpoint | None:
+        """Return where a late request goes as well, none if there is nowhere."""
+        tries = self.tries
+        used = tries.ran | {late.endpoint.instance}
+        pool = self.parts.picture.belief.in_pool(self.pool)
+        chosen = None
+        if len(used) < self.job.route.max_attempts:
+            chosen = self.parts.choice.choose(pool, used | tries.rejected, self.now())
+        if chosen is None and late.reused:
+            same = [one for one in pool if one.instance == late.endpoint.instance]
+            chosen = self.parts.choice.choose(same, (), self.now())
+        return chosen
+
+    def _forget_as_old(self) -> None:
+        """Drop what is kept where a kept connection brought nothing and a new one an answer."""
+        for late in self.tries.open:
+            if late.reused:
+                self.parts.connections.forget_one(late.endpoint.instance)
 
     def _read(self, exchange: Exchange) -> Outcome | None:
         endpoint = exchange.endpoint
@@ -94,6 +120,8 @@
             return None
         if not self.is_own(exchange, answer.head):
             return None
+        if not exchange.reused:
+            self._forget_as_old()
         self.parts.keep(exchange, answer)
         return self._judge(endpoint, answer)
 
