--- a/tests/edge/test_silent_connections.py
+++ b/tests/edge/test_silent_connections.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.edge.test_forward import Fleet
-from tests.serve.way import Way
+from tests.serve.way import Way, serve_behind
 from threadramp.edge.job import Ending
 from threadramp.fleet.model import RouteKind
 
@@ -25,14 +25,7 @@
 
     def __init__(self, serve) -> None:
         self.ways: list[Way] = []
-        self.fleet = Fleet(self._serve_behind(serve))
-
-    def _serve_behind(self, serve):
-        def start(standin) -> str:
-            self.ways.append(Way(serve(standin)))
-            return self.ways[-1].address
-
-        return start
+        self.fleet = Fleet(serve_behind(serve, self.ways, lambda standin: True))
 
     def keep_connections(self) -> None:
         """Let each endpoint have a connection that is kept."""
--- a/tests/serve/faults.py
+++ b/tests/serve/faults.py
@@ -12,6 +12,7 @@
 
     from tests.serve.fleet import Box
     from tests.serve.soak import Soak
+    from tests.serve.way import Way
 
 FAULTS: Registry[Callable[[Soak], Callable[[], None]]] = Registry()
 
@@ -73,6 +74,23 @@
     return lambda: [way.open() for way in shut]
 
 
+@FAULTS.register("open connections to the store silent")
+def silence_ways(soak: Soak) -> Callable[[], None]:
+    return _silence(soak.ways)
+
+
+@FAULTS.register("open connections to engines silent")
+def silence_engine_ways(soak: Soak) -> Callable[[], None]:
+    return _silence(soak.engine_ways)
+
+
+def _silence(ways: list[Way]) -> Callable[[], None]:
+    """Let what is open now pass nothing for good; there is nothing to heal."""
+    for way in ways:
+        way.silence()
+    return lambda: None
+
+
 def _switch(soak: Soak, **faults: object) -> None:
     soak.fleet.store.faults.update(faults)
     soak.fleet.store.faults_changed()
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -47,6 +47,11 @@
     return f"127.{64 + os.getpid() // 250 % 64}.{os.getpid() % 250}.{number % 250 + 1}"
 
 
+def is_engine(standin) -> bool:
+    """Return whether a stand-in is an engine of a fleet, beside a sidecar."""
+    return isinstance(standin, PlatformEngine) and standin.instance.startswith("i-e")
+
+
 class Box:
     """One box with one process of ours."""
 
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -16,14 +16,15 @@
 from urllib3.exceptions import HTTPError
 
 from tests.serve.faults import FAULTS
-from tests.serve.fleet import CALLS, HOST, PlatformFleet, wait_for
-from tests.serve.way import put_before
+from tests.serve.fleet import CALLS, HOST, PlatformFleet, is_engine, wait_for
+from tests.serve.way import put_before, serve_behind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from pathlib import Path
 
     from tests.serve.fleet import Box
+    from tests.serve.way import Way
     from threadramp.standins.server import StandIn
 
 EVENTS = 12
@@ -41,7 +42,9 @@
 
     def __init__(self, folder: Path, serve: Callable[[StandIn], str], seed: int) -> None:
         self.random = Random(seed)
-        self.fleet = PlatformFleet(folder, serve, gateways=3, engines=3)
+        self.engine_ways: list[Way] = []
+        behind = serve_behind(serve, self.engine_ways, is_engine)
+        self.fleet = PlatformFleet(folder, behind, gateways=3, engines=3)
         self.ways = [put_before(box, self.fleet.store_address) for box in self.fleet.boxes]
         for engine in self.fleet.engines:
             engine.faults.update(events=EVENTS, gap_s=GAP_S)
@@ -75,7 +78,7 @@
     def close(self) -> None:
         """End all processes and ways."""
         self.fleet.close()
-        for way in self.ways:
+        for way in (*self.ways, *self.engine_ways):
             way.close()
 
     def _bring_faults(self, until: float) -> None:
--- a/tests/serve/test_silent_engine.py
+++ b/tests/serve/test_silent_engine.py
@@ -13,9 +13,8 @@
 
 import pytest
 
-from tests.serve.fleet import PlatformFleet, wait_for
-from tests.serve.way import Way
-from threadramp.platform.standins.endpoint import PlatformEngine
+from tests.serve.fleet import PlatformFleet, is_engine, wait_for
+from tests.serve.way import Way, serve_behind
 
 GONE_ON_S = 2.0  # within which each sample is begun anew; a box is held to its bounds after 3 s
 SAMPLES = 8
@@ -26,14 +25,7 @@
     """A fleet whose engines are reached through ways that can go silent."""
     made: list[Way] = []
 
-    def serve_behind(standin) -> str:
-        address = serve(standin)
-        if not (isinstance(standin, PlatformEngine) and standin.instance.startswith("i-e")):
-            return address
-        made.append(Way(address))
-        return made[-1].address
-
-    fleet = PlatformFleet(tmp_path, serve_behind)
+    fleet = PlatformFleet(tmp_path, serve_behind(serve, made, is_engine))
     try:  # a set-up that fails leaves no process behind either
         fleet.start()
         yield fleet, made
--- a/tests/serve/way.py
+++ b/tests/serve/way.py
@@ -9,7 +9,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tests.serve.fleet import Box
+    from threadramp.standins.server import StandIn
 
 PIECE = 65_536
 
@@ -97,6 +100,24 @@
     return way
 
 
+def serve_behind(
+    serve: Callable[[StandIn], str], made: list[Way], wanted: Callable[[StandIn], bool]
+) -> Callable[[StandIn], str]:
+    """Return what serves stand-ins as ``serve`` does, those that are wanted behind a way.
+
+    :param made: takes the ways
+    """
+
+    def start(standin: StandIn) -> str:
+        address = serve(standin)
+        if not wanted(standin):
+            return address
+        made.append(Way(address))
+        return made[-1].address
+
+    return start
+
+
 def _reset(one: socket.socket) -> None:
     with suppress(OSError):
         one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
@@ -104,4 +125,4 @@
     one.close()
 
 
-__all__ = ["Way", "put_before"]
+__all__ = ["Way", "put_before", "serve_behind"]
