Take no pause between a sidecar's renewals for an absence of the store

Read before the landing: sidecars of a large fleet renew each 9 s, so each renewal would have been told as store_regained. They doubt no entries, so only a failed call counts there. Test: tests/fleet/test_store_health.py.

--- a/src/threadramp/fleet/store_health.py
+++ b/src/threadramp/fleet/store_health.py
@@ -22,10 +22,13 @@
 
     It also came back where no call failed but none was answered for so long that entries may have
     lapsed.
+
+    :param unheard_s: that long; for a process that doubts no entries and asks less often, never
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, unheard_s: float = AWAY_S) -> None:
         self.clock = clock
+        self.unheard_s = unheard_s
         self.away_since: float | None = None
         self.returned_at = 0.0
         self.confirmed_at: float | None = None
@@ -81,7 +84,7 @@
             return not heard or self._was_unheard(self.clock.now())
 
     def _was_unheard(self, now: float) -> bool:
-        return self.confirmed_at is not None and now - self.confirmed_at > AWAY_S
+        return self.confirmed_at is not None and now - self.confirmed_at > self.unheard_s
 
 
 __all__ = ["AWAY_S", "StoreHealth"]
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 from threadramp.fleet.clock import Clock
@@ -41,7 +42,7 @@
             own.name, "sidecar", self.incarnation, address, own.data_centre, own.endpoint
         )
         self.metrics = Metrics("threadramp")
-        health = StoreHealth(clock)
+        health = StoreHealth(clock, unheard_s=math.inf)  # renewals of large fleets are 9 s apart
         client = SyncClient(Packing(), decode_reply, redial=True)
         engine = Engine(own.endpoint, own.pool, own.name, clock)
         weights = Weights(engine, clock, self.own.weights.versions_apart)
--- a/tests/fleet/test_store_health.py
+++ b/tests/fleet/test_store_health.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 import pytest
 
 from threadramp.fleet.store_health import AWAY_S, StoreHealth
@@ -49,3 +51,14 @@
     health.answered(clock.now())
     assert returns == []
     assert not health.was_away()
+
+
+def test_one_that_asks_seldom_takes_no_pause_for_an_absence(clock):
+    """Sidecars of a large fleet renew each 9 s, and each renewal was told as a return."""
+    health = StoreHealth(clock, unheard_s=inf)
+    returns: list[float] = []
+    health.on_return.append(returns.append)
+    health.answered(clock.now())
+    clock.at += 9.0
+    health.answered(clock.now())
+    assert returns == []
