Begin no run anew whose lot has ended

Read before the landing: a run that was only to finish for a later lot would have been begun again after the end of its lot (UNASKED), had its connection to the engine gone silent. The new test failed first.

--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -144,7 +144,8 @@
         """Let runs that bring nothing go on behind their last event on connections of their own.
 
         For when open connections are known to pass nothing. They stay here: an engine that cannot
-        hear that a connection was closed works on, and no other one may work beside it.
+        hear that a connection was closed works on, and no other one may work beside it. One whose
+        lot has ended was only to finish; it ends.
         """
         limit = self.now() - QUIET_S
         with self.changed:
@@ -155,6 +156,9 @@
             ]
             cancels = [run.cancel for run in quiet]
             for run in quiet:
+                if not run.wanted:
+                    self._end(run, RunOutcome.CUT)
+                    continue
                 run.started = False
                 run.cancel = None
                 run.life += 1  # what the thread of before still brings counts no more
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -195,3 +195,13 @@
     assert table.next_start() is quiet
     assert quiet.count == 1
     assert table.begin_anew() == []
+
+
+def test_a_run_whose_lot_has_ended_is_not_begun_anew(table, clock):
+    """It would reach the engine after the end of its lot (UNASKED)."""
+    (run,) = begin(table, order("a"))
+    table.drop({"a": 0}, let_finish=True)
+    clock.at += QUIET_S + 0.1
+    table.begin_anew()
+    assert run.outcome is RunOutcome.CUT
+    assert table.next_start() is None
