Keep the times that were in force for reports, orders and heads; look for runs that stand still a moment later

Cause: since heads are waited for as long as is said, an order that an engine leaves unanswered held up all looks at it for 1.0 s instead of 0.3. The times are named now as they were in force: 0.3 s each. That showed a fault of the mend before: with a report given up after 0.3 s, runs whose last event was less than 0.4 s ago were passed over (test_samples_on_silent_connections_go_on_at_once_where_they_are failed once, always with such a report).

--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -31,8 +31,8 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import WeightTarget
 
-REPORT_TIMEOUT_S = 0.5
-ORDER_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 0.3  # from the same box; a silent connection is found out within this
+ORDER_TIMEOUT_S = 0.3  # taken or refused within some ms; nothing else is looked at meanwhile
 GAPS = 32  # of the last events, from which the usual gap is taken
 GAP_AGE_S = 2.0  # older gaps count only while there are no newer ones
 GAP_KEPT_S = 12.0  # an even older one says nothing; slow spells lasted 8 s
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -27,7 +27,7 @@
 CONNECT_S = 0.5
 # The head comes with the first token, and an engine is given no more samples than it has slots:
 # 1,599 of 1,599 came within 0.3 s on a day of high load.
-HEAD_S = 1.0
+HEAD_S = 0.3
 SILENT_S = 5.0  # a stream that brings nothing for so long is cut; a load of weights takes 0.9 s
 
 
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -183,7 +183,8 @@
         SampleRun(self.engine, self.table, run, self.clock, self.metrics).execute()
 
     def _connections_are_suspect(self) -> None:
-        self.anew_at = self.clock.now()
+        """Look for runs that stand still once each that does not has brought an event."""
+        self.anew_at = self.clock.now() + QUIET_S
 
     def _begin_anew(self) -> None:
         """Let go on what stands still on silent connections.
