Take an id and its birth for a start, and only whole entries for endpoints

A spoiled document of the operator leaves the last good one in force; before, a spoiled named version was dropped.

Ruled out: taking an entry of an undeclared pool for foreign for good (pools may be declared later; it is looked at with each configuration). Test set-ups that listed incomplete entries list whole ones.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -16,7 +16,7 @@
     from threadramp.edge.connections import Answer, Connections, Exchange
     from threadramp.edge.job import Job
     from threadramp.fleet.clock import Clock
-    from threadramp.fleet.model import Endpoint
+    from threadramp.fleet.model import Endpoint, Start
     from threadramp.fleet.picture import Picture
     from threadramp.platform.headers import AnswerHead
     from threadramp.policy.endpoint_choice import EndpointChoice
@@ -38,8 +38,8 @@
     """
 
     open: list[Exchange] = field(default_factory=list)
-    ran: set[str] = field(default_factory=set)
-    rejected: set[str] = field(default_factory=set)
+    ran: set[Start] = field(default_factory=set)
+    rejected: set[Start] = field(default_factory=set)
     may_have_run: bool = False
     rounds: int = 0
     last_failure: Answer | None = None
@@ -63,10 +63,10 @@
         self.clock = clock
 
     def forget_gone(self) -> None:
-        """Drop what is kept of endpoints that are not listed any more."""
-        instances = set(self.picture.belief.endpoints)
-        self.connections.forget(instances)
-        self.choice.forget(instances)
+        """Drop what is kept of starts that are not listed any more."""
+        starts = {one.start for one in self.picture.belief.endpoints.values()}
+        self.connections.forget(starts)
+        self.choice.forget(starts)
 
     def keep(self, exchange: Exchange, answer: Answer) -> None:
         """Keep a connection for the next request, within this gateway's share."""
@@ -177,7 +177,7 @@
 
     def rejected(self, endpoint: Endpoint, status: int) -> None:
         """Note that an endpoint said it did not run the job."""
-        self.tries.rejected.add(endpoint.instance)
+        self.tries.rejected.add(endpoint.start)
         log_state(
             "rejected", request=self.job.request_id, instance=endpoint.instance, status=status
         )
@@ -201,10 +201,10 @@
         :param pause: seconds for which others are preferred
         """
         if ran:
-            self.tries.ran.add(endpoint.instance)
+            self.tries.ran.add(endpoint.start)
             self.tries.may_have_run = True
         else:
-            self.tries.rejected.add(endpoint.instance)
+            self.tries.rejected.add(endpoint.start)
         log_state(
             "endpoint_failed",
             request=self.job.request_id,
@@ -216,7 +216,7 @@
 
     def _connection_stale(self, endpoint: Endpoint, error: ExchangeError, ran: bool) -> None:
         """Note that a kept connection was closed; the endpoint may be asked on a new one."""
-        self.parts.connections.forget_one(endpoint.instance)  # the others rested as long
+        self.parts.connections.forget_one(endpoint.start)  # the others rested as long
         self.tries.may_have_run |= ran
         log_state(
             "connection_stale",
--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -19,7 +19,7 @@
 
     from urllib3 import BaseHTTPResponse
 
-    from threadramp.fleet.model import Endpoint
+    from threadramp.fleet.model import Endpoint, Start
     from threadramp.platform.headers import AnswerHead
 
 CONNECT_TIMEOUT_S = 0.3  # a sound endpoint answers within a few ms, across regions within tens
@@ -158,7 +158,7 @@
     """Opens, keeps and hands out connections to endpoints."""
 
     def __init__(self) -> None:
-        self.idle: dict[str, deque[_Idle]] = {}
+        self.idle: dict[Start, deque[_Idle]] = {}
         self.lock = threading.Lock()
         self.opened = 0
 
@@ -196,28 +196,28 @@
             return
         until = now + _idle_s(answer)
         with self.lock:
-            row = self.idle.setdefault(exchange.endpoint.instance, deque())
+            row = self.idle.setdefault(exchange.endpoint.start, deque())
             if len(row) < most:
                 row.append(_Idle(exchange.connection, until))
                 return
         exchange.close()
 
-    def forget(self, instances: set[str]) -> None:
-        """Close the kept connections of endpoints that are gone."""
-        for gone in [one for one in list(self.idle) if one not in instances]:
+    def forget(self, starts: set[Start]) -> None:
+        """Close the kept connections of all starts but these."""
+        for gone in [one for one in list(self.idle) if one not in starts]:
             self.forget_one(gone)
 
-    def forget_one(self, instance: str) -> None:
+    def forget_one(self, start: Start) -> None:
         """Close the kept connections of one start of an endpoint."""
         with self.lock:
-            row = self.idle.pop(instance, ())
+            row = self.idle.pop(start, ())
         for idle in row:
             idle.connection.close()
 
     def _kept(self, endpoint: Endpoint, now: float) -> HTTPConnection | None:
         while True:
             with self.lock:
-                row = self.idle.get(endpoint.instance)
+                row = self.idle.get(endpoint.start)
                 if not row:
                     return None
                 idle = row.pop()
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -93,13 +93,13 @@
     def _for_second_try(self, late: Exchange) -> Endpoint | None:
         """Return where a late request goes as well, none if there is nowhere."""
         tries = self.tries
-        used = tries.ran | {late.endpoint.instance}
+        used = tries.ran | {late.endpoint.start}
         pool = self.parts.picture.belief.in_pool(self.pool)
         chosen = None
         if len(used) < self.job.route.max_attempts:
             chosen = self.parts.choice.choose(pool, used | tries.rejected, self.now())
         if chosen is None and late.reused:
-            same = [one for one in pool if one.instance == late.endpoint.instance]
+            same = [one for one in pool if one.start == late.endpoint.start]
             chosen = self.parts.choice.choose(same, (), self.now())
         return chosen
 
@@ -107,7 +107,7 @@
         """Drop what is kept where a kept connection brought nothing and a new one an answer."""
         for late in self.tries.open:
             if late.reused:
-                self.parts.connections.forget_one(late.endpoint.instance)
+                self.parts.connections.forget_one(late.endpoint.start)
 
     def _read(self, exchange: Exchange) -> Outcome | None:
         endpoint = exchange.endpoint
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -106,7 +106,7 @@
         ran = self.tries.ran
         if len(ran) < route.max_attempts and len(pool) > len(ran):
             return []
-        return [one for one in pool if one.instance in ran]
+        return [one for one in pool if one.start in ran]
 
     def ended(self, outcome: Outcome) -> Outcome:
         """Return the outcome; a stream that has begun and is not whole is cut."""
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -54,6 +54,7 @@
     return msgspec.structs.replace(
         facts,
         instance=endpoint.instance,
+        born=endpoint.born,
         leaving=endpoint.leaving,
         share=share,
         slots=endpoint.slots or pool.slots,
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -108,13 +108,31 @@
         return best
 
 
+class Start(NamedTuple):
+    """One start of an endpoint; what was learned of it holds for no other one.
+
+    The same id may come back with another start, which knows nothing of the one before.
+
+    :param instance: id under which it lists itself, and by which requests name it
+    :param born: when it started, in Unix milliseconds by its own clock, 0 if it does not tell
+    """
+
+    instance: str
+    born: int = 0
+
+    def is_older_than(self, other: Start) -> bool:
+        """Return whether both tell when they started, and this one did so before."""
+        return 0 < self.born < other.born
+
+
 @dataclass(frozen=True)
 class Endpoint:
     """One start of an endpoint, as it lists itself.
 
-    :param instance: names this start; another start has another
+    :param instance: its id, by which requests name it
     :param leaving: whether it wants no new work
     :param revision: the store's revision at which its entry last changed
+    :param born: when it started, in Unix milliseconds, 0 if it does not tell
     """
 
     instance: str
@@ -124,17 +142,33 @@
     slots: int = 0
     leaving: bool = False
     revision: int = 0
+    born: int = 0
+
+    @property
+    def start(self) -> Start:
+        """Return which start it is; all that is remembered of an endpoint is kept by this."""
+        return Start(self.instance, self.born)
+
+    def is_before(self, other: Endpoint) -> bool:
+        """Return whether another start at the same place came after this one.
+
+        By when they started, where both tell; a start that is over may write once more behind the
+        next one. Else by which entry changed last.
+        """
+        if self.born and other.born and self.born != other.born:
+            return self.born < other.born
+        return self.revision < other.revision
 
 
 def current_starts(endpoints: Iterable[Endpoint]) -> dict[str, Endpoint]:
-    """Return endpoints by instance, of each address only the start that was listed last.
+    """Return endpoints by instance, of each address only the newest start.
 
     The entry of a start that is over stays for some heartbeats beside that of the next one.
     """
     newest: dict[str, Endpoint] = {}
     for endpoint in endpoints:
         held = newest.get(endpoint.address)
-        if held is None or held.revision < endpoint.revision:
+        if held is None or held.is_before(endpoint):
             newest[endpoint.address] = endpoint
     return {endpoint.instance: endpoint for endpoint in newest.values()}
 
@@ -169,6 +203,7 @@
     "PoolShare",
     "Route",
     "RouteKind",
+    "Start",
     "WeightTarget",
     "current_starts",
 ]
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from threadramp.fleet.latest_starts import LatestStarts
 from threadramp.fleet.mirror import Mirror
 from threadramp.fleet.model import (
     Configuration,
@@ -18,6 +19,7 @@
     WeightTarget,
     current_starts,
 )
+from threadramp.fleet.readings import Readings
 from threadramp.platform.documents import (
     CONFIGURATION_KEY,
     EMPTY_PREFIX,
@@ -38,6 +40,7 @@
     from threadramp.platform.store_model import Item
 
 MEMBER_PREFIX = "member/"
+ROLES_LISTED = ("gateway", "sidecar")
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
@@ -143,7 +146,9 @@
         self.members = Mirror(MEMBER_PREFIX, holds_lapsed=True)
         self.belief = Belief()
         self.changed = threading.Condition()
-        self.decoded: dict[str, tuple[int, object]] = {}
+        self.readings = Readings()
+        self.starts = LatestStarts()
+        self.of_no_pool: dict[str, int] = {}
         self.doubted: dict[str, float] = {}
         self.lock = threading.Lock()
         for mirror in self.mirrors:
@@ -170,14 +175,16 @@
 
     def _build(self) -> Belief:
         operator = self.operator.snapshot()
-        targets = self._decoded_under(WEIGHTS_PREFIX, operator, _read_target)
+        self.readings.keep_only(OPERATOR_PREFIX, operator)
+        configuration = self._configuration(operator.get(CONFIGURATION_KEY))
+        targets = self._documents_under(WEIGHTS_PREFIX, operator, _read_target)
         return Belief(
-            configuration=self._configuration(operator.get(CONFIGURATION_KEY)),
-            endpoints=self._endpoints(),
+            configuration=configuration,
+            endpoints=self._endpoints(configuration),
             members=self._members(),
             targets=tuple(targets),
             targets_revision=max((target.revision for target in targets), default=0),
-            empty_requests=tuple(self._decoded_under(EMPTY_PREFIX, operator, _read_empty)),
+            empty_requests=tuple(self._documents_under(EMPTY_PREFIX, operator, _read_empty)),
             endpoints_revision=self.endpoints.revision,
         )
 
@@ -188,52 +195,87 @@
             log_state("removal_doubted", key=key, until=round(found[key], 3))
         self.doubted = found
 
-    def _decoded_under(
-        self, prefix: str, items: dict[str, Item], read: Callable[[Item], Any]
+    def _documents_under(
+        self, prefix: str, items: dict[str, Item], decode: Callable[[Item], Any]
     ) -> list[Any]:
-        rows = []
-        for key, item in sorted(items.items()):
-            if not key.startswith(prefix):
-                continue
-            try:
-                rows.append(read(item))
-            except DocumentError as error:
-                log_state("document_unreadable", key=key, error=str(error))
-        return rows
+        """Return the operators' documents under a prefix; of one that is spoiled the last good."""
+        rows = [
+            self.readings.read_or_last("document", item, decode)
+            for key, item in sorted(items.items())
+            if key.startswith(prefix)
+        ]
+        return [row for row in rows if row is not None]
 
     def _configuration(self, item: Item | None) -> Configuration | None:
-        if item is None:
-            return self.belief.configuration
-        held = self.decoded.get(item.key)
-        if held is not None and held[0] == item.revision:
-            return held[1]
-        try:
-            found = read_configuration(item.value)
-        except DocumentError as error:
-            log_state("configuration_unreadable", revision=item.revision, error=str(error))
-            return self.belief.configuration
-        self.decoded[item.key] = (item.revision, found)
-        return found
-
-    def _endpoints(self) -> dict[str, Endpoint]:
-        found: list[Endpoint] = []
-        for key, item in self.endpoints.snapshot().items():
-            try:
-                found.append(read_endpoint(key, item.value, item.revision))
-            except DocumentError as error:
-                log_state("endpoint_unreadable", key=key, error=str(error))
-        return current_starts(found)
+        found = None
+        if item is not None:
+            found = self.readings.read_or_last("configuration", item, _read_configuration)
+        return found if found is not None else self.belief.configuration
+
+    def _endpoints(self, configuration: Configuration | None) -> dict[str, Endpoint]:
+        items = self.endpoints.snapshot()
+        self.readings.keep_only(ENDPOINT_PREFIX, items)
+        self.of_no_pool = {
+            name: revision
+            for name, revision in self.of_no_pool.items()
+            if ENDPOINT_PREFIX + name in items
+        }
+        found = []
+        for item in items.values():
+            endpoint = self.readings.read("endpoint", item, _read_endpoint)
+            if endpoint is not None and self._is_served(endpoint, configuration):
+                found.append(endpoint)
+        return current_starts(self.starts.current(found))
+
+    def _is_served(self, endpoint: Endpoint, configuration: Configuration | None) -> bool:
+        """Return whether an entry names a pool of ours; one of no pool would hide a true entry.
+
+        A pool may be declared later than its endpoints list themselves, so this is looked at anew
+        with each configuration.
+        """
+        if configuration is None or endpoint.pool in configuration.pools:
+            return True
+        if self.of_no_pool.get(endpoint.instance) != endpoint.revision:
+            self.of_no_pool[endpoint.instance] = endpoint.revision
+            self.readings.on_unreadable("endpoint")
+            log_state(
+                "endpoint_of_no_pool",
+                instance=endpoint.instance,
+                pool=endpoint.pool,
+                revision=endpoint.revision,
+            )
+        return False
 
     def _members(self) -> dict[str, Member]:
-        found: dict[str, Member] = {}
-        for key, item in self.members.snapshot().items():
-            try:
-                member = decode_member(item.value)
-            except msgspec.DecodeError as error:
-                log_state("member_unreadable", key=key, error=str(error))
-                continue
-            found[member.name] = member
-        return found
+        items = self.members.snapshot()
+        self.readings.keep_only(MEMBER_PREFIX, items)
+        rows = [self.readings.read("member", item, read_member) for item in items.values()]
+        return {row.name: row for row in rows if row is not None}
+
+
+def read_member(item: Item) -> Member:
+    """Decode the entry of a process of ours.
+
+    :raises DocumentError: if it cannot be read, or names nothing that can be asked
+    """
+    try:
+        member = decode_member(item.value)
+    except msgspec.DecodeError as error:
+        raise DocumentError(str(error)) from error
+    if member.name != item.key.removeprefix(MEMBER_PREFIX) or member.role not in ROLES_LISTED:
+        raise DocumentError(f"{member.role} {member.name!r} under another key")
+    host, _, port = member.address.rpartition(":")
+    if not host or not port.isdigit():
+        raise DocumentError(f"no address: {member.address!r}")
+    return member
+
+
+def _read_configuration(item: Item) -> Configuration:
+    return read_configuration(item.value)
+
+
+def _read_endpoint(item: Item) -> Endpoint:
+    return read_endpoint(item.key, item.value, item.revision)
 
 
 def _read_target(item: Item) -> WeightTarget:
@@ -252,10 +294,11 @@
         log_state("endpoint_gone", instance=instance, revision=new.endpoints_revision)
     for instance, endpoint in new.endpoints.items():
         before = old.endpoints.get(instance)
-        if before is None or before.leaving != endpoint.leaving:
+        if before is None or (before.leaving, before.born) != (endpoint.leaving, endpoint.born):
             log_state(
                 "endpoint",
                 instance=instance,
+                born=endpoint.born,
                 pool=endpoint.pool,
                 address=endpoint.address,
                 leaving=endpoint.leaving,
@@ -271,4 +314,4 @@
             log_state("version_named", model=target.model, version=target.version)
 
 
-__all__ = ["MEMBER_PREFIX", "Belief", "Member", "Picture", "Place", "decode_member"]
+__all__ = ["MEMBER_PREFIX", "Belief", "Member", "Picture", "Place", "read_member"]
--- a/src/threadramp/platform/documents.py
+++ b/src/threadramp/platform/documents.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import re
+from enum import Enum
+from ipaddress import IPv4Address
+from typing import Annotated
+
 import msgspec
 
 from threadramp.fleet.model import (
@@ -23,6 +28,12 @@
 EMPTY_STATUS_PREFIX = "status/retire/"
 ENDPOINT_PREFIX = "servers/"  # misleading: one entry is one start of an endpoint
 MS_PER_S = 1000
+# Beyond what any box can have; the platform's pages name no bounds.
+NAME_MOST = 200  # characters, as many as a key of the store may have bytes
+SLOTS_MOST = 1_000_000
+COUNT_MOST = 2**53  # whole numbers that JSON carries exactly
+PORT_MOST = 65_535
+_INSTANCE = re.compile(r"[!-~]{1,200}")  # it goes into a header
 
 _KINDS = {
     "safe": RouteKind.REPEATABLE,
@@ -127,17 +138,32 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+class _State(Enum):
+    READY = "ready"
+    LEAVING = "draining"
+
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_MOST)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MOST)]
+
+
 class _Endpoint(msgspec.Struct):
-    backend: str  # misleading: the pool's name
+    """All that an endpoint writes of itself; an entry that lacks any of it is by another writer."""
+
+    backend: _Name  # misleading: the pool's name
     address: str
-    zone: str = ""
-    slots: int = 0
-    state: str = "ready"
+    zone: _Name
+    version: str  # of its software
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_MOST)]
+    state: _State
+    coldMs: Annotated[float, msgspec.Meta(ge=0)]  # noqa: N815 - the platform's spelling
+    seq: _Count
+    born: _Count = 0
 
 
 class _WeightTarget(msgspec.Struct):
-    model: str
-    version: int
+    model: _Name
+    version: Annotated[int, msgspec.Meta(ge=1, le=COUNT_MOST)]
 
 
 class _EmptyRequest(msgspec.Struct):
@@ -167,17 +193,26 @@
 def read_endpoint(key: str, value: bytes, revision: int) -> Endpoint:
     """Decode an endpoint's own entry.
 
-    :raises DocumentError: if it cannot be read
+    Whatever is not whole and well formed was not written by an endpoint: taken as ready, or as
+    one that leaves, it would get work, or hide the true entry at the same address.
+
+    :raises DocumentError: if it cannot be read or is not whole
     """
     found = _decode(_endpoint, value)
+    instance = key.removeprefix(ENDPOINT_PREFIX)
+    if not _INSTANCE.fullmatch(instance):
+        raise DocumentError(f"an id that cannot be sent: {instance!r}")
+    if not is_address(found.address):
+        raise DocumentError(f"no address: {found.address!r}")
     return Endpoint(
-        instance=key.removeprefix(ENDPOINT_PREFIX),
+        instance=instance,
         pool=found.backend,
         address=found.address,
         data_centre=found.zone,
         slots=found.slots,
-        leaving=found.state != "ready",
+        leaving=found.state is _State.LEAVING,
         revision=revision,
+        born=found.born,
     )
 
 
@@ -199,6 +234,16 @@
     return EmptyRequest(key.removeprefix(EMPTY_PREFIX), found.durationS, revision)
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is ``ip:port``, by numbers."""
+    host, _, port = text.partition(":")
+    try:
+        is_host = not IPv4Address(host).is_unspecified
+    except ValueError:
+        return False
+    return is_host and port.isascii() and port.isdigit() and 0 < int(port[:6]) <= PORT_MOST
+
+
 def empty_status(done: bool) -> bytes:
     """Encode how far the emptying of a box is."""
     return msgspec.json.encode({"state": "succeeded" if done else "running"})
@@ -207,7 +252,7 @@
 def _decode(decoder: msgspec.json.Decoder, value: bytes):  # noqa: ANN202 - as the decoder's type
     try:
         return decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise DocumentError(str(error)) from error
 
 
@@ -220,6 +265,7 @@
     "WEIGHTS_PREFIX",
     "DocumentError",
     "empty_status",
+    "is_address",
     "read_configuration",
     "read_empty_request",
     "read_endpoint",
--- a/src/threadramp/platform/engine.py
+++ b/src/threadramp/platform/engine.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -42,24 +43,32 @@
     :param busy: whether it carries out an order
     :param orders: how many orders it took since it started
     :param leaving: whether it wants no new work
+    :param born: when it started, in Unix milliseconds, 0 if it does not tell
     """
 
     versions: dict[str, int]
     busy: bool
     orders: int
     leaving: bool = False
+    born: int = 0
+
+
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _Model(msgspec.Struct):
     name: str
-    version: int = 0
+    version: _Count
 
 
 class _Report(msgspec.Struct):
-    models: list[_Model] = []
-    busy: bool = False
-    seq: int = 0
+    """A report that lacks one of these is none: what it does not say would be taken as idle."""
+
+    models: list[_Model]
+    busy: bool
+    seq: _Count
     state: str = ""
+    born: _Count = 0
 
 
 _decode = msgspec.json.Decoder(_Report).decode
@@ -76,6 +85,7 @@
         busy=found.busy,
         orders=found.seq,
         leaving=found.state == LEAVING,
+        born=found.born,
     )
 
 
--- a/src/threadramp/platform/standins/endpoint.py
+++ b/src/threadramp/platform/standins/endpoint.py
@@ -23,7 +23,8 @@
 class PlatformEngine(StandIn):
     """Streams samples, takes orders, answers plain requests.
 
-    Options: ``instance``, ``models`` (names), ``events`` of a sample and ``gap_s`` between them.
+    Options: ``instance``, ``models`` (names), ``events`` of a sample and ``gap_s`` between them,
+    ``born`` (Unix milliseconds, told in reports if it is not 0).
     Switches that count: ``reject`` says "not run", ``fail`` answers 500, ``impossible`` 422,
     ``cut`` breaks streams off after three events, ``other_id`` answers as if to another request,
     ``unanswered`` carries orders out without an answer. ``load_s`` is the time of a load,
@@ -46,12 +47,29 @@
     def __init__(self, options: dict[str, Any]) -> None:
         super().__init__(options)
         self.instance = options.get("instance", "i-1")
+        self.born = options.get("born", 0)
         self.versions = dict.fromkeys(options.get("models", ["m"]), 1)
         self.orders: list[dict[str, Any]] = []
         self.busy_until = 0.0
         self.runs: list[dict[str, Any]] = []
         self.running = 0
         self.state = "ready"
+        self.starts = 0
+        self.orders_before = 0
+
+    def start_again(self, born: int = 0) -> None:
+        """Start again under the same id: nothing of before is known, and streams break off."""
+        with self.lock:
+            self.born = born
+            self.starts += 1
+            self.orders_before += len(self.orders)
+            self.busy_until = 0.0
+            self.running = 0
+
+    @property
+    def count(self) -> int:
+        """Return the orders that this start took."""
+        return len(self.orders) - self.orders_before
 
     def record(self) -> dict[str, Any]:
         """Return the runs and orders that this endpoint saw."""
@@ -74,26 +92,28 @@
             {
                 "models": rows,
                 "busy": time.monotonic() < self.busy_until,
-                "seq": len(self.orders),
+                "seq": self.count,
                 "running": self.running,
                 "state": self.state,
+                **({"born": self.born} if self.born else {}),
             }
         )
 
     def _order(self, request: Request) -> Response:
         order = request.json()
         with self.lock:
-            if order.get("expected", len(self.orders)) != len(self.orders):
+            if order.get("expected", self.count) != self.count:
                 return Response(409)
             self.orders.append(order)
             self.busy_until = time.monotonic() + self.faults["load_s"]
-            threading.Timer(self.faults["load_s"], self._loaded, (order,)).start()
+            threading.Timer(self.faults["load_s"], self._loaded, (order, self.starts)).start()
         if self.use_up("unanswered"):
             return Response(202, b"", {}, cut=True)
         return Response(202)
 
-    def _loaded(self, order: dict[str, Any]) -> None:
-        self.versions[order["model"]] = order["version"]
+    def _loaded(self, order: dict[str, Any], start: int) -> None:
+        if start == self.starts:
+            self.versions[order["model"]] = order["version"]
 
     def _work(self, request: Request) -> Response:
         name = request.headers.get("x-attempt-id", "")
@@ -123,10 +143,13 @@
     def _events(self, name: str, model: str, after: int) -> Iterator[bytes]:
         version = self.versions[model]
         cut = self.use_up("cut")
+        start = self.starts
         self.running += 1
         try:
             for number in range(after + 1, self.faults["events"] + 1):
                 time.sleep(self.faults["gap_s"])
+                if self.starts != start:
+                    raise CutOffError
                 lines = []
                 if self.versions[model] != version:
                     version = self.versions[model]
@@ -136,7 +159,7 @@
                 if cut and number >= after + 3:
                     raise CutOffError
         finally:
-            self.running -= 1
+            self.running = max(0, self.running - 1)
 
 
 __all__ = ["PlatformEngine"]
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -10,7 +10,7 @@
 from msgspec.structs import replace
 
 from threadramp.edge.connections import Connections, ExchangeError
-from threadramp.fleet.model import Endpoint
+from threadramp.fleet.model import Endpoint, Start
 from threadramp.platform.engine import (
     ORDER_PATH,
     REPORT_PATH,
@@ -52,7 +52,10 @@
         self.report: EngineReport | None = None
         self.ordered: WeightTarget | None = None
         self.ordered_model = ""
-        self.over = ""
+        self.over: Start | None = None
+        self.told_born = 0
+        self.known_start: Start | None = None
+        self.on_start: Callable[[], None] = lambda: None
         self.gaps: deque[tuple[float, float]] = deque(maxlen=GAPS)
         self.on_silence: Callable[[], None] = lambda: None
         self.lock = threading.Lock()
@@ -74,8 +77,17 @@
     @property
     def is_known(self) -> bool:
         """Return whether it answers and is the start that gateways told."""
-        instance = self.facts.instance
-        return self.report is not None and bool(instance) and instance != self.over
+        named = bool(self.facts.instance)
+        return self.report is not None and named and self.start != self.over
+
+    @property
+    def start(self) -> Start:
+        """Return its newest start, by what gateways told and by what it says of itself.
+
+        It may start again under its id and say so before gateways do; if its id is another one,
+        it refuses what is sent to this one.
+        """
+        return Start(self.facts.instance, max(self.facts.born, self.told_born))
 
     @property
     def is_ready(self) -> bool:
@@ -89,7 +101,10 @@
 
     def endpoint(self) -> Endpoint:
         """Return the engine as an endpoint to send requests to."""
-        return Endpoint(self.facts.instance, self.pool, self.address, "", self.facts.slots)
+        start = self.start
+        return Endpoint(
+            start.instance, self.pool, self.address, "", self.facts.slots, born=start.born
+        )
 
     def learn(self, facts: Facts) -> None:
         """Take over what a gateway knows, unless it is older than what is known.
@@ -99,27 +114,49 @@
         with self.lock:
             held = self.facts
             listed = facts if facts.endpoints_revision >= held.endpoints_revision else held
+            if facts.instance == held.instance and facts.start.is_older_than(held.start):
+                listed = held
             named = facts if facts.targets_revision >= held.targets_revision else held
             if listed.instance != held.instance:
-                log_state(
-                    "engine_instance",
-                    instance=listed.instance,
-                    before=held.instance,
-                    revision=listed.endpoints_revision,
-                )
-                self.ordered = None
+                self.told_born = 0
             self.facts = replace(
                 listed,
                 slots=listed.slots or held.slots,
                 targets=named.targets,
                 targets_revision=named.targets_revision,
             )
+        self._look_at_start()
 
-    def is_another(self, instance: str) -> None:
+    def _look_at_start(self) -> None:
+        """Forget what belongs to the start before once there is another one.
+
+        A pending order, the usual gap and the kept connections; its samples stand still.
+        """
+        with self.lock:
+            start, before = self.start, self.known_start
+            if start == before:
+                return
+            self.known_start = start
+        log_state(
+            "engine_start",
+            instance=start.instance,
+            born=start.born,
+            before=before,
+            revision=self.facts.endpoints_revision,
+        )
+        self._begin_start()
+
+    def _begin_start(self) -> None:
+        self.ordered = None
+        self.gaps.clear()
+        self.connections.forget(set())
+        self.on_start()
+
+    def is_another(self, start: Start) -> None:
         """Note that the engine is not that start any more; gateways will tell the next one."""
-        if self.over != instance:
-            self.over = instance
-            log_state("engine_is_another", instance=instance)
+        if self.over != start:
+            self.over = start
+            log_state("engine_is_another", instance=start.instance, born=start.born)
 
     def learn_floor(self, revision: int) -> None:
         """Take note of the newest revision at which a version was named, read from the store.
@@ -142,8 +179,17 @@
             return False
         if report is not None and not had:
             log_state("engine_regained", versions=report.versions, orders=report.orders)
+        if report is not None and 0 < report.born < self.facts.born:
+            log_state("older_report", born=report.born, known=self.facts.born)
+            return False  # of a start that is over
         self._note_leaving(report)
-        self.report = report
+        before, self.report = self.report, report
+        if report is not None:
+            self.told_born = max(self.told_born, report.born)
+        self._look_at_start()
+        if before is not None and report is not None and report.orders < before.orders:
+            log_state("engine_counts_anew", orders=report.orders, before=before.orders)
+            self._begin_start()  # only a new start does, also where it does not tell its birth
         return report is not None
 
     def order(self, target: WeightTarget, fence: int, orders_before: int) -> OrderOutcome:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -44,7 +44,7 @@
         self.run = run
         self.life = run.life
         self.clock = clock
-        self.instance = engine.facts.instance
+        self.start = engine.start
         self.version = 0
         self.last_event = 0.0
 
@@ -100,7 +100,7 @@
             (*order.sample.headers, ("Host", order.host)),
             order.sample.id,
             max(1.0, order.give_up_in_s),
-            self.instance,
+            self.start.instance,
             self.run.count,
             order.rank,
         )
@@ -109,13 +109,13 @@
     def _not_begun(self, status: int) -> None:
         """Put the sample back; another start of the engine is not asked again as this one."""
         if status == OTHER_INSTANCE_STATUS:
-            self.engine.is_another(self.instance)
+            self.engine.is_another(self.start)
         self.table.put_back(self.run, self.life)
         self.metrics.count("sample_not_begun", str(status))
         log_state(
             "sample_not_begun",
             sample=self.run.order.sample.id,
-            instance=self.instance,
+            instance=self.start.instance,
             status=status,
             rejections=self.run.rejections,
         )
@@ -178,7 +178,7 @@
             sample=self.run.order.sample.id,
             outcome=outcome.value,
             events=self.run.count,
-            instance=self.instance,
+            instance=self.start.instance,
             reason=reason,
         )
 
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -81,6 +81,7 @@
         self.store_calls: StoreCalls | None = None
         self.anew_at: float | None = None
         engine.on_silence = self._connections_are_suspect
+        engine.on_start = self._connections_are_suspect  # what runs was sent to the start before
 
     def start(self, store: StoreClient) -> None:
         """Start all loops."""
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -114,7 +114,7 @@
 
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
-        instance = self.engine.facts.instance
+        start = self.engine.start
         fence = self.engine.facts.targets_revision  # of all models, so that it never falls
         self.engine.ordered = target
         self.engine.ordered_model = target.model
@@ -132,7 +132,7 @@
         if outcome is OrderOutcome.TAKEN:
             return
         if outcome is OrderOutcome.OTHER_INSTANCE:
-            self.engine.is_another(instance)
+            self.engine.is_another(start)
         self.engine.ordered = None
         self.not_before = self.clock.now() + ORDER_PAUSE_S
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -116,6 +116,7 @@
         self.member = Member(own.name, "gateway", self.incarnation, address, own.data_centre, "")
         self.metrics = Metrics("threadramp")
         self.picture = Picture()
+        self.picture.readings.on_unreadable = lambda kind: self.metrics.count("unreadable", kind)
         health = StoreHealth(clock)
         client = SyncClient(Packing(), decode_reply, redial=True)
         self.peers = Peers(self.member, self.picture, client, health, clock)
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from threadramp.fleet.model import WeightTarget
+from threadramp.fleet.model import Start, WeightTarget
 from threadramp.lots.model import USUAL_RANK, Sample
 from threadramp.policy.model_share import ModelShare
 
@@ -21,6 +21,7 @@
     :param targets_revision: the newest at which any version was named
     :param listed: whether the sidecar itself is in the list of members
     :param sidecars: in the list of members
+    :param born: when that start of the endpoint began, 0 if it does not tell
     """
 
     endpoints_revision: int = 0
@@ -33,6 +34,12 @@
     listed: bool = True
     sidecars: int = 0
     share: ModelShare = ModelShare({})
+    born: int = 0
+
+    @property
+    def start(self) -> Start:
+        """Return the current start of the sidecar's endpoint."""
+        return Start(self.instance, self.born)
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -197,3 +198,40 @@
     theirs.close()
     assert fleet.run(caller=ours).ending is Ending.CALLER_GONE
     assert fleet.runs == 0
+
+
+def start_anew(fleet, born: int) -> None:
+    """List the first endpoint as another start under its id."""
+    again = replace(fleet.endpoints["i-0"], born=born)
+    fleet.endpoints["i-0"] = again
+    fleet.picture.belief = Belief(endpoints=dict(fleet.endpoints))
+
+
+def test_what_is_known_of_a_start_does_not_hold_for_the_next_one_under_its_id(fleet):
+    fleet.add(fail=1)
+    for _ in range(4):
+        fleet.run()
+    fleet.choice.failed(fleet.endpoints["i-0"], time.monotonic())
+    start_anew(fleet, 2000)
+    fleet.forwarder.forget_gone()
+    assert not fleet.connections.idle
+    assert not fleet.choice.records
+
+
+def test_a_request_that_failed_at_a_start_may_go_to_the_next_one_under_its_id(fleet):
+    """Where that is the only endpoint, the caller waited for nothing until its time was over."""
+    dead = fleet.add()
+    fleet.endpoints["i-0"] = replace(fleet.endpoints["i-0"], address="127.0.0.1:1")
+    fleet.picture.belief = Belief(endpoints=dict(fleet.endpoints))
+    choose = fleet.choice.choose
+
+    def once_it_failed(endpoints, tried, now):
+        if tried:
+            fleet.endpoints["i-0"] = replace(
+                fleet.endpoints["i-0"], address=fleet.serve(dead), born=2000
+            )
+            fleet.picture.belief = Belief(endpoints=dict(fleet.endpoints))
+        return choose(fleet.picture.belief.in_pool("p"), tried, now)
+
+    fleet.choice.choose = once_it_failed
+    assert fleet.run().ending is Ending.ANSWERED
--- a/tests/fleet/test_picture.py
+++ b/tests/fleet/test_picture.py
@@ -5,16 +5,12 @@
 import msgspec
 import pytest
 
+from tests.entries import entry
 from threadramp.fleet import picture as picture_module
 from threadramp.fleet.picture import Member, Picture
 from threadramp.platform.store_model import Changes, Item, Listing, Removal
 
 
-def entry(instance: str, address: str, revision: int, state: str = "ready") -> Item:
-    value = {"backend": "p", "address": address, "zone": "a", "state": state}
-    return Item(f"servers/{instance}", msgspec.json.encode(value), revision)
-
-
 @pytest.fixture
 def picture() -> Picture:
     return Picture()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from tests.entries import entry
 from threadramp.fleet.model import RouteKind
 from threadramp.platform.documents import (
     DocumentError,
@@ -85,8 +86,8 @@
 
 
 def test_an_endpoint_is_decoded():
-    entry = {"backend": "p1", "address": "10.0.0.1:80", "zone": "a", "state": "draining"}
-    endpoint = read_endpoint("servers/i-7", msgspec.json.encode(entry), 12)
+    found = entry("i-7", "10.0.0.1:80", 12, pool="p1", state="draining", slots=12, born=1700)
+    endpoint = read_endpoint(found.key, found.value, found.revision)
     assert (endpoint.instance, endpoint.pool, endpoint.leaving) == ("i-7", "p1", True)
     assert endpoint.revision == 12
 
--- a/tests/platform/test_engine.py
+++ b/tests/platform/test_engine.py
@@ -16,7 +16,7 @@
 
 
 def test_an_engine_that_leaves_says_so():
-    assert read_report(b'{"models":[],"state":"draining"}').leaving
+    assert read_report(b'{"models":[],"busy":false,"seq":0,"state":"draining"}').leaving
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b'{"models":3}'])
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -18,6 +18,7 @@
 from urllib3 import HTTPConnectionPool, Timeout
 from urllib3.exceptions import HTTPError
 
+from tests.entries import entry_fields
 from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.platform.standins.store import PlatformStore, encoded
 
@@ -201,10 +202,9 @@
         """Remove a key."""
         assert self.store._commit({"remove": [key]}).status == 200
 
-    def register(self, instance: str, pool: str, address: str, state: str = "ready") -> None:
+    def register(self, instance: str, pool: str, address: str, **fields) -> None:
         """List an endpoint."""
-        entry = {"backend": pool, "address": address, "zone": "a", "slots": 6, "state": state}
-        self.put(f"servers/{instance}", entry)
+        self.put(f"servers/{instance}", entry_fields(pool, address, **fields))
 
     def configure(self, version: int = 3, limits: dict | None = None, **route) -> None:
         """Write the configuration."""
