--- a/tests/serve/test_restarts.py
+++ b/tests/serve/test_restarts.py
@@ -4,8 +4,8 @@
 knew of its engine to the id alone. Cause: a pending order outlasted the start that had taken it, so
 that for 4 s nothing was loaded and no sample of that model was let in; a start that had refused a
 request as another one was never used again; behind a cut, samples waited for the events of before.
-Proof: where a start is its id alone, the scenarios of the load, of the report, of the late write and
-of the other writers fail; the others hold what connections showed before.
+Proof: where a start is its id alone, the scenarios of the load, of the report, of the late write
+and of the other writers fail; the others hold what connections showed before.
 """
 
 from __future__ import annotations
