--- a/src/threadramp/platform/store_lines.py
+++ b/src/threadramp/platform/store_lines.py
@@ -129,6 +129,9 @@
             if connection.sock is None:
                 connection.timeout = CONNECT_TIMEOUT_S
                 connection.connect()
+            # What was given up while it connected had no socket to be woken by.
+            if self._was_given_up(connection):
+                raise OSError("given up while it connected")
             connection.timeout = call.timeout_s
             connection.request(call.method, call.path, body=call.body, headers=_headers(call))
             response = connection.getresponse()
@@ -152,12 +155,15 @@
                 self.connection = HTTPConnection(self.host, self.port)
             return self.connection
 
+    def _was_given_up(self, connection: HTTPConnection) -> bool:
+        with self.lock:
+            return self.connection is not connection
+
     def _failure(self, connection: HTTPConnection, text: str) -> StoreUnknownError:
         """Close a connection that brought no answer; return what became of its call."""
-        with self.lock:
-            was_given_up = self.connection is not connection
-            if not was_given_up:
-                self.connection = None
+        was_given_up = self._was_given_up(connection)
+        if not was_given_up:
+            self.connection = None
         connection.close()
         return GivenUpError(text) if was_given_up else StoreUnknownError(text)
 
--- a/tests/platform/test_store_lines.py
+++ b/tests/platform/test_store_lines.py
@@ -6,6 +6,7 @@
 import time
 
 import pytest
+from urllib3.connection import HTTPConnection
 
 from tests.serve.way import Way
 from threadramp.platform.store import StoreClient
@@ -122,3 +123,58 @@
     opened = len(way.sockets)
     store.watch("a", 0, 0.05, line)
     assert len(way.sockets) == opened
+
+
+def test_a_watch_given_up_while_it_still_connects_does_not_wait_on(store, way, monkeypatch):
+    """A change was kept back for as long as the watch may wait, though the store answered again.
+
+    Seen: looked for, after requests had reached leaving endpoints. How it came about: a watch that
+    is begun in the last moments of a silent outage still connects when the store is back and all
+    that hangs is given up. Cause: what had no socket yet was not given up; its request was lost.
+    Proof: without the mend the call ends by its own time, 5.6 s later.
+    """
+    connecting, released = threading.Event(), threading.Event()
+    connect = HTTPConnection.connect
+
+    def slowly(connection):
+        connect(connection)
+        connecting.set()
+        released.wait(5.0)
+
+    line = store.watch_line()
+    ended: list[type] = []
+
+    def watch() -> None:
+        try:
+            store.watch("servers/", 0, 5.0, line)
+        except Exception as error:
+            ended.append(type(error))
+
+    with monkeypatch.context() as patched:
+        patched.setattr(HTTPConnection, "connect", slowly)
+        thread = threading.Thread(target=watch, daemon=True)
+        thread.start()
+        assert connecting.wait(2.0)
+        way.silence()
+        line.connection.sock, kept = None, line.connection.sock  # as before the connect is done
+        line.give_up()
+        released.set()
+        thread.join(1.0)
+        kept.close()
+    assert ended == [GivenUpError]
+
+
+def test_a_write_of_an_outages_last_moments_is_settled_by_its_next_look(store, way, platform_store):
+    """It may be done though no answer came; who asks again learns which of the two it was."""
+    store.get("a")
+    way.silence()
+    put = Transaction({"a": 0}, (Put("a", b"v"),))
+    with pytest.raises(KeptLineError):
+        store.transact(put)
+    platform_store.faults["late_writes"] = 1
+    platform_store.faults["late_s"] = 0.2
+    with pytest.raises(StoreUnknownError):
+        store.transact(put)
+    time.sleep(0.4)
+    answer = store.transact(put)
+    assert answer.current["a"].value == b"v"
