Show what a process believes: threadramp inspect

Cause: with a hundred boxes the logs say what each process learned, but not what one believes now. `threadramp inspect endpoint|lot|member THING ip:port ...` asks any gateway or sidecar on the port on which it answers peers: entry, revision, birth, unreadable entries with the reason, doubted removals, own requests' records, reports, the number of its orders; each with its source (the store, or which gateway told it) and its age. report/beliefs.py tells; fleet/mirror.py notes who told a key.

Ruled out: an HTTP page (one more listener on each box; the messages are there).

--- a/src/threadramp/cli/main.py
+++ b/src/threadramp/cli/main.py
@@ -7,11 +7,11 @@
 from cleo.application import Application
 
 from threadramp import VERSION
-from threadramp.cli import check, daemons, declare, inspect, keys, report, standins
+from threadramp.cli import believe, check, daemons, declare, inspect, keys, report, standins
 from threadramp.cli.api import COMMANDS
 
 # Importing a module registers its commands.
-_MODULES = (check, daemons, declare, inspect, keys, report, standins)
+_MODULES = (believe, check, daemons, declare, inspect, keys, report, standins)
 
 
 def build_application() -> Application:
--- a/src/threadramp/fleet/mirror.py
+++ b/src/threadramp/fleet/mirror.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+THE_STORE = "the store"
 LAPSE_HOLD_S = 2.5  # entries that lapsed in an outage are back about 2 s after its end
 
 
@@ -29,14 +30,18 @@
         self.holds_lapsed = holds_lapsed
         self.items: dict[str, Item] = {}
         self.lapsed: dict[str, float] = {}
+        self.told: dict[str, tuple[str, float]] = {}
         self.revision = 0
         self.known = False
         self.disturbed_until = 0.0
         self.lock = threading.Lock()
         self.listeners: list[Callable[[], None]] = []
 
-    def replace(self, listing: Listing, now: float) -> bool:
-        """Take over a whole listing; false if it is older than what is known."""
+    def replace(self, listing: Listing, now: float, source: str = THE_STORE) -> bool:
+        """Take over a whole listing; false if it is older than what is known.
+
+        :param source: who told it
+        """
         with self.lock:
             if self.known and listing.revision < self.revision:
                 return False
@@ -44,17 +49,20 @@
             for key in [key for key in self.items if key not in found]:
                 self._remove(key, now)
             for item in listing.items:
-                self._put(item)
+                self._put(item, now, source)
             self.revision = max(self.revision, listing.revision)
             self.known = True
         self._tell()
         return True
 
-    def apply(self, changes: Changes, now: float) -> None:
-        """Take over changes that follow what is known."""
+    def apply(self, changes: Changes, now: float, source: str = THE_STORE) -> None:
+        """Take over changes that follow what is known.
+
+        :param source: who told them
+        """
         with self.lock:
             for item in changes.items:
-                self._put(item)
+                self._put(item, now, source)
             for removal in changes.removals:
                 held = self.items.get(removal.key)
                 if held is not None and held.revision < removal.revision:
@@ -77,6 +85,7 @@
             for key in gone:
                 del self.lapsed[key]
                 self.items.pop(key, None)
+                self.told.pop(key, None)
         if gone:
             self._tell()
 
@@ -96,9 +105,16 @@
             items = tuple(item for key, item in self.items.items() if key not in self.lapsed)
             return Listing(items, self.revision)
 
-    def _put(self, item: Item) -> None:
+    def learned(self, key: str) -> tuple[str, float | None]:
+        """Return who told what is believed of a key, and when; nobody and none if it is unknown."""
+        with self.lock:
+            return self.told.get(key, ("", None))
+
+    def _put(self, item: Item, now: float, source: str) -> None:
         held = self.items.get(item.key)
         if held is None or held.revision <= item.revision:
+            if held is None or held.revision < item.revision:
+                self.told[item.key] = (source, now)
             self.items[item.key] = item
             self.lapsed.pop(item.key, None)
 
@@ -107,6 +123,7 @@
             self.lapsed.setdefault(key, self.disturbed_until)
             return
         self.items.pop(key, None)
+        self.told.pop(key, None)
         self.lapsed.pop(key, None)
 
     def _tell(self) -> None:
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -207,7 +207,7 @@
             reply = replies.get(member.address)
             if isinstance(reply, MirrorCopy):
                 self.following.note(member.name, reply.confirmed_ago_s)
-                self.sharing.take_over(reply)
+                self.sharing.take_over(reply, member.name)
 
     def _beat_for(self, member: Member) -> MirrorBeat:
         """Return the question for a gateway.
--- a/src/threadramp/fleet/sharing.py
+++ b/src/threadramp/fleet/sharing.py
@@ -35,15 +35,20 @@
                 items[mirror.prefix] = mirror.copy().items
         return MirrorCopy(self.revisions(), items, self.health.confirmed_ago_s())
 
-    def take_over(self, copy: MirrorCopy) -> None:
-        """Take over what a gateway has seen that this one has not."""
+    def take_over(self, copy: MirrorCopy, name: str = "a peer") -> None:
+        """Take over what a gateway has seen that this one has not.
+
+        :param name: of that gateway
+        """
         for mirror in self.picture.mirrors:
             items = copy.items.get(mirror.prefix)
             if items is None or copy.revisions[mirror.prefix] <= mirror.revision:
                 continue
             listing = Listing(items, copy.revisions[mirror.prefix])
-            if mirror.replace(listing, self.clock.now()):
-                log_state("seen_by_peer", prefix=mirror.prefix, revision=listing.revision)
+            if mirror.replace(listing, self.clock.now(), name):
+                log_state(
+                    "seen_by_peer", prefix=mirror.prefix, revision=listing.revision, peer=name
+                )
 
     def take_changes(self, ask: MirrorChanges) -> None:
         """Take over changes that a watcher has just seen, unless some before them are missing."""
@@ -53,7 +58,8 @@
         if mirror.revision < ask.after:
             log_state("changes_missed", prefix=ask.prefix, has=mirror.revision, after=ask.after)
             return  # the next beat brings a whole copy
-        mirror.apply(Changes(ask.items, ask.removals, ask.revision), self.clock.now())
+        changes = Changes(ask.items, ask.removals, ask.revision)
+        mirror.apply(changes, self.clock.now(), ask.sender)
 
     def _mirror(self, prefix: str) -> Mirror | None:
         return next((one for one in self.picture.mirrors if one.prefix == prefix), None)
--- /dev/null
+++ b/src/threadramp/report/beliefs.py
@@ -0,0 +1,168 @@
+"""What a process believes of one endpoint, lot or member, since when and by which source.
+
+Each kind of thing has one function, which a process registers with what it needs; a process that
+knows nothing of a kind says so.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from threadramp.wire.fleet import Believed, Fact, Inspect
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from threadramp.edge.attempts import EndpointAccess
+    from threadramp.fleet.clock import Clock
+    from threadramp.fleet.mirror import Mirror
+    from threadramp.fleet.peers import Peers
+    from threadramp.fleet.picture import Picture
+    from threadramp.lots.owned import OwnedLots
+    from threadramp.runner.sidecar import Sidecar
+
+KINDS = ("endpoint", "lot", "member")
+
+
+class Beliefs:
+    """Answers what one process believes; its functions are called with the name that is asked."""
+
+    def __init__(self) -> None:
+        self.by_kind: dict[str, list[Callable[[str], Iterable[Fact]]]] = {}
+
+    def add(self, kind: str, tell: Callable[[str], Iterable[Fact]]) -> None:
+        """Let a function tell of a kind."""
+        self.by_kind.setdefault(kind, []).append(tell)
+
+    def answer(self, ask: Inspect) -> Believed:
+        """Return all that is believed of the thing that is asked about."""
+        rows = [fact for tell in self.by_kind.get(ask.kind, ()) for fact in tell(ask.name)]
+        return Believed(tuple(rows))
+
+
+class GatewayBeliefs:
+    """What a gateway believes, from its picture, its lots and what it saw of endpoints itself."""
+
+    def __init__(
+        self,
+        picture: Picture,
+        peers: Peers,
+        access: EndpointAccess,
+        owned: OwnedLots,
+        clock: Clock,
+    ) -> None:
+        self.picture = picture
+        self.peers = peers
+        self.access = access
+        self.owned = owned
+        self.clock = clock
+
+    def added_to(self, beliefs: Beliefs) -> Beliefs:
+        """Return what answers, told of all kinds that a gateway knows."""
+        beliefs.add("endpoint", self.endpoint)
+        beliefs.add("lot", self.lot)
+        beliefs.add("member", self.member)
+        return beliefs
+
+    def endpoint(self, name: str) -> Iterable[Fact]:
+        """Tell of an endpoint by its id or its address."""
+        found = self.picture.belief.endpoints.get(name) or self.picture.belief.at_address(name)
+        instance = found.instance if found is not None else name
+        key = self.picture.endpoints.prefix + instance
+        source, ago_s = _heard(self.picture.endpoints, key, self.clock.now())
+        spoiled = self.picture.readings.unreadable.get(key)
+        if spoiled is not None:
+            yield Fact("entry", f"unreadable: {spoiled.reason}", source, ago_s)
+        if found is None:
+            yield Fact("endpoint", "names nobody here", source, ago_s)
+            return
+        yield Fact("id, birth", f"{found.instance}, {found.born or 'not told'}", source, ago_s)
+        yield Fact("pool", f"{found.pool} at {found.address}, {found.data_centre}", source, ago_s)
+        yield Fact("slots, leaving", f"{found.slots}, {found.leaving}", source, ago_s)
+        yield Fact("revision", str(found.revision), source, ago_s)
+        if key in self.picture.endpoints.doubted():
+            yield Fact("removal", "doubted: the store lacks the entry", source, ago_s)
+        yield from self._seen_of(found)
+
+    def _seen_of(self, found: object) -> Iterable[Fact]:
+        """Tell what requests to an endpoint showed."""
+        record = self.access.choice.records.get(found.start)
+        if record is None:
+            return
+        now = self.clock.now()
+        avoided_s = max(0.0, record.suspended_until - now)
+        yield Fact("open requests", str(record.open), "own requests", None)
+        yield Fact(
+            "failures, avoided s", f"{record.failures}, {avoided_s:.1f}", "own requests", None
+        )
+        if record.load is not None:
+            load = f"{record.load.running} running, {record.load.waiting} waiting"
+            yield Fact("load", load, "its answers", round(now - record.load_at, 2))
+
+    def lot(self, name: str) -> Iterable[Fact]:
+        """Tell of a lot that this gateway runs."""
+        owned = self.owned.get(name)
+        if owned is None:
+            yield Fact("lot", "is not run here", "own lots", None)
+            return
+        with self.owned.lock:
+            phases: dict[str, int] = {}
+            runners: dict[str, int] = {}
+            for state in owned.book.states.values():
+                phases[state.phase.value] = phases.get(state.phase.value, 0) + 1
+                if state.runner:
+                    runners[state.runner] = runners.get(state.runner, 0) + 1
+            ago_s = round(self.clock.now() - owned.sure_at, 2)
+        yield Fact("samples by phase", str(phases), "own lots", 0.0)
+        yield Fact("samples by runner", str(runners), "own lots", 0.0)
+        listed = f"{owned.kept.head.listed} at revision {owned.kept.revision}"
+        yield Fact("listed", listed, "the store", ago_s if ago_s < 1e6 else None)
+
+    def member(self, name: str) -> Iterable[Fact]:
+        """Tell of a process of ours by the name of its box."""
+        found = self.picture.belief.members.get(name)
+        key = self.picture.members.prefix + name
+        source, ago_s = _heard(self.picture.members, key, self.clock.now())
+        if found is None:
+            yield Fact("member", "is not listed here", source, ago_s)
+            return
+        yield Fact("role, process", f"{found.role}, {found.incarnation}", source, ago_s)
+        yield Fact("address", f"{found.address}, {found.data_centre}", source, ago_s)
+        heard = self.peers.heard.get(found.address)
+        if heard is not None:
+            yield Fact("answered", "yes", "own questions", round(self.clock.now() - heard, 2))
+        if self.peers.silence.is_silent(found):
+            yield Fact("answers", "not to the last beats", "own questions", None)
+
+
+class RunnerBeliefs:
+    """What the runner of an engine believes of it."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.sidecar = sidecar
+
+    def endpoint(self, name: str) -> Iterable[Fact]:
+        """Tell of the engine by its id or its address, nothing of another one."""
+        engine = self.sidecar.engine
+        if name not in (engine.address, engine.start.instance):
+            return
+        start = engine.start
+        yield Fact("engine", f"{start.instance}, born {start.born or 'not told'}", "both", None)
+        revision = engine.facts.endpoints_revision
+        yield Fact("listed at revision", str(revision), "gateways", None)
+        report = engine.report
+        told = "none" if report is None else f"{report.versions}, {report.orders} orders"
+        yield Fact("report", told, "the engine", None)
+        yield Fact(
+            "taken", f"{self.sidecar.table.taken} of {self.sidecar.table.slots}", "own", None
+        )
+        yield Fact("order number", str(self.sidecar.weights.right.number), "the store", None)
+
+
+def _heard(mirror: Mirror, key: str, now: float) -> tuple[str, float | None]:
+    """Return by which source a key was last learned, and how long ago."""
+    source, at = mirror.learned(key)
+    return source, None if at is None else round(now - at, 2)
+
+
+__all__ = ["KINDS", "Beliefs", "GatewayBeliefs", "RunnerBeliefs"]
--- a/src/threadramp/runner/hosting.py
+++ b/src/threadramp/runner/hosting.py
@@ -14,6 +14,7 @@
 from threadramp.fleet.facts import facts_for
 from threadramp.fleet.runner_members import engines, hosted_member
 from threadramp.policy.engine_host import host_of
+from threadramp.report.beliefs import RunnerBeliefs
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.runner.engine import Engine
@@ -30,7 +31,7 @@
     from threadramp.fleet.picture import Belief, Member
     from threadramp.platform.store import StoreClient
     from threadramp.report.metrics import Metrics
-    from threadramp.wire.fleet import AnyAsk, AnyReply
+    from threadramp.wire.fleet import AnyAsk, AnyReply, Fact
 
 LOOK_S = 0.5
 BARE_S = 2.0  # an engine without a sidecar is ordered only after this; a restart takes 1 to 1.5 s
@@ -90,6 +91,11 @@
             return Done()
         return self._wanted(ask.engine, endpoint).runner.handle(ask)
 
+    def tell_of(self, name: str) -> list[Fact]:
+        """Tell an operator of an engine that is hosted here, by its id or its address."""
+        hosted = [one.runner for one in list(self.hosted.values())]
+        return [fact for runner in hosted for fact in RunnerBeliefs(runner).endpoint(name)]
+
     def leave(self) -> None:
         """Give all samples back, so that they go on elsewhere."""
         self.leaving = True
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -25,6 +25,7 @@
     Find,
     Found,
     HurryLoad,
+    Inspect,
     Status,
     Submit,
     Updates,
@@ -37,6 +38,7 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.relaying import StoreCalls
     from threadramp.platform.store_model import Call, RawAnswer
+    from threadramp.report.beliefs import Beliefs
     from threadramp.report.metrics import Metrics
     from threadramp.runner.engine import Engine
     from threadramp.runner.run import Run
@@ -78,6 +80,7 @@
         self.listed_again = clock.now()
         self.on_unlisted: Callable[[], None] = lambda: None
         self.store_calls: StoreCalls | None = None
+        self.beliefs: Beliefs | None = None
         self.anew_at: float | None = None
         engine.on_silence = self._connections_are_suspect
         engine.on_start = self._connections_are_suspect  # what runs was sent to the start before
@@ -90,7 +93,7 @@
 
     def handle(self, ask: AnyAsk) -> AnyReply:
         """Answer a gateway."""
-        if isinstance(ask, Ask):
+        if isinstance(ask, Ask) and not isinstance(ask, Inspect):
             self.gateways[ask.address] = self.clock.now()
         if isinstance(ask, (Beat, Submit, Collect)):
             self.engine.learn(ask.facts)
@@ -148,6 +151,8 @@
             return Found(self.status(), self.table.find(ask.samples, ask.min_version))
         if isinstance(ask, CallStore) and self.store_calls is not None:
             return self.store_calls.answer(ask)
+        if isinstance(ask, Inspect) and self.beliefs is not None:
+            return self.beliefs.answer(ask)
         return Status(self.status()) if isinstance(ask, (Beat, HurryLoad)) else Done()
 
     def _is_ready(self) -> bool:
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from threadramp.lots.journal import LotMissingError
 from threadramp.platform.store_model import StoreError
+from threadramp.report.beliefs import Beliefs
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
     Adopt,
@@ -18,6 +19,7 @@
     EndLot,
     Find,
     HurryLoad,
+    Inspect,
     LotEnded,
     MirrorBeat,
     MirrorChanges,
@@ -27,6 +29,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.relaying import StoreCalls
     from threadramp.lots.owner import LotOwner
@@ -48,35 +52,44 @@
         reader: LotReader,
         store_calls: StoreCalls,
         hosting: HostedRunners | None = None,
+        beliefs: Beliefs | None = None,
     ) -> None:
+        self.beliefs = beliefs or Beliefs()
         self.hosting = hosting
         self.peers = peers
         self.owner = owner
         self.reader = reader
         self.store_calls = store_calls
+        self.by_kind: dict[type, Callable[[Any], AnyReply]] = {
+            MirrorBeat: lambda ask: peers.sharing.copy_for(ask),
+            MirrorChanges: self._take_changes,
+            ReadLot: lambda ask: reader.page_for_peer(ask),
+            ReadBody: lambda ask: reader.body_for_peer(ask),
+            EndLot: self._end,
+            EndKept: self._end_kept,
+            Adopt: self._adopt,
+            Inspect: self.beliefs.answer,
+        }
+        if store_calls is not None:
+            self.by_kind[CallStore] = store_calls.answer
+        if hosting is not None:
+            self.by_kind |= dict.fromkeys(OF_RUNNERS, hosting.handle)
 
     def handle(self, ask: AnyAsk) -> AnyReply:
-        """Answer one question."""
-        if isinstance(ask, OF_RUNNERS):
-            return self.hosting.handle(ask)
-        if isinstance(ask, MirrorBeat):
-            return self.peers.sharing.copy_for(ask)
-        if isinstance(ask, MirrorChanges):
-            self.peers.sharing.take_changes(ask)
-            return Done()
-        if isinstance(ask, ReadLot):
-            return self.reader.page_for_peer(ask)
-        if isinstance(ask, ReadBody):
-            return self.reader.body_for_peer(ask)
-        if isinstance(ask, EndLot):
-            return self._end(ask)
-        if isinstance(ask, EndKept):
-            runs_here = self.owner.ended_elsewhere(ask.kept)
-            return LotEnded(runs_here, runs_here)
-        if isinstance(ask, CallStore):
-            return self.store_calls.answer(ask)
-        if isinstance(ask, Adopt):
-            self.owner.adopt(ask.kept)
+        """Answer one question; what a gateway is not asked is answered with nothing."""
+        answer = self.by_kind.get(type(ask))
+        return answer(ask) if answer is not None else Done()
+
+    def _take_changes(self, ask: MirrorChanges) -> Done:
+        self.peers.sharing.take_changes(ask)
+        return Done()
+
+    def _end_kept(self, ask: EndKept) -> LotEnded:
+        runs_here = self.owner.ended_elsewhere(ask.kept)
+        return LotEnded(runs_here, runs_here)
+
+    def _adopt(self, ask: Adopt) -> Done:
+        self.owner.adopt(ask.kept)
         return Done()
 
     def _end(self, ask: EndLot) -> LotEnded:
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -34,6 +34,7 @@
 from threadramp.platform.store import StoreClient
 from threadramp.policy.endpoint_choice import EndpointChoice
 from threadramp.policy.retries import RetryBudget
+from threadramp.report.beliefs import Beliefs, GatewayBeliefs
 from threadramp.report.call_tally import CallTally
 from threadramp.report.log import log_state
 from threadramp.report.metrics import Metrics
@@ -143,9 +144,21 @@
             own.bounds.holders_apart_s,
         )
         self.answers = GatewayAnswers(
-            self.peers, self.owner, self.reader, StoreCalls(store, health), self.hosting
+            self.peers,
+            self.owner,
+            self.reader,
+            StoreCalls(store, health),
+            self.hosting,
+            self._beliefs(clock),
         )
 
+    def _beliefs(self, clock: Clock) -> Beliefs:
+        """Return what tells an operator what this process believes."""
+        own = GatewayBeliefs(self.picture, self.peers, self.forwarder, self.owner.owned, clock)
+        beliefs = own.added_to(Beliefs())
+        beliefs.add("endpoint", self.hosting.tell_of)
+        return beliefs
+
     def _note_silence(self) -> None:
         """Tell that what is open to the store may pass nothing, though new connections work."""
         self.metrics.count("store_connections_suspect")
@@ -177,6 +190,7 @@
         forwarder = Forwarder(
             self.picture, connections, EndpointChoice(random), RetryBudget(), clock
         )
+        self.forwarder = forwarder
         self.caller_watch = CallerWatch()
         streams = StreamForwarder(forwarder, self.caller_watch)
         self.picture.endpoints.listeners.append(forwarder.forget_gone)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -13,6 +13,7 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
 from threadramp.policy.renewals import renewal_s
+from threadramp.report.beliefs import Beliefs, RunnerBeliefs
 from threadramp.report.call_tally import CallTally
 from threadramp.report.metrics import Metrics
 from threadramp.runner.engine import Engine
@@ -62,6 +63,9 @@
         self.membership.renew_s = lambda: renewal_s(self.sidecar.sidecars, own.store.reads_per_s)
         self.sidecar.on_unlisted = self.membership.not_listed
         self.sidecar.store_calls = StoreCalls(store, health)
+        beliefs = Beliefs()
+        beliefs.add("endpoint", RunnerBeliefs(self.sidecar).endpoint)
+        self.sidecar.beliefs = beliefs
         self.server = SyncServer(address, Packing(), self.sidecar.handle, THREADS, decode_ask)
         self.membership.start()
         self.sidecar.start()
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -110,6 +110,13 @@
     call: Call
 
 
+class Inspect(Ask, frozen=True):
+    """What does the receiver believe of an endpoint, a lot or a member?"""
+
+    kind: str
+    name: str
+
+
 class ReadLot(Ask, frozen=True):
     """Results from a position on, from the lot's owner."""
 
@@ -222,6 +229,25 @@
     kept: bool
 
 
+class Fact(msgspec.Struct, frozen=True, array_like=True):
+    """One thing that a process believes.
+
+    :param source: by which it was learned, empty if that is not known
+    :param ago_s: since it was learned, none if that is not known
+    """
+
+    what: str
+    value: str
+    source: str
+    ago_s: float | None
+
+
+class Believed(Message, frozen=True):
+    """What a process believes of a thing; empty if it knows nothing of its kind."""
+
+    facts: tuple[Fact, ...]
+
+
 class Done(Message, frozen=True):
     """Nothing more to say."""
 
@@ -236,6 +262,7 @@
     | Drop
     | Find
     | CallStore
+    | Inspect
     | ReadLot
     | ReadBody
     | EndLot
@@ -252,6 +279,7 @@
     | LotPage
     | SampleBody
     | LotEnded
+    | Believed
     | Done
 )
 
@@ -265,15 +293,18 @@
     "AnyReply",
     "Ask",
     "Beat",
+    "Believed",
     "CallStore",
     "Collect",
     "Done",
     "Drop",
     "EndKept",
     "EndLot",
+    "Fact",
     "Find",
     "Found",
     "HurryLoad",
+    "Inspect",
     "LotEnded",
     "LotPage",
     "MirrorBeat",
--- a/tests/serve/test_hosting.py
+++ b/tests/serve/test_hosting.py
@@ -8,11 +8,14 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import pytest
+from cleo.testers.application_tester import ApplicationTester
 
-from tests.serve.fleet import PlatformFleet, wait_for
+from tests.serve.fleet import PORTS, PlatformFleet, wait_for
+from threadramp.cli.main import build_application
 
 SAMPLES = 8
 COLLECTED_S = 1.2  # a lot's gateway has events of each sample, which it asks for each 0.5 s
@@ -105,3 +108,27 @@
         assert numbers == sorted(numbers)
         by_holder = dict(orders(engine))
         assert len(set(by_holder.values())) == len(by_holder)
+
+
+def test_an_operator_sees_what_each_process_believes_of_an_engine(fleet):
+    (address,) = {box.settings["app"] for box in fleet.sidecars[:1]}
+    places = [f"{box.ip}:{PORTS['peer']}" for box in (fleet.gateways[0], fleet.sidecars[0])]
+    asked = ApplicationTester(build_application())
+
+    def facts() -> list[dict]:
+        assert asked.execute(f"inspect endpoint {address} {' '.join(places)} --json") == 0
+        rows = [json.loads(line) for line in asked.io.fetch_output().splitlines()]
+        return [{fact["what"]: fact for fact in row["facts"]} for row in rows]
+
+    def both_know_it() -> list[dict] | None:
+        found = facts()
+        told = found[1].get("engine", {"value": ""})["value"].startswith("i-e0")
+        return found if told else None
+
+    gateway, sidecar = wait_for(both_know_it, "both know it")
+    assert gateway["id, birth"]["value"] == "i-e0, not told"
+    assert gateway["id, birth"]["source"]
+    assert gateway["id, birth"]["ago_s"] >= 0.0
+    assert sidecar["report"]["value"] != "none"
+    assert asked.execute(f"inspect endpoint nobody {places[0]}") == 0
+    assert "names nobody here" in asked.io.fetch_output()
