Read a lot's head once in each data centre

Change: lots/finding.py: the gateways of a data centre ask the one of them that the lot falls to; it answers from the lots that it runs, from what it has read, else by one read. That there is no such lot only the store says, to the gateway that answers so. Tests: eight gateways, one read (eight before); finder silent; no such lot; finder runs it. Ruled out: a broadcast for a lot (messages grow with gateways), a watch on heads (each append an answer).

--- a/src/threadramp/lots/elsewhere.py
+++ b/src/threadramp/lots/elsewhere.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from threadramp.lots.finding import LotFinder
 from threadramp.lots.owned import Page, first_page
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import EndLot, LotEnded, LotPage, ReadBody, ReadLot, SampleBody
@@ -16,6 +17,8 @@
     from threadramp.fleet.picture import Member
     from threadramp.lots.journal import LotJournal
     from threadramp.lots.model import KeptHead, Lot, Result
+    from threadramp.lots.owned import OwnedLots
+    from threadramp.wire.fleet import FindLot, LotFound
 
 OWNER_TIMEOUT_S = 0.8  # beyond the time for which the reader lets us wait
 CACHED_LOTS = 64
@@ -41,9 +44,11 @@
 class LotsElsewhere:
     """The lots that other gateways own, as this one sees them."""
 
-    def __init__(self, journal: LotJournal, peers: Peers) -> None:
+    def __init__(self, journal: LotJournal, peers: Peers, owned: OwnedLots) -> None:
         self.journal = journal
         self.peers = peers
+        self.owned = owned
+        self.finder = LotFinder(journal, peers, self._known)
         self.cache: OrderedDict[str, CachedLot] = OrderedDict()
         self.lock = threading.Lock()
 
@@ -87,20 +92,42 @@
         reply = self.peers.ask(member.address, ask, END_TIMEOUT_S)
         return isinstance(reply, LotEnded) and reply.kept
 
+    def find_for_peer(self, ask: FindLot) -> LotFound:
+        """Answer a gateway of this data centre that looks for a lot, and keep what was read.
+
+        :raises StoreError: if no answer came
+        """
+        found = self.finder.find_for_peer(ask)
+        if found.kept is not None and self.owned.get(ask.lot) is None:
+            with self.lock:
+                self._keep(ask.lot, found.kept)
+        return found
+
+    def _known(self, lot_id: str) -> KeptHead | None:
+        owned = self.owned.get(lot_id)
+        if owned is not None:
+            return owned.kept
+        cached = self.cache.get(lot_id)
+        return None if cached is None else cached.kept
+
+    def _keep(self, lot_id: str, kept: KeptHead) -> CachedLot:
+        """Keep a head, the one that was kept first if there is one; the lock is held."""
+        cached = self.cache.setdefault(lot_id, CachedLot(kept))
+        while len(self.cache) > CACHED_LOTS:
+            self.cache.popitem(last=False)
+        return cached
+
     def _cached(self, lot_id: str) -> CachedLot:
         with self.lock:
             cached = self.cache.get(lot_id)
             if cached is not None:
                 self.cache.move_to_end(lot_id)
                 return cached
-        kept = self.journal.head(lot_id)
+        kept = self.finder.head(lot_id)
         if kept is None:
             raise LotUnknownError(lot_id)
         with self.lock:
-            cached = self.cache.setdefault(lot_id, CachedLot(kept))
-            while len(self.cache) > CACHED_LOTS:
-                self.cache.popitem(last=False)
-        return cached
+            return self._keep(lot_id, kept)
 
     def _owner(self, cached: CachedLot) -> Member | None:
         member = self.peers.picture.belief.members.get(cached.kept.head.owner)
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -35,7 +35,7 @@
         self.journal = journal
         self.peers = peers
         self.clock = clock
-        self.elsewhere = LotsElsewhere(journal, peers)
+        self.elsewhere = LotsElsewhere(journal, peers, owned)
         self.looked: OrderedDict[str, tuple[float, int]] = OrderedDict()
         self.lock = threading.Lock()
 
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -18,6 +18,7 @@
     EndKept,
     EndLot,
     Find,
+    FindLot,
     HurryLoad,
     Inspect,
     LotEnded,
@@ -63,6 +64,7 @@
         self.by_kind: dict[type, Callable[[Any], AnyReply]] = {
             MirrorBeat: lambda ask: peers.sharing.copy_for(ask),
             MirrorChanges: self._take_changes,
+            FindLot: lambda ask: reader.elsewhere.find_for_peer(ask),
             ReadLot: lambda ask: reader.page_for_peer(ask),
             ReadBody: lambda ask: reader.body_for_peer(ask),
             EndLot: self._end,
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -125,6 +125,12 @@
     wait_s: float
 
 
+class FindLot(Ask, frozen=True):
+    """The head of a lot, from the gateway of the data centre that the lot falls to."""
+
+    lot: str
+
+
 class ReadBody(Ask, frozen=True):
     """The body of a sample, from the lot's owner."""
 
@@ -212,6 +218,12 @@
     sure: bool = False
 
 
+class LotFound(Message, frozen=True):
+    """The head of a lot, none if the answering gateway has none."""
+
+    kept: KeptHead | None
+
+
 class SampleBody(Message, frozen=True):
     """The body of a sample, none if it is listed already or unknown."""
 
@@ -263,6 +275,7 @@
     | Find
     | CallStore
     | Inspect
+    | FindLot
     | ReadLot
     | ReadBody
     | EndLot
@@ -279,6 +292,7 @@
     | LotPage
     | SampleBody
     | LotEnded
+    | LotFound
     | Believed
     | Done
 )
@@ -302,10 +316,12 @@
     "EndLot",
     "Fact",
     "Find",
+    "FindLot",
     "Found",
     "HurryLoad",
     "Inspect",
     "LotEnded",
+    "LotFound",
     "LotPage",
     "MirrorBeat",
     "MirrorChanges",
--- /dev/null
+++ b/tests/lots/test_finding.py
@@ -0,0 +1,66 @@
+"""Who reads the head of a lot that several gateways are asked for."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from tests.lots.test_end_notices import HEAD, Gateway, LocalClient, book_of
+from threadramp.lots.elsewhere import LotUnknownError
+from threadramp.policy.routing import rendezvous
+
+NAMES = [f"g{n}" for n in range(8)]
+FINDER = rendezvous("lot", NAMES)[0]
+FAR = msgspec.structs.replace(HEAD, owner="far")
+
+
+@pytest.fixture
+def client() -> LocalClient:
+    return LocalClient()
+
+
+@pytest.fixture
+def fleet(client, clock, store_address) -> dict[str, Gateway]:
+    made = {name: Gateway(name, client, clock, store_address) for name in NAMES}
+    for gateway in made.values():
+        gateway.know(*NAMES)
+    return made
+
+
+@pytest.fixture
+def reader(fleet) -> Gateway:
+    return next(gateway for name, gateway in fleet.items() if name != FINDER)
+
+
+def found_by(gateway: Gateway):
+    return gateway.reader.elsewhere._cached("lot").kept
+
+
+def test_a_data_centre_reads_it_once(fleet, platform_store):
+    """Each of its gateways read it for itself: calls grew with gateways times lots."""
+    kept = fleet["g0"].journal.create(book_of("abc").lot, FAR)
+    before = platform_store.counts["reads"]
+    assert all(found_by(gateway) == kept for gateway in fleet.values())
+    assert platform_store.counts["reads"] - before == 1
+
+
+def test_where_the_finder_does_not_answer_it_is_read_here(fleet, reader, client):
+    kept = fleet["g0"].journal.create(book_of("abc").lot, FAR)
+    client.silent.add(f"{FINDER}:1")
+    assert found_by(reader) == kept
+
+
+def test_only_the_store_says_that_there_is_no_such_lot(fleet, reader, platform_store):
+    """The finder's word may be older than the lot."""
+    before = platform_store.counts["reads"]
+    with pytest.raises(LotUnknownError):
+        found_by(reader)
+    assert platform_store.counts["reads"] - before == 2
+
+
+def test_a_lot_that_the_finder_runs_needs_no_read(fleet, reader, platform_store):
+    finder = fleet[FINDER]
+    owned = finder.own()
+    before = platform_store.counts["reads"]
+    assert found_by(reader) == owned.kept
+    assert platform_store.counts["reads"] == before
