Let engines start again, foreign entries stand and all sidecars go in the soak

Change: three more faults and a check that the numbers of an engine's orders never fall and that no two holders share one.

--- a/tests/serve/faults.py
+++ b/tests/serve/faults.py
@@ -5,6 +5,8 @@
 import signal
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from threadramp.config.registry import Registry
 
 if TYPE_CHECKING:
@@ -14,6 +16,9 @@
     from tests.serve.soak import Soak
     from tests.serve.way import Way
 
+FIRST_BIRTH = 1_700_000_000_000
+LATE_SHARE = 0.5  # of restarts after which the start before writes its entry once more
+
 FAULTS: Registry[Callable[[Soak], Callable[[], None]]] = Registry()
 
 
@@ -146,4 +151,35 @@
     return lambda: None
 
 
+@FAULTS.register("all sidecars killed")
+def kill_sidecars(soak: Soak) -> Callable[[], None]:
+    for box in soak.fleet.sidecars:
+        box.process.kill()
+    heals = [_restarted(box) for box in soak.fleet.sidecars]
+    return lambda: [heal() for heal in heals]
+
+
+@FAULTS.register("engine starts again under its id")
+def start_engine_again(soak: Soak) -> Callable[[], None]:
+    engine = soak.random.choice(soak.fleet.engines)
+    key = f"servers/{engine.instance}"
+    entry = msgspec.json.decode(soak.fleet.value(key))
+    born = engine.born + 1 if engine.born else FIRST_BIRTH
+    engine.start_again(born)
+    soak.fleet.put(key, entry | {"born": born})
+    if soak.random.random() < LATE_SHARE:  # the start before writes once more
+        soak.fleet.put(key, entry)
+        return lambda: soak.fleet.put(key, entry | {"born": born})
+    return lambda: None
+
+
+@FAULTS.register("entries of other writers")
+def list_foreign(soak: Soak) -> Callable[[], None]:
+    for number, engine in enumerate(soak.fleet.engines):
+        entry = msgspec.json.decode(soak.fleet.value(f"servers/{engine.instance}"))
+        spoiled = soak.random.choice(({"state": "fine"}, {"slots": "6"}, {"backend": "nobody"}))
+        soak.fleet.put(f"servers/x-{number}", entry | spoiled)
+    return lambda: [soak.fleet.remove(f"servers/x-{n}") for n in range(len(soak.fleet.engines))]
+
+
 __all__ = ["FAULTS"]
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -73,8 +73,17 @@
             thread.join()
         self._check_whole()
         self._check_not_run()
+        self._check_orders()
         return self.broken
 
+    def _check_orders(self) -> None:
+        """Look whether numbers of orders fell, or two holders shared one."""
+        for engine in self.fleet.engines:
+            orders = [(order["fence"], order["holder"]) for order in engine.orders]
+            numbers = [number for number, _ in orders]
+            if numbers != sorted(numbers) or len({n for n, _ in set(orders)}) != len(set(orders)):
+                self.broken.append(f"{engine.instance}: orders {orders}")
+
     def close(self) -> None:
         """End all processes and ways."""
         self.fleet.close()
