--- a/tests/edge/test_connections.py
+++ b/tests/edge/test_connections.py
@@ -90,7 +90,7 @@
 def test_a_request_that_was_given_up_does_not_arrive_later():
     """A sample began 4.9 s after the acknowledged end of its lot.
 
-    Seen: once in 160 hunted days, behind a cut of engines; two more plays of that day were clean.
+    Seen: once in 145 hunted days, behind a cut of engines; two more plays of that day were clean.
     How it came about, as far as its last lines tell: its request was given up while the link was
     cut, and what had been sent arrived when the link had healed, by which time its lot had ended.
     Cause: a connection that is closed plainly still delivers what it holds. Proof: the endpoint
