Tell which request broke off, and whether its endpoint has ended

Cause looked for: endpoints crash one after the other under requests that come again. The gateways' lines could not tell the hypotheses apart: neither what a request is, beside its id, nor whether an endpoint crashed or its connection was cut stood in them.

Change: a fingerprint of host, method, path, caller and body (16 bytes, keyed with the caller, worked out only when a connection broke); a look at the endpoint's port where it closed or reset a connection while an answer was owed; the line connection_broken with both and with the requests beside it. A stand-in that crashes and starts again as another start, and can be cut without crashing. No decision changes. Ruled out so far: nothing.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 from threadramp.edge.connections import ExchangeError
+from threadramp.edge.endpoint_probe import look_at
 from threadramp.edge.job import Ending, Outcome, has_ended
 from threadramp.platform.headers import to_endpoint
 from threadramp.policy.connection_share import idle_share
+from threadramp.policy.fingerprint import shown
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -187,12 +189,25 @@
 
         :param ran: whether the job may have run there
         """
+        if error.broken:
+            self._note_end(endpoint)
         if error.stale:
             self._connection_stale(endpoint, error, ran)
         else:
             pause = self.parts.choice.failed(endpoint, self.now())
             self.note_failure(endpoint, error, ran, pause)
 
+    def _note_end(self, endpoint: Endpoint) -> None:
+        """Tell whether an endpoint that broke its connection has ended, and under which request."""
+        log_state(
+            "connection_broken",
+            request=self.job.request_id,
+            fingerprint=shown(self.job.fingerprint),
+            instance=endpoint.instance,
+            endpoint=look_at(endpoint.address).value,
+            beside=self.parts.choice.open_at(endpoint),
+        )
+
     def note_failure(
         self, endpoint: Endpoint, error: ExchangeError, ran: bool, pause: float
     ) -> None:
--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -6,7 +6,7 @@
 
 from urllib3.exceptions import HTTPError
 
-from threadramp.edge.connections import body_pieces
+from threadramp.edge.connections import body_pieces, is_broken
 from threadramp.platform.headers import resume_after, to_caller
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
@@ -26,10 +26,12 @@
     """A stream that stopped before its end.
 
     :param instance: endpoint that it came from
+    :param broken: whether the endpoint closed or reset the connection
     """
 
-    def __init__(self, instance: str, reason: str) -> None:
+    def __init__(self, instance: str, reason: str, broken: bool = False) -> None:
         self.instance = instance
+        self.broken = broken
         super().__init__(reason)
 
 
@@ -90,9 +92,9 @@
                     self._pass_one(event, instance)
                 exchange.connection.sock.settimeout(patience_s())
         except (OSError, HTTPError, ValueError, AttributeError) as error:
-            raise StreamBrokenError(instance, repr(error)) from error
+            raise StreamBrokenError(instance, repr(error), is_broken(error)) from error
         if not reader.is_between_events:
-            raise StreamBrokenError(instance, "it stopped within an event")
+            raise StreamBrokenError(instance, "it stopped within an event", broken=True)
 
     def cut(self, ending: Ending) -> None:
         """Cut the caller's connection, so that the stream can not look complete."""
--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -40,12 +40,21 @@
     :param sent: whether the request may have reached the endpoint
     :param stale: whether a kept connection was found closed; that says nothing of the endpoint
     :param silent: whether a kept connection brought nothing in time; it may pass nothing any more
+    :param broken: whether the other end closed or reset the connection while an answer was owed
     """
 
-    def __init__(self, sent: bool, reason: str, stale: bool = False, silent: bool = False) -> None:
+    def __init__(
+        self,
+        sent: bool,
+        reason: str,
+        stale: bool = False,
+        silent: bool = False,
+        broken: bool = False,
+    ) -> None:
         self.sent = sent
         self.stale = stale
         self.silent = silent
+        self.broken = broken
         super().__init__(reason)
 
 
@@ -95,7 +104,8 @@
             )
         except (OSError, HTTPError) as error:
             self.close()
-            raise ExchangeError(True, repr(error), self._is_stale(error)) from error
+            stale, broken = self._is_stale(error), is_broken(error)
+            raise ExchangeError(True, repr(error), stale, broken=broken) from error
 
     def response(self, timeout_s: float) -> BaseHTTPResponse:
         """Return the answer with its head read and its body to come.
@@ -108,7 +118,8 @@
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             self.close()
             silent = self.reused and isinstance(error, TimeoutError)
-            raise ExchangeError(True, repr(error), self._is_stale(error), silent) from error
+            stale, broken = self._is_stale(error), is_broken(error)
+            raise ExchangeError(True, repr(error), stale, silent, broken) from error
 
     def _is_stale(self, error: Exception) -> bool:
         """Return whether a kept connection broke before a byte of an answer came."""
@@ -130,7 +141,7 @@
             body = response.read(decode_content=False)
         except (OSError, HTTPError, ValueError) as error:
             self.close()
-            raise ExchangeError(True, repr(error)) from error
+            raise ExchangeError(True, repr(error), broken=is_broken(error)) from error
         return _answer(response, body)
 
     def close(self) -> None:
@@ -146,6 +157,11 @@
         self.connection.close()
 
 
+def is_broken(error: BaseException) -> bool:
+    """Return whether an error says that the other end closed or reset a connection."""
+    return isinstance(error, (ConnectionError, ProtocolError))
+
+
 def body_pieces(response: BaseHTTPResponse) -> Iterator[bytes]:
     """Yield the bytes of a body as they come."""
     if response.chunked:
@@ -261,6 +277,7 @@
     "Exchange",
     "ExchangeError",
     "body_pieces",
+    "is_broken",
     "is_readable",
     "streamed_answer",
 ]
--- a/src/threadramp/edge/job.py
+++ b/src/threadramp/edge/job.py
@@ -5,9 +5,12 @@
 import socket
 from dataclasses import dataclass
 from enum import Enum
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from threadramp.edge.connections import is_readable
+from threadramp.platform.headers import caller_of
+from threadramp.policy.fingerprint import fingerprint
 
 if TYPE_CHECKING:
     from threadramp.edge.connections import Answer
@@ -46,6 +49,12 @@
     caller: socket.socket | None = None
     repeats_errors: bool = True
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Return what stands for this request whatever its id; worked out when it is asked for."""
+        caller = caller_of(self.headers)
+        return fingerprint(self.route.host, self.method, self.target, caller, self.body)
+
 
 @dataclass(frozen=True)
 class Outcome:
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -115,12 +115,14 @@
             return Outcome(Ending.CUT)
         return replace(outcome, first_event_s=self.stream.first_event_s)
 
-    def _broken(self, exchange: Exchange, error: Exception) -> Outcome | None:
+    def _broken(
+        self, exchange: Exchange, error: ExchangeError | StreamBrokenError
+    ) -> Outcome | None:
         """Note a stream that broke off; it may go on elsewhere."""
         if self.watch.has_left(self.request.socket):
             return self._left()
         if not isinstance(error, ExchangeError):
-            error = ExchangeError(True, str(error))
+            error = ExchangeError(True, str(error), broken=error.broken)
         self.endpoint_failed(exchange.endpoint, error, ran=True)
         return None
 
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -39,6 +39,8 @@
         "upgrade",
     )
 )
+# What tells whose request it is; two callers' requests are never taken for the same one.
+_NAMES_CALLER = frozenset(("authorization", "cookie", "x-api-key", "x-tenant"))
 _SET_BY_US = frozenset(name.lower() for name in (TIME_LEFT, EXPECT_INSTANCE, PRIORITY))
 
 
@@ -90,6 +92,12 @@
     return whole_number(headers.get(LENGTH_GUESS, ""))
 
 
+def caller_of(incoming: Iterable[tuple[str, str]]) -> str:
+    """Return what the headers of a request say of its caller, empty if they say nothing."""
+    pairs = [(name.lower(), value) for name, value in incoming]
+    return "\n".join(f"{name}: {value}" for name, value in sorted(pairs) if name in _NAMES_CALLER)
+
+
 def to_endpoint(
     incoming: Iterable[tuple[str, str]], time_left: float, instance: str
 ) -> dict[str, str]:
@@ -212,6 +220,7 @@
     "RETRY_AFTER",
     "AnswerHead",
     "EndpointLoad",
+    "caller_of",
     "length_guess",
     "order_headers",
     "read_answer",
--- a/src/threadramp/policy/endpoint_choice.py
+++ b/src/threadramp/policy/endpoint_choice.py
@@ -74,6 +74,11 @@
             record = self._record(endpoint)
             record.open = max(0, record.open - 1)
 
+    def open_at(self, endpoint: Endpoint) -> int:
+        """Return the requests of this process that are open at an endpoint."""
+        with self.lock:
+            return self._record(endpoint).open
+
     def answered(self, endpoint: Endpoint, load: EndpointLoad | None, now: float) -> None:
         """Note a sound answer with the load that it told."""
         with self.lock:
--- /dev/null
+++ b/tests/edge/test_endpoint_probe.py
@@ -0,0 +1,66 @@
+"""An endpoint that has ended is told from one whose connection was cut."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from threadramp.edge.connections import Connections, ExchangeError
+from threadramp.edge.endpoint_probe import EndpointState, look_at
+from threadramp.fleet.model import Endpoint
+from threadramp.platform.headers import caller_of
+from threadramp.platform.standins.crashing import CrashingEndpoint
+
+
+@pytest.fixture
+def crashing():
+    made = CrashingEndpoint("x", back_s=60.0)
+    yield made
+    made.close()
+
+
+def test_one_that_lives_listens(crashing):
+    crashing.cut()
+    assert look_at(crashing.address) is EndpointState.LISTENS
+
+
+def test_one_that_crashed_has_ended(crashing):
+    crashing.crash()
+    assert look_at(crashing.address) is EndpointState.ENDED
+
+
+def test_one_that_does_not_answer_is_not_known():
+    """Its queue of new connections is full: no answer comes."""
+    with socket.socket() as full, socket.socket() as one, socket.socket() as two:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        for client in (one, two):
+            client.setblocking(False)
+            client.connect_ex(full.getsockname())
+        host, port = full.getsockname()
+        assert look_at(f"{host}:{port}", 0.05) is EndpointState.UNKNOWN
+
+
+def test_a_crash_shows_as_a_broken_connection_and_a_late_answer_does_not(crashing):
+    endpoint = Endpoint(crashing.instance, "p", crashing.address, "a")
+    exchange = Connections().open(endpoint, 0.0, 1.0)
+    exchange.send("POST", "/crashes", {"Host": "h"}, b"")
+    with pytest.raises(ExchangeError) as found:
+        exchange.read(1.0)
+    assert found.value.broken
+    crashing.start()
+    crashing.engine.faults["hold_s"] = 1.0
+    exchange = Connections().open(endpoint, 0.0, 1.0)
+    headers = {"Host": "h", "X-Expect-Instance": crashing.instance}
+    exchange.send("POST", "/a", headers, b"")
+    with pytest.raises(ExchangeError) as found:
+        exchange.read(0.05)
+    assert not found.value.broken
+
+
+def test_a_caller_is_known_by_what_names_it_alone():
+    same = [("Authorization", "Bearer a"), ("X-Attempt-Id", "1"), ("Host", "h")]
+    other_try = [("X-Attempt-Id", "2"), ("authorization", "Bearer a"), ("User-Agent", "b")]
+    assert caller_of(same) == caller_of(other_try) != ""
+    assert caller_of([("X-Attempt-Id", "1")]) == ""
