Failing: requests and samples under which endpoints crash, over real processes

Cause: suspected, hypothesis 1 (nobody remembers under which request an endpoint ended) and 2 (an end is taken for a cut connection). Hypothesis 3 (different requests that look alike) is ruled out for these scenarios, where they are one request. On the code as it is: 16 of 16 requests that come later than 1 s after the third crash are sent on and end endpoints (at most 3 allowed); a gateway that starts later sends it on; 35 engines end under one sample in 8 s. A popular request that stands in crashes by chance, and another caller's like request, are served; they are to stay so.

--- /dev/null
+++ b/tests/serve/test_crashes.py
@@ -0,0 +1,189 @@
+"""Requests under which endpoints crash, over real processes.
+
+Seen: a request that crashed each endpoint which began it came again, with the same path, caller and
+body at any gateway; 13 and 16 endpoints ended under one request, and its pool was down for all
+callers each time. How it came about: each id was tried at as many endpoints as its route allows,
+whatever had come of the ids before. Cause: what was remembered of a crash was kept by the
+endpoint's start and went with it, and the end of an endpoint was taken for a connection that was
+cut. Proof: without the mend 16 of 16 late requests of the first scenario are sent on, and 35
+engines end under one sample in 8 s.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+
+import pytest
+
+from tests.serve.fleet import CALLS, PlatformFleet, wait_for
+from threadramp.platform.standins.crashing import CrashingEndpoint
+
+ENDPOINTS = 4
+KNOWN_S = 1.0  # after the third crash all gateways know; the users allow 3 s
+MORE_MOST = 3  # requests that may be sent on after that, by all gateways together
+UNDER_ONE = 3  # endpoints that may end before a request is known
+CONFIRMED_S = 1.5  # the store has what was seen by then
+_ids = itertools.count(1)
+
+
+class Pool:
+    """Endpoints that crash, listed as the platform lists them.
+
+    :param prefix: of the names of its endpoints
+    """
+
+    def __init__(self, fleet: PlatformFleet, pool: str, prefix: str, count: int) -> None:
+        self.fleet = fleet
+        self.pool = pool
+        self.listed: dict[str, str] = {}
+        self.endpoints = [
+            CrashingEndpoint(f"{prefix}{number}", on_start=self._list) for number in range(count)
+        ]
+
+    def _list(self, endpoint: CrashingEndpoint) -> None:
+        before = self.listed.get(endpoint.name)
+        self.listed[endpoint.name] = endpoint.instance
+        self.fleet.register(endpoint.instance, self.pool, endpoint.address)
+        if before is not None:
+            self.fleet.remove(f"servers/{before}")
+
+    @property
+    def crashes(self) -> list[float]:
+        """Return when endpoints crashed."""
+        return sorted(at for one in self.endpoints for at in one.crashed_at)
+
+    def begun(self, word: str, after: float = 0.0) -> int:
+        """Return how often a request was begun after a time."""
+        return sum(at > after for one in self.endpoints for at in one.times_begun(word))
+
+    def close(self) -> None:
+        for one in self.endpoints:
+            one.close()
+
+
+def ask(gateway, target: str, caller: str = "", **more):
+    headers = {"Authorization": caller} if caller else {}
+    name = f"id-{next(_ids)}"
+    return gateway.call("POST", target, host=CALLS, body=b"b", X_Attempt_Id=name, **headers, **more)
+
+
+@pytest.fixture
+def crowd(tmp_path, serve):
+    """Three gateways and a pool of endpoints that crash."""
+    fleet = PlatformFleet(tmp_path, serve, gateways=3, engines=0)
+    fleet.remove("servers/i-c0")
+    pool = Pool(fleet, "calls", "c", ENDPOINTS)
+    try:
+        fleet.start()
+        for gateway in fleet.gateways:
+            wait_for(lambda box=gateway: ask(box, "/calm").status == 200, "calm requests served")
+        yield fleet, pool
+    finally:
+        fleet.close()
+        pool.close()
+
+
+def third_crash(fleet, pool, target: str = "/crashes") -> float:
+    """Send a request to one gateway after the other until three endpoints ended; return when."""
+    gateways = itertools.cycle(fleet.gateways)
+
+    def three_ended():
+        ask(next(gateways), target)
+        return len(pool.crashes) >= UNDER_ONE
+
+    wait_for(three_ended, "three endpoints ended", 10.0)
+    return pool.crashes[UNDER_ONE - 1]
+
+
+def test_a_request_that_crashes_endpoints_is_not_sent_on_for_ever(crowd):
+    fleet, pool = crowd
+    third = third_crash(fleet, pool)
+    sent = 0
+    for gateway in itertools.islice(itertools.cycle(fleet.gateways), 18):
+        time.sleep(0.25)  # endpoints are back after 0.6 s
+        late = time.monotonic() > third + KNOWN_S
+        before = len(pool.crashes)
+        answer = ask(gateway, "/crashes")
+        sent += late and len(pool.crashes) > before
+        assert answer.status in (502, 503)
+    assert sent <= MORE_MOST
+    wait_for(lambda: ask(fleet.gateways[0], "/calm").status == 200, "others are served")
+
+
+def test_it_is_not_sent_on_by_a_gateway_that_started_later(crowd, tmp_path):
+    fleet, pool = crowd
+    third_crash(fleet, pool)
+    time.sleep(CONFIRMED_S)
+    late = fleet._box(tmp_path, "gateway", "front-late")
+    late.start()
+    wait_for(lambda: late.ready() == 200, "ready")
+    for box in fleet.gateways:
+        box.kill()
+    wait_for(lambda: ask(late, "/calm").status == 200, "others are served")
+    begun = pool.begun("/crashes")
+    answer = ask(late, "/crashes")
+    assert (answer.status, pool.begun("/crashes")) == (503, begun)
+    assert float(answer.headers["Retry-After"]) > 1.0
+
+
+def test_a_popular_request_that_stands_in_crashes_by_chance_is_served_on(crowd):
+    """One request of many callers is open wherever an endpoint crashes; it is not to blame."""
+    fleet, pool = crowd
+    stop = threading.Event()
+
+    def caller(gateway) -> None:
+        while not stop.is_set():
+            ask(gateway, "/popular")
+
+    threads = [threading.Thread(target=caller, args=(box,)) for box in fleet.gateways * 2]
+    for thread in threads:
+        thread.start()
+    for number in range(5):  # another request each time, so that each ends endpoints
+        ask(fleet.gateways[number % 3], f"/crashes/{number}")
+        time.sleep(0.8)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    wait_for(
+        lambda: [ask(box, "/popular").status for box in fleet.gateways] == [200] * 3,
+        "it is served everywhere",
+        3.0,
+    )
+
+
+def test_another_callers_request_is_not_refused_for_it(crowd):
+    fleet, pool = crowd
+    third_crash(fleet, pool)
+    time.sleep(CONFIRMED_S)
+    begun = pool.begun("/crashes")
+    wait_for(lambda: ask(fleet.gateways[0], "/calm").status == 200, "endpoints are back")
+    ask(fleet.gateways[0], "/crashes", caller="Bearer another")
+    assert pool.begun("/crashes") > begun
+
+
+@pytest.fixture
+def engines(tmp_path, serve):
+    """Two gateways and engines that crash, each with its sidecar."""
+    fleet = PlatformFleet(tmp_path, serve, gateways=2, engines=0)
+    pool = Pool(fleet, "engines", "e", ENDPOINTS)
+    for number, one in enumerate(pool.endpoints):
+        fleet.sidecars.append(fleet._box(tmp_path, "sidecar", f"side-{number}", one.address))
+    try:
+        fleet.start()
+        yield fleet, pool
+    finally:
+        fleet.close()
+        pool.close()
+
+
+def test_a_sample_that_crashes_each_engine_is_held_and_the_others_get_whole(engines):
+    fleet, pool = engines
+    body = fleet.lot("lot1", samples=8).replace(b'"/lots/3"', b'"/lots/crashes"')
+    gateway = fleet.gateways[0]
+    assert gateway.call("POST", "/lots/lot1", body=body, X_Attempt_Id="lot1").status == 202
+    wait_for(lambda: len(fleet.results(gateway, "lot1")["results"]) == 7, "the others are whole")
+    wait_for(lambda: len(pool.crashes) >= 2, "some engines ended", 10.0)
+    time.sleep(8.0)
+    assert len(pool.crashes) <= UNDER_ONE + MORE_MOST
