Hold back requests and samples under which endpoints ended, at all gateways

Cause: what was remembered of a crash was kept by the endpoint's start and went with it; nothing was kept of the request, so each id, at each gateway, was tried at as many endpoints as its route allows. On a kept connection an end counted as a dropped idle one, which costs no attempt.

Change: a book of requests by fingerprint (policy/crash_book.py): one start that ended suspects, two send it where no other suspect is, three refuse it; one answer after which its endpoint lives on acquits; a start that answers later had not ended. Trials (3 s and 60 s after the last crash) are claimed in the store, so that one box of all makes each. An endpoint that breaks a connection is looked at: only where nobody listens any more did it end. Samples: the runner looks at its engine, the lot's gateway keeps the same book. Where nobody listens callers are told at once, before they were held for 0.16 s.

--- a/src/threadramp/core/lot_book.py
+++ b/src/threadramp/core/lot_book.py
@@ -33,13 +33,14 @@
 
 
 class RunOutcome(Enum):
-    """How a run of a sample ended at its sidecar."""
+    """How a run of a sample ended at its sidecar; ``CRASHED`` if its engine ended meanwhile."""
 
     NONE = ""
     WHOLE = "whole"
     FAILED = "failed"
     IMPOSSIBLE = "impossible"
     CUT = "cut"
+    CRASHED = "crashed"
 
 
 @dataclass
@@ -177,6 +178,12 @@
         state.not_before = not_before
         return True
 
+    def put_off(self, sample: str, until: float) -> None:
+        """Let a waiting sample wait until a time."""
+        state = self.states.get(sample)
+        if state is not None and state.phase is Phase.WAITING:
+            state.not_before = max(state.not_before, until)
+
     def lose_runner(self, runner: str, now: float) -> list[str]:
         """Give back all samples of a sidecar that was lost."""
         return [name for name in self.states if self.give_back(name, runner, now)]
--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING
 
 from threadramp.edge.connections import ExchangeError
-from threadramp.edge.endpoint_probe import look_at
+from threadramp.edge.crash_guard import CrashGuard
+from threadramp.edge.endpoint_probe import EndpointState
 from threadramp.edge.job import Ending, Outcome, has_ended
 from threadramp.platform.headers import to_endpoint
 from threadramp.policy.connection_share import idle_share
-from threadramp.policy.fingerprint import shown
+from threadramp.policy.crash_book import FREE, CrashBook, Ruling, Verdict
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -28,6 +29,10 @@
 REJECTED_ROUNDS = 4  # times that all endpoints of the pool may refuse before the caller is told
 RETRY_AFTER_S = 0.2  # a slot of these endpoints is free again within some tens of milliseconds
 ANSWER_MARGIN_S = 0.02  # an answer leaves this long before the time is over
+# Endpoints that may end under one id: a third try would be the last that its request has at all,
+# and its caller may come again once more is known.
+ENDED_MOST = 2
+NOBODY_LEFT_S = 1.0  # endpoints that crashed are back after 1 to 3 s
 
 
 @dataclass
@@ -37,11 +42,15 @@
     :param ran: endpoints at which it may have run
     :param rejected: endpoints that said they did not run it
     :param rounds: times that all endpoints refused
+    :param ended: endpoints that ended while it was open there
+    :param unreachable: endpoints at which nobody listens now
     """
 
     open: list[Exchange] = field(default_factory=list)
     ran: set[Start] = field(default_factory=set)
     rejected: set[Start] = field(default_factory=set)
+    ended: set[Start] = field(default_factory=set)
+    unreachable: set[Start] = field(default_factory=set)
     may_have_run: bool = False
     rounds: int = 0
     last_failure: Answer | None = None
@@ -57,12 +66,14 @@
         choice: EndpointChoice,
         budget: RetryBudget,
         clock: Clock,
+        guard: CrashGuard | None = None,
     ) -> None:
         self.picture = picture
         self.connections = connections
         self.choice = choice
         self.budget = budget
         self.clock = clock
+        self.guard = guard or CrashGuard(CrashBook(), clock, picture)
 
     def forget_gone(self) -> None:
         """Drop what is kept of starts that are not listed any more."""
@@ -87,11 +98,17 @@
         self.now = parts.clock.now
         self.tries = Tries()
         self.pool = parts.choice.pool_for(job.route)
+        self.admitted = FREE
+        self.goes_apart = False
+        self.place: Start | None = None
 
     def run(self) -> Outcome:
         """Try endpoints until the job has ended."""
         if self.caller_has_left():
             return Outcome(Ending.CALLER_GONE)
+        self.admitted = self.parts.guard.admit(self.job.request_id, self.fingerprint)
+        if self.admitted.verdict is Verdict.REFUSED:
+            return Outcome(Ending.NOT_RUN, retry_after_s=self.admitted.again_s)
         self.parts.budget.first_attempt()
         try:
             while True:
@@ -100,6 +117,17 @@
                     return self.ended(outcome)
         finally:
             self.close_all()
+            self._leave_place()
+
+    def fingerprint(self) -> bytes:
+        """Return what stands for the request, whatever its id."""
+        return self.job.fingerprint
+
+    def ruling(self) -> Ruling:
+        """Return what holds for the request now; endpoints may have ended under it meanwhile."""
+        if self.admitted.trial and not self.tries.ended:
+            return self.admitted
+        return self.parts.guard.ruling(self.fingerprint)
 
     def await_answer(self) -> Outcome | None:
         """Wait for the exchanges that are open; none if the job goes on."""
@@ -124,17 +152,64 @@
             return self.given_up(Ending.UNKNOWN)
         if tries.may_have_run and not self.job.route.may_repeat:
             return self.given_up(Ending.UNKNOWN)
-        endpoints = self.parts.picture.belief.in_pool(self.pool)
-        chosen = self.parts.choice.choose(endpoints, tries.ran | tries.rejected, self.now())
+        apart = self._keep_apart()
+        chosen = self._choose(apart)
         if chosen is not None:
             self.send(chosen)
             return None
+        if not tries.rejected and not apart:
+            return self._nobody_left()
         tries.rounds += 1
-        if tries.rounds > REJECTED_ROUNDS or not tries.rejected:
+        if tries.rounds > REJECTED_ROUNDS:
             return self.given_up(Ending.NOT_RUN)
         tries.rejected.clear()
         return self._pause(REJECTED_PAUSE_S)
 
+    def _choose(self, apart: set[Start]) -> Endpoint | None:
+        """Return where it goes next, none if there is nowhere now.
+
+        :param apart: endpoints that it must not go to, for the suspects that are there
+        """
+        tries = self.tries
+        endpoints = self.parts.picture.belief.in_pool(self.pool)
+        tried = tries.ran | tries.rejected | tries.unreachable | apart
+        while (chosen := self.parts.choice.choose(endpoints, tried, self.now())) is not None:
+            if self._take_place(chosen.start):
+                return chosen
+            tried.add(chosen.start)
+        return None
+
+    def _held_back(self) -> Outcome | None:
+        """Return how it ends if too many endpoints ended under it; none if it may go on."""
+        ruling = self.ruling()
+        if ruling.verdict is Verdict.REFUSED or len(self.tries.ended) >= ENDED_MOST:
+            return self.given_up(Ending.NOT_RUN, ruling.again_s)
+        return None
+
+    def _keep_apart(self) -> set[Start]:
+        """Return the endpoints that other suspects have, if this one is to go apart from them."""
+        self._leave_place()
+        self.goes_apart = self.ruling().verdict is Verdict.APART
+        return set(self.parts.guard.apart) if self.goes_apart else set()
+
+    def _take_place(self, start: Start) -> bool:
+        if not self.goes_apart:
+            return True
+        if not self.parts.guard.take_place(start):
+            return False
+        self.place = start
+        return True
+
+    def _leave_place(self) -> None:
+        if self.place is not None:
+            self.parts.guard.leave_place(self.place)
+            self.place = None
+
+    def _nobody_left(self) -> Outcome:
+        """End it at once: it was everywhere where somebody listens."""
+        unreachable = len(self.tries.unreachable)
+        return self.given_up(Ending.NOT_RUN, NOBODY_LEFT_S if unreachable else RETRY_AFTER_S)
+
     def send(self, endpoint: Endpoint, on_new: bool = False) -> None:
         """Send to an endpoint; the exchange is open if that worked.
 
@@ -189,24 +264,22 @@
 
         :param ran: whether the job may have run there
         """
-        if error.broken:
-            self._note_end(endpoint)
+        if error.broken and ran and self._has_ended(endpoint):
+            error = ExchangeError(True, str(error))  # no dropped connection, whatever it was kept
         if error.stale:
             self._connection_stale(endpoint, error, ran)
         else:
             pause = self.parts.choice.failed(endpoint, self.now())
             self.note_failure(endpoint, error, ran, pause)
 
-    def _note_end(self, endpoint: Endpoint) -> None:
-        """Tell whether an endpoint that broke its connection has ended, and under which request."""
-        log_state(
-            "connection_broken",
-            request=self.job.request_id,
-            fingerprint=shown(self.job.fingerprint),
-            instance=endpoint.instance,
-            endpoint=look_at(endpoint.address).value,
-            beside=self.parts.choice.open_at(endpoint),
-        )
+    def _has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint that broke its connection has ended under this request."""
+        beside = self.parts.choice.open_at(endpoint)
+        if self.parts.guard.broke(self.job, endpoint, beside) is not EndpointState.ENDED:
+            return False
+        self.tries.ended.add(endpoint.start)
+        self.parts.connections.forget_one(endpoint.start)
+        return True
 
     def note_failure(
         self, endpoint: Endpoint, error: ExchangeError, ran: bool, pause: float
@@ -218,6 +291,8 @@
         if ran:
             self.tries.ran.add(endpoint.start)
             self.tries.may_have_run = True
+        elif error.nobody:
+            self.tries.unreachable.add(endpoint.start)
         else:
             self.tries.rejected.add(endpoint.start)
         log_state(
@@ -241,8 +316,11 @@
             may_have_run=ran,
         )
 
-    def given_up(self, ending: Ending) -> Outcome:
-        """Return what the caller may be told, given all that was tried."""
+    def given_up(self, ending: Ending, again_s: float = RETRY_AFTER_S) -> Outcome:
+        """Return what the caller may be told, given all that was tried.
+
+        :param again_s: after which it may come again, if it was not run
+        """
         failure = self.tries.last_failure
         if failure is not None:
             return Outcome(Ending.ANSWERED, failure)
@@ -251,13 +329,13 @@
             return Outcome(Ending.UNKNOWN)
         if ending is Ending.TIME_OVER and not ran:
             return Outcome(Ending.NOT_RUN, retry_after_s=RETRY_AFTER_S)
-        return Outcome(ending, retry_after_s=RETRY_AFTER_S)
+        return Outcome(ending, retry_after_s=again_s)
 
     def _turn(self) -> Outcome | None:
         if self.now() >= self.job.until - ANSWER_MARGIN_S:
             return self.given_up(Ending.TIME_OVER)
         if not self.tries.open:
-            outcome = self.next_try()
+            outcome = self._held_back() or self.next_try()
             if outcome is not None or not self.tries.open:
                 return outcome
         return self.await_answer()
--- a/src/threadramp/edge/connections.py
+++ b/src/threadramp/edge/connections.py
@@ -41,6 +41,7 @@
     :param stale: whether a kept connection was found closed; that says nothing of the endpoint
     :param silent: whether a kept connection brought nothing in time; it may pass nothing any more
     :param broken: whether the other end closed or reset the connection while an answer was owed
+    :param nobody: whether its box says that nobody listens there
     """
 
     def __init__(
@@ -50,11 +51,13 @@
         stale: bool = False,
         silent: bool = False,
         broken: bool = False,
+        nobody: bool = False,
     ) -> None:
         self.sent = sent
         self.stale = stale
         self.silent = silent
         self.broken = broken
+        self.nobody = nobody
         super().__init__(reason)
 
 
@@ -209,7 +212,8 @@
             connection.connect()
         except (OSError, HTTPError) as error:
             connection.close()
-            raise ExchangeError(False, repr(error)) from error
+            nobody = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            raise ExchangeError(False, repr(error), nobody=nobody) from error
         with self.lock:
             self.opened += 1
         return Exchange(endpoint, connection, False)
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -8,6 +8,7 @@
 from threadramp.edge.attempts import ANSWER_MARGIN_S, Attempts, EndpointAccess
 from threadramp.edge.connections import ExchangeError
 from threadramp.edge.job import Ending, Outcome, has_ended
+from threadramp.policy.crash_book import Verdict
 from threadramp.policy.endpoint_choice import SECOND_AFTER
 from threadramp.report.log import log_state
 
@@ -78,6 +79,8 @@
         late = len(tries.open) == 1 and self.now() >= self.second_at
         if not late or not self.job.route.may_repeat:
             return
+        if self.ruling().verdict is not Verdict.FREE:
+            return  # it may end another endpoint beside the first
         self.second_at = self.job.until  # asked once
         chosen = self._for_second_try(tries.open[0])
         if chosen is not None and self.parts.budget.retry():
@@ -130,6 +133,7 @@
         if head.not_run:
             self.rejected(endpoint, head.status)
             return None
+        self.parts.guard.answered(self.fingerprint, endpoint.start)
         unsigned = 200 <= head.status < 300 and not head.signature
         if unsigned or head.status >= 500:
             return self._failed_answer(endpoint, answer, unsigned)
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -40,6 +40,10 @@
     from threadramp.platform.store_model import Item
 
 MEMBER_PREFIX = "member/"
+# What gateways keep beside the list of members, so that it is listed and watched with it.
+NO_MEMBERS_PREFIX = MEMBER_PREFIX + "."
+CRASHES_PREFIX = NO_MEMBERS_PREFIX + "crashes/"  # by box: under which requests endpoints ended
+TRIALS_PREFIX = NO_MEMBERS_PREFIX + "trials/"  # by request and number: which box makes a trial
 ROLES_LISTED = ("gateway", "sidecar")
 HOST_ROLE = "host"  # of a gateway that stands in for a sidecar; it is listed as what it is
 
@@ -250,7 +254,11 @@
     def _members(self) -> dict[str, Member]:
         items = self.members.snapshot()
         self.readings.keep_only(MEMBER_PREFIX, items)
-        rows = [self.readings.read("member", item, read_member) for item in items.values()]
+        rows = [
+            self.readings.read("member", item, read_member)
+            for key, item in items.items()
+            if not key.startswith(NO_MEMBERS_PREFIX)
+        ]
         return {row.name: row for row in rows if row is not None}
 
 
@@ -315,4 +323,14 @@
             log_state("version_named", model=target.model, version=target.version)
 
 
-__all__ = ["MEMBER_PREFIX", "HOST_ROLE", "Belief", "Member", "Picture", "Place", "read_member"]
+__all__ = [
+    "CRASHES_PREFIX",
+    "HOST_ROLE",
+    "MEMBER_PREFIX",
+    "TRIALS_PREFIX",
+    "Belief",
+    "Member",
+    "Picture",
+    "Place",
+    "read_member",
+]
--- a/src/threadramp/lots/news.py
+++ b/src/threadramp/lots/news.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from threadramp.fleet.clock import Clock
+    from threadramp.lots.crashing_samples import SampleGuard
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.policy.sample_placement import RunnerView
     from threadramp.wire.fleet import Updates
@@ -21,11 +22,17 @@
     """Notes what sidecars answer, and that one is lost.
 
     :param on_scoring: called with a lot and a sample whose text is whole
+    :param samples: is told how runs ended
     """
 
     def __init__(
-        self, owned: OwnedLots, clock: Clock, on_scoring: Callable[[OwnedLot, str], None]
+        self,
+        owned: OwnedLots,
+        clock: Clock,
+        on_scoring: Callable[[OwnedLot, str], None],
+        samples: SampleGuard,
     ) -> None:
+        self.samples = samples
         self.owned = owned
         self.clock = clock
         self.on_scoring = on_scoring
@@ -91,7 +98,9 @@
             return None
         if not update.outcome:
             return None
-        phase = book.run_ended(update.sample, name, RunOutcome(update.outcome), now)
+        outcome = RunOutcome(update.outcome)
+        self.samples.note(lot, update.sample, outcome, update.start)
+        phase = book.run_ended(update.sample, name, outcome, now)
         log_state(
             "run_ended",
             sample=update.sample,
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -30,6 +30,7 @@
 
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.peers import Peers
+    from threadramp.lots.crashing_samples import SampleGuard
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.wire.fleet import AnyReply
 
@@ -47,6 +48,7 @@
     """Sends samples to sidecars and collects their text.
 
     :param on_scoring: called with a lot and a sample whose text is whole
+    :param samples: says which are held back, since engines ended under them
     """
 
     def __init__(
@@ -55,11 +57,13 @@
         peers: Peers,
         clock: Clock,
         on_scoring: Callable[[OwnedLot, str], None],
+        samples: SampleGuard,
     ) -> None:
+        self.samples = samples
         self.owned = owned
         self.peers = peers
         self.clock = clock
-        self.news = RunnerNews(owned, clock, on_scoring)
+        self.news = RunnerNews(owned, clock, on_scoring, samples)
         self.members = RunnerMembers(peers, clock)
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
@@ -208,7 +212,10 @@
         self.news.heard(view, reply.status)
         with self.owned.lock:
             samples = [
-                name for name in reply.samples if lot.book.states[name].phase is Phase.WAITING
+                name
+                for name in reply.samples
+                if lot.book.states[name].phase is Phase.WAITING
+                and self.samples.may_go_on(lot, name)
             ]
         if samples:
             log_state("text_found", lot=lot.lot_id, sidecar=view.member.name, samples=reply.samples)
@@ -236,9 +243,12 @@
                 waiting = [(one.sample.id, one.last_runner) for one in lot.book.waiting(now)]
             for name, avoid in waiting:
                 near = self.peers.data_centre
-                view = place(views, wanted.model, wanted.min_version, near, avoid, now)
-                if view is None:
+                able = self.samples.open_to(lot, name, views)
+                view = place(able, wanted.model, wanted.min_version, near, avoid, now)
+                if view is None and able is views:
                     break
+                if view is None or not self.samples.admit(lot, name, view.member.name, now):
+                    continue
                 view.taken += 1
                 batches.setdefault(view.member.name, []).append((lot, name))
         return batches
--- a/src/threadramp/lots/scoring.py
+++ b/src/threadramp/lots/scoring.py
@@ -24,6 +24,7 @@
 CALL_S = 1.5  # an answer takes 45 ms; a call without one is repeated after this
 RETRY_PAUSE_S = 0.1
 RETRY_MOST_S = 0.8
+HELD_MOST_S = 2.0  # a thread of the pool waits meanwhile
 
 
 class Scoring:
@@ -60,7 +61,7 @@
             if self._settled(lot, sample, outcome, route):
                 self.owned.work.set()
                 return
-            time.sleep(pause)
+            time.sleep(max(pause, _held_s(outcome)))
             pause = min(RETRY_MOST_S, pause * 2)
 
     def _still_wanted(self, lot: OwnedLot, sample: str) -> bool:
@@ -106,4 +107,10 @@
         return False
 
 
+def _held_s(outcome: Outcome | None) -> float:
+    """Return for how long a call is put off that was not sent, since endpoints ended under it."""
+    not_run = outcome is not None and outcome.ending is Ending.NOT_RUN
+    return min(HELD_MOST_S, outcome.retry_after_s) if not_run else 0.0
+
+
 __all__ = ["Scoring"]
--- a/src/threadramp/platform/standins/crashing.py
+++ b/src/threadramp/platform/standins/crashing.py
@@ -53,6 +53,7 @@
         self.lock = threading.RLock()
         self.port = 0
         self.closed = False
+        self.mended = False  # nothing crashes it any more
         self.listener: socket.socket | None = None
         self.start()
 
@@ -149,7 +150,7 @@
         if expected == engine.instance and request.path[:1] != ("threadramp",):
             with self.lock:
                 self.begun.append((time.monotonic(), text))
-            if CRASHES.decode() in text:
+            if CRASHES.decode() in text and not self.mended:
                 time.sleep(self.run_s)
                 if self.listener is start:
                     self.crash()
--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_book import RunOutcome
+from threadramp.fleet.model import Start
 from threadramp.wire.runner import RunUpdate
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     :param rejections: times in a row that the engine did not begin it
     :param sign_at: time at which it was started or brought its last event
     :param life: counts its starts, so that a thread of an earlier one changes nothing
+    :param start: of the engine that it was sent to last
     """
 
     order: RunOrder
@@ -47,6 +49,7 @@
     rejections: int = 0
     sign_at: float = 0.0
     life: int = 0
+    start: Start = Start("")
 
     @property
     def is_open(self) -> bool:
@@ -82,6 +85,7 @@
             versions=tuple(self.versions[skip:]),
             lineage=self.lineage,
             outcome=self.outcome.value,
+            start=self.start,
         )
 
 
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -22,6 +22,7 @@
 KEPT_RUNS = 400  # samples that ended whose text is kept
 KEPT_S = 45.0  # samples come back in one of the next lots, a lot each 4 s
 GATHER_S = 0.03  # other samples that end just then go with the same answer
+BROKEN_OFF = (RunOutcome.CUT, RunOutcome.FAILED, RunOutcome.CRASHED)  # it may be begun again here
 LOOK_S = 0.1  # how often a waiting answer looks whether the engine's readiness has changed
 
 
@@ -245,7 +246,7 @@
 
     def _go_on(self, run: Run, order: RunOrder) -> bool:
         """Let a run that is here serve an order."""
-        needs_start = run.outcome in (RunOutcome.CUT, RunOutcome.FAILED)
+        needs_start = run.outcome in BROKEN_OFF
         if needs_start and not self._has_room(order):
             return False
         run.order = order
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -8,7 +8,13 @@
 from urllib3.exceptions import HTTPError
 
 from threadramp.core.lot_book import RunOutcome
-from threadramp.edge.connections import ExchangeError, body_pieces, streamed_answer
+from threadramp.edge.connections import (
+    ExchangeError,
+    body_pieces,
+    is_broken,
+    streamed_answer,
+)
+from threadramp.edge.endpoint_probe import EndpointState, look_at
 from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
@@ -53,7 +59,7 @@
         try:
             self._execute_once_more_if_stale()
         except ExchangeError as error:
-            self._finish(RunOutcome.CUT, str(error))
+            self._finish(self._outcome_of_end(error.broken), str(error))
         except Exception as error:  # the sample would hang for ever else
             self._finish(RunOutcome.CUT, repr(error))
 
@@ -64,6 +70,8 @@
         except ExchangeError as error:
             if not (error.stale or error.silent) or self._is_over():
                 raise
+            if self._outcome_of_end(error.broken) is RunOutcome.CRASHED:
+                raise  # the next start is not for it to end as well
             log_state("connection_stale", sample=self.run.order.sample.id, error=str(error))
             self.engine.connections.forget(set())  # the others were dropped by then as well
             self._execute()
@@ -134,6 +142,7 @@
             if self._is_over():
                 return False
             self.run.cancel = cancel
+            self.run.start = self.start
             return True
 
     def _take_stream(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
@@ -148,11 +157,11 @@
                         return
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             exchange.close()
-            self._finish(RunOutcome.CUT, repr(error))
+            self._finish(self._outcome_of_end(is_broken(error)), repr(error))
             return
         if not reader.is_between_events:
             exchange.close()
-            self._finish(RunOutcome.CUT, "it stopped within an event")
+            self._finish(self._outcome_of_end(True), "it stopped within an event")
             return
         self.engine.keep(exchange, streamed_answer(response))
         self._finish(RunOutcome.WHOLE, "")
@@ -168,6 +177,16 @@
             return False
         return self.table.add_event(self.run, self.life, event.text, self.version)
 
+    def _outcome_of_end(self, broken: bool) -> RunOutcome:
+        """Return how a run ended that brought no whole text.
+
+        :param broken: whether the engine broke the connection
+        """
+        if not broken or self.engine.is_leaving:
+            return RunOutcome.CUT
+        ended = look_at(self.engine.address) is EndpointState.ENDED
+        return RunOutcome.CRASHED if ended else RunOutcome.CUT
+
     def _finish(self, outcome: RunOutcome, reason: str) -> None:
         if not self.table.finish(self.run, self.life, outcome):
             return
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -13,6 +13,7 @@
     Beat,
     CallStore,
     Collect,
+    CrashesTold,
     Done,
     Drop,
     EndKept,
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from threadramp.fleet.crash_sharing import CrashSharing
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.relaying import StoreCalls
     from threadramp.lots.owner import LotOwner
@@ -54,6 +56,7 @@
         store_calls: StoreCalls,
         hosting: HostedRunners | None = None,
         beliefs: Beliefs | None = None,
+        crashes: CrashSharing | None = None,
     ) -> None:
         self.beliefs = beliefs or Beliefs()
         self.hosting = hosting
@@ -74,6 +77,8 @@
         }
         if store_calls is not None:
             self.by_kind[CallStore] = store_calls.answer
+        if crashes is not None:
+            self.by_kind[CrashesTold] = crashes.heard
         if hosting is not None:
             self.by_kind |= dict.fromkeys(OF_RUNNERS, hosting.handle)
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -8,11 +8,13 @@
 
 from threadramp.edge.caller_watch import CallerWatch
 from threadramp.edge.connections import Connections
+from threadramp.edge.crash_guard import CrashGuard
 from threadramp.edge.forward import Forwarder
 from threadramp.edge.handler import EdgeHandler
 from threadramp.edge.server import EdgeServer
 from threadramp.edge.streaming import StreamForwarder
 from threadramp.fleet.clock import Clock
+from threadramp.fleet.crash_sharing import CrashSharing
 from threadramp.fleet.emptying import Emptying
 from threadramp.fleet.membership import RENEW_S, WATCHER_RENEW_S, Membership
 from threadramp.fleet.model import CallerLimits
@@ -24,6 +26,7 @@
 from threadramp.lots.appending import Appending
 from threadramp.lots.audit import LotAudit
 from threadramp.lots.checkpoints import Checkpoints
+from threadramp.lots.crashing_samples import SampleGuard
 from threadramp.lots.end_notices import EndNotices
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.owned import OwnedLots
@@ -32,6 +35,7 @@
 from threadramp.lots.runners import Runners
 from threadramp.lots.scoring import Scoring
 from threadramp.platform.store import StoreClient
+from threadramp.policy.crash_book import CrashBook
 from threadramp.policy.endpoint_choice import EndpointChoice
 from threadramp.policy.retries import RetryBudget
 from threadramp.report.beliefs import Beliefs, GatewayBeliefs
@@ -75,6 +79,7 @@
         self.runners.start()
         self.end_notices.start()
         self.caller_watch.start()
+        self.crashes.start()
         self.emptying.start()
         self.hosting.start()
         self.sync = SyncServer(
@@ -134,6 +139,9 @@
         self.watchers = self._new_watchers(store, health, clock)
         store.on_silence.append(self._note_silence)
         self.emptying = Emptying(self.member.name, self.picture, store)
+        book = CrashBook()
+        self.crashes = CrashSharing(book, self.peers, store, health, clock, self.member.name)
+        self.guard = CrashGuard(book, clock, self.picture, self.crashes.claim, self.metrics.count)
         self._build_lots(store, clock)
         self.hosting = HostedRunners(
             self.peers,
@@ -150,6 +158,7 @@
             StoreCalls(store, health),
             self.hosting,
             self._beliefs(clock),
+            self.crashes,
         )
 
     def _beliefs(self, clock: Clock) -> Beliefs:
@@ -188,7 +197,7 @@
         random = Random(self.incarnation)
         connections = Connections()
         forwarder = Forwarder(
-            self.picture, connections, EndpointChoice(random), RetryBudget(), clock
+            self.picture, connections, EndpointChoice(random), RetryBudget(), clock, self.guard
         )
         self.forwarder = forwarder
         self.caller_watch = CallerWatch()
@@ -197,7 +206,9 @@
         owned = OwnedLots()
         journal = LotJournal(store)
         scoring = Scoring(owned, self.picture, forwarder, clock)
-        self.runners = Runners(owned, self.peers, clock, scoring.begin)
+        self.runners = Runners(
+            owned, self.peers, clock, scoring.begin, SampleGuard(self.guard, owned)
+        )
         self.checkpoints = Checkpoints(owned, store, self.incarnation)
         self.end_notices = EndNotices(self.peers, clock)
         self.owner = LotOwner(
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -6,6 +6,7 @@
 
 from threadramp.lots.model import KeptHead, KeptLot, Result
 from threadramp.platform.store_model import Call, Item, RawAnswer, Removal
+from threadramp.wire.crashes import CrashNews
 from threadramp.wire.runner import Facts, RunnerStatus, RunOrder, RunUpdate
 
 
@@ -110,6 +111,12 @@
     call: Call
 
 
+class CrashesTold(Ask, frozen=True):
+    """What the sender saw of requests under which endpoints ended."""
+
+    news: CrashNews
+
+
 class Inspect(Ask, frozen=True):
     """What does the receiver believe of an endpoint, a lot or a member?"""
 
@@ -274,6 +281,7 @@
     | Drop
     | Find
     | CallStore
+    | CrashesTold
     | Inspect
     | FindLot
     | ReadLot
@@ -310,6 +318,7 @@
     "Believed",
     "CallStore",
     "Collect",
+    "CrashesTold",
     "Done",
     "Drop",
     "EndKept",
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -98,6 +98,7 @@
     :param versions: of the weights, one for each of ``events``
     :param lineage: names the chain that the events are of
     :param outcome: empty while it runs, else how it ended
+    :param start: of the engine that it was sent to last
     """
 
     sample: str
@@ -106,6 +107,7 @@
     versions: tuple[int, ...]
     lineage: str
     outcome: str
+    start: Start = Start("")
 
 
 def is_changing(loading: str, model: str) -> bool:
--- /dev/null
+++ b/tests/fleet/test_crash_sharing.py
@@ -0,0 +1,157 @@
+"""What one gateway saw of crashes reaches the others, also where a way is shut."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from threadramp.fleet.crash_sharing import CrashSharing
+from threadramp.fleet.model import Start
+from threadramp.fleet.picture import MEMBER_PREFIX, Member, Picture
+from threadramp.fleet.store_health import StoreHealth
+from threadramp.lots.model import encode
+from threadramp.platform.store import StoreClient
+from threadramp.policy.crash_book import CrashBook, Verdict
+from threadramp.wire.fleet import Done, decode_ask
+
+ONE = b"one-request-0000"
+CONTACT_S = 3.0  # within which the users allow a refusal to be known
+
+
+class Peers:
+    """Passes messages between boxes that are not cut from each other."""
+
+    def __init__(self, name: str, boxes: dict[str, Box]) -> None:
+        self.member = Member(name, "gateway", "1", name, "a", "")
+        self.myself = (name, name)
+        self.picture = Picture()
+        self.boxes = boxes
+
+    def gateways_lately(self) -> list[Member]:
+        return [box.peers.member for name, box in self.boxes.items() if name != self.member.name]
+
+    def ask_all(self, asks, timeout_s):
+        replies = {}
+        for address, ask in asks.items():
+            box = self.boxes[address]
+            if not box.cut:
+                replies[address] = box.sharing.heard(decode_ask(encode(ask)))
+        assert all(isinstance(one, Done) for one in replies.values())
+        return replies
+
+
+class Box:
+    """One gateway's book with what shares it; its watch is done by hand."""
+
+    def __init__(self, name: str, boxes: dict[str, Box], store: str, clock) -> None:
+        self.cut = False
+        self.clock = clock
+        self.book = CrashBook()
+        self.store = StoreClient(store, timeout_s=0.5)
+        self.peers = Peers(name, boxes)
+        self.health = StoreHealth(clock)
+        self.sharing = CrashSharing(self.book, self.peers, self.store, self.health, clock, name)
+        boxes[name] = self
+
+    def crash(self, *starts: int) -> None:
+        for number in starts:
+            self.book.crashed(ONE, Start(f"i-{number}", 1), self.clock.time_of_day())
+        self.sharing.turn()
+
+    def watch(self) -> None:
+        self.peers.picture.members.replace(self.store.list(MEMBER_PREFIX), self.clock.now())
+
+    @property
+    def verdict(self) -> Verdict:
+        return self.book.ruling(ONE, self.clock.time_of_day()).verdict
+
+
+@pytest.fixture
+def boxes(store_address, clock) -> dict[str, Box]:
+    made: dict[str, Box] = {}
+    for name in ("g0", "g1", "g2"):
+        Box(name, made, store_address, clock)
+    return made
+
+
+def test_three_boxes_that_saw_one_crash_each_refuse_together(boxes):
+    for number, box in enumerate(boxes.values()):
+        box.crash(number)
+    assert {box.verdict for box in boxes.values()} == {Verdict.REFUSED}
+
+
+def test_nothing_is_written_for_a_crash_that_all_were_told_of(boxes, platform_store):
+    boxes["g0"].crash(0)
+    assert platform_store.counts["writes"] == 0
+    boxes["g0"].sharing.turn()
+    assert platform_store.counts["writes"] == 0
+
+
+def test_one_that_peers_can_not_reach_hears_of_it_through_the_store(boxes):
+    boxes["g2"].cut = True
+    for number, name in enumerate(("g0", "g1", "g0")):
+        boxes[name].crash(number)
+    assert boxes["g2"].verdict is Verdict.FREE
+    boxes["g2"].watch()
+    assert boxes["g2"].verdict is Verdict.REFUSED
+
+
+def test_one_that_starts_later_refuses_at_once(boxes, store_address, clock):
+    boxes["g1"].crash(0, 1, 2)
+    late = Box("g9", boxes, store_address, clock)
+    late.watch()
+    assert late.verdict is Verdict.REFUSED
+    assert late.peers.picture.belief.members == {}  # what is kept there is no member
+
+
+def test_a_box_that_starts_again_keeps_its_part(boxes, store_address, clock):
+    boxes["g0"].crash(0, 1, 2)
+    again = Box("g0", boxes, store_address, clock)
+    again.watch()
+    again.book.crashed(b"another-request0", Start("i-7", 1), clock.time_of_day())
+    again.book.crashed(b"another-request0", Start("i-8", 1), clock.time_of_day())
+    again.sharing.turn()
+    late = Box("g9", boxes, store_address, clock)
+    late.watch()
+    assert late.verdict is Verdict.REFUSED
+
+
+def test_what_the_store_does_not_take_is_written_once_it_does(boxes, platform_store):
+    platform_store.faults["outage"] = True
+    boxes["g0"].crash(0, 1, 2)
+    assert boxes["g1"].verdict is Verdict.REFUSED  # told by its peer
+    assert boxes["g0"].sharing.pending
+    platform_store.faults["outage"] = False
+    boxes["g0"].sharing.turn()
+    assert [key for key in platform_store.data if "crashes" in key] == ["member/.crashes/g0"]
+
+
+def test_one_box_of_all_gets_a_trial_and_none_while_the_store_is_away(boxes, platform_store):
+    boxes["g0"].crash(0, 1, 2)
+    assert [box.sharing.claim(ONE, 1) for box in boxes.values()] == [True, False, False]
+    platform_store.faults["outage"] = True
+    assert [box.sharing.claim(ONE, 2) for box in boxes.values()] == [False, False, False]
+
+
+def test_an_unreadable_part_is_passed_over(boxes, platform_store):
+    boxes["g0"].crash(0, 1, 2)
+    row = {"key": "member/.crashes/other", "value": "AAAA"}
+    platform_store._commit({"puts": [row]})
+    boxes["g1"].watch()
+    assert boxes["g1"].verdict is Verdict.REFUSED
+
+
+def test_it_is_known_everywhere_within_the_time_that_is_allowed(boxes):
+    """Threads as they run: told to peers some hundredths of a second after it was seen."""
+    for box in boxes.values():
+        box.sharing.start()
+    started = time.monotonic()
+    boxes["g0"].book.crashed(ONE, Start("i-0"), boxes["g0"].clock.time_of_day())
+    boxes["g1"].book.crashed(ONE, Start("i-1"), boxes["g0"].clock.time_of_day())
+    boxes["g2"].book.crashed(ONE, Start("i-2"), boxes["g0"].clock.time_of_day())
+    while {box.verdict for box in boxes.values()} != {Verdict.REFUSED}:
+        assert time.monotonic() < started + CONTACT_S
+        time.sleep(0.01)
+    for box in boxes.values():
+        box.sharing.stopped.set()
