Soak with endpoints that crash; write again what the store lost of crashes

Cause: looked for by reading: a box's part in the store goes with its lease, and where that is taken away nobody noticed, so a gateway that starts later would not know which requests are held back. Change: a part that was listed and is not any more is written again under a new lease (test that failed first). The soak has a pool of endpoints that crash, by themselves and under requests that come again at any gateway; a request begins at most at 3 endpoints and 3 trials, unless gateways that knew of it ended meanwhile. Answers of callers may now come from that pool too and are still compared with their own id.

--- a/src/threadramp/fleet/crash_sharing.py
+++ b/src/threadramp/fleet/crash_sharing.py
@@ -72,6 +72,7 @@
         self.kept = CrashNews()
         self.untaken: dict[bytes, Suspect] = {}
         self.pending = False
+        self.is_listed = False
         self.read: dict[str, int] = {}
         self.woken = threading.Event()
         self.stopped = threading.Event()
@@ -121,7 +122,9 @@
 
     def read_kept(self) -> None:
         """Take over what other gateways, and this box before its last start, kept in the store."""
-        for key, item in self.peers.picture.members.snapshot().items():
+        items = self.peers.picture.members.snapshot()
+        self._check_listed(self.key in items)
+        for key, item in items.items():
             if not key.startswith(CRASHES_PREFIX) or self.read.get(key, 0) >= item.revision:
                 continue
             self.read[key] = item.revision
@@ -134,6 +137,15 @@
             if key == self.key:
                 self.book.was_own(news)
 
+    def _check_listed(self, is_listed: bool) -> None:
+        """Write this box's part again where the store has lost it; its lease may be taken away."""
+        was_listed, self.is_listed = self.is_listed, is_listed
+        if was_listed and not is_listed and self.kept:
+            log_state("crashes_not_listed", requests=len(self.kept.suspects))
+            self.kept = CrashNews()
+            self.lease = 0
+            self.woken.set()
+
     def _run(self) -> None:
         while not self.stopped.is_set():
             self.woken.wait(KEEP_AGAIN_S if self.pending else LOOK_S)
--- a/src/threadramp/platform/standins/crashing.py
+++ b/src/threadramp/platform/standins/crashing.py
@@ -47,6 +47,7 @@
         self.back_s = back_s
         self.on_start = on_start
         self.starts = 0
+        self.engines: list[PlatformEngine] = []
         self.crashed_at: list[float] = []
         self.begun: list[tuple[float, str]] = []
         self.open: set[socket.socket] = set()
@@ -62,6 +63,11 @@
         """Return the id of the current start."""
         return f"i-{self.name}-{self.starts}"
 
+    @property
+    def answered(self) -> list[dict]:
+        """Return what its starts ran, apart from what crashed them."""
+        return [run for engine in self.engines for run in engine.runs]
+
     @property
     def address(self) -> str:
         """Return where it listens, whichever start it is."""
@@ -74,6 +80,7 @@
                 return
             self.starts += 1
             self.engine = PlatformEngine({"instance": self.instance, "hold_s": self.run_s})
+            self.engines.append(self.engine)
             listener = socket.socket()
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             listener.bind(("127.0.0.1", self.port))
--- a/tests/fleet/test_crash_sharing.py
+++ b/tests/fleet/test_crash_sharing.py
@@ -127,6 +127,18 @@
     assert [key for key in platform_store.data if "crashes" in key] == ["member/.crashes/g0"]
 
 
+def test_what_the_store_has_lost_is_written_again(boxes, platform_store):
+    box = boxes["g0"]
+    box.crash(0, 1, 2)
+    box.watch()
+    platform_store.faults["revoke"] = True
+    platform_store.faults_changed()
+    assert platform_store.data == {}
+    box.watch()
+    box.sharing.turn()
+    assert list(platform_store.data) == ["member/.crashes/g0"]
+
+
 def test_one_box_of_all_gets_a_trial_and_none_while_the_store_is_away(boxes, platform_store):
     boxes["g0"].crash(0, 1, 2)
     assert [box.sharing.claim(ONE, 1) for box in boxes.values()] == [True, False, False]
--- a/tests/serve/faults.py
+++ b/tests/serve/faults.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import signal
+import threading
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import msgspec
+from urllib3.exceptions import HTTPError
 
+from tests.serve.fleet import CALLS
 from threadramp.config.registry import Registry
 
 if TYPE_CHECKING:
@@ -173,6 +177,37 @@
     return lambda: None
 
 
+@FAULTS.register("endpoint crashes by itself")
+def crash_endpoint(soak: Soak) -> Callable[[], None]:
+    soak.random.choice(soak.pool.endpoints).crash()
+    return lambda: None
+
+
+@FAULTS.register("request that crashes endpoints")
+def send_crasher(soak: Soak) -> Callable[[], None]:
+    """It comes again and again, at any gateway, until it is healed; one of two is an old one."""
+    target = f"/crashes/{soak.random.randrange(2)}"
+    soak.crashers.add(target)
+    healed = threading.Event()
+    gateways = [soak.random.choice(soak.fleet.gateways) for _ in range(20)]
+
+    def come_again() -> None:
+        for gateway in gateways:
+            if healed.wait(0.1):
+                return
+            with suppress(HTTPError, OSError):
+                gateway.call("POST", target, host=CALLS, body=b"q", X_Attempt_Id="crasher")
+
+    thread = threading.Thread(target=come_again, daemon=True)
+    thread.start()
+
+    def heal() -> None:
+        healed.set()
+        thread.join()
+
+    return heal
+
+
 @FAULTS.register("entries of other writers")
 def list_foreign(soak: Soak) -> Callable[[], None]:
     for number, engine in enumerate(soak.fleet.engines):
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -15,6 +15,7 @@
 
 from urllib3.exceptions import HTTPError
 
+from tests.serve.crashing_pool import CrashingPool
 from tests.serve.faults import FAULTS
 from tests.serve.fleet import CALLS, HOST, PlatformFleet, is_engine, wait_for
 from tests.serve.way import put_before, serve_behind
@@ -34,6 +35,10 @@
 VERSION_EACH_S = 3.0
 FAULT_EACH_S = 1.2
 DEADLINE_MS = "6000"
+CRASHING = 3  # endpoints for callers that crash under some requests
+UNDER_ONE = 3  # endpoints that may end before a request is known
+MORE_MOST = 3  # and after that, for trials
+FORGETFUL = {"all killed", "gateway killed", "gateway stopped as planned", "process frozen"}
 WHOLE_WITHIN_S = 60.0  # after all is healed; a bound for a busy machine, not a promise
 
 
@@ -48,6 +53,8 @@
         self.ways = [put_before(box, self.fleet.store_address) for box in self.fleet.boxes]
         for engine in self.fleet.engines:
             engine.faults.update(events=EVENTS, gap_s=GAP_S)
+        self.pool = CrashingPool(self.fleet, "calls", "c", CRASHING)
+        self.crashers: set[str] = set()
         self.version = 1
         self.taken: dict[str, int] = {}
         self.refused: set[str] = set()
@@ -74,6 +81,7 @@
         self._check_whole()
         self._check_not_run()
         self._check_orders()
+        self._check_crashers()
         return self.broken
 
     def _check_orders(self) -> None:
@@ -84,9 +92,22 @@
             if numbers != sorted(numbers) or len({n for n, _ in set(orders)}) != len(set(orders)):
                 self.broken.append(f"{engine.instance}: orders {orders}")
 
+    def _check_crashers(self) -> None:
+        """Look whether requests that crash endpoints were sent on, unless what is known was lost.
+
+        Gateways that end while the store takes nothing take what they knew with them.
+        """
+        if FORGETFUL & set(self.done):
+            return
+        for target in self.crashers:
+            begun = self.pool.begun(target)
+            if begun > UNDER_ONE + MORE_MOST:
+                self.broken.append(f"{target}: begun {begun} times, faults {self.done}")
+
     def close(self) -> None:
         """End all processes and ways."""
         self.fleet.close()
+        self.pool.close()
         for way in (*self.ways, *self.engine_ways):
             way.close()
 
@@ -163,7 +184,8 @@
     def _note_answer(self, name: str, status: int, data: bytes) -> None:
         if status == 200:
             self.answered += 1
-            if data != f"i-c0 answers {name}".encode():
+            instance, _, rest = data.decode(errors="replace").partition(" ")
+            if not instance.startswith("i-c") or rest != f"answers {name}":
                 self.broken.append(f"{name} got {data!r}")
         elif status == 503:
             self.calls_not_run.add(name)
@@ -215,7 +237,7 @@
         for lot in self.refused:
             if any(name.startswith(f"{lot}-") for name in ran):
                 self.broken.append(f"{lot} was refused and ran")
-        called = {run["id"] for run in self.fleet.callee.runs}
+        called = {run["id"] for run in self.fleet.callee.runs} | self.pool.ran
         for name in self.calls_not_run & called:
             self.broken.append(f"{name} was refused and ran")
 
--- a/tests/serve/test_crashes.py
+++ b/tests/serve/test_crashes.py
@@ -17,8 +17,8 @@
 
 import pytest
 
+from tests.serve.crashing_pool import CrashingPool
 from tests.serve.fleet import CALLS, PlatformFleet, wait_for
-from threadramp.platform.standins.crashing import CrashingEndpoint
 
 ENDPOINTS = 4
 KNOWN_S = 1.0  # after the third crash all gateways know; the users allow 3 s
@@ -28,41 +28,6 @@
 _ids = itertools.count(1)
 
 
-class Pool:
-    """Endpoints that crash, listed as the platform lists them.
-
-    :param prefix: of the names of its endpoints
-    """
-
-    def __init__(self, fleet: PlatformFleet, pool: str, prefix: str, count: int) -> None:
-        self.fleet = fleet
-        self.pool = pool
-        self.listed: dict[str, str] = {}
-        self.endpoints = [
-            CrashingEndpoint(f"{prefix}{number}", on_start=self._list) for number in range(count)
-        ]
-
-    def _list(self, endpoint: CrashingEndpoint) -> None:
-        before = self.listed.get(endpoint.name)
-        self.listed[endpoint.name] = endpoint.instance
-        self.fleet.register(endpoint.instance, self.pool, endpoint.address)
-        if before is not None:
-            self.fleet.remove(f"servers/{before}")
-
-    @property
-    def crashes(self) -> list[float]:
-        """Return when endpoints crashed."""
-        return sorted(at for one in self.endpoints for at in one.crashed_at)
-
-    def begun(self, word: str, after: float = 0.0) -> int:
-        """Return how often a request was begun after a time."""
-        return sum(at > after for one in self.endpoints for at in one.times_begun(word))
-
-    def close(self) -> None:
-        for one in self.endpoints:
-            one.close()
-
-
 def ask(gateway, target: str, caller: str = "", **more):
     headers = {"Authorization": caller} if caller else {}
     name = f"id-{next(_ids)}"
@@ -74,7 +39,7 @@
     """Three gateways and a pool of endpoints that crash."""
     fleet = PlatformFleet(tmp_path, serve, gateways=3, engines=0)
     fleet.remove("servers/i-c0")
-    pool = Pool(fleet, "calls", "c", ENDPOINTS)
+    pool = CrashingPool(fleet, "calls", "c", ENDPOINTS)
     try:
         fleet.start()
         for gateway in fleet.gateways:
@@ -198,7 +163,7 @@
 def engines(tmp_path, serve):
     """Two gateways and engines that crash, each with its sidecar."""
     fleet = PlatformFleet(tmp_path, serve, gateways=2, engines=0)
-    pool = Pool(fleet, "engines", "e", ENDPOINTS)
+    pool = CrashingPool(fleet, "engines", "e", ENDPOINTS)
     for number, one in enumerate(pool.endpoints):
         fleet.sidecars.append(fleet._box(tmp_path, "sidecar", f"side-{number}", one.address))
     try:
