--- a/src/threadramp/cli/believe.py
+++ b/src/threadramp/cli/believe.py
@@ -1,4 +1,4 @@
-"""``threadramp inspect``: what a process on the platform believes of one thing."""
+"""``threadramp inspect`` and ``acquit``: what processes on the platform believe of one thing."""
 
 from __future__ import annotations
 
@@ -10,13 +10,15 @@
 
 from threadramp.cli.api import ExitCode, command, fail
 from threadramp.report.beliefs import KINDS
-from threadramp.wire.fleet import Believed, Fact, Inspect, decode_reply
+from threadramp.wire.fleet import Acquit, Believed, Fact, Inspect, decode_reply
 from threadramp.wire.packing import Packing
 from threadramp.wire.sync import SyncClient
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from threadramp.wire.fleet import AnyAsk
+
 TIMEOUT_S = 2.0
 COLUMNS = ["what", "believed", "source", "seconds ago"]
 
@@ -26,7 +28,7 @@
     """Ask processes what they believe."""
 
     name = "inspect"
-    description = "Show what processes on the platform believe of an endpoint, a lot or a member."
+    description = f"Show what processes on the platform believe of one {', '.join(KINDS)}."
     arguments = [
         argument("kind", f"One of {', '.join(KINDS)}."),
         argument("thing", "Its id, or an endpoint's address."),
@@ -40,24 +42,47 @@
         if kind not in KINDS:
             return fail(self, f"no kind {kind!r}", f"use {', '.join(KINDS)}", ExitCode.USAGE)
         addresses = self.argument("processes")
-        asks = {address: Inspect("operator", "", kind, thing) for address in addresses}
-        client = SyncClient(Packing(), decode_reply)
-        replies = client.exchange(asks, TIMEOUT_S)
-        client.close()
-        for address in addresses:
-            self._show(address, replies.get(address))
-        return ExitCode.OK if len(replies) == len(asks) else ExitCode.UNREACHABLE
-
-    def _show(self, address: str, reply: object) -> None:
-        if not isinstance(reply, Believed):
-            self.line_error(f"{address}: no answer in {TIMEOUT_S} s")
-            return
-        if self.option("json"):
-            rows = [msgspec.structs.asdict(fact) for fact in reply.facts]
-            self.line(msgspec.json.encode({"process": address, "facts": rows}).decode())
-            return
-        self.line(address)
-        self.table(COLUMNS, list(_rows(reply.facts))).render()
+        return _ask_all(self, {one: Inspect("operator", "", kind, thing) for one in addresses})
+
+
+@command
+class AcquitCommand(Command):
+    """Let a request go on."""
+
+    name = "acquit"
+    description = "Let a request go on that is held back since endpoints ended under it."
+    arguments = [
+        argument("request", "Its fingerprint, as the gateways' lines name it."),
+        argument("gateways", "Where they answer peers, ip:port; one tells all.", multiple=True),
+    ]
+    options = [option("json", None, "Print JSON.")]
+
+    def handle(self) -> int:
+        """Tell each gateway that is named."""
+        ask = Acquit("operator", "", self.argument("request"))
+        return _ask_all(self, dict.fromkeys(self.argument("gateways"), ask))
+
+
+def _ask_all(command: Command, asks: dict[str, AnyAsk]) -> int:
+    """Ask processes, by address, and print a table for each answer."""
+    client = SyncClient(Packing(), decode_reply)
+    replies = client.exchange(asks, TIMEOUT_S)
+    client.close()
+    for address in asks:
+        _show(command, address, replies.get(address))
+    return ExitCode.OK if len(replies) == len(asks) else ExitCode.UNREACHABLE
+
+
+def _show(command: Command, address: str, reply: object) -> None:
+    if not isinstance(reply, Believed):
+        command.line_error(f"{address}: no answer in {TIMEOUT_S} s")
+        return
+    if command.option("json"):
+        rows = [msgspec.structs.asdict(fact) for fact in reply.facts]
+        command.line(msgspec.json.encode({"process": address, "facts": rows}).decode())
+        return
+    command.line(address)
+    command.table(COLUMNS, list(_rows(reply.facts))).render()
 
 
 def _rows(facts: Iterable[Fact]) -> Iterable[list[str]]:
@@ -66,4 +91,4 @@
         yield [fact.what, fact.value, fact.source or "-", ago]
 
 
-__all__ = ["InspectCommand"]
+__all__ = ["AcquitCommand", "InspectCommand"]
--- a/src/threadramp/fleet/crash_sharing.py
+++ b/src/threadramp/fleet/crash_sharing.py
@@ -28,7 +28,7 @@
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.crashes import CrashNews
-from threadramp.wire.fleet import CrashesTold, Done
+from threadramp.wire.fleet import Believed, CrashesTold, Done, Fact
 
 if TYPE_CHECKING:
     from threadramp.fleet.clock import Clock
@@ -37,6 +37,7 @@
     from threadramp.platform.store import StoreClient
     from threadramp.policy.crash_book import CrashBook
     from threadramp.wire.crashes import Suspect
+    from threadramp.wire.fleet import Acquit
 
 GATHER_S = 0.02  # all requests of an endpoint break at once; they go in one message
 TELL_TIMEOUT_S = 0.4
@@ -88,6 +89,14 @@
         self._merge(ask.news, ask.sender)
         return Done()
 
+    def acquit(self, ask: Acquit) -> Believed:
+        """Let a request go on, at all gateways, because an operator says so."""
+        found = self.book.find(ask.request)
+        done = found is not None and self.book.ran_well(found.fingerprint, self.clock.time_of_day())
+        log_state("acquitted_by_operator", fingerprint=ask.request, done=done)
+        told = "acquitted" if done else "nothing is held against it"
+        return Believed((Fact("request", told, "an operator", None),))
+
     def claim(self, fingerprint: bytes, trial: int) -> bool:
         """Return whether this process may make a trial; of all processes one is told so.
 
--- a/src/threadramp/policy/crash_book.py
+++ b/src/threadramp/policy/crash_book.py
@@ -171,6 +171,12 @@
         with self.lock:
             self.own.update(one.fingerprint for one in news.suspects)
 
+    def find(self, shown: str) -> Suspect | None:
+        """Return a request by its fingerprint as it stands in logs, none if it is not suspected."""
+        with self.lock:
+            rows = [one for key, one in self.suspects.items() if key.hex().startswith(shown)]
+        return rows[0] if shown and len(rows) == 1 else None
+
     def expire(self, now: float) -> None:
         """Forget the requests of which nothing was seen for long."""
         with self.lock:
--- a/src/threadramp/report/beliefs.py
+++ b/src/threadramp/report/beliefs.py
@@ -1,4 +1,4 @@
-"""What a process believes of one endpoint, lot or member, since when and by which source.
+"""What a process believes of one endpoint, lot, member or request, since when and by which source.
 
 Each kind of thing has one function, which a process registers with what it needs; a process that
 knows nothing of a kind says so.
@@ -21,7 +21,7 @@
     from threadramp.lots.owned import OwnedLots
     from threadramp.runner.sidecar import Sidecar
 
-KINDS = ("endpoint", "lot", "member")
+KINDS = ("endpoint", "lot", "member", "request")
 
 
 class Beliefs:
@@ -62,6 +62,7 @@
         beliefs.add("endpoint", self.endpoint)
         beliefs.add("lot", self.lot)
         beliefs.add("member", self.member)
+        beliefs.add("request", self.request)
         return beliefs
 
     def endpoint(self, name: str) -> Iterable[Fact]:
@@ -134,6 +135,24 @@
         if self.peers.silence.is_silent(found):
             yield Fact("answers", "not to the last beats", "own questions", None)
 
+    def request(self, name: str) -> Iterable[Fact]:
+        """Tell of a request that is suspected, by its fingerprint as it stands in logs."""
+        book = self.access.guard.book
+        found = book.find(name)
+        now = self.clock.time_of_day()
+        if found is None:
+            yield Fact("request", "nothing is held against it", "crash book", None)
+            return
+        ruling = book.ruling(found.fingerprint, now)
+        yield Fact("verdict", ruling.verdict.value, "crash book", round(now - found.seen_at, 2))
+        yield Fact("trials made", str(found.trials), "crash book", None)
+        if ruling.again_s:
+            yield Fact("next trial or end in s", f"{ruling.again_s:.1f}", "crash book", None)
+        for crash in found.standing:
+            yield Fact(
+                "endpoint ended", crash.start.instance, "crash book", round(now - crash.at, 2)
+            )
+
 
 class RunnerBeliefs:
     """What the runner of an engine believes of it."""
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -9,6 +9,7 @@
 from threadramp.report.beliefs import Beliefs
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
+    Acquit,
     Adopt,
     Beat,
     CallStore,
@@ -79,6 +80,7 @@
             self.by_kind[CallStore] = store_calls.answer
         if crashes is not None:
             self.by_kind[CrashesTold] = crashes.heard
+            self.by_kind[Acquit] = crashes.acquit
         if hosting is not None:
             self.by_kind |= dict.fromkeys(OF_RUNNERS, hosting.handle)
 
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -117,6 +117,15 @@
     news: CrashNews
 
 
+class Acquit(Ask, frozen=True):
+    """An operator lets a request go on that is held back.
+
+    :param request: its fingerprint as it stands in logs
+    """
+
+    request: str
+
+
 class Inspect(Ask, frozen=True):
     """What does the receiver believe of an endpoint, a lot or a member?"""
 
@@ -282,6 +291,7 @@
     | Find
     | CallStore
     | CrashesTold
+    | Acquit
     | Inspect
     | FindLot
     | ReadLot
@@ -310,6 +320,7 @@
 
 __all__ = [
     "Accepted",
+    "Acquit",
     "Adopt",
     "AnyAsk",
     "AnyReply",
--- a/tests/serve/test_crashes.py
+++ b/tests/serve/test_crashes.py
@@ -16,9 +16,11 @@
 import time
 
 import pytest
+from cleo.testers.application_tester import ApplicationTester
 
 from tests.serve.crashing_pool import CrashingPool
-from tests.serve.fleet import CALLS, PlatformFleet, wait_for
+from tests.serve.fleet import CALLS, PORTS, PlatformFleet, wait_for
+from threadramp.cli.main import build_application
 
 ENDPOINTS = 4
 KNOWN_S = 1.0  # after the third crash all gateways know; the users allow 3 s
@@ -149,6 +151,24 @@
     )
 
 
+def test_an_operator_sees_what_is_held_back_and_lets_it_go_on(crowd):
+    fleet, pool = crowd
+    third_crash(fleet, pool)
+    line = wait_for(lambda: fleet.gateways[0].lines("endpoint_ended"), "it is told")[-1]
+    addresses = " ".join(f"{box.ip}:{PORTS['peer']}" for box in fleet.gateways)
+    command = ApplicationTester(build_application())
+
+    def refused_by_all() -> bool:
+        assert command.execute(f"inspect request {line['fingerprint']} {addresses}") == 0
+        return command.io.fetch_output().count("refused") == 3
+
+    wait_for(refused_by_all, "all refuse it", KNOWN_S)
+    for one in pool.endpoints:
+        one.mended = True
+    assert command.execute(f"acquit {line['fingerprint']} {addresses}") == 0
+    wait_for(lambda: ask(fleet.gateways[2], "/crashes").status == 200, "it is served", 3.0)
+
+
 def test_another_callers_request_is_not_refused_for_it(crowd):
     fleet, pool = crowd
     third_crash(fleet, pool)
