Keep suspects apart without refusing them; split what holds for a request from its attempts

A request that is to go apart from other suspects was refused where each endpoint had one, and a sample waited for seconds: after two crashes of many engines most samples are suspects, and one at each engine would have been all that ran. A trial whose connection was cut was sent on to a second endpoint. A refusal whose trial was due told its caller to come again at once (Retry-After 0.00). Tests of all three, which fail on the code before.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import select
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from threadramp.edge.connections import ExchangeError
 from threadramp.edge.crash_guard import CrashGuard
 from threadramp.edge.endpoint_probe import EndpointState
+from threadramp.edge.holding import Holding
 from threadramp.edge.job import Ending, Outcome, has_ended
+from threadramp.edge.tries import Tries
 from threadramp.platform.headers import to_endpoint
 from threadramp.policy.connection_share import idle_share
-from threadramp.policy.crash_book import FREE, CrashBook, Ruling, Verdict
+from threadramp.policy.crash_book import CrashBook, Ruling, Verdict
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from threadramp.edge.connections import Answer, Connections, Exchange
     from threadramp.edge.job import Job
     from threadramp.fleet.clock import Clock
@@ -35,27 +38,6 @@
 NOBODY_LEFT_S = 1.0  # endpoints that crashed are back after 1 to 3 s
 
 
-@dataclass
-class Tries:
-    """What happened to a job so far.
-
-    :param ran: endpoints at which it may have run
-    :param rejected: endpoints that said they did not run it
-    :param rounds: times that all endpoints refused
-    :param ended: endpoints that ended while it was open there
-    :param unreachable: endpoints at which nobody listens now
-    """
-
-    open: list[Exchange] = field(default_factory=list)
-    ran: set[Start] = field(default_factory=set)
-    rejected: set[Start] = field(default_factory=set)
-    ended: set[Start] = field(default_factory=set)
-    unreachable: set[Start] = field(default_factory=set)
-    may_have_run: bool = False
-    rounds: int = 0
-    last_failure: Answer | None = None
-
-
 class EndpointAccess:
     """The endpoints as one process sees and reaches them; one for all of its threads."""
 
@@ -98,17 +80,15 @@
         self.now = parts.clock.now
         self.tries = Tries()
         self.pool = parts.choice.pool_for(job.route)
-        self.admitted = FREE
-        self.goes_apart = False
-        self.place: Start | None = None
+        self.holding = Holding(parts.guard, job)
 
     def run(self) -> Outcome:
         """Try endpoints until the job has ended."""
         if self.caller_has_left():
             return Outcome(Ending.CALLER_GONE)
-        self.admitted = self.parts.guard.admit(self.job.request_id, self.fingerprint)
-        if self.admitted.verdict is Verdict.REFUSED:
-            return Outcome(Ending.NOT_RUN, retry_after_s=self.admitted.again_s)
+        admitted = self.holding.admit()
+        if admitted.verdict is Verdict.REFUSED:
+            return Outcome(Ending.NOT_RUN, retry_after_s=admitted.again_s)
         self.parts.budget.first_attempt()
         try:
             while True:
@@ -117,17 +97,11 @@
                     return self.ended(outcome)
         finally:
             self.close_all()
-            self._leave_place()
-
-    def fingerprint(self) -> bytes:
-        """Return what stands for the request, whatever its id."""
-        return self.job.fingerprint
+            self.holding.leave()
 
     def ruling(self) -> Ruling:
-        """Return what holds for the request now; endpoints may have ended under it meanwhile."""
-        if self.admitted.trial and not self.tries.ended:
-            return self.admitted
-        return self.parts.guard.ruling(self.fingerprint)
+        """Return what holds for the request now."""
+        return self.holding.ruling(has_run=bool(self.tries.ran))
 
     def await_answer(self) -> Outcome | None:
         """Wait for the exchanges that are open; none if the job goes on."""
@@ -152,12 +126,12 @@
             return self.given_up(Ending.UNKNOWN)
         if tries.may_have_run and not self.job.route.may_repeat:
             return self.given_up(Ending.UNKNOWN)
-        apart = self._keep_apart()
-        chosen = self._choose(apart)
+        is_last = tries.rounds >= REJECTED_ROUNDS
+        chosen = self.holding.choose(self._pick, self.ruling(), is_last)
         if chosen is not None:
             self.send(chosen)
             return None
-        if not tries.rejected and not apart:
+        if not tries.rejected and not self.holding.waits:
             return self._nobody_left()
         tries.rounds += 1
         if tries.rounds > REJECTED_ROUNDS:
@@ -165,19 +139,10 @@
         tries.rejected.clear()
         return self._pause(REJECTED_PAUSE_S)
 
-    def _choose(self, apart: set[Start]) -> Endpoint | None:
-        """Return where it goes next, none if there is nowhere now.
-
-        :param apart: endpoints that it must not go to, for the suspects that are there
-        """
-        tries = self.tries
+    def _pick(self, taken: Set[Start]) -> Endpoint | None:
+        """Return an endpoint that it was not at, none of those that are taken."""
         endpoints = self.parts.picture.belief.in_pool(self.pool)
-        tried = tries.ran | tries.rejected | tries.unreachable | apart
-        while (chosen := self.parts.choice.choose(endpoints, tried, self.now())) is not None:
-            if self._take_place(chosen.start):
-                return chosen
-            tried.add(chosen.start)
-        return None
+        return self.parts.choice.choose(endpoints, self.tries.passed_over | taken, self.now())
 
     def _held_back(self) -> Outcome | None:
         """Return how it ends if too many endpoints ended under it; none if it may go on."""
@@ -186,25 +151,6 @@
             return self.given_up(Ending.NOT_RUN, ruling.again_s)
         return None
 
-    def _keep_apart(self) -> set[Start]:
-        """Return the endpoints that other suspects have, if this one is to go apart from them."""
-        self._leave_place()
-        self.goes_apart = self.ruling().verdict is Verdict.APART
-        return set(self.parts.guard.apart) if self.goes_apart else set()
-
-    def _take_place(self, start: Start) -> bool:
-        if not self.goes_apart:
-            return True
-        if not self.parts.guard.take_place(start):
-            return False
-        self.place = start
-        return True
-
-    def _leave_place(self) -> None:
-        if self.place is not None:
-            self.parts.guard.leave_place(self.place)
-            self.place = None
-
     def _nobody_left(self) -> Outcome:
         """End it at once: it was everywhere where somebody listens."""
         unreachable = len(self.tries.unreachable)
@@ -352,4 +298,4 @@
         return None
 
 
-__all__ = ["ANSWER_MARGIN_S", "Attempts", "EndpointAccess", "Tries"]
+__all__ = ["ANSWER_MARGIN_S", "Attempts", "EndpointAccess"]
--- a/src/threadramp/edge/crash_guard.py
+++ b/src/threadramp/edge/crash_guard.py
@@ -141,6 +141,11 @@
             self.count("crash", "acquitted")
             log_state("acquitted", fingerprint=shown(key), instance=start.instance)
 
+    def taken(self) -> set[Start]:
+        """Return the endpoints that have a request which goes apart from other suspects."""
+        with self.lock:
+            return set(self.apart)
+
     def take_place(self, start: Start) -> bool:
         """Reserve an endpoint for a request that goes apart from other suspects."""
         with self.lock:
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -133,7 +133,7 @@
         if head.not_run:
             self.rejected(endpoint, head.status)
             return None
-        self.parts.guard.answered(self.fingerprint, endpoint.start)
+        self.holding.answered(endpoint.start)
         unsigned = 200 <= head.status < 300 and not head.signature
         if unsigned or head.status >= 500:
             return self._failed_answer(endpoint, answer, unsigned)
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -143,7 +143,7 @@
             return self._other_answer(exchange, response, head)
         self.stream.begin(response)
         self.stream.pass_events(exchange, response, self._patience_s)
-        self.parts.guard.answered(self.fingerprint, exchange.endpoint.start)
+        self.holding.answered(exchange.endpoint.start)
         self.parts.keep(exchange, streamed_answer(response))
         self.parts.choice.answered(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
@@ -153,7 +153,7 @@
     ) -> Outcome | None:
         """Take an answer that is no stream: a failure, or one whose endpoint is at fault."""
         answer = exchange.rest(response)
-        self.parts.guard.answered(self.fingerprint, exchange.endpoint.start)
+        self.holding.answered(exchange.endpoint.start)
         if 200 <= head.status < 300 and not head.signature:
             raise StreamBrokenError(exchange.endpoint.instance, "no signature")
         if head.status >= 500:
--- a/src/threadramp/lots/crashing_samples.py
+++ b/src/threadramp/lots/crashing_samples.py
@@ -55,12 +55,15 @@
     def open_to(
         self, lot: OwnedLot, sample: str, views: Sequence[RunnerView]
     ) -> Sequence[RunnerView]:
-        """Return the runners at which a sample may run: not those of other suspects."""
+        """Return the runners at which a sample may run: not those of other suspects.
+
+        Where all have one it goes beside it: a sample takes seconds, and its step waits for it.
+        """
         ruling = self.guard.ruling(lambda: self._fingerprint(lot, sample))
         if ruling.verdict in (Verdict.FREE, Verdict.SUSPECTED):
             return views
         taken = self._taken()
-        return [view for view in views if view.member.name not in taken]
+        return [view for view in views if view.member.name not in taken] or views
 
     def admit(self, lot: OwnedLot, sample: str, runner: str, now: float) -> bool:
         """Return whether a sample may go to a runner now; one that may not is put off."""
--- a/src/threadramp/policy/crash_book.py
+++ b/src/threadramp/policy/crash_book.py
@@ -40,6 +40,7 @@
 LIVING_MOST = 512
 CRASHES_KEPT = 8  # of one request
 TO_KEEP_MOST = 512  # requests that one process keeps in the store: 100 KB at most
+AGAIN_LEAST_S = 1.0  # told with a refusal; the trial that is due may be another box's
 AHEAD_MOST_S = 5.0  # clocks of boxes differ by less; what is told from the future counts as now
 
 
@@ -254,10 +255,10 @@
         verdict = (Verdict.FREE, Verdict.SUSPECTED, Verdict.APART)[count]
         return Ruling(verdict, count)
     if known.trials >= len(TRIALS_AFTER_S):
-        return Ruling(Verdict.REFUSED, count, 0, max(0.0, known.seen_at + KEPT_S - now))
+        return Ruling(Verdict.REFUSED, count, 0, max(AGAIN_LEAST_S, known.seen_at + KEPT_S - now))
     due = max(one.at for one in standing) + TRIALS_AFTER_S[known.trials]
     trial = known.trials + 1 if now >= due else 0
-    return Ruling(Verdict.REFUSED, count, trial, max(0.0, due - now))
+    return Ruling(Verdict.REFUSED, count, trial, max(AGAIN_LEAST_S, due - now))
 
 
 def _is_old(known: Suspect, now: float) -> bool:
--- a/tests/edge/test_crash_guard.py
+++ b/tests/edge/test_crash_guard.py
@@ -16,11 +16,12 @@
 from threadramp.edge.forward import Forwarder
 from threadramp.edge.job import Ending, Job
 from threadramp.fleet.clock import Clock, steady_s
-from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
+from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind, Start
 from threadramp.fleet.picture import Belief, Picture
 from threadramp.platform.standins.crashing import CrashingEndpoint
 from threadramp.policy.crash_book import TRIALS_AFTER_S, Verdict
 from threadramp.policy.endpoint_choice import EndpointChoice
+from threadramp.policy.fingerprint import fingerprint
 from threadramp.policy.retries import RetryBudget
 
 COUNT = 6
@@ -56,8 +57,11 @@
         return sum(len(one.crashed_at) for one in self.standins)
 
     def verdict(self, target="/crashes") -> Verdict:
-        job = Job("id", "POST", target, (), b"", Route("r", "h", "/", None, (), 1, 1), 0.0)
-        return self.guard.ruling(lambda: job.fingerprint).verdict
+        return self.guard.ruling(lambda: _fingerprint(target)).verdict
+
+
+def _fingerprint(target: str) -> bytes:
+    return fingerprint("h", "POST", target, "", b"")
 
 
 @pytest.fixture
@@ -163,6 +167,31 @@
     assert crowd.verdict() is Verdict.FREE
 
 
+def test_a_trial_is_begun_once_also_where_its_connection_is_cut(crowd):
+    crowd.run()
+    crowd.run()
+    crowd.guard.clock = Later(crowd.guard.clock, TRIALS_AFTER_S[0])
+    for one in crowd.standins:
+        one.crash = one.cut  # it lives on
+    begun = sum(len(one.begun) for one in crowd.standins)
+    assert crowd.run().ending is Ending.UNKNOWN
+    assert sum(len(one.begun) for one in crowd.standins) == begun + 1
+
+
+def test_one_that_finds_other_suspects_everywhere_goes_beside_them_after_a_short_wait(crowd):
+    for one in crowd.standins:
+        one.engine.faults["hold_s"] = 0.0
+    for one in crowd.standins[:2]:
+        crowd.guard.ended_under("id", _fingerprint("/calm"), Start(f"i-before-{one.name}"))
+    assert crowd.verdict("/calm") is Verdict.APART
+    for one in crowd.standins:
+        assert crowd.guard.take_place(Start(one.instance))
+    started = time.monotonic()
+    assert crowd.run("/calm").ending is Ending.ANSWERED
+    assert 0.1 < time.monotonic() - started < 0.5
+    assert crowd.verdict("/calm") is Verdict.FREE
+
+
 def test_a_refused_request_whose_trial_another_box_has_is_not_sent(crowd):
     crowd.run()
     crowd.run()
--- a/tests/policy/test_crash_book.py
+++ b/tests/policy/test_crash_book.py
@@ -86,6 +86,12 @@
         assert book.ruling(ONE, now + later).trial == 0
 
 
+def test_a_refusal_never_tells_a_caller_to_come_again_at_once():
+    """The trial that is due may be another box's."""
+    for later in (0.0, 2.5, 3.0, 30.0, 500.0):
+        assert crashed(3).ruling(ONE, NOW + later).again_s >= 1.0
+
+
 def test_it_is_refused_while_it_comes_and_forgotten_some_time_after():
     book = crashed(3)
     for number in range(1, 3):
