--- a/src/threadramp/policy/crash_book.py
+++ b/src/threadramp/policy/crash_book.py
@@ -266,7 +266,8 @@
 
 
 def _bounded(at: float, now: float) -> float:
-    return min(at, now + AHEAD_MOST_S)
+    """Return a time that a sound clock may tell; what is none, such as NaN, is long ago."""
+    return min(at, now + AHEAD_MOST_S) if at >= 0 else 0.0
 
 
 def _all_bounded(suspect: Suspect, now: float) -> Suspect:
--- a/tests/fleet/test_crash_sharing.py
+++ b/tests/fleet/test_crash_sharing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from base64 import b64encode
+from random import Random
 
 import pytest
 
@@ -12,7 +14,7 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.lots.model import encode
 from threadramp.platform.store import StoreClient
-from threadramp.policy.crash_book import CrashBook, Verdict
+from threadramp.policy.crash_book import FREE, CrashBook, Verdict
 from threadramp.wire.fleet import Done, decode_ask
 
 ONE = b"one-request-0000"
@@ -146,12 +148,27 @@
     assert [box.sharing.claim(ONE, 2) for box in boxes.values()] == [False, False, False]
 
 
-def test_an_unreadable_part_is_passed_over(boxes, platform_store):
+NEAR_MISSES = [
+    b"",
+    b"\x00",
+    encode(1),
+    encode([[], [], []]),
+    encode([[["text", [], 0.0, 0, 0.0]], []]),
+    encode([[[ONE, [[["i-1", "one"], 1.0]], 0.0, 0, 0.0]], []]),
+    encode([[[ONE, [], "soon", 0, 0.0]], []]),
+    encode([[[ONE, [], 0.0, -5, float("nan")]], [[["", -1], float("inf")]]]),
+    Random(7).randbytes(500),
+]
+
+
+@pytest.mark.parametrize("value", NEAR_MISSES, ids=range(len(NEAR_MISSES)))
+def test_an_unreadable_or_absurd_part_changes_nothing(boxes, platform_store, value):
     boxes["g0"].crash(0, 1, 2)
-    row = {"key": "member/.crashes/other", "value": "AAAA"}
+    row = {"key": "member/.crashes/other", "value": b64encode(value).decode()}
     platform_store._commit({"puts": [row]})
     boxes["g1"].watch()
     assert boxes["g1"].verdict is Verdict.REFUSED
+    assert boxes["g1"].book.ruling(b"another-request0", boxes["g1"].clock.time_of_day()) == FREE
 
 
 def test_it_is_known_everywhere_within_the_time_that_is_allowed(boxes):
--- a/tests/policy/test_crash_book.py
+++ b/tests/policy/test_crash_book.py
@@ -162,10 +162,10 @@
     assert book.ruling(ONE, NOW + 50).verdict is Verdict.REFUSED
 
 
-def test_times_that_no_sound_clock_tells_do_not_last():
+@pytest.mark.parametrize("far", [NOW + 1e9, float("inf"), float("nan"), -1.0])
+def test_times_that_no_sound_clock_tells_do_not_last(far):
     """Another writer, or a clock that jumped."""
     book = CrashBook()
-    far = NOW + 1e9
     absurd = Suspect(ONE, tuple(Crash(start(n), far) for n in range(3)), 0.0, 10**9, far)
     book.merge(CrashNews((absurd,)), NOW)
     assert book.ruling(ONE, NOW + KEPT_S + 10.0) == FREE
