Let an end hold for a lot that is being taken over in that moment

Cause: an end, written here or told by another gateway, was looked up among the lots that are owned; one that is being taken over was read before its end and is not among them yet. So it ran on until its next append (3.4 s seen; samples may begin for 3 s at most). Class: a look-up in a table for what is on its way into it. Change: ends that were written or heard of lately are remembered (256), and applied to a lot once it is taken over; an end that is written here also holds for what was taken over meanwhile.

--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -8,6 +8,7 @@
 from threadramp.core.lot_book import LotBook, LotRules
 from threadramp.lots.journal import LotMissingError, NotOwnerError
 from threadramp.lots.kept_texts import KeptTexts
+from threadramp.lots.latest_ends import LatestEnds
 from threadramp.lots.model import KeptLot, LotHead
 from threadramp.lots.owned import OwnedLot
 from threadramp.platform.store_model import StoreError
@@ -62,6 +63,7 @@
         self.lengths: dict[str, Lengths] = {}
         self.stopped = threading.Event()
         self.leaving = False
+        self.ends = LatestEnds()
 
     def hand_in(self, lot: Lot, route: Route, patience_s: float) -> None:
         """Keep a lot and start on it; a lot that is kept already stays as it is.
@@ -96,12 +98,17 @@
         if kept is None:
             return False
         ended = self._end_kept(kept)
+        self.ended_elsewhere(ended)  # it may have been taken over here meanwhile
         if ended.revision != kept.revision:  # else it had ended before, and that was told
             self.tell_end(ended)
         return True
 
     def ended_elsewhere(self, kept: KeptHead) -> bool:
-        """Stop working on a lot whose end another gateway wrote; false if it does not run here."""
+        """Stop working on a lot whose end is kept; false if it does not run here.
+
+        One that is being taken over now was read before its end: it is ended once it is.
+        """
+        self.ends.note(kept)
         owned = self.owned.get(kept.lot_id)
         if owned is None:
             return False
@@ -260,6 +267,9 @@
             revision=kept.revision,
             texts=len(reused),
         )
+        end = self.ends.of(kept.lot_id)
+        if end is not None:
+            self.ended_elsewhere(end)
 
     def _lengths_of(self, lot: Lot) -> Lengths:
         """Return what was learned of the lengths of a model's samples."""
