Let callers in by the keys of their organisations, and name them to endpoints

Ruled out: a check of the lot's owner at each call about it. Lots and samples stand under names that begin with their organisation instead, so another one's key names a lot that is not there, at every gateway, after any change of owner, and the same ids of two organisations share no text.

Change: policy/callers.py decides for every way in; fleet/organisations.py holds digests alone and takes over the rows that did not change; faulty rows are nobody's, the others stand. A repeated header of credentials is no key.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -117,7 +117,7 @@
 
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
         """Return the headers with which the job goes to an endpoint."""
-        return to_endpoint(self.job.headers, time_left, instance)
+        return to_endpoint(self.job.headers, time_left, instance, self.job.who.organisation)
 
     def next_try(self) -> Outcome | None:
         """Send to one more endpoint, or end if there is none."""
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -10,7 +10,14 @@
 from threadramp.fleet.model import CallerLimits, RouteKind
 from threadramp.lots.elsewhere import LotUnknownError
 from threadramp.lots.repeated_writes import SETTLE_S
-from threadramp.platform.headers import RETRY_AFTER, request_id, time_left_s, to_caller, wait_s
+from threadramp.platform.headers import (
+    RETRY_AFTER,
+    caller_key,
+    request_id,
+    time_left_s,
+    to_caller,
+    wait_s,
+)
 from threadramp.platform.store_model import StoreError, StoreRefusedError
 from threadramp.platform.trainer_calls import (
     OWN_ROOT,
@@ -20,6 +27,7 @@
     read_lot,
     results_body,
 )
+from threadramp.policy.callers import Caller, who_calls
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -29,7 +37,7 @@
     from threadramp.edge.server import CallerRequest
     from threadramp.edge.streaming import StreamForwarder
     from threadramp.fleet.clock import Clock
-    from threadramp.fleet.model import Route
+    from threadramp.fleet.model import Configuration, Route
     from threadramp.fleet.picture import Picture
     from threadramp.lots.owner import LotOwner
     from threadramp.lots.reading import LotReader
@@ -43,6 +51,7 @@
 PATIENCE_MOST_S = 5.0  # less than the time between a SIGTERM and a kill
 MAX_WAIT_S = 1.0  # longest time for which a reader of results is let wait
 JSON = ("Content-Type", "application/json")
+CHALLENGE = ("WWW-Authenticate", "Bearer")
 
 
 class EdgeHandler:
@@ -92,20 +101,42 @@
             self._refuse(request, 503, START_RETRY_S, "no configuration yet")
             return
         if request.path.startswith(OWN_ROOT):
-            self._serve_call(request, read_call(request.method, request.target))
+            self._serve_call(request, configuration)
             return
         route = configuration.route_for(request.host, request.path)
         if route is None:
             log_state("no_route", host=request.host, path=request.path)
             request.answer(404)
             return
-        body = self._body(request, configuration.limits)
+        who = self._who(request, configuration, route.public)
+        body = self._body(request, configuration.limits) if who is not None else None
         if body is None:
             return
         if route.kind is RouteKind.SAMPLES:
-            self._hand_in(request, route, body)
+            self._hand_in(request, who.ranked(route), body, who)
         else:
-            self._forward(request, route, body, started)
+            self._forward(request, who.ranked(route), body, started, who)
+
+    def _who(
+        self, request: CallerRequest, configuration: Configuration, public: bool
+    ) -> Caller | None:
+        """Return who calls; none if it was turned away, before anything of its request ran.
+
+        :param public: whether no key is needed
+        """
+        found = who_calls(configuration.organisations, caller_key(request.headers), public)
+        if isinstance(found, Caller):
+            return found
+        log_state(
+            "caller_unknown",
+            request=request_id(request.headers),
+            path=request.path,
+            reason=found.value,
+            version=configuration.version,
+        )
+        self.metrics.count("answer", found.value)
+        request.answer(401, [CHALLENGE], close=self.stopping)
+        return None
 
     def _body(self, request: CallerRequest, limits: CallerLimits) -> bytes | None:
         try:
@@ -118,7 +149,9 @@
             request.drop()
         return None
 
-    def _forward(self, request: CallerRequest, route: Route, body: bytes, started: float) -> None:
+    def _forward(
+        self, request: CallerRequest, route: Route, body: bytes, started: float, who: Caller
+    ) -> None:
         left = time_left_s(request.headers)
         limits = [DEFAULT_TIME_S if left is None else left]
         if route.timeout_s:
@@ -132,6 +165,7 @@
             route=route,
             until=started + min(limits),
             caller=request.socket,
+            who=who,
         )
         if route.kind is RouteKind.STREAM:
             outcome = self.streams.run(job, request, self.stopping)
@@ -142,9 +176,11 @@
         if outcome.first_event_s is not None:
             self.metrics.latency(f"{route.name} first event", outcome.first_event_s)
         self.metrics.count("answer", outcome.ending.value)
-        self._pass_on(request, outcome, route, took)
+        self._pass_on(request, outcome, route, took, who)
 
-    def _pass_on(self, request: CallerRequest, outcome: Outcome, route: Route, took: float) -> None:
+    def _pass_on(
+        self, request: CallerRequest, outcome: Outcome, route: Route, took: float, who: Caller
+    ) -> None:
         answer = outcome.answer
         status = 0
         if outcome.ending is Ending.CALLER_GONE:
@@ -165,19 +201,20 @@
             "answered",
             request=request_id(request.headers),
             route=route.name,
+            organisation=who.organisation,
             status=status,
             ending=outcome.ending.value,
             ms=round(took * 1000, 1),
             target_ms=round(route.target_s * 1000),
         )
 
-    def _hand_in(self, request: CallerRequest, route: Route, body: bytes) -> None:
+    def _hand_in(self, request: CallerRequest, route: Route, body: bytes, who: Caller) -> None:
         lot_id = request_id(request.headers)
         if request.method != "POST" or not lot_id:
             request.answer(400, body=b"a lot is handed in by POST, with an id")
             return
         try:
-            lot = read_lot(lot_id, request.host, request.path, body)
+            lot = read_lot(lot_id, request.host, request.path, body, who.organisation)
         except FindingsError as error:
             log_state("lot_unreadable", lot=lot_id, findings=[str(f) for f in error.findings])
             request.answer(400, body=str(error).encode())
@@ -194,10 +231,17 @@
             self.metrics.count("lot", "taken")
             request.answer(202, close=self.stopping)
 
-    def _serve_call(self, request: CallerRequest, call: LotCall | None) -> None:
-        if call is None:
+    def _serve_call(self, request: CallerRequest, configuration: Configuration) -> None:
+        """Answer a call about a lot; one of another organisation is as unknown as any."""
+        public = configuration.takes_lots_of_anybody(request.host)
+        who = self._who(request, configuration, public)
+        if who is None:
+            return
+        given = read_call(request.method, request.target)
+        if given is None:
             request.answer(404)
             return
+        call = given.of(who.organisation)
         answers: dict[LotCallKind, Callable[[CallerRequest, LotCall], None]] = {
             LotCallKind.RESULTS: self._results,
             LotCallKind.BODY: self._sample_body,
--- a/src/threadramp/edge/heads.py
+++ b/src/threadramp/edge/heads.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from cheroot.makefile import StreamWriter
 
+ONCE_ONLY = (b"Authorization", b"Host", b"Content-Length")  # as the library spells them
 TOO_LARGE = "431 Request Header Fields Too Large"
 LIBRARY_TOO_LARGE = ("413", "414")  # what the library says of a head over the limit
 DISCARD_BYTES = 65_536  # read at once of a head that is refused
@@ -59,9 +60,25 @@
     return _CallerReader(sock, bufsize) if "r" in mode else MakeFile(sock, mode, bufsize)
 
 
+class _CallerHeaders(dict):
+    """A caller's headers; of one that may stand once only, all values are kept, with commas.
+
+    The library keeps the last value alone, so that two different ones would pass for a single one.
+    """
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in ONCE_ONLY and name in self:
+            value = b", ".join((self[name], value))
+        super().__setitem__(name, value)
+
+
 class _CallerHead(HTTPRequest):
     """A request whose head is taken within the limits of its server."""
 
+    def __init__(self, *args: object, **options: object) -> None:
+        super().__init__(*args, **options)
+        self.inheaders = _CallerHeaders()
+
     def parse_request(self) -> None:
         """Read the head."""
         limits = self.server.limits
--- a/src/threadramp/edge/job.py
+++ b/src/threadramp/edge/job.py
@@ -10,11 +10,13 @@
 
 from threadramp.edge.connections import is_readable
 from threadramp.platform.headers import caller_of
+from threadramp.policy.callers import ANYBODY
 from threadramp.policy.fingerprint import fingerprint
 
 if TYPE_CHECKING:
     from threadramp.edge.connections import Answer
     from threadramp.fleet.model import Route
+    from threadramp.policy.callers import Caller
 
 
 class Ending(Enum):
@@ -37,6 +39,7 @@
     :param until: time at which the caller gets a final answer in any case
     :param caller: the caller's socket, watched for its end; none if nobody waits
     :param repeats_errors: whether an answer 500 is tried elsewhere; else it is the answer
+    :param who: whose request it is
     """
 
     request_id: str
@@ -48,11 +51,13 @@
     until: float
     caller: socket.socket | None = None
     repeats_errors: bool = True
+    who: Caller = ANYBODY
 
     @cached_property
     def fingerprint(self) -> bytes:
         """Return what stands for this request whatever its id; worked out when it is asked for."""
-        caller = caller_of(self.headers)
+        known = self.who.organisation
+        caller = caller_of(self.headers) if known is None else known
         return fingerprint(self.route.host, self.method, self.target, caller, self.body)
 
 
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -23,6 +23,7 @@
     200: "OK",
     202: "Accepted",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -65,10 +65,10 @@
 
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
         """Return the headers with which the stream begins or goes on."""
-        route = self.job.route
-        return stream_headers(
-            self.job.headers, time_left, instance, self.stream.last, route.priority
-        )
+        job = self.job
+        rank = job.route.priority
+        last = self.stream.last
+        return stream_headers(job.headers, time_left, instance, last, rank, job.who.organisation)
 
     def await_answer(self) -> Outcome | None:
         """Pass on what the one open exchange brings."""
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from threadramp.fleet.organisations import Organisations
+
 
 class RouteKind(Enum):
     """How the requests of a route may be treated."""
@@ -38,6 +40,7 @@
     :param result_target_s: results of a lot are due this long after its hand-in
     :param give_up_s: a sample may be given up this long after its hand-in
     :param one_version: whether all of a sample must come from one version of the weights
+    :param public: whether callers need no key
     """
 
     name: str
@@ -53,6 +56,7 @@
     result_target_s: float = 0.0
     give_up_s: float = 0.0
     one_version: bool = False
+    public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -90,12 +94,16 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """The whole configuration as the operator last accepted it."""
+    """The whole configuration as the operator last accepted it.
+
+    :param organisations: that may call, none if anybody may
+    """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     pools: dict[str, Pool] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    organisations: Organisations | None = None
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that begins the path."""
@@ -107,6 +115,13 @@
                 best = route
         return best
 
+    def takes_lots_of_anybody(self, host: str) -> bool:
+        """Return whether a host has a public route for lots, so that some belong to nobody."""
+        return any(
+            route.public and route.kind is RouteKind.SAMPLES and route.host == host
+            for route in self.routes
+        )
+
 
 class Start(NamedTuple):
     """One start of an endpoint; what was learned of it holds for no other one.
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -45,6 +45,7 @@
 CRASHES_PREFIX = NO_MEMBERS_PREFIX + "crashes/"  # by box: under which requests endpoints ended
 TRIALS_PREFIX = NO_MEMBERS_PREFIX + "trials/"  # by request and number: which box makes a trial
 ROLES_LISTED = ("gateway", "sidecar")
+FAULTS_SHOWN = 20  # in one line
 HOST_ROLE = "host"  # of a gateway that stands in for a sidecar; it is listed as what it is
 
 
@@ -214,9 +215,12 @@
     def _configuration(self, item: Item | None) -> Configuration | None:
         found = None
         if item is not None:
-            found = self.readings.read_or_last("configuration", item, _read_configuration)
+            found = self.readings.read_or_last("configuration", item, self._read_configuration)
         return found if found is not None else self.belief.configuration
 
+    def _read_configuration(self, item: Item) -> Configuration:
+        return read_configuration(item.value, self.belief.configuration)
+
     def _endpoints(self, configuration: Configuration | None) -> dict[str, Endpoint]:
         items = self.endpoints.snapshot()
         self.readings.keep_only(ENDPOINT_PREFIX, items)
@@ -279,10 +283,6 @@
     return member
 
 
-def _read_configuration(item: Item) -> Configuration:
-    return read_configuration(item.value)
-
-
 def _read_endpoint(item: Item) -> Endpoint:
     return read_endpoint(item.key, item.value, item.revision)
 
@@ -298,7 +298,7 @@
 def _log_changes(old: Belief, new: Belief) -> None:
     """Log what this process believes differently now."""
     if new.configuration is not old.configuration and new.configuration is not None:
-        log_state("configuration", version=new.configuration.version)
+        _log_configuration(new.configuration)
     for instance in old.endpoints.keys() - new.endpoints.keys():
         log_state("endpoint_gone", instance=instance, revision=new.endpoints_revision)
     for instance, endpoint in new.endpoints.items():
@@ -323,6 +323,20 @@
             log_state("version_named", model=target.model, version=target.version)
 
 
+def _log_configuration(configuration: Configuration) -> None:
+    """Log a version that is believed from now on, and once what is wrong with its organisations."""
+    organisations = configuration.organisations
+    count = None if organisations is None else len(organisations.by_name)
+    log_state("configuration", version=configuration.version, organisations=count)
+    if organisations is not None and organisations.faults:
+        log_state(
+            "organisations_faulty",
+            version=configuration.version,
+            faults=organisations.faults[:FAULTS_SHOWN],
+            count=len(organisations.faults),
+        )
+
+
 __all__ = [
     "CRASHES_PREFIX",
     "HOST_ROLE",
--- a/src/threadramp/lots/crashing_samples.py
+++ b/src/threadramp/lots/crashing_samples.py
@@ -17,7 +17,7 @@
 
     from threadramp.edge.crash_guard import CrashGuard
     from threadramp.fleet.model import Start
-    from threadramp.lots.model import Sample
+    from threadramp.lots.model import Lot, Sample
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.policy.crash_book import Ruling
     from threadramp.policy.sample_placement import RunnerView
@@ -90,12 +90,14 @@
         return set(self.apart)
 
     def _fingerprint(self, lot: OwnedLot, sample: str) -> bytes:
-        return sample_fingerprint(lot.book.lot.host, lot.book.states[sample].sample)
+        return sample_fingerprint(lot.book.lot, lot.book.states[sample].sample)
 
 
-def sample_fingerprint(host: str, sample: Sample) -> bytes:
-    """Return what stands for a sample, in whichever lot it comes."""
-    return fingerprint(host, "POST", sample.path, caller_of(sample.headers), sample.body)
+def sample_fingerprint(lot: Lot, sample: Sample) -> bytes:
+    """Return what stands for a sample, in whichever lot of its organisation it comes."""
+    known = lot.organisation
+    caller = caller_of(sample.headers) if known is None else known
+    return fingerprint(lot.host, "POST", sample.path, caller, sample.body)
 
 
 def _runs_at(lot: OwnedLot, sample: str, runner: str) -> bool:
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -42,6 +42,8 @@
 
     :param min_version: oldest version of the weights that may have made a token
     :param wanted_groups: whole groups that the trainer waits for
+    :param organisation: whose lot it is, empty if nobody's in particular, none where the
+        configuration named no organisations
     """
 
     id: str
@@ -52,6 +54,7 @@
     min_version: int
     wanted_groups: int
     samples: tuple[Sample, ...]
+    organisation: str | None = None
 
 
 class ResultState(Enum):
--- a/src/threadramp/lots/runners.py
+++ b/src/threadramp/lots/runners.py
@@ -302,6 +302,7 @@
             give_up_in_s=book.rules.give_up_at - self.clock.now(),
             rank=lot.kept.head.rank,
             model=book.lot.model,
+            organisation=book.lot.organisation,
         )
 
     def _cut(self, view: RunnerView, have: dict[str, int]) -> None:
--- a/src/threadramp/platform/documents.py
+++ b/src/threadramp/platform/documents.py
@@ -20,6 +20,7 @@
     RouteKind,
     WeightTarget,
 )
+from threadramp.platform.organisation_rows import read_organisations
 
 CONFIGURATION_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
@@ -68,6 +69,7 @@
     run_target_ms: float = 0
     queue_ttl_s: float = msgspec.field(default=0, name="queueTtlS")
     single_version: bool = False
+    public: bool = False
 
     def decoded(self) -> Route:
         shares = tuple(PoolShare(share.backend, share.weight) for share in self.traffic_split)
@@ -85,6 +87,7 @@
             result_target_s=self.run_target_ms / MS_PER_S,
             give_up_s=self.queue_ttl_s,
             one_version=self.single_version,
+            public=self.public,
         )
 
 
@@ -136,6 +139,7 @@
     routes: list[_Route] = []
     backends: list[_Pool] = []  # misleading: pools, not single endpoints
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[msgspec.Raw] | None = None
 
 
 class _State(Enum):
@@ -176,17 +180,20 @@
 _empty = msgspec.json.Decoder(_EmptyRequest)
 
 
-def read_configuration(value: bytes) -> Configuration:
+def read_configuration(value: bytes, before: Configuration | None = None) -> Configuration:
     """Decode the operator's configuration.
 
+    :param before: whose organisations are taken over where their rows are the same
     :raises DocumentError: if it cannot be read
     """
     found = _decode(_configuration, value)
+    known = before.organisations if before is not None else None
     return Configuration(
         version=found.version,
         routes=tuple(route.decoded() for route in found.routes),
         pools={pool.name: pool.decoded() for pool in found.backends},
         limits=found.limits.decoded(),
+        organisations=None if found.tenants is None else read_organisations(found.tenants, known),
     )
 
 
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -20,6 +20,10 @@
 RESUME_AFTER = "Last-Event-Id"
 LENGTH_GUESS = "X-Length-Hint"
 PRIORITY = "X-Request-Priority"
+ORGANISATION = "X-Tenant"
+CREDENTIALS = "Authorization"
+KEY_SCHEME = "bearer"
+KEY_IN_TEXT_LEAST = 8  # characters of a key that is looked for within other headers
 MS_PER_S = 1000.0
 LAST_RANK = 9  # the least urgent that endpoints know
 OTHER_INSTANCE_STATUS = 421
@@ -41,6 +45,7 @@
 )
 # What tells whose request it is; two callers' requests are never taken for the same one.
 _NAMES_CALLER = frozenset(("authorization", "cookie", "x-api-key", "x-tenant"))
+_IDENTITY = frozenset((CREDENTIALS.lower(), ORGANISATION.lower()))
 _SET_BY_US = frozenset(name.lower() for name in (TIME_LEFT, EXPECT_INSTANCE, PRIORITY))
 
 
@@ -98,31 +103,64 @@
     return "\n".join(f"{name}: {value}" for name, value in sorted(pairs) if name in _NAMES_CALLER)
 
 
+def caller_key(headers: Mapping[str, str]) -> bytes | None:
+    """Return the key that a caller sent; empty if what it sent is none, none if it sent nothing.
+
+    Several of them are none: nobody can tell which one was meant.
+    """
+    sent = headers.get(CREDENTIALS)
+    return None if sent is None else _key_in(sent)
+
+
+def _key_in(sent: str) -> bytes:
+    """Return the key in a value of the header for credentials, empty if there is none."""
+    scheme, _, key = sent.strip(" ").partition(" ")
+    key = key.strip(" ")
+    if scheme.lower() != KEY_SCHEME or not key or not key.isascii() or not key.isprintable():
+        return b""
+    return b"" if " " in key or "," in key else key.encode()
+
+
 def to_endpoint(
-    incoming: Iterable[tuple[str, str]], time_left: float, instance: str
+    incoming: Iterable[tuple[str, str]],
+    time_left: float,
+    instance: str,
+    organisation: str | None = None,
 ) -> dict[str, str]:
     """Return the headers with which a caller's request goes on to an endpoint.
 
     :param time_left: seconds, never more than what the caller has left
     :param instance: any other start of an endpoint refuses the request
+    :param organisation: whose request it is, empty if nobody's in particular; its key and what the
+        caller says of it stay here then. None where the configuration names no organisations.
     """
     pairs = [(name, value) for name, value in incoming]
     dropped = _named_by_connection(pairs) | _ONE_CONNECTION | _SET_BY_US
+    if organisation is not None:
+        pairs = _without_identity(pairs)
     headers = {name: value for name, value in pairs if name.lower() not in dropped}
+    if organisation:
+        headers[ORGANISATION] = organisation
     headers[TIME_LEFT] = str(max(1, int(time_left * MS_PER_S)))
     headers[EXPECT_INSTANCE] = instance
     return headers
 
 
 def stream_headers(
-    incoming: Iterable[tuple[str, str]], time_left: float, instance: str, after: int, rank: int
+    incoming: Iterable[tuple[str, str]],
+    time_left: float,
+    instance: str,
+    after: int,
+    rank: int,
+    organisation: str | None = None,
 ) -> dict[str, str]:
     """Return the headers with which a caller's stream begins or goes on at an endpoint.
 
     :param after: events that the caller has; the endpoint goes on behind them
     :param rank: of the route, 0 is the most urgent
+    :param organisation: as in ``to_endpoint``
     """
-    headers = to_endpoint(incoming, time_left, instance)
+    headers = to_endpoint(incoming, time_left, instance, organisation)
     headers[PRIORITY] = str(min(LAST_RANK, max(0, rank)))
     if after:
         headers[RESUME_AFTER] = str(after)
@@ -141,13 +179,15 @@
     instance: str,
     after: int,
     rank: int,
+    organisation: str | None = None,
 ) -> dict[str, str]:
     """Return the headers with which a sample goes to an engine.
 
     :param after: events that are already here; the engine goes on behind them
     :param rank: of its lot's route, 0 is the most urgent
+    :param organisation: whose lot it is, as in ``to_endpoint``
     """
-    headers = stream_headers(given, time_left, instance, after, rank)
+    headers = stream_headers(given, time_left, instance, after, rank, organisation)
     headers[REQUEST_ID] = sample
     return headers
 
@@ -200,6 +240,30 @@
     return {part.strip().lower() for value in values for part in value.split(",")}
 
 
+def _without_identity(pairs: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return headers without what tells who calls, or repeats the key that tells it.
+
+    Some endpoints read an underscore in a header's name as a hyphen, so both spellings go.
+    """
+    sent = [value for name, value in pairs if _spelled(name) == CREDENTIALS.lower()]
+    keys = [key.decode() for key in map(_key_in, sent) if key]
+    return [
+        (name, value)
+        for name, value in pairs
+        if _spelled(name) not in _IDENTITY
+        and (name.lower() == "host" or not any(_repeats(key, value) for key in keys))
+    ]
+
+
+def _repeats(key: str, value: str) -> bool:
+    """Return whether a header carries a key as well; a short one may be part of a word."""
+    return key in value if len(key) >= KEY_IN_TEXT_LEAST else key == value.strip()
+
+
+def _spelled(name: str) -> str:
+    return name.strip().lower().replace("_", "-")
+
+
 def _load(text: str) -> EndpointLoad | None:
     parts = [part.strip() for part in text.split(",")]
     if len(parts) != 3 or not all(part.isdigit() for part in parts):
@@ -220,6 +284,7 @@
     "RETRY_AFTER",
     "AnswerHead",
     "EndpointLoad",
+    "caller_key",
     "caller_of",
     "length_guess",
     "order_headers",
--- a/src/threadramp/platform/standins/endpoint.py
+++ b/src/threadramp/platform/standins/endpoint.py
@@ -123,7 +123,7 @@
         after = int(request.headers.get("last-event-id", 0))
         with self.lock:
             run = {"id": name, "after": after, "target": "/".join(request.path)}
-            self.runs.append(run | {"rank": request.headers.get("x-request-priority", "")})
+            self.runs.append(run | _told(request))
         if self.use_up("fail"):
             return Response(500)
         if self.use_up("impossible"):
@@ -162,4 +162,14 @@
             self.running = max(0, self.running - 1)
 
 
+def _told(request: Request) -> dict[str, Any]:
+    """Return what a request says of its rank and its caller, and all of its headers."""
+    return {
+        "rank": request.headers.get("x-request-priority", ""),
+        "tenant": request.headers.get("x-tenant"),
+        "headers": dict(request.headers),
+        "at": time.time(),
+    }
+
+
 __all__ = ["PlatformEngine"]
--- a/src/threadramp/platform/trainer_calls.py
+++ b/src/threadramp/platform/trainer_calls.py
@@ -4,7 +4,7 @@
 
 import base64
 import binascii
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -13,6 +13,7 @@
 
 from threadramp.config.findings import Finding, FindingsError
 from threadramp.lots.model import Lot, Reward, Sample
+from threadramp.lots.names import given_name, is_sound, kept_name
 from threadramp.platform.headers import length_guess, whole_number
 
 if TYPE_CHECKING:
@@ -47,6 +48,11 @@
     after: int = 0
     sample: str = ""
 
+    def of(self, organisation: str | None) -> LotCall:
+        """Return this call about the lot that an organisation keeps under its name."""
+        sample = self.sample and kept_name(organisation, self.sample)
+        return replace(self, lot=kept_name(organisation, self.lot), sample=sample)
+
 
 class _Reward(msgspec.Struct):
     id: str
@@ -76,9 +82,12 @@
 _decode_lot = msgspec.json.Decoder(_Lot).decode
 
 
-def read_lot(lot_id: str, host: str, path: str, body: bytes) -> Lot:
+def read_lot(
+    lot_id: str, host: str, path: str, body: bytes, organisation: str | None = None
+) -> Lot:
     """Decode the hand-in of a lot.
 
+    :param organisation: whose it is, as the lot has it
     :raises FindingsError: with the place of what is wrong
     """
     try:
@@ -86,7 +95,11 @@
     except msgspec.DecodeError as error:
         raise FindingsError([Finding("body", str(error))]) from error
     findings: list[Finding] = []
-    samples = [_sample(place, row, findings) for place, row in enumerate(found.requests)]
+    if not is_sound(lot_id):
+        findings.append(Finding("id", "has a sign that sets names apart here"))
+    samples = [
+        _sample(place, row, organisation, findings) for place, row in enumerate(found.requests)
+    ]
     if len({sample.id for sample in samples}) < len(samples):
         findings.append(Finding("requests", "two samples have the same id"))
     if not samples:
@@ -94,7 +107,7 @@
     if findings:
         raise FindingsError(findings)
     return Lot(
-        id=lot_id,
+        id=kept_name(organisation, lot_id),
         host=host,
         path=path,
         step=found.step,
@@ -102,14 +115,20 @@
         min_version=found.minVersion,
         wanted_groups=found.desired,
         samples=tuple(samples),
+        organisation=organisation,
     )
 
 
 def read_call(method: str, target: str) -> LotCall | None:
-    """Return which call about a lot this is, none if it is no such call.
+    """Return which call about a lot this is, none if it is none, or names what nobody handed in.
 
     :param target: path and query as the caller sent them
     """
+    call = _call(method, target)
+    return call if call is not None and is_sound(call.lot) and is_sound(call.sample) else None
+
+
+def _call(method: str, target: str) -> LotCall | None:
     parts = urlsplit(target)
     query = parse_qs(parts.query)
     if parts.path.startswith(_LOT_ROOT):
@@ -133,7 +152,7 @@
 
 def _row(result: Result) -> dict[str, object]:
     row: dict[str, object] = {
-        "id": result.sample,
+        "id": given_name(result.sample),
         "state": result.state.value,
         "text": result.text,
         "versions": result.versions,
@@ -143,11 +162,13 @@
     return row
 
 
-def _sample(place: int, row: _Sample, findings: list[Finding]) -> Sample:
+def _sample(place: int, row: _Sample, organisation: str | None, findings: list[Finding]) -> Sample:
     where = f"requests[{place}]"
+    if not is_sound(row.id):
+        findings.append(Finding(f"{where}.id", "has a sign that sets names apart here"))
     reward = row.scoringEndpoint
     return Sample(
-        id=row.id,
+        id=kept_name(organisation, row.id),
         path=row.path,
         headers=tuple(row.headers.items()),
         body=_bytes(f"{where}.body", row.body, findings),
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -15,6 +15,7 @@
     streamed_answer,
 )
 from threadramp.edge.endpoint_probe import EndpointState, look_at
+from threadramp.lots.names import given_name
 from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
@@ -106,11 +107,12 @@
         order = self.run.order
         headers = sample_headers(
             (*order.sample.headers, ("Host", order.host)),
-            order.sample.id,
+            given_name(order.sample.id),
             max(1.0, order.give_up_in_s),
             self.start.instance,
             self.run.count,
             order.rank,
+            order.organisation,
         )
         exchange.send("POST", order.sample.path, headers, order.sample.body)
 
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -75,6 +75,7 @@
     :param give_up_in_s: seconds after which nobody wants it any more
     :param rank: of the lot's route, 0 is the most urgent
     :param model: whose weights are to make it
+    :param organisation: whose lot it is of, as the lot has it
     """
 
     sample: Sample
@@ -88,6 +89,7 @@
     give_up_in_s: float
     rank: int = USUAL_RANK
     model: str = ""
+    organisation: str | None = None
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -55,6 +55,11 @@
     return f"127.{64 + os.getpid() // 250 % 64}.{os.getpid() % 250}.{number % 250 + 1}"
 
 
+def bearer(key: str) -> dict[str, str]:
+    """Return the header in which a caller shows a key, none for an empty one."""
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
 def is_engine(standin) -> bool:
     """Return whether a stand-in is an engine of a fleet, beside a sidecar."""
     return isinstance(standin, PlatformEngine) and standin.instance.startswith("i-e")
@@ -213,8 +218,17 @@
         """List an endpoint."""
         self.put(f"servers/{instance}", entry_fields(pool, address, **fields))
 
-    def configure(self, version: int = 3, limits: dict | None = None, **route) -> None:
-        """Write the configuration."""
+    def configure(
+        self,
+        version: int = 3,
+        limits: dict | None = None,
+        organisations: dict | None = None,
+        **route,
+    ) -> None:
+        """Write the configuration.
+
+        :param organisations: keys by name, none for a configuration that names nobody
+        """
         calls = {
             "name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
             "timeoutMs": 1500, "targetLatencyMs": 400, "backend": "calls", "maxAttempts": 4,
@@ -231,6 +245,10 @@
             "backends": [engines, {"name": "calls"}],
             "limits": {"maxBodyBytes": 2_000_000, **(limits or {})},
         }
+        if organisations is not None:
+            table["tenants"] = [
+                {"name": name, "apiKeys": list(keys)} for name, keys in organisations.items()
+            ]
         self.put("op/config", table)
 
     def name_version(self, version: int) -> None:
@@ -257,24 +275,25 @@
         }  # fmt: skip
         return msgspec.json.encode(table)
 
-    def hand_in(self, gateway: Box, lot_id: str, **lot) -> int:
+    def hand_in(self, gateway: Box, lot_id: str, key: str = "", **lot) -> int:
         """Hand a lot in and return the status."""
         body = self.lot(lot_id, **lot)
-        return gateway.call("POST", f"/lots/{lot_id}", body=body, X_Attempt_Id=lot_id).status
+        named = {"X_Attempt_Id": lot_id, **bearer(key)}
+        return gateway.call("POST", f"/lots/{lot_id}", body=body, **named).status
 
-    def results(self, gateway: Box, lot_id: str, after: int = 0, wait_ms: int = 0):
+    def results(self, gateway: Box, lot_id: str, after: int = 0, wait_ms: int = 0, key: str = ""):
         """Return a page of results, none if there was no answer 200."""
         target = f"/threadramp/lots/{lot_id}?after={after}"
-        answer = gateway.call("GET", target, X_Wait_Ms=str(wait_ms))
+        answer = gateway.call("GET", target, X_Wait_Ms=str(wait_ms), **bearer(key))
         return msgspec.json.decode(answer.data) if answer.status == 200 else None
 
-    def whole(self, gateway: Box, lot_id: str) -> list[dict]:
+    def whole(self, gateway: Box, lot_id: str, key: str = "") -> list[dict]:
         """Wait until all results of a lot are listed and return them."""
 
         found: list[dict] = []
 
         def all_listed():
-            page = self.results(gateway, lot_id, after=len(found))
+            page = self.results(gateway, lot_id, after=len(found), key=key)
             if page is None:
                 return None
             found.extend(page["results"])
