Report usage by organisation, each window once, by one box at a time

Weighed for how counts come together: a key for each gateway in the store (calls are priced, 22 a window), messages of differences (a lost one is lost), the store for what is not acknowledged (needed only where a box is lost within the second). Kept: running totals that collectors ask for once a second; the holder and the two gateways that the duties fall to by name collect, so a holder that is lost takes at most its own last second along.

Change: fleet/rights.py is the right to order engines made general, with one use for both; the write that fixes a window is the proof of the right, so a window costs one call to the store.

--- a/src/threadramp/edge/attempts.py
+++ b/src/threadramp/edge/attempts.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Set
 
+    from threadramp.duties.collecting import UsageCounting
     from threadramp.edge.connections import Answer, Connections, Exchange
     from threadramp.edge.job import Job
     from threadramp.fleet.clock import Clock
@@ -49,12 +50,14 @@
         budget: RetryBudget,
         clock: Clock,
         guard: CrashGuard | None = None,
+        counting: UsageCounting | None = None,
     ) -> None:
         self.picture = picture
         self.connections = connections
         self.choice = choice
         self.budget = budget
         self.clock = clock
+        self.counting = counting
         self.guard = guard or CrashGuard(CrashBook(), clock, picture)
 
     def forget_gone(self) -> None:
@@ -72,7 +75,13 @@
 
 
 class Attempts:
-    """The tries of one job; each way to forward says how it waits for the answer to a try."""
+    """The tries of one job; each way to forward says how it waits for the answer to a try.
+
+    An endpoint with a free place begins a request as it arrives, so it is counted when it is sent:
+    then no answer that is lost, late or given up leaves it out.
+    """
+
+    begins_when_sent = True
 
     def __init__(self, parts: EndpointAccess, job: Job) -> None:
         self.parts = parts
@@ -177,6 +186,20 @@
             self.endpoint_failed(endpoint, error, ran=not exchange.reused)
             return
         self.tries.open.append(exchange)
+        if self.begins_when_sent:
+            self.begun(endpoint, now)
+
+    def begun(self, endpoint: Endpoint, at: float) -> None:
+        """Count the job as begun at an endpoint, for the usage of its organisation."""
+        if self.parts.counting is not None:
+            self.tries.begun_at[endpoint.start] = at
+            self.parts.counting.began(self.job.who.organisation, at)
+
+    def not_begun(self, endpoint: Endpoint) -> None:
+        """Take that back: the endpoint said so, or it never saw the job."""
+        at = self.tries.begun_at.pop(endpoint.start, None)
+        if at is not None:
+            self.parts.counting.did_not_begin(self.job.who.organisation, at)
 
     def closed(self, exchange: Exchange) -> None:
         """Note that an exchange is over."""
@@ -200,6 +223,7 @@
 
     def rejected(self, endpoint: Endpoint, status: int) -> None:
         """Note that an endpoint said it did not run the job."""
+        self.not_begun(endpoint)
         self.tries.rejected.add(endpoint.start)
         log_state(
             "rejected", request=self.job.request_id, instance=endpoint.instance, status=status
@@ -252,6 +276,7 @@
 
     def _connection_stale(self, endpoint: Endpoint, error: ExchangeError, ran: bool) -> None:
         """Note that a kept connection was closed; the endpoint may be asked on a new one."""
+        self.not_begun(endpoint)
         self.parts.connections.forget_one(endpoint.start)  # the others rested as long
         self.tries.may_have_run |= ran
         log_state(
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -52,7 +52,9 @@
 
 
 class _Stream(Attempts):
-    """One stream on its way."""
+    """One stream on its way; an engine begins it with its first token, which brings the head."""
+
+    begins_when_sent = False
 
     def __init__(
         self, parts: StreamForwarder, job: Job, request: CallerRequest, closes: bool
@@ -141,6 +143,7 @@
             return None
         if response.status != 200 or not head.signature or not _is_stream(response):
             return self._other_answer(exchange, response, head)
+        self.begun(exchange.endpoint, self.now())
         self.stream.begin(response)
         self.stream.pass_events(exchange, response, self._patience_s)
         self.holding.answered(exchange.endpoint.start)
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -31,6 +31,8 @@
     :param status_s: seconds for which the results of a lot stay readable
     :param holders_apart_s: two boxes may not order an engine in turns within this many seconds
     :param checks_fences: whether endpoints refuse an order with an old fencing number
+    :param usage_window_s: length of the windows whose usage is reported
+    :param usage_late_s: after a window's end, until its report is due
     """
 
     drain_s: float = 2.0
@@ -39,6 +41,30 @@
     status_s: float = 120.0
     holders_apart_s: float = 3.0
     checks_fences: bool = False
+    usage_window_s: float = 5.0
+    usage_late_s: float = 10.0
+
+
+@dataclass(frozen=True)
+class DutySettings:
+    """Where the platform takes the calls that one box at a time makes.
+
+    :param address: ``ip:port``
+    :param duties: names of those that it takes
+    """
+
+    address: str
+    duties: tuple[str, ...] = ()
+
+    @property
+    def takes_usage(self) -> bool:
+        """Return whether it takes reports of usage."""
+        return "usage" in self.duties
+
+    @property
+    def takes_scale(self) -> bool:
+        """Return whether it takes how many endpoints a pool is to have."""
+        return "scale" in self.duties
 
 
 @dataclass(frozen=True)
@@ -70,6 +96,7 @@
     :param heartbeat_s: seconds between two writes of an endpoint's entry
     :param memory_mb: memory limit of a process
     :param first_start: whether the whole system starts for the first time
+    :param duties: none where the platform takes no such calls
     """
 
     name: str
@@ -85,6 +112,7 @@
     heartbeat_s: float = 1.2
     memory_mb: int = 256
     first_start: bool = False
+    duties: DutySettings | None = None
 
 
 def settings_path() -> Path:
@@ -129,6 +157,7 @@
             heartbeat_s=self._number(self.table, "heartbeatMs", 1200.0, "") / 1000,
             memory_mb=int(self._number(self._table("limits"), "memoryMb", 256, "limits.")),
             first_start=bool(self.table.get("bootstrap", False)),
+            duties=self._duties(),
         )
         if self.findings:
             raise FindingsError(self.findings)
@@ -145,6 +174,20 @@
         reads_per_s = self._number(table, "readsPerS", 0, "provider.")
         return StoreSettings(address, int(value_bytes), lease_min_ms / 1000, reads_per_s)
 
+    def _duties(self) -> DutySettings | None:
+        table = self.table.get("cloud")
+        if not table:
+            return None
+        address = table.get("address") if isinstance(table, dict) else None
+        names = table.get("duties", []) if isinstance(table, dict) else None
+        if not isinstance(address, str) or ":" not in address:
+            self.findings.append(Finding("cloud.address", "is missing or no ip:port"))
+            return None
+        if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+            self.findings.append(Finding("cloud.duties", "is no list of names"))
+            return None
+        return DutySettings(address, tuple(names))
+
     def _bounds(self) -> Bounds:
         table = self._table("bounds")
         return Bounds(
@@ -154,6 +197,8 @@
             status_s=self._number(table, "statusS", 120, "bounds."),
             holders_apart_s=self._number(table, "leaseTtlMs", 3000, "bounds.") / 1000,
             checks_fences=bool(table.get("requireFencing", False)),
+            usage_window_s=self._number(table, "reportWindowS", 5, "bounds."),
+            usage_late_s=self._number(table, "usageLateS", 10, "bounds."),
         )
 
     def _table(self, name: str) -> dict[str, Any]:
@@ -185,4 +230,11 @@
         return default
 
 
-__all__ = ["Bounds", "BoxSettings", "StoreSettings", "read_settings", "settings_path"]
+__all__ = [
+    "Bounds",
+    "BoxSettings",
+    "DutySettings",
+    "StoreSettings",
+    "read_settings",
+    "settings_path",
+]
--- /dev/null
+++ b/src/threadramp/policy/true_time.py
@@ -0,0 +1,60 @@
+"""The true time of day, told from the clocks of several boxes.
+
+One box's time of day may jump by seconds for a while. So it is taken as an offset from the steady
+clock, as the middle of what several boxes say: as long as less than half of them are wrong, none of
+them moves it.
+"""
+
+from __future__ import annotations
+
+from statistics import median_low
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from threadramp.fleet.clock import Clock
+
+# Clocks jump by seconds; messages between busy boxes came up to 0.3 s late, and requests counted by
+# a time that moved by as much within a window of 2 s were 12% off.
+AGREE_S = 0.5
+HEARD_S = 10.0  # what a box said longer ago does not count; others are asked each second
+
+
+class TrueTime:
+    """The true time of day as one process knows it.
+
+    Its own clock counts as it stood at the start: a jump later is none of the true time.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.own = clock.time_of_day() - clock.now()
+        self.heard: dict[str, tuple[float, float]] = {}
+
+    def now(self) -> float:
+        """Return the true time of day, in seconds since the epoch."""
+        return self.at(self.clock.now())
+
+    def at(self, steady: float) -> float:
+        """Return the true time of day at a time of the steady clock."""
+        return steady + self.offset()
+
+    def note(self, box: str, time_of_day: float, steady: float) -> None:
+        """Note what a box said the time was.
+
+        :param steady: time of our steady clock at that moment
+        """
+        self.heard[box] = (time_of_day - steady, steady)
+
+    def offset(self) -> float:
+        """Return the true time of day less the steady clock.
+
+        Our own counts where it agrees with the middle: what others say comes late by the time that
+        it was on its way, which varies with how busy the boxes are.
+        """
+        since = self.clock.now() - HEARD_S
+        offsets = [offset for offset, at in list(self.heard.values()) if at >= since]
+        middle = median_low([self.own, *offsets])
+        return self.own if abs(self.own - middle) < AGREE_S else middle
+
+
+__all__ = ["AGREE_S", "HEARD_S", "TrueTime"]
--- a/src/threadramp/runner/hosting.py
+++ b/src/threadramp/runner/hosting.py
@@ -18,7 +18,7 @@
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.runner.engine import Engine
-from threadramp.runner.order_right import OrderRight
+from threadramp.runner.order_right import order_right
 from threadramp.runner.runs import RunTable
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weights import Weights
@@ -155,7 +155,7 @@
     def _new_runner(self, address: str, endpoint: Endpoint) -> Sidecar:
         member = hosted_member(self.peers.member, address)
         engine = Engine(address, endpoint.pool, self.peers.member.name, self.clock)
-        right = OrderRight(
+        right = order_right(
             self.store,
             address,
             self.peers.member.name,
--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.model import WeightTarget
+    from threadramp.fleet.rights import Right
     from threadramp.runner.engine import Engine
-    from threadramp.runner.order_right import OrderRight
 
 TAKEN_TIMEOUT_S = 4.0  # an order that was taken but shows no effect for so long is given again
 HURRY_S = 0.6  # a gateway asks again while it has to; the engine is looked at each 0.2 s
@@ -42,9 +42,7 @@
     :param versions_apart: 1 if the engine loads each version, 2 if every second one
     """
 
-    def __init__(
-        self, engine: Engine, clock: Clock, right: OrderRight, versions_apart: int = 1
-    ) -> None:
+    def __init__(self, engine: Engine, clock: Clock, right: Right, versions_apart: int = 1) -> None:
         self.right = right
         self.versions_apart = versions_apart
         self.engine = engine
@@ -120,7 +118,7 @@
     def _order(self, target: WeightTarget) -> None:
         report = self.engine.report
         start = self.engine.start
-        fence = self.right.order_number()
+        fence = self.right.usable_number()
         if not fence:
             self.not_before = self.clock.now() + ORDER_PAUSE_S
             return
--- a/src/threadramp/serve/answers.py
+++ b/src/threadramp/serve/answers.py
@@ -28,12 +28,15 @@
     MirrorChanges,
     ReadBody,
     ReadLot,
+    ReadUsage,
     Submit,
+    UsageLeft,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from threadramp.duties.turns import Duties
     from threadramp.fleet.crash_sharing import CrashSharing
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.relaying import StoreCalls
@@ -58,6 +61,7 @@
         hosting: HostedRunners | None = None,
         beliefs: Beliefs | None = None,
         crashes: CrashSharing | None = None,
+        duties: Duties | None = None,
     ) -> None:
         self.beliefs = beliefs or Beliefs()
         self.hosting = hosting
@@ -81,6 +85,9 @@
         if crashes is not None:
             self.by_kind[CrashesTold] = crashes.heard
             self.by_kind[Acquit] = crashes.acquit
+        if duties is not None:
+            self.by_kind[ReadUsage] = duties.collecting.counting.answer
+            self.by_kind[UsageLeft] = duties.take_last
         if hosting is not None:
             self.by_kind |= dict.fromkeys(OF_RUNNERS, hosting.handle)
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -6,6 +6,10 @@
 from dataclasses import asdict
 from random import Random
 
+from threadramp.duties.collecting import UsageCollecting, UsageCounting
+from threadramp.duties.holding import DutyHolding
+from threadramp.duties.turns import Duties
+from threadramp.duties.usage_reports import UsageReports
 from threadramp.edge.caller_watch import CallerWatch
 from threadramp.edge.connections import Connections
 from threadramp.edge.crash_guard import CrashGuard
@@ -34,10 +38,13 @@
 from threadramp.lots.reading import LotReader
 from threadramp.lots.runners import Runners
 from threadramp.lots.scoring import Scoring
+from threadramp.platform.duty_calls import DutyCalls
 from threadramp.platform.store import StoreClient
 from threadramp.policy.crash_book import CrashBook
 from threadramp.policy.endpoint_choice import EndpointChoice
 from threadramp.policy.retries import RetryBudget
+from threadramp.policy.true_time import TrueTime
+from threadramp.policy.usage_schedule import UsageSchedule
 from threadramp.report.beliefs import Beliefs, GatewayBeliefs
 from threadramp.report.call_tally import CallTally
 from threadramp.report.log import log_state
@@ -82,6 +89,8 @@
         self.crashes.start()
         self.emptying.start()
         self.hosting.start()
+        if self.duties is not None:
+            self.duties.start()
         self.sync = SyncServer(
             self.member.address, Packing(), self.answers.handle, PEER_THREADS, decode_ask
         )
@@ -97,12 +106,16 @@
         began = steady_s()
         self.handler.stopping = True
         in_background(self.owner.hand_over)  # the store may be slow, and the end is near
+        if self.duties is not None:
+            in_background(self.duties.leave)
         last = began + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self._wait_until_quiet(began + BALANCER_S, last - LAST_ANSWERS_S)
         self.callers.take_nothing_new()
         self.hosting.leave()
         while self.callers.is_busy and steady_s() < last:
             time.sleep(STOP_LOOK_S)
+        if self.duties is not None:
+            in_background(self.duties.tell_last).join(LEAVE_S)
         in_background(self.membership.leave).join(LEAVE_S)
 
     def _wait_until_quiet(self, least: float, most: float) -> None:
@@ -142,7 +155,9 @@
         book = CrashBook()
         self.crashes = CrashSharing(book, self.peers, store, health, clock, self.member.name)
         self.guard = CrashGuard(book, clock, self.picture, self.crashes.claim, self.metrics.count)
+        self.true_time = TrueTime(clock)
         self._build_lots(store, clock)
+        self.duties = self._new_duties(store, clock)
         self.hosting = HostedRunners(
             self.peers,
             store,
@@ -159,8 +174,38 @@
             self.hosting,
             self._beliefs(clock),
             self.crashes,
+            self.duties,
         )
 
+    def _new_duties(self, store: StoreClient, clock: Clock) -> Duties | None:
+        """Return this gateway's part in the fleet's duties, none where the platform takes none."""
+        own = self.settings
+        if own.duties is None or not own.duties.takes_usage:
+            return None
+        collecting = UsageCollecting(self.peers, self.counting, self.true_time)
+        holding = DutyHolding(
+            self.picture,
+            store,
+            own.name,
+            own.bounds.holders_apart_s,
+            clock,
+            lambda holder: self.duties.may_take(holder),
+        )
+        schedule = UsageSchedule(own.bounds.usage_window_s, own.bounds.usage_late_s)
+        calls = DutyCalls(own.duties.address, own.name)
+        reports = UsageReports(
+            holding.right, store, calls, collecting, schedule, self.true_time, self.metrics
+        )
+        return Duties(self.peers, holding, collecting, reports)
+
+    def _new_counting(self) -> UsageCounting | None:
+        """Return what counts requests for their organisations, none where nobody asks for it."""
+        own = self.settings
+        if own.duties is None or not own.duties.takes_usage:
+            return None
+        window_s = own.bounds.usage_window_s
+        return UsageCounting(window_s, self.true_time, own.name, self.incarnation)
+
     def _beliefs(self, clock: Clock) -> Beliefs:
         """Return what tells an operator what this process believes."""
         own = GatewayBeliefs(self.picture, self.peers, self.forwarder, self.owner.owned, clock)
@@ -196,8 +241,15 @@
     def _build_lots(self, store: StoreClient, clock: Clock) -> None:
         random = Random(self.incarnation)
         connections = Connections()
+        self.counting = self._new_counting()
         forwarder = Forwarder(
-            self.picture, connections, EndpointChoice(random), RetryBudget(), clock, self.guard
+            self.picture,
+            connections,
+            EndpointChoice(random),
+            RetryBudget(),
+            clock,
+            self.guard,
+            self.counting,
         )
         self.forwarder = forwarder
         self.caller_watch = CallerWatch()
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -17,7 +17,7 @@
 from threadramp.report.call_tally import CallTally
 from threadramp.report.metrics import Metrics
 from threadramp.runner.engine import Engine
-from threadramp.runner.order_right import OrderRight
+from threadramp.runner.order_right import order_right
 from threadramp.runner.runs import RunTable
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weights import Weights
@@ -55,7 +55,7 @@
         store = StoreClient(own.store.address, self._relay, health.observe, count=tally.note)
         engine = Engine(own.endpoint, own.pool, own.name, clock)
         apart_s = own.bounds.holders_apart_s
-        right = OrderRight(store, own.endpoint, own.name, apart_s, clock, is_sure=self._is_heard)
+        right = order_right(store, own.endpoint, own.name, apart_s, clock, is_sure=self._is_heard)
         weights = Weights(engine, clock, right, self.own.weights.versions_apart)
         table = RunTable(clock.now)
         self.sidecar = Sidecar(member, engine, weights, table, client, clock, self.metrics)
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -28,6 +28,21 @@
     address: str
 
 
+class UsageCounts(Message, frozen=True):
+    """What one process counted.
+
+    :param changes: number of its last change
+    :param windows: by number those that changed, each with all its counts by organisation
+    :param time_of_day: of its box
+    """
+
+    box: str
+    incarnation: str
+    changes: int
+    windows: dict[int, dict[str, int]]
+    time_of_day: float
+
+
 class Beat(Ask, frozen=True):
     """A regular sign of life to a sidecar."""
 
@@ -141,6 +156,25 @@
     wait_s: float
 
 
+class ReadUsage(Ask, frozen=True):
+    """How many requests began for each organisation, as far as the asker does not know it.
+
+    :param incarnation: of the process that it knows
+    :param seen: number of that process's last change that it knows
+    :param true_time: as the asker knows it
+    """
+
+    incarnation: str
+    seen: int
+    true_time: float
+
+
+class UsageLeft(Ask, frozen=True):
+    """What a gateway that stops has counted last, for those that collect."""
+
+    counts: UsageCounts
+
+
 class FindLot(Ask, frozen=True):
     """The head of a lot, from the gateway of the data centre that the lot falls to."""
 
@@ -293,6 +327,8 @@
     | CrashesTold
     | Acquit
     | Inspect
+    | ReadUsage
+    | UsageLeft
     | FindLot
     | ReadLot
     | ReadBody
@@ -312,6 +348,7 @@
     | LotEnded
     | LotFound
     | Believed
+    | UsageCounts
     | Done
 )
 
@@ -348,11 +385,14 @@
     "MirrorCopy",
     "ReadBody",
     "ReadLot",
+    "ReadUsage",
     "SampleBody",
     "Status",
     "StoreAnswered",
     "Submit",
     "Updates",
+    "UsageCounts",
+    "UsageLeft",
     "decode_ask",
     "decode_reply",
 ]
--- /dev/null
+++ b/tests/duties/test_usage_reports.py
@@ -0,0 +1,303 @@
+"""One report a window for good: fixed before it is sent, repeated exactly, under rising numbers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.conftest import FakeClock
+from tests.stores import MemoryStore
+from threadramp.duties.usage_reports import FIXED_PREFIX, PROVEN_S, UsageReports
+from threadramp.fleet.rights import Right
+from threadramp.platform.duty_calls import DutyAnswer, DutyOutcome
+from threadramp.platform.store_model import StoreError
+from threadramp.policy.true_time import TrueTime
+from threadramp.policy.usage_schedule import KEEP_TRYING_S, SETTLE_S, UsageSchedule
+from threadramp.report.metrics import Metrics
+
+WINDOW_S = 5.0
+APART_S = 3.0
+BOOT = 1_700_000_000.0
+
+
+class Cloud:
+    """What takes the calls, and checks what must hold of all of them."""
+
+    def __init__(self) -> None:
+        self.rows: list[tuple[str, int, int, dict]] = []
+        self.outcome = DutyOutcome.TAKEN
+        self.loses = False
+
+    def caller(self, box: str):
+        cloud = self
+
+        class Calls:
+            def usage(self, number, window, counts):
+                if cloud.outcome is DutyOutcome.TAKEN:
+                    cloud.rows.append((box, number, window, dict(counts)))
+                if cloud.loses:
+                    return DutyAnswer(DutyOutcome.UNKNOWN, "lost")
+                return DutyAnswer(cloud.outcome, "")
+
+        return Calls()
+
+    def check(self) -> None:
+        by_window: dict[int, dict] = {}
+        for _, _, window, counts in self.rows:
+            assert by_window.setdefault(window, counts) == counts
+        numbers = [number for _, number, _, _ in self.rows]
+        assert numbers == sorted(numbers)
+        holders: dict[int, set] = {}
+        for box, number, _, _ in self.rows:
+            holders.setdefault(number, set()).add(box)
+        assert all(len(boxes) == 1 for boxes in holders.values())
+
+
+class Collected:
+    """Counts as this gateway has collected them."""
+
+    def __init__(self) -> None:
+        self.windows: dict[int, Counter] = {}
+        self.told = True
+
+    def all_told(self, since):
+        return self.told
+
+    def total(self, window):
+        return dict(self.windows.get(window, {}))
+
+    def forget_before(self, window):
+        pass
+
+
+class Gateway:
+    def __init__(self, box: str, store: MemoryStore, cloud: Cloud, clock: FakeClock) -> None:
+        self.right = Right(store, "member/.duties", box, APART_S, clock, is_sure=lambda: True)
+        self.collected = Collected()
+        schedule = UsageSchedule(WINDOW_S, 10.0)
+        true_time = TrueTime(clock)
+        self.reports = UsageReports(
+            self.right, store, cloud.caller(box), self.collected, schedule, true_time, Metrics("t")
+        )
+
+    def turn(self) -> None:
+        number = self.right.usable_number()
+        if number:
+            try:
+                self.reports.turn(number)
+            except StoreError:
+                return
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return MemoryStore()
+
+
+@pytest.fixture
+def cloud() -> Cloud:
+    return Cloud()
+
+
+def window_at(clock: FakeClock) -> int:
+    return int(clock.time_of_day() // WINDOW_S)
+
+
+def pass_window(clock: FakeClock) -> int:
+    """Let the window end that is open now; returns its number."""
+    window = window_at(clock)
+    clock.at = (window + 1) * WINDOW_S - BOOT + SETTLE_S + 0.01
+    return window
+
+
+def test_each_window_is_reported_once_also_one_without_any_request(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    first = window_at(clock)
+    one.collected.windows[first] = Counter(acme=3)
+    for _ in range(3):
+        pass_window(clock)
+        one.turn()
+        one.turn()
+    assert [row[2:] for row in cloud.rows] == [
+        (first, {"acme": 3}),
+        (first + 1, {}),
+        (first + 2, {}),
+    ]
+
+
+def test_a_window_costs_one_call_to_the_store(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    before = store.calls
+    for _ in range(10):
+        pass_window(clock)
+        one.turn()
+    assert store.calls - before == 10
+    assert len([key for key in store.items if key.startswith(FIXED_PREFIX)]) <= 12
+
+
+def test_nothing_is_sent_before_all_told_or_the_wait_is_over(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    one.collected.told = False
+    pass_window(clock)
+    one.turn()
+    assert cloud.rows == []
+    clock.at += 6.5
+    one.turn()
+    assert len(cloud.rows) == 1
+
+
+@pytest.mark.parametrize("outcome", [DutyOutcome.TURNED_AWAY, DutyOutcome.NOT_SENT])
+def test_what_was_not_taken_is_sent_again_as_it_was_fixed(store, cloud, clock, outcome):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=1)
+    cloud.outcome = outcome
+    one.turn()
+    one.collected.windows[window] = Counter(acme=2)  # a late answer changes nothing any more
+    cloud.outcome = DutyOutcome.TAKEN
+    clock.at += 1.0
+    one.turn()
+    assert cloud.rows == [("one", one.right.number, window, {"acme": 1})]
+
+
+def test_an_unanswered_call_is_repeated_exactly(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=1)
+    cloud.loses = True
+    one.turn()
+    cloud.loses = False
+    clock.at += 1.0
+    one.turn()
+    assert [row[2:] for row in cloud.rows] == [(window, {"acme": 1})] * 2
+    cloud.check()
+
+
+def test_an_unanswered_write_is_found_as_it_was_fixed(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=1)
+    store.loses = True
+    one.turn()
+    assert cloud.rows == []
+    store.loses = False
+    one.collected.windows[window] = Counter(acme=5)
+    one.turn()
+    assert [row[2:] for row in cloud.rows] == [(window, {"acme": 1})]
+
+
+def test_the_next_holder_repeats_what_was_fixed_and_perhaps_not_sent(store, cloud, clock):
+    one, two = Gateway("one", store, cloud, clock), Gateway("two", store, cloud, clock)
+    one.turn()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=4)
+    cloud.outcome = DutyOutcome.NOT_SENT
+    one.turn()  # fixed, and then it is gone
+    cloud.outcome = DutyOutcome.TAKEN
+    two.turn()
+    clock.at += APART_S
+    two.turn()
+    assert [(box, window, counts) for box, _, window, counts in cloud.rows] == [
+        ("two", window, {"acme": 4})
+    ]
+
+
+def test_a_holder_that_stood_still_sends_nothing_once_another_holds_the_right(store, cloud, clock):
+    """A freeze between the write and the call: the proof of the right is old by then."""
+    one, two = Gateway("one", store, cloud, clock), Gateway("two", store, cloud, clock)
+    one.turn()
+    pass_window(clock)
+    transact = store.transact
+
+    def frozen(transaction, repeatable=False):
+        store.transact = transact
+        answer = transact(transaction, repeatable)
+        clock.at += PROVEN_S + APART_S
+        two.turn()
+        clock.at += APART_S
+        two.turn()
+        return answer
+
+    store.transact = frozen
+    one.turn()
+    assert {row[0] for row in cloud.rows} == {"two"}
+    cloud.check()
+
+
+def test_a_deposed_holder_fixes_nothing(store, cloud, clock):
+    one, two = Gateway("one", store, cloud, clock), Gateway("two", store, cloud, clock)
+    one.turn()
+    two.right.usable_number()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=1)
+    one.turn()
+    assert not any(key.startswith(FIXED_PREFIX) for key in store.items)
+    assert cloud.rows == []
+
+
+def test_a_report_that_nobody_wants_any_more_is_given_up(store, cloud, clock):
+    one = Gateway("one", store, cloud, clock)
+    one.turn()
+    cloud.outcome = DutyOutcome.TURNED_AWAY
+    pass_window(clock)
+    one.turn()
+    clock.at += 10.0 + KEEP_TRYING_S + 1.0
+    one.collected.told = False
+    one.turn()
+    cloud.outcome = DutyOutcome.TAKEN
+    one.turn()
+    assert all(row[2] > window_at(clock) - 10 for row in cloud.rows)
+
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(
+            ["turn", "turn", "turn", "request", "kill", "store away", "store loses", "cloud loses",
+             "cloud away", "give"]
+        ),  # fmt: skip
+        st.floats(0.0, 2.5),
+    ),
+    max_size=80,
+)  # fmt: skip
+
+
+@settings(deadline=None)
+@given(steps)
+def test_whatever_fails_a_window_has_one_report_and_numbers_rise(rows):
+    clock, store, cloud = FakeClock(), MemoryStore(), Cloud()
+    boxes = [Gateway(f"box-{n}", store, cloud, clock) for n in range(3)]
+    for place, what, seconds in rows:
+        box = boxes[place]
+        if what == "turn":
+            box.turn()
+        elif what == "request":
+            for other in boxes[: place + 1]:  # not all of them have heard of it
+                other.collected.windows.setdefault(window_at(clock), Counter())["acme"] += 1
+        elif what == "kill":
+            boxes[place] = Gateway(f"box-{place}", store, cloud, clock)
+        elif what == "store away":
+            store.away = not store.away
+        elif what == "store loses":
+            store.loses = not store.loses
+        elif what == "cloud loses":
+            cloud.loses = not cloud.loses
+        elif what == "cloud away":
+            taken = cloud.outcome is DutyOutcome.TAKEN
+            cloud.outcome = DutyOutcome.TURNED_AWAY if taken else DutyOutcome.TAKEN
+        else:
+            try:
+                box.right.give_to(f"box-{(place + 1) % 3}")
+            except StoreError:
+                continue
+        clock.at += seconds
+    cloud.check()
--- /dev/null
+++ b/tests/fleet/test_rights.py
@@ -0,0 +1,134 @@
+"""A right that several boxes hold in turn: numbers that rise, and nobody acts in turns."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.stores import MemoryStore
+from threadramp.fleet.rights import AGAIN_S, Right, read_right
+from threadramp.platform.store_model import StoreError
+
+APART_S = 3.0
+KEY = "member/.duties"
+
+
+@pytest.fixture
+def store() -> MemoryStore:
+    return MemoryStore()
+
+
+def right(store, holder, clock, **how) -> Right:
+    return Right(store, KEY, holder, APART_S, clock, **how)
+
+
+def test_a_heir_uses_it_only_once_it_has_waited(store, clock):
+    first = right(store, "first", clock)
+    number = first.usable_number()
+    first.give_to("second")
+    assert first.number == 0
+    second = right(store, "second", clock)
+    assert second.usable_number() == 0
+    clock.at += APART_S
+    assert second.usable_number() > number
+
+
+def test_a_heir_waits_whatever_the_first_ones_time_of_day_says(store, clock):
+    first = right(store, "first", clock)
+    first.usable_number()
+    first.give_to("second")
+    clock.time_of_day = lambda: 1_700_000_000.0 + clock.at + 2.0  # the heir's box is ahead
+    second = right(store, "second", clock)
+    second.usable_number()
+    clock.at += APART_S - 0.1
+    assert second.usable_number() == 0
+
+
+def test_what_was_given_up_to_nobody_is_taken_by_whoever_may(store, clock):
+    first = right(store, "first", clock)
+    number = first.usable_number()
+    first.give_to("")
+    assert read_right(store.items[KEY].value).holder == ""
+    asked = []
+    second = right(store, "second", clock, may_take=lambda holder: not asked.append(holder))
+    second.usable_number()
+    assert asked == [None, ""]
+    clock.at += APART_S
+    assert second.usable_number() > number
+
+
+def test_who_may_not_take_it_is_asked_again_later(store, clock):
+    right(store, "first", clock).usable_number()
+    second = right(store, "second", clock, may_take=lambda holder: holder is None)
+    assert second.usable_number() == 0
+    calls = store.calls
+    assert second.usable_number() == 0
+    assert store.calls == calls
+    clock.at += AGAIN_S
+    second.usable_number()
+    assert store.calls > calls
+
+
+def test_a_proof_asks_the_store(store, clock):
+    first = right(store, "first", clock, is_sure=lambda: True)
+    number = first.usable_number()
+    calls = store.calls
+    assert first.usable_number() == number
+    assert store.calls == calls
+    assert first.proven_number() == number
+    assert store.calls == calls + 1
+
+
+def test_one_whose_store_does_not_answer_proves_nothing(store, clock):
+    first = right(store, "first", clock, is_sure=lambda: True)
+    first.usable_number()
+
+    store.away = True
+    assert first.proven_number() == 0
+
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 2),
+        st.sampled_from(["use", "prove", "give", "restart", "wait", "lose"]),
+        st.floats(0.0, 4.0),
+    ),
+    max_size=40,
+)
+
+
+@settings(suppress_health_check=[HealthCheck.function_scoped_fixture], deadline=None)
+@given(steps)
+def test_numbers_rise_and_no_two_act_in_turns(clock, rows):
+    """Three boxes, restarts, lost answers: uses that were proven first go by the rule."""
+    store = MemoryStore()
+    boxes = [right(store, f"box-{n}", clock) for n in range(3)]
+    uses: list[tuple[float, int, int]] = []
+    for box, what, seconds in rows:
+        if what == "use":
+            number = boxes[box].usable_number()
+            if number:
+                uses.append((clock.at, box, number))
+        elif what == "prove":
+            number = boxes[box].proven_number()
+            if number:
+                uses.append((clock.at, box, number))
+        elif what == "give" and boxes[box].number:
+            try:
+                boxes[box].give_to(f"box-{(box + 1) % 3}")
+            except StoreError:
+                boxes[box].number = 0
+        elif what == "restart":
+            boxes[box] = right(store, f"box-{box}", clock)
+        elif what == "lose":
+            store.loses = not store.loses
+        clock.at += seconds
+    for (_, one, number), (_, other, next_number) in zip(uses, uses[1:], strict=False):
+        assert next_number >= number
+        assert (number == next_number) <= (one == other)
+    for place, (at, box, _) in enumerate(uses):
+        mine = [when for when, other, _ in uses[:place] if other == box]
+        others = [when for when, other, _ in uses[:place] if other != box]
+        if mine and others and max(others) > max(mine):  # others acted since it did
+            assert at - max(mine) >= APART_S
--- /dev/null
+++ b/tests/policy/test_true_time.py
@@ -0,0 +1,73 @@
+"""The true time, while clocks of some boxes jump ahead and back."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from threadramp.policy.true_time import AGREE_S, HEARD_S, TrueTime
+
+BOOT = 1_790_000_000.0  # time of day at which the steady clock was 0
+
+
+class JumpingClock:
+    def __init__(self, steady: float = 100.0, jump: float = 0.0) -> None:
+        self.steady = steady
+        self.jump = jump
+
+    def now(self) -> float:
+        return self.steady
+
+    def time_of_day(self) -> float:
+        return BOOT + self.steady + self.jump
+
+
+@pytest.mark.parametrize("jump", [-2.0, 2.0, 3600.0])
+def test_a_jump_of_its_own_clock_moves_it_not(jump):
+    clock = JumpingClock()
+    true_time = TrueTime(clock)
+    clock.jump = jump
+    clock.steady += 5.0
+    assert true_time.now() == BOOT + 105.0
+
+
+@pytest.mark.parametrize("jump", [-2.0, 2.0])
+def test_a_start_while_its_own_clock_is_off_is_put_right_by_others(jump):
+    clock = JumpingClock(jump=jump)
+    true_time = TrueTime(clock)
+    for box in ("a", "b"):
+        true_time.note(box, BOOT + clock.now(), clock.now())
+    assert true_time.now() == BOOT + clock.now()
+
+
+def test_messages_that_come_late_move_it_not():
+    clock = JumpingClock()
+    true_time = TrueTime(clock)
+    for late in (0.0, 0.1, AGREE_S - 0.01):
+        true_time.note("a", BOOT + clock.now() - late, clock.now())
+        assert true_time.now() == BOOT + clock.now()
+
+
+def test_what_was_said_long_ago_does_not_count():
+    clock = JumpingClock()
+    true_time = TrueTime(clock)
+    for box in ("a", "b"):
+        true_time.note(box, BOOT + clock.now() + 2.0, clock.now())
+    clock.steady += HEARD_S + 0.1
+    assert true_time.now() == BOOT + clock.now()
+
+
+@given(
+    st.lists(st.sampled_from([-2.0, 2.0, 500.0]), max_size=5),
+    st.integers(min_value=0, max_value=5),
+    st.booleans(),
+)
+def test_less_than_half_that_are_off_move_it_not(jumps, more, own_jumps):
+    clock = JumpingClock(jump=2.0 if own_jumps else 0.0)
+    true_time = TrueTime(clock)
+    wrong = len(jumps) + own_jumps
+    boxes = [*jumps, *[0.0] * (wrong + more)]
+    for number, jump in enumerate(boxes):
+        true_time.note(f"box-{number}", BOOT + clock.now() + jump, clock.now())
+    assert true_time.now() == BOOT + clock.now()
--- a/tests/runner/test_order_right.py
+++ b/tests/runner/test_order_right.py
@@ -6,127 +6,98 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from threadramp.platform.store_model import (
-    ABSENT,
-    Committed,
-    Conflict,
-    Item,
-    StoreUnknownError,
-)
-from threadramp.runner.order_right import AGAIN_S, HAND_OVER_MARGIN_S, OrderRight
+from tests.stores import MemoryStore
+from threadramp.fleet.rights import AGAIN_S, Right
+from threadramp.platform.store_model import Item
+from threadramp.runner.order_right import HAND_OVER_MARGIN_S, order_right
 
 APART_S = 3.0
 WAIT_S = APART_S + HAND_OVER_MARGIN_S
 
 
-class Store:
-    """One key; answers may be lost after the write was done."""
-
-    def __init__(self) -> None:
-        self.item: Item | None = None
-        self.revision = 10
-        self.loses = False
-        self.calls = 0
-
-    def get(self, key):
-        self.calls += 1
-        return self.item
-
-    def transact(self, transaction, repeatable):
-        self.calls += 1
-        (put,) = transaction.puts
-        stands = ABSENT if self.item is None else self.item.revision
-        if transaction.expected[put.key] != stands:
-            return Conflict({put.key: self.item} if self.item is not None else {})
-        self.revision += 1
-        self.item = Item(put.key, put.value, self.revision)
-        if self.loses:
-            raise StoreUnknownError("lost")
-        return Committed(self.revision)
-
-
 @pytest.fixture
-def store() -> Store:
-    return Store()
+def store() -> MemoryStore:
+    return MemoryStore()
 
 
-def right(store, holder, clock, **how) -> OrderRight:
-    return OrderRight(store, "10.0.0.1:80", holder, APART_S, clock, **how)
+def right(store, holder, clock, **how) -> Right:
+    return order_right(store, "10.0.0.1:80", holder, APART_S, clock, **how)
 
 
-def sure(store, holder, clock) -> OrderRight:
+def sure(store, holder, clock) -> Right:
     return right(store, holder, clock, is_sure=lambda: True)
 
 
 def test_who_takes_it_first_orders_at_once_and_asks_once(store, clock):
     side = sure(store, "side", clock)
-    assert side.order_number() == 11
-    assert side.order_number() == 11
+    assert side.usable_number() == 11
+    assert side.usable_number() == 11
     assert store.calls == 1
 
 
 def test_another_holder_has_a_higher_number_and_waits(store, clock):
-    first = sure(store, "side", clock).order_number()
+    first = sure(store, "side", clock).usable_number()
     front = sure(store, "front", clock)
-    assert front.order_number() == 0
+    assert front.usable_number() == 0
     clock.at += WAIT_S - 0.1
-    assert front.order_number() == 0
+    assert front.usable_number() == 0
     clock.at += 0.2
-    assert front.order_number() > first
+    assert front.usable_number() > first
 
 
 def test_the_one_before_sees_that_it_is_gone_and_takes_it_back_the_same_way(store, clock):
     side, front = sure(store, "side", clock), sure(store, "front", clock)
-    side.order_number()
-    front.order_number()
+    side.usable_number()
+    front.usable_number()
     clock.at += WAIT_S
-    number = front.order_number()
+    number = front.usable_number()
     side.doubt()
-    assert side.order_number() == 0
+    assert side.usable_number() == 0
     clock.at += WAIT_S
-    assert side.order_number() > number
+    assert side.usable_number() > number
     front.doubt()
-    assert front.order_number() == 0
+    assert front.usable_number() == 0
 
 
 def test_who_may_not_take_it_leaves_it(store, clock):
     front = right(store, "front", clock, may_take=lambda: False)
-    assert front.order_number() == 0
+    assert front.usable_number() == 0
     assert store.calls == 0
 
 
 def test_the_next_process_of_a_box_goes_on_with_its_number(store, clock):
-    number = sure(store, "side", clock).order_number()
-    assert sure(store, "side", clock).order_number() == number
+    number = sure(store, "side", clock).usable_number()
+    assert sure(store, "side", clock).usable_number() == number
 
 
 def test_the_next_process_of_a_box_waits_out_the_rest(store, clock):
-    sure(store, "side", clock).order_number()
-    sure(store, "front", clock).order_number()
+    sure(store, "side", clock).usable_number()
+    sure(store, "front", clock).usable_number()
     clock.at += 1.0
     again = sure(store, "front", clock)
-    assert again.order_number() == 0
+    assert again.usable_number() == 0
     clock.at += WAIT_S - 1.1
-    assert again.order_number() == 0
+    assert again.usable_number() == 0
     clock.at += 0.2
-    assert again.order_number()
+    assert again.usable_number()
 
 
 def test_a_lost_answer_is_settled_by_the_next_look(store, clock):
     store.loses = True
     side = sure(store, "side", clock)
-    assert side.order_number() == 0
+    assert side.usable_number() == 0
     store.loses = False
     clock.at += AGAIN_S
-    assert side.order_number() == store.revision
+    assert side.usable_number() == store.revision
 
 
 def test_a_value_that_nobody_can_read_is_taken_over_as_from_another(store, clock):
-    store.item = Item("engine/10.0.0.1:80", b"\xc1", 10)
+    key = "engine/10.0.0.1:80"
+    store.items[key] = Item(key, b"\xc1", 10)
     side = sure(store, "side", clock)
-    assert side.order_number() == 0
+    assert side.usable_number() == 0
     clock.at += WAIT_S
-    assert side.order_number() == 11
+    assert side.usable_number() == 11
 
 
 STEPS = st.lists(
@@ -138,13 +109,13 @@
 @given(steps=STEPS)
 def test_numbers_of_orders_never_fall_and_holders_never_take_turns(clock, steps):
     """Three that all want it and look each time, in any order, with answers lost now and then."""
-    store = Store()
+    store = MemoryStore()
     clock.at = 100.0
     holders = [right(store, f"box-{n}", clock) for n in range(3)]
     given_orders: list[tuple[int, int, float]] = []
     for number, loses, pause_s in steps:
         store.loses = loses
-        order = holders[number].order_number()
+        order = holders[number].usable_number()
         if order:
             given_orders.append((number, order, clock.at))
         clock.at += pause_s
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -20,7 +20,7 @@
     def __init__(self, number: int = 10):
         self.number = number
 
-    def order_number(self) -> int:
+    def usable_number(self) -> int:
         return self.number
 
 
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -19,6 +19,7 @@
 from urllib3.exceptions import HTTPError
 
 from tests.entries import entry_fields
+from threadramp.platform.standins.cloud import PlatformCloud
 from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.platform.standins.store import PlatformStore, encoded
 
@@ -154,8 +155,13 @@
 class PlatformFleet:
     """Gateways, sidecars and stand-ins."""
 
-    def __init__(self, folder: Path, serve, gateways: int = 2, engines: int = 2):
+    def __init__(
+        self, folder: Path, serve, gateways: int = 2, engines: int = 2, window_s: float = 0.0
+    ):
         self.serve = serve
+        self.window_s = window_s
+        self.cloud = PlatformCloud({})
+        self.cloud_address = serve(self.cloud) if window_s else ""
         self.store = PlatformStore({})
         self.store_address = serve(self.store)
         self.engines = [PlatformEngine({"instance": f"i-e{n}"}) for n in range(engines)]
@@ -174,6 +180,10 @@
 
     def _box(self, folder: Path, role: str, name: str, endpoint: str = "") -> Box:
         box = Box(folder, role, name, self.store_address, endpoint)
+        if self.window_s:
+            box.settings["cloud"] = {"address": self.cloud_address, "duties": ["usage"]}
+            box.settings["bounds"] |= {"reportWindowS": self.window_s, "usageLateS": 10}
+            box.write()
         self.boxes.append(box)
         return box
 
--- /dev/null
+++ b/tests/serve/test_duties.py
@@ -0,0 +1,190 @@
+"""Usage by organisation and window at real processes, held against what endpoints began."""
+
+from __future__ import annotations
+
+import itertools
+import signal
+import threading
+import time
+from collections import Counter
+from contextlib import suppress
+
+import pytest
+from urllib3.exceptions import HTTPError
+
+from tests.serve.fleet import CALLS, PlatformFleet, bearer, wait_for
+
+KEYS = {"acme": ("acme-key-0123456789",), "rival": ("rival-key-987654321",)}
+WINDOW_S = 2.0
+APART_S = 3.0
+LATE_S = 10.0
+CALL_EACH_S = 0.02
+TOLERANCE = 0.05
+
+
+class Callers:
+    """Calls of both organisations at gateways that are there, one after the other."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.fleet = fleet
+        self.stopped = threading.Event()
+        self.threads = [threading.Thread(target=self._run, args=(n,)) for n in range(2)]
+        self.numbers = itertools.count()
+
+    def _run(self, place: int) -> None:
+        name, (key,) = list(KEYS.items())[place]
+        while not self.stopped.wait(CALL_EACH_S):
+            number = next(self.numbers)
+            alive = [one for one in self.fleet.gateways if one.process.poll() is None]
+            with suppress(HTTPError, OSError):
+                gateway = alive[number % len(alive)]
+                headers = {"X_Attempt_Id": f"{name}{number}", **bearer(key)}
+                gateway.call("POST", "/x/", host=CALLS, timeout_s=2.0, **headers)
+
+
+@pytest.fixture
+def fleet(tmp_path, serve):
+    made = PlatformFleet(tmp_path, serve, gateways=3, engines=1, window_s=WINDOW_S)
+    made.configure(version=4, organisations=KEYS)
+    callers = Callers(made)
+    try:
+        made.start()
+        for thread in callers.threads:
+            thread.start()
+        yield made
+    finally:
+        callers.stopped.set()
+        for thread in callers.threads:
+            thread.join()
+        made.close()
+
+
+def window_now() -> int:
+    return int(time.time() // WINDOW_S)
+
+
+def reported(fleet) -> dict[int, dict[str, int]]:
+    return {row["window"]: row["counts"] for row in list(fleet.cloud.taken)}
+
+
+def began(fleet, window: int) -> dict[str, int]:
+    runs = [run for run in list(fleet.callee.runs) if int(run["at"] // WINDOW_S) == window]
+    return dict(Counter(run["tenant"] for run in runs))
+
+
+def wait_for_windows(fleet, first: int, count: int) -> None:
+    """Wait until so many windows from one on are reported."""
+    wanted = range(first, first + count)
+    wait_for(lambda: all(one in reported(fleet) for one in wanted), f"windows {wanted}")
+
+
+def is_close(told: dict[str, int], truth: dict[str, int]) -> bool:
+    """Return whether what was told is within the tolerance, or one request off at an edge."""
+    names = told.keys() | truth.keys()
+    return all(
+        abs(told.get(one, 0) - truth.get(one, 0)) <= max(1, TOLERANCE * truth.get(one, 0))
+        for one in names
+    )
+
+
+def check(fleet, first: int, count: int) -> None:
+    told = reported(fleet)
+    for window in range(first, first + count):
+        assert is_close(told[window], began(fleet, window)), window
+    assert fleet.cloud.broken(APART_S) == []
+
+
+def holder(fleet) -> str:
+    return fleet.cloud.taken[-1]["holder"] if fleet.cloud.taken else ""
+
+
+def box_of(fleet, name: str):
+    return next(one for one in fleet.gateways if one.name == name)
+
+
+def test_each_window_is_reported_in_time_as_endpoints_began_them(fleet):
+    first = window_now() + 1
+    wait_for_windows(fleet, first, 4)
+    check(fleet, first, 4)
+    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in fleet.cloud.taken]
+    assert max(late) < LATE_S
+    assert len({row["holder"] for row in fleet.cloud.taken}) == 1
+
+
+def test_a_holder_that_is_killed_is_followed_in_time(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    first = window_now() + 1
+    time.sleep(WINDOW_S)
+    killed = box_of(fleet, holder(fleet))
+    killed.kill()
+    wait_for_windows(fleet, first, 6)
+    assert fleet.cloud.broken(APART_S) == []
+    assert holder(fleet) != killed.name
+    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in fleet.cloud.taken]
+    assert max(late) < LATE_S
+    told = reported(fleet)
+    # What the killed one counted since it was last asked, a second before at most, is not known.
+    for window in range(first, first + 6):
+        truth, known = sum(began(fleet, window).values()), sum(told[window].values())
+        assert known <= truth + 2
+        assert known >= truth - 1.2 / CALL_EACH_S * 2 / 3
+
+
+def test_a_planned_stop_hands_the_duties_over_and_loses_no_request(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    first = window_now() + 1
+    stopped = box_of(fleet, holder(fleet))
+    stopped.stop()
+    wait_for_windows(fleet, first, 6)
+    check(fleet, first, 6)
+    assert holder(fleet) != stopped.name
+
+
+def test_a_holder_that_was_frozen_sends_nothing_old(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    frozen = box_of(fleet, holder(fleet))
+    frozen.process.send_signal(signal.SIGSTOP)
+    try:
+        wait_for(lambda: holder(fleet) != frozen.name, "another holder")
+    finally:
+        frozen.process.send_signal(signal.SIGCONT)
+    first = window_now() + 2
+    wait_for_windows(fleet, first, 3)
+    check(fleet, first, 3)
+
+
+def test_an_interface_that_turns_away_loses_answers_and_is_down_gets_each_window_once(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    first = window_now() + 1
+    fleet.cloud.faults.update(turn_away=2, lose=2)
+    wait_for_windows(fleet, first, 2)
+    fleet.cloud.faults["outage"] = True
+    time.sleep(2 * WINDOW_S)
+    fleet.cloud.faults["outage"] = False
+    wait_for_windows(fleet, first, 5)
+    check(fleet, first, 5)
+
+
+def test_a_silent_interface_holds_nothing_else_up(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    fleet.cloud.faults["hold_s"] = 5.0
+    box = box_of(fleet, holder(fleet))
+    until = time.monotonic() + 2 * WINDOW_S
+    while time.monotonic() < until:
+        begun = time.monotonic()
+        headers = {"X_Attempt_Id": "beside", **bearer(KEYS["acme"][0])}
+        assert box.call("POST", "/x/", host=CALLS, **headers).status == 200
+        assert time.monotonic() - begun < 1.0
+    assert box.ready() == 200
+
+
+def test_where_no_duties_are_named_none_are_done(tmp_path, serve):
+    made = PlatformFleet(tmp_path, serve, gateways=1, engines=1)
+    try:
+        made.start()
+        time.sleep(4.0)
+        assert made.keys("member/.duties") == []
+        assert made.keys("duty/") == []
+        assert made.cloud.taken == []
+    finally:
+        made.close()
