Know how old the configuration may be, and refuse keys by it where that is asked for

Cause: what a gateway believes of keys had a source and a time of change, but nobody knew since when nothing newer could stand in the store, which a bound on taken-away keys is about.

Weighed for a box that cannot know: go on; ask before each keyed call (a priced call and 4 ms each, and no answer in just those moments); refuse after a bound. Going on is kept where the platform's bound is not strict: refusing turns away all callers for the few whose keys went. Where it is strict (revokeStrict, revokeMs) a keyed caller is told 503 and when to come back once the age passes it.

Change: each mirror notes as of when it was shown to be current, by the store itself or by a peer, reckoned from when that was asked for.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from threadramp.config.findings import FindingsError
@@ -55,7 +56,10 @@
 
 
 class EdgeHandler:
-    """Answers callers and trainers."""
+    """Answers callers and trainers.
+
+    :param keys_within_s: seconds after which what is known of keys does not count any more
+    """
 
     def __init__(
         self,
@@ -66,7 +70,9 @@
         reader: LotReader,
         metrics: Metrics,
         clock: Clock,
+        keys_within_s: float = math.inf,
     ) -> None:
+        self.keys_within_s = keys_within_s
         self.picture = picture
         self.forwarder = forwarder
         self.streams = streams
@@ -126,7 +132,7 @@
         """
         found = who_calls(configuration.organisations, caller_key(request.headers), public)
         if isinstance(found, Caller):
-            return found
+            return found if self._may_trust(request, found) else None
         log_state(
             "caller_unknown",
             request=request_id(request.headers),
@@ -138,6 +144,18 @@
         request.answer(401, [CHALLENGE], close=self.stopping)
         return None
 
+    def _may_trust(self, request: CallerRequest, who: Caller) -> bool:
+        """Return whether what is known of keys is new enough; else the caller is told so.
+
+        Where a box that is cut off may go on, it does: refusing would turn away all callers for
+        the few whose keys were taken away meanwhile.
+        """
+        age_s = self.picture.configuration_age_s(self.clock.now())
+        if not who.organisation or age_s <= self.keys_within_s:
+            return True
+        self._refuse(request, 503, START_RETRY_S, f"keys are known as of {age_s:.1f} s ago")
+        return False
+
     def _body(self, request: CallerRequest, limits: CallerLimits) -> bytes | None:
         try:
             return request.body(limits.body_bytes)
--- a/src/threadramp/fleet/mirror.py
+++ b/src/threadramp/fleet/mirror.py
@@ -34,6 +34,7 @@
         self.revision = 0
         self.known = False
         self.disturbed_until = 0.0
+        self.current_at = float("-inf")
         self.lock = threading.Lock()
         self.listeners: list[Callable[[], None]] = []
 
@@ -71,6 +72,14 @@
         if changes.items or changes.removals:
             self._tell()
 
+    def was_current(self, at: float) -> None:
+        """Note that the store showed, or a peer that it showed, that nothing newer stood at a time.
+
+        :param at: time at which that was asked for
+        """
+        with self.lock:
+            self.current_at = max(self.current_at, at)
+
     def disturbed(self, until: float) -> None:
         """Note that the store was away; removals until ``until`` are doubted."""
         with self.lock:
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -10,7 +10,7 @@
 from threadramp.fleet.lately import Lately
 from threadramp.fleet.picture import Member
 from threadramp.fleet.relaying import in_turn, relay_through
-from threadramp.fleet.sharing import MirrorSharing
+from threadramp.fleet.sharing import ALL_SEEN, MirrorSharing
 from threadramp.fleet.silence import Silence
 from threadramp.policy.routing import rendezvous
 from threadramp.report.guard import start_loop
@@ -34,7 +34,6 @@
 GATEWAY_REMEMBERED_S = 10.0  # one that loses its place has listed itself again within 3 s
 REMEMBERED_S = 5.0  # a sidecar that is not listed and does not answer is forgotten after this
 UNLISTED_GRACE_S = 1.5
-ALL_SEEN = 2**62  # a revision beyond all: who claims it is sent no copies
 
 
 class Peers:
@@ -201,13 +200,14 @@
     def _beat_gateways(self) -> None:
         """Ask some other gateways, or all while the store is away, what they have seen."""
         asked = self._beaten()
+        asked_at = self.clock.now()
         replies = self.ask_all({one.address: self._beat_for(one) for one in asked}, BEAT_TIMEOUT_S)
         self.silence.note(asked, set(replies), self.picture.belief.gateways())
         for member in asked:
             reply = replies.get(member.address)
             if isinstance(reply, MirrorCopy):
                 self.following.note(member.name, reply.confirmed_ago_s)
-                self.sharing.take_over(reply, member.name)
+                self.sharing.take_over(reply, member.name, asked_at)
 
     def _beat_for(self, member: Member) -> MirrorBeat:
         """Return the question for a gateway.
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -170,6 +170,10 @@
         """Return whether requests can be routed."""
         return self.belief.configuration is not None and self.endpoints.known
 
+    def configuration_age_s(self, now: float) -> float:
+        """Return the seconds since the store showed, also to a peer, that no newer one stood."""
+        return now - self.operator.current_at
+
     def _rebuild(self) -> None:
         with self.lock:
             old = self.belief
--- a/src/threadramp/fleet/sharing.py
+++ b/src/threadramp/fleet/sharing.py
@@ -15,6 +15,10 @@
     from threadramp.fleet.store_health import StoreHealth
 
 
+ALL_SEEN = 2**62  # a revision beyond all
+TOLD_MOST_S = 3600.0  # what was shown longer ago is not worth telling
+
+
 class MirrorSharing:
     """Gives and takes copies of one gateway's mirrors."""
 
@@ -33,22 +37,28 @@
         for mirror in self.picture.mirrors:
             if mirror.known and ask.revisions.get(mirror.prefix, 0) < mirror.revision:
                 items[mirror.prefix] = mirror.copy().items
-        return MirrorCopy(self.revisions(), items, self.health.confirmed_ago_s())
+        revisions = self.revisions()
+        return MirrorCopy(revisions, items, self.health.confirmed_ago_s(), self._current_ago_s())
 
-    def take_over(self, copy: MirrorCopy, name: str = "a peer") -> None:
+    def take_over(
+        self, copy: MirrorCopy, name: str = "a peer", asked_at: float = float("-inf")
+    ) -> None:
         """Take over what a gateway has seen that this one has not.
 
         :param name: of that gateway
+        :param asked_at: time at which it was asked
         """
         for mirror in self.picture.mirrors:
             items = copy.items.get(mirror.prefix)
-            if items is None or copy.revisions[mirror.prefix] <= mirror.revision:
-                continue
-            listing = Listing(items, copy.revisions[mirror.prefix])
-            if mirror.replace(listing, self.clock.now(), name):
-                log_state(
-                    "seen_by_peer", prefix=mirror.prefix, revision=listing.revision, peer=name
-                )
+            if items is not None and copy.revisions[mirror.prefix] > mirror.revision:
+                listing = Listing(items, copy.revisions[mirror.prefix])
+                if mirror.replace(listing, self.clock.now(), name):
+                    log_state(
+                        "seen_by_peer", prefix=mirror.prefix, revision=listing.revision, peer=name
+                    )
+            if mirror.revision >= copy.revisions.get(mirror.prefix, ALL_SEEN):
+                ago_s = copy.current_ago_s.get(mirror.prefix, float("inf"))
+                mirror.was_current(asked_at - ago_s)
 
     def take_changes(self, ask: MirrorChanges) -> None:
         """Take over changes that a watcher has just seen, unless some before them are missing."""
@@ -61,6 +71,12 @@
         changes = Changes(ask.items, ask.removals, ask.revision)
         mirror.apply(changes, self.clock.now(), ask.sender)
 
+    def _current_ago_s(self) -> dict[str, float]:
+        """Return how long ago each mirror was shown to be current, those alone that were."""
+        now = self.clock.now()
+        rows = {one.prefix: now - one.current_at for one in self.picture.mirrors if one.known}
+        return {prefix: ago_s for prefix, ago_s in rows.items() if ago_s < TOLD_MOST_S}
+
     def _mirror(self, prefix: str) -> Mirror | None:
         return next((one for one in self.picture.mirrors if one.prefix == prefix), None)
 
--- a/src/threadramp/fleet/watcher.py
+++ b/src/threadramp/fleet/watcher.py
@@ -144,7 +144,9 @@
             log_state("watch_history_gone", prefix=self.mirror.prefix)
             return
         before = self.mirror.revision
-        self.mirror.apply(changes, self.clock.now())
+        now = self.clock.now()
+        self.mirror.apply(changes, now)
+        self.mirror.was_current(now)
         self._spread(before, changes)
         if self.gathers and changes.items:
             self.stopped.wait(self.gather_s)
@@ -152,10 +154,14 @@
     def _list(self) -> None:
         """Read the prefix as a whole, and tell those that follow what differs."""
         self.asked_at = None
+        begun = self.clock.now()
         listing = self.store.list(self.mirror.prefix)
         self.stale = False
         before, known = self.mirror.snapshot(), self.mirror.revision
-        if self.mirror.replace(listing, self.clock.now()) and known:
+        if not self.mirror.replace(listing, self.clock.now()):
+            return
+        self.mirror.was_current(begun)
+        if known:
             self._spread(known, difference(before, listing))
 
     def _spread(self, after: int, changes: Changes) -> None:
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from dataclasses import dataclass
 from pathlib import Path
@@ -31,6 +32,8 @@
     :param status_s: seconds for which the results of a lot stay readable
     :param holders_apart_s: two boxes may not order an engine in turns within this many seconds
     :param checks_fences: whether endpoints refuse an order with an old fencing number
+    :param keys_within_s: a key that was taken away is not let in after this many seconds, also by a
+        box that is cut off; infinite where such a box may go on
     :param usage_window_s: length of the windows whose usage is reported
     :param usage_late_s: after a window's end, until its report is due
     """
@@ -41,6 +44,7 @@
     status_s: float = 120.0
     holders_apart_s: float = 3.0
     checks_fences: bool = False
+    keys_within_s: float = math.inf
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
 
@@ -197,10 +201,15 @@
             status_s=self._number(table, "statusS", 120, "bounds."),
             holders_apart_s=self._number(table, "leaseTtlMs", 3000, "bounds.") / 1000,
             checks_fences=bool(table.get("requireFencing", False)),
+            keys_within_s=self._keys_within_s(table),
             usage_window_s=self._number(table, "reportWindowS", 5, "bounds."),
             usage_late_s=self._number(table, "usageLateS", 10, "bounds."),
         )
 
+    def _keys_within_s(self, table: dict[str, Any]) -> float:
+        within_s = self._number(table, "revokeMs", 5000, "bounds.") / 1000
+        return within_s if table.get("revokeStrict", False) else math.inf
+
     def _table(self, name: str) -> dict[str, Any]:
         table = self.table.get(name)
         return table if isinstance(table, dict) else {}
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -283,7 +283,14 @@
             lambda model: self.picture.belief.newest_version(model),
         )
         self.handler = EdgeHandler(
-            self.picture, forwarder, streams, self.owner, self.reader, self.metrics, clock
+            self.picture,
+            forwarder,
+            streams,
+            self.owner,
+            self.reader,
+            self.metrics,
+            clock,
+            self.settings.bounds.keys_within_s,
         )
 
     def _renew_s(self) -> float:
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -243,11 +243,13 @@
     :param revisions: by prefix
     :param items: by prefix, all of them
     :param confirmed_ago_s: since the store itself answered that gateway, none if it has no way
+    :param current_ago_s: by prefix, since it was shown that nothing newer stood in the store
     """
 
     revisions: dict[str, int]
     items: dict[str, tuple[Item, ...]]
     confirmed_ago_s: float | None = None
+    current_ago_s: dict[str, float] = {}
 
 
 class StoreAnswered(Message, frozen=True):
