Declare organisations in the product too, make keys, and show what is believed of both

Cause: organisations and their keys were known on the platform alone; an operator could neither declare one, nor make a key, nor see which version, organisations and holder a box believes.

Change: a resource `organisation` names digests of keys (checked: empty, twice, at two organisations, plain text where a digest is meant, never repeated in a finding); the product's own gateways take such a key as a caller's; `threadramp organisation key` prints a key once with its digest; `inspect` knows configuration, organisation and duty. The list of stand-ins that a test of the command line names has one more, the platform's interface to duties.

--- a/src/threadramp/cli/believe.py
+++ b/src/threadramp/cli/believe.py
@@ -31,7 +31,7 @@
     description = f"Show what processes on the platform believe of one {', '.join(KINDS)}."
     arguments = [
         argument("kind", f"One of {', '.join(KINDS)}."),
-        argument("thing", "Its id, or an endpoint's address."),
+        argument("thing", "Its id, or an endpoint's address; anything for what there is one of."),
         argument("processes", "Where they answer peers, ip:port each.", multiple=True),
     ]
     options = [option("json", None, "Print JSON.")]
--- a/src/threadramp/cli/main.py
+++ b/src/threadramp/cli/main.py
@@ -7,11 +7,21 @@
 from cleo.application import Application
 
 from threadramp import VERSION
-from threadramp.cli import believe, check, daemons, declare, inspect, keys, report, standins
+from threadramp.cli import (
+    believe,
+    check,
+    daemons,
+    declare,
+    inspect,
+    keys,
+    organisations,
+    report,
+    standins,
+)
 from threadramp.cli.api import COMMANDS
 
 # Importing a module registers its commands.
-_MODULES = (believe, check, daemons, declare, inspect, keys, report, standins)
+_MODULES = (believe, check, daemons, declare, inspect, keys, organisations, report, standins)
 
 
 def build_application() -> Application:
--- a/src/threadramp/config/documents.py
+++ b/src/threadramp/config/documents.py
@@ -11,7 +11,9 @@
 from threadramp.config.settings import load_toml
 
 # Declared in this order, so that what a resource names exists before it.
-APPLY_ORDER = ("data_centre", "pool", "priority", "weights", "trainer", "endpoint")
+APPLY_ORDER = (
+    "data_centre", "pool", "priority", "weights", "trainer", "endpoint", "organisation",
+)  # fmt: skip
 
 
 def check_document(path: str) -> Result[list[Resource], list[Finding]]:
--- a/src/threadramp/config/resources.py
+++ b/src/threadramp/config/resources.py
@@ -16,6 +16,7 @@
     from expression import Result
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 POOL_TYPES = ("model", "service")
 
@@ -132,6 +133,32 @@
     rank: int
 
 
+@KINDS.register("organisation")
+@dataclass(frozen=True)
+class Organisation:
+    """Whose callers come with keys of their own.
+
+    :param key_digests: of its keys, as ``threadramp organisation key`` prints them; a key itself
+        stands in no document
+    """
+
+    key_digests: tuple[str, ...] = ()
+
+    def findings(self, place: str) -> list[Finding]:
+        """Return what is wrong beyond the types; a text that may be a key is not repeated."""
+        found = []
+        for number, text in enumerate(self.key_digests):
+            where = f"{place}.key_digests[{number}]"
+            if not text:
+                found.append(Finding(where, "is empty"))
+            elif not DIGEST_PATTERN.fullmatch(text):
+                hint = "make one with `threadramp organisation key`; no key stands in plain text"
+                found.append(Finding(where, "is no digest of 64 hexadecimal digits", hint))
+        if len(set(self.key_digests)) < len(self.key_digests):
+            found.append(Finding(f"{place}.key_digests", "names a key twice"))
+        return found
+
+
 @dataclass(frozen=True)
 class Resource:
     """A declared resource.
@@ -182,6 +209,19 @@
             if pool is not None and spec.model not in pool.models:
                 place = f"trainer/{name}.model"
                 findings.append(Finding(place, f"pool {spec.pool!r} serves no {spec.model!r}"))
+    return findings + _shared_keys(resources)
+
+
+def _shared_keys(resources: dict[tuple[str, str], Any]) -> list[Finding]:
+    """Return where two organisations name the same key."""
+    findings = []
+    holders: dict[str, str] = {}
+    for (kind, name), spec in resources.items():
+        for digest in spec.key_digests if kind == "organisation" else ():
+            other = holders.setdefault(digest, name)
+            if other != name:
+                place = f"organisation/{name}.key_digests"
+                findings.append(Finding(place, f"names a key that {other!r} has too"))
     return findings
 
 
@@ -194,6 +234,7 @@
     "DataCentre",
     "Endpoint",
     "KINDS",
+    "Organisation",
     "Pool",
     "Priority",
     "Resource",
--- a/src/threadramp/duties/holding.py
+++ b/src/threadramp/duties/holding.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from threadramp.fleet.picture import NO_MEMBERS_PREFIX
+from threadramp.fleet.picture import DUTIES_KEY
 from threadramp.fleet.rights import Right, read_right
 
 if TYPE_CHECKING:
@@ -14,13 +14,12 @@
     from threadramp.fleet.picture import Picture
     from threadramp.platform.store import StoreClient
 
-# Beside the list of members, so that all gateways know who holds it without a call of their own.
-DUTIES_KEY = NO_MEMBERS_PREFIX + "duties"
-
 
 class DutyHolding:
     """The right to the duties at one gateway.
 
+    Its key lies beside the list of members, so that all gateways know who holds it without a call.
+
     A call of one holder is given up long before the next one makes its first (``duty_calls``), so
     the wait between them is the time alone in which holders may not take turns.
 
@@ -62,4 +61,4 @@
         return self.holder() == self.box
 
 
-__all__ = ["DUTIES_KEY", "DutyHolding"]
+__all__ = ["DutyHolding"]
--- a/src/threadramp/fleet/picture.py
+++ b/src/threadramp/fleet/picture.py
@@ -43,6 +43,7 @@
 # What gateways keep beside the list of members, so that it is listed and watched with it.
 NO_MEMBERS_PREFIX = MEMBER_PREFIX + "."
 CRASHES_PREFIX = NO_MEMBERS_PREFIX + "crashes/"  # by box: under which requests endpoints ended
+DUTIES_KEY = NO_MEMBERS_PREFIX + "duties"  # which gateway holds the duties of the fleet
 TRIALS_PREFIX = NO_MEMBERS_PREFIX + "trials/"  # by request and number: which box makes a trial
 ROLES_LISTED = ("gateway", "sidecar")
 FAULTS_SHOWN = 20  # in one line
@@ -343,6 +344,7 @@
 
 __all__ = [
     "CRASHES_PREFIX",
+    "DUTIES_KEY",
     "HOST_ROLE",
     "MEMBER_PREFIX",
     "TRIALS_PREFIX",
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -11,6 +11,7 @@
 
 from threadramp.gateway.calls import DEFAULT_CLASS, RANKS, CallerAnswer, CallerRequest, CallerStream
 from threadramp.gateway.configuration import Edit
+from threadramp.gateway.organisation_keys import OrganisationKeys
 from threadramp.gateway.state import now
 from threadramp.gateway.status import fleet_status
 from threadramp.wire import headers
@@ -19,7 +20,7 @@
 from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError, bad_request
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from threadramp.config.settings import AuthSettings
     from threadramp.gateway.calls import Calls
@@ -54,9 +55,15 @@
 
 
 class Gate:
-    """Checks bearer tokens by role."""
+    """Checks bearer tokens by role; a key of an organisation is a caller's.
 
-    def __init__(self, auth: AuthSettings) -> None:
+    :param holder_of: returns the organisation that holds a key, none if nobody does
+    """
+
+    def __init__(
+        self, auth: AuthSettings, holder_of: Callable[[bytes], str | None] = lambda key: None
+    ) -> None:
+        self.holder_of = holder_of
         self.tokens = {
             OPERATOR: auth.operator_token,
             TRAINER: auth.trainer_token,
@@ -73,8 +80,11 @@
             token = self.tokens[role]
             if token and hmac.compare_digest(given.encode(), token.encode()):
                 return
+        keyed = bool(given) and self.holder_of(given.encode()) is not None
+        if keyed and CALLER in roles:
+            return
         cherrypy.response.headers["Connection"] = "close"  # the body stays unread
-        known = any(
+        known = keyed or any(
             token and hmac.compare_digest(given.encode(), token.encode())
             for token in self.tokens.values()
         )
@@ -326,7 +336,8 @@
     state: GatewayState, calls: Calls, binder: KeyBinder, settler: Settler, steps: Steps
 ) -> Node:
     """Return the tree of resources."""
-    gate = Gate(state.auth)
+    keys = OrganisationKeys(state.chain)
+    gate = Gate(state.auth, keys.holder)
     root = Node()
     root.metrics = MetricsResource(state, gate)
     root.healthz = HealthResource(state, gate)
--- a/src/threadramp/report/beliefs.py
+++ b/src/threadramp/report/beliefs.py
@@ -8,6 +8,9 @@
 
 from typing import TYPE_CHECKING
 
+from threadramp.fleet.picture import DUTIES_KEY
+from threadramp.fleet.rights import read_right
+from threadramp.platform.documents import CONFIGURATION_KEY
 from threadramp.wire.fleet import Believed, Fact, Inspect
 
 if TYPE_CHECKING:
@@ -21,7 +24,7 @@
     from threadramp.lots.owned import OwnedLots
     from threadramp.runner.sidecar import Sidecar
 
-KINDS = ("endpoint", "lot", "member", "request")
+KINDS = ("configuration", "duty", "endpoint", "lot", "member", "organisation", "request")
 
 
 class Beliefs:
@@ -59,12 +62,60 @@
 
     def added_to(self, beliefs: Beliefs) -> Beliefs:
         """Return what answers, told of all kinds that a gateway knows."""
+        beliefs.add("configuration", self.configuration)
+        beliefs.add("duty", self.duty)
         beliefs.add("endpoint", self.endpoint)
         beliefs.add("lot", self.lot)
         beliefs.add("member", self.member)
+        beliefs.add("organisation", self.organisation)
         beliefs.add("request", self.request)
         return beliefs
 
+    def configuration(self, name: str) -> Iterable[Fact]:
+        """Tell which version is believed, whatever name is given, and since when it was current."""
+        mirror = self.picture.operator
+        source, ago_s = _heard(mirror, CONFIGURATION_KEY, self.clock.now())
+        spoiled = self.picture.readings.unreadable.get(CONFIGURATION_KEY)
+        if spoiled is not None:
+            yield Fact("newest", f"unreadable: {spoiled.reason}", source, ago_s)
+        found = self.picture.belief.configuration
+        if found is None:
+            yield Fact("version", "none yet", source, ago_s)
+            return
+        yield Fact("version", str(found.version), source, ago_s)
+        age_s = self.picture.configuration_age_s(self.clock.now())
+        yield Fact("nothing newer stood", "then", "the store", _finite(age_s))
+        if found.organisations is None:
+            yield Fact("organisations", "none are named: anybody may call", source, ago_s)
+            return
+        yield Fact("organisations", str(len(found.organisations.by_name)), source, ago_s)
+        for fault in found.organisations.faults:
+            yield Fact("fault", fault, source, ago_s)
+
+    def organisation(self, name: str) -> Iterable[Fact]:
+        """Tell of an organisation; never of its keys, but how many it holds."""
+        source, ago_s = _heard(self.picture.operator, CONFIGURATION_KEY, self.clock.now())
+        configuration = self.picture.belief.configuration
+        known = configuration.organisations if configuration is not None else None
+        found = known.by_name.get(name) if known is not None else None
+        if found is None:
+            yield Fact("organisation", "is not named", source, ago_s)
+            return
+        valid = sum(known.by_key.get(key) is found for key in found.keys)
+        yield Fact("keys", f"{len(found.keys)}, {valid} of them its alone", source, ago_s)
+        priority = "the route's" if found.priority is None else str(found.priority)
+        yield Fact("priority", priority, source, ago_s)
+
+    def duty(self, name: str) -> Iterable[Fact]:
+        """Tell who holds the duties of the fleet, whatever name is given."""
+        source, ago_s = _heard(self.picture.members, DUTIES_KEY, self.clock.now())
+        item = self.picture.members.snapshot().get(DUTIES_KEY)
+        held = read_right(item.value) if item is not None else None
+        holder = held.holder if held is not None else ""
+        yield Fact("holder", holder or "nobody", source, ago_s)
+        if item is not None:
+            yield Fact("number", str(item.revision), source, ago_s)
+
     def endpoint(self, name: str) -> Iterable[Fact]:
         """Tell of an endpoint by its id or its address."""
         found = self.picture.belief.endpoints.get(name) or self.picture.belief.at_address(name)
@@ -178,6 +229,10 @@
         yield Fact("order number", str(self.sidecar.weights.right.number), "the store", None)
 
 
+def _finite(seconds: float) -> float | None:
+    return round(seconds, 2) if seconds < float("inf") else None
+
+
 def _heard(mirror: Mirror, key: str, now: float) -> tuple[str, float | None]:
     """Return by which source a key was last learned, and how long ago."""
     source, at = mirror.learned(key)
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -72,7 +72,7 @@
 def test_unknown_standin_names_the_known_ones(run) -> None:
     code, _, errors = run("standin nothing 127.0.0.1:1")
     assert code == ExitCode.USAGE
-    assert "boxes, engine, kv, platform_engine, service, weights" in errors
+    assert "boxes, cloud, engine, kv, platform_engine, service, weights" in errors
 
 
 def test_a_days_logs_are_reported(run, tmp_path: Path) -> None:
--- a/tests/config/test_documents.py
+++ b/tests/config/test_documents.py
@@ -45,3 +45,34 @@
         f"{path}: trainer/t.model: pool 'p' serves no 'b'",
         f"{path}: trainer/u.pool: no pool named 'q' is declared",
     ]
+
+
+DIGEST = "ab" * 32
+
+
+@pytest.mark.parametrize(
+    ("rows", "problem"),
+    [
+        (f'[organisation.a]\nkey_digests = ["{DIGEST}"]\n[organisation.b]\n'
+         f'key_digests = ["{DIGEST}"]\n', "names a key that 'a' has too"),
+        ('[organisation.a]\nkey_digests = [""]\n', "is empty"),
+        (f'[organisation.a]\nkey_digests = ["{DIGEST}", "{DIGEST}"]\n', "names a key twice"),
+        ('[organisation.a]\nkey_digests = ["plain-text-key-123"]\n', "is no digest"),
+        (f'[organisation.a]\nkey_digests = ["{DIGEST.upper()}"]\n', "is no digest"),
+    ],
+)  # fmt: skip
+def test_keys_of_organisations_are_checked_and_never_repeated(tmp_path, rows, problem):
+    path = tmp_path / "fleet.toml"
+    path.write_text(rows)
+    found = [str(finding) for finding in check_document(str(path)).error]
+    assert len(found) == 1
+    assert problem in found[0]
+    assert "plain-text-key" not in found[0]
+
+
+def test_organisations_with_keys_of_their_own_have_no_findings(tmp_path):
+    path = tmp_path / "fleet.toml"
+    path.write_text(
+        f'[organisation.a]\nkey_digests = ["{DIGEST}"]\n[organisation.b]\nkey_digests = []\n'
+    )
+    assert [one.name for one in check_document(str(path)).ok] == ["a", "b"]
--- a/tests/serve/test_organisations.py
+++ b/tests/serve/test_organisations.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
+from cleo.testers.application_tester import ApplicationTester
 
-from tests.serve.fleet import CALLS, bearer, wait_for
+from tests.serve.fleet import CALLS, PORTS, bearer, wait_for
+from threadramp.cli.main import build_application
 
 KEYS = {"acme": ("acme-key-0123456789", "acme-second-0123456"), "rival": ("rival-key-987654321",)}
 ACME, SECOND, RIVAL = *KEYS["acme"], *KEYS["rival"]
@@ -60,8 +64,6 @@
 
 def test_two_different_keys_in_one_head_are_none(guarded):
     """The HTTP library keeps the last of two: a proxy before us might go by the first."""
-    import socket
-
     gateway = guarded.gateways[0]
     lines = [
         "POST /x/ HTTP/1.1", f"Host: {CALLS}", "X-Attempt-Id: two", "Content-Length: 0",
@@ -148,6 +150,18 @@
     assert {run["tenant"] for run in runs} == {"acme"}
 
 
+def test_inspect_shows_the_version_the_organisations_and_no_key(guarded):
+    application = ApplicationTester(build_application())
+    places = " ".join(f"{one.ip}:{PORTS['peer']}" for one in guarded.gateways)
+    shown = ""
+    for asked in ("configuration -", "organisation acme", "organisation nobody", "duty -"):
+        assert application.execute(f"inspect {asked} {places}") == 0
+        shown += application.io.fetch_output()
+    for text in ("version", "nothing newer stood", "2, 2 of them its alone", "is not named"):
+        assert text in shown
+    assert not any(key in shown for key in (ACME, SECOND, RIVAL))
+
+
 def test_no_key_stands_in_a_log_or_a_metric(guarded):
     first = guarded.gateways[0]
     ask(first, "l1", bearer(ACME))
