Order the sizes of pools that follow demand, as the second duty of its holder

Cause: a service may name bounds of its size in each data centre and the time that an endpoint takes to boot, and the platform takes orders for it from one box at a time; nothing decided them.

Kept: the last.

No sheet so far names such bounds: its proof is the stand-in and virtual time.

--- a/src/threadramp/cli/standins.py
+++ b/src/threadramp/cli/standins.py
@@ -7,12 +7,12 @@
 from cleo.helpers import argument, option
 
 from threadramp.cli.api import ExitCode, command, fail
-from threadramp.platform.standins import endpoint, store
+from threadramp.platform.standins import cloud, endpoint, store
 from threadramp.standins import engine, platform, service
 from threadramp.standins.server import STANDINS
 
 # Importing a module registers its stand-ins.
-_MODULES = (endpoint, engine, platform, service, store)
+_MODULES = (cloud, endpoint, engine, platform, service, store)
 
 
 @command
--- a/src/threadramp/duties/collecting.py
+++ b/src/threadramp/duties/collecting.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import threading
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from threadramp.policy.usage_book import UsageBook, UsageTable
 from threadramp.wire.fleet import ReadUsage, UsageCounts
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
+    from threadramp.duties.demand import Open
     from threadramp.fleet.peers import Peers
     from threadramp.fleet.picture import Member
     from threadramp.policy.true_time import TrueTime
@@ -29,6 +31,7 @@
         self.true_time = true_time
         self.box = box
         self.incarnation = incarnation
+        self.open: Callable[[], Open] = dict
 
     def began(self, organisation: str | None, steady: float) -> None:
         """Count a request that an endpoint began; one of nobody in particular is none.
@@ -50,7 +53,7 @@
         seen = ask.seen if ask.incarnation == self.incarnation else 0
         changes, windows = self.book.changed_since(seen)
         time_of_day = self.true_time.clock.time_of_day()
-        return UsageCounts(self.box, self.incarnation, changes, windows, time_of_day)
+        return UsageCounts(self.box, self.incarnation, changes, windows, time_of_day, self.open())
 
 
 class UsageCollecting:
@@ -63,6 +66,7 @@
         self.table = UsageTable(counting.book.window_s)
         self.incarnations: dict[str, str] = {}
         self.unanswered: dict[str, int] = {}
+        self.opened: dict[str, Open] = {}
         self.lock = threading.Lock()
 
     def round(self) -> int:
@@ -84,6 +88,9 @@
         self._take_own(asked_at)
         names = {one.name for one in others}
         self.unanswered = {name: n for name, n in self.unanswered.items() if name in names}
+        with self.lock:
+            names.add(self.counting.box)
+            self.opened = {name: row for name, row in self.opened.items() if name in names}
         return len(replies)
 
     def take(self, told: UsageCounts, asked_at: float) -> None:
@@ -93,6 +100,7 @@
         """
         with self.lock:
             self.incarnations[told.box] = told.incarnation
+            self.opened[told.box] = told.open
             self.table.note(told.box, told.incarnation, told.changes, told.windows, asked_at)
 
     def all_told(self, since: float) -> bool:
@@ -105,6 +113,14 @@
         with self.lock:
             return self.table.total(window)
 
+    def open_at(self, pool: str) -> dict[str, float]:
+        """Return what is open at a pool by data centre, over all gateways."""
+        total: Counter[str] = Counter()
+        with self.lock:
+            for row in self.opened.values():
+                total.update(row.get(pool, {}))
+        return dict(total)
+
     def forget_before(self, window: int) -> None:
         """Drop what is older than a window."""
         with self.lock:
@@ -124,7 +140,9 @@
         counting = self.counting
         seen = self.table.seen(counting.box, counting.incarnation)
         changes, windows = counting.book.changed_since(seen)
-        own = UsageCounts(counting.box, counting.incarnation, changes, windows, 0.0)
+        own = UsageCounts(
+            counting.box, counting.incarnation, changes, windows, 0.0, counting.open()
+        )
         self.take(own, asked_at)
 
 
--- a/src/threadramp/duties/turns.py
+++ b/src/threadramp/duties/turns.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from threadramp.duties.collecting import UsageCollecting
     from threadramp.duties.holding import DutyHolding
+    from threadramp.duties.scale_orders import ScaleOrders
     from threadramp.duties.usage_reports import UsageReports
     from threadramp.fleet.peers import Peers
 
@@ -27,6 +28,7 @@
     """Takes turns at the duties.
 
     :param reports: none where usage is not reported
+    :param scale: none where sizes of pools are not ordered
     """
 
     def __init__(
@@ -35,11 +37,13 @@
         holding: DutyHolding,
         collecting: UsageCollecting,
         reports: UsageReports | None,
+        scale: ScaleOrders | None = None,
     ) -> None:
         self.peers = peers
         self.holding = holding
         self.collecting = collecting
         self.reports = reports
+        self.scale = scale
         self.answered = 0
         self.leaving = False
         self.stopped = threading.Event()
@@ -84,10 +88,13 @@
         if self.leaving or not (self.holding.right.number or self.may_take(None)):
             return
         number = self.holding.usable_number()
-        if not number or self.reports is None:
+        if not number:
             return
         try:
-            self.reports.turn(number)
+            if self.reports is not None:
+                self.reports.turn(number)
+            if self.scale is not None:
+                self.scale.turn(number)
         except StoreError as error:
             log_state("duty_put_off", number=number, error=str(error))
 
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -72,6 +72,7 @@
     :param slots: requests that one endpoint runs at once, 0 if not known
     :param memory_tokens: tokens that an engine's memory holds, 0 if it is no engine
     :param models: names of the models that its engines hold
+    :param autoscale: bounds of its size, none if that is not ours to order
     """
 
     name: str
@@ -80,6 +81,19 @@
     slots: int = 0
     memory_tokens: int = 0
     models: tuple[str, ...] = ()
+    autoscale: Autoscale | None = None
+
+
+@dataclass(frozen=True)
+class Autoscale:
+    """How many endpoints a pool may have in each data centre.
+
+    :param boot_s: until an endpoint that was ordered serves
+    """
+
+    least: int
+    most: int
+    boot_s: float
 
 
 @dataclass(frozen=True)
@@ -210,6 +224,7 @@
 
 
 __all__ = [
+    "Autoscale",
     "CallerLimits",
     "Configuration",
     "EmptyRequest",
--- a/src/threadramp/platform/documents.py
+++ b/src/threadramp/platform/documents.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from threadramp.fleet.model import (
+    Autoscale,
     CallerLimits,
     Configuration,
     EmptyRequest,
@@ -101,11 +102,23 @@
     models: list[_Model] = []
 
 
+class _Autoscale(msgspec.Struct, rename="camel"):
+    """Both bounds are needed: one that is missing would be guessed, and endpoints are paid for."""
+
+    min_replicas: Annotated[int, msgspec.Meta(ge=0)]
+    max_replicas: Annotated[int, msgspec.Meta(ge=0)]
+    boot_s: float = 0.0
+
+    def decoded(self) -> Autoscale:
+        return Autoscale(self.min_replicas, self.max_replicas, self.boot_s)
+
+
 class _Pool(msgspec.Struct, rename="camel"):
     name: str
     health_path: str = "/"
     max_conns: int = 64
     engine: _Engine | None = None
+    autoscale: _Autoscale | None = None
 
     def decoded(self) -> Pool:
         engine = self.engine or _Engine()
@@ -116,6 +129,7 @@
             slots=engine.slots,
             memory_tokens=engine.kv_capacity,
             models=tuple(model.name for model in engine.models),
+            autoscale=self.autoscale and self.autoscale.decoded(),
         )
 
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -7,7 +7,9 @@
 from random import Random
 
 from threadramp.duties.collecting import UsageCollecting, UsageCounting
+from threadramp.duties.demand import DemandCounting
 from threadramp.duties.holding import DutyHolding
+from threadramp.duties.scale_orders import ScaleOrders
 from threadramp.duties.turns import Duties
 from threadramp.duties.usage_reports import UsageReports
 from threadramp.edge.caller_watch import CallerWatch
@@ -180,7 +182,7 @@
     def _new_duties(self, store: StoreClient, clock: Clock) -> Duties | None:
         """Return this gateway's part in the fleet's duties, none where the platform takes none."""
         own = self.settings
-        if own.duties is None or not own.duties.takes_usage:
+        if self.counting is None:
             return None
         collecting = UsageCollecting(self.peers, self.counting, self.true_time)
         holding = DutyHolding(
@@ -193,15 +195,23 @@
         )
         schedule = UsageSchedule(own.bounds.usage_window_s, own.bounds.usage_late_s)
         calls = DutyCalls(own.duties.address, own.name)
+        right = holding.right
         reports = UsageReports(
-            holding.right, store, calls, collecting, schedule, self.true_time, self.metrics
+            right, store, calls, collecting, schedule, self.true_time, self.metrics
+        )
+        scale = ScaleOrders(right, calls, collecting, self.picture, self.metrics)
+        return Duties(
+            self.peers,
+            holding,
+            collecting,
+            reports if own.duties.takes_usage else None,
+            scale if own.duties.takes_scale else None,
         )
-        return Duties(self.peers, holding, collecting, reports)
 
     def _new_counting(self) -> UsageCounting | None:
         """Return what counts requests for their organisations, none where nobody asks for it."""
         own = self.settings
-        if own.duties is None or not own.duties.takes_usage:
+        if own.duties is None or not (own.duties.takes_usage or own.duties.takes_scale):
             return None
         window_s = own.bounds.usage_window_s
         return UsageCounting(window_s, self.true_time, own.name, self.incarnation)
@@ -256,6 +266,8 @@
         streams = StreamForwarder(forwarder, self.caller_watch)
         self.picture.endpoints.listeners.append(forwarder.forget_gone)
         owned = OwnedLots()
+        if self.counting is not None:
+            self.counting.open = DemandCounting(self.picture, forwarder.choice, owned).open
         journal = LotJournal(store)
         scoring = Scoring(owned, self.picture, forwarder, clock)
         self.runners = Runners(
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -34,6 +34,7 @@
     :param changes: number of its last change
     :param windows: by number those that changed, each with all its counts by organisation
     :param time_of_day: of its box
+    :param open: requests by pool and data centre, of pools whose size is ordered
     """
 
     box: str
@@ -41,6 +42,7 @@
     changes: int
     windows: dict[int, dict[str, int]]
     time_of_day: float
+    open: dict[str, dict[str, float]] = {}
 
 
 class Beat(Ask, frozen=True):
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -181,7 +181,7 @@
     def _box(self, folder: Path, role: str, name: str, endpoint: str = "") -> Box:
         box = Box(folder, role, name, self.store_address, endpoint)
         if self.window_s:
-            box.settings["cloud"] = {"address": self.cloud_address, "duties": ["usage"]}
+            box.settings["cloud"] = {"address": self.cloud_address, "duties": ["usage", "scale"]}
             box.settings["bounds"] |= {"reportWindowS": self.window_s, "usageLateS": 10}
             box.write()
         self.boxes.append(box)
@@ -233,11 +233,13 @@
         version: int = 3,
         limits: dict | None = None,
         organisations: dict | None = None,
+        pool: dict | None = None,
         **route,
     ) -> None:
         """Write the configuration.
 
         :param organisations: keys by name, none for a configuration that names nobody
+        :param pool: more fields of the callers' pool
         """
         calls = {
             "name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
@@ -252,7 +254,7 @@
         table = {
             "version": version,
             "routes": [{**calls, **route}, lots],
-            "backends": [engines, {"name": "calls"}],
+            "backends": [engines, {"name": "calls", **(pool or {})}],
             "limits": {"maxBodyBytes": 2_000_000, **(limits or {})},
         }
         if organisations is not None:
--- a/tests/serve/test_duties.py
+++ b/tests/serve/test_duties.py
@@ -64,7 +64,7 @@
 
 
 def reported(fleet) -> dict[int, dict[str, int]]:
-    return {row["window"]: row["counts"] for row in list(fleet.cloud.taken)}
+    return {row["window"]: row["counts"] for row in usage(fleet)}
 
 
 def began(fleet, window: int) -> dict[str, int]:
@@ -106,7 +106,7 @@
     first = window_now() + 1
     wait_for_windows(fleet, first, 4)
     check(fleet, first, 4)
-    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in fleet.cloud.taken]
+    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in usage(fleet)]
     assert max(late) < LATE_S
     assert len({row["holder"] for row in fleet.cloud.taken}) == 1
 
@@ -120,7 +120,7 @@
     wait_for_windows(fleet, first, 6)
     assert fleet.cloud.broken(APART_S) == []
     assert holder(fleet) != killed.name
-    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in fleet.cloud.taken]
+    late = [row["at"] - (row["window"] + 1) * WINDOW_S for row in usage(fleet)]
     assert max(late) < LATE_S
     told = reported(fleet)
     # What the killed one counted since it was last asked, a second before at most, is not known.
@@ -188,3 +188,22 @@
         assert made.cloud.taken == []
     finally:
         made.close()
+
+
+def usage(fleet) -> list[dict]:
+    return [row for row in list(fleet.cloud.taken) if row["duty"] == "usage"]
+
+
+def test_a_pool_that_follows_demand_is_ordered_by_the_holder_within_its_bounds(fleet):
+    wait_for(lambda: holder(fleet), "a holder")
+    autoscale = {"minReplicas": 3, "maxReplicas": 5, "bootS": 1.0}
+    fleet.configure(version=5, organisations=KEYS, pool={"autoscale": autoscale})
+    wait_for(lambda: orders(fleet), "an order")
+    first = orders(fleet)[0]
+    assert (first["backend"], first["zone"], first["holder"]) == ("calls", "a", holder(fleet))
+    assert all(3 <= row["desired"] <= 5 for row in orders(fleet))
+    assert fleet.cloud.broken(APART_S) == []
+
+
+def orders(fleet) -> list[dict]:
+    return [row for row in list(fleet.cloud.taken) if row["duty"] == "scale"]
