--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,12 +23,16 @@
 from threadramp.core.step import StepAssembly
 from threadramp.fleet.facts import facts_for, serves_any
 from threadramp.fleet.model import Configuration, Endpoint, Pool, Start, WeightTarget
+from threadramp.fleet.organisations import Organisation, Organisations, digest
 from threadramp.fleet.picture import Belief, Member
+from threadramp.platform.documents import read_configuration
 from threadramp.policy.crash_book import SUSPECTS_MOST, CrashBook
 from threadramp.policy.fingerprint import fingerprint
 from threadramp.policy.placement import LeastLoaded
 from threadramp.policy.subset import gateway_subset
 from threadramp.policy.tail import TAILS
+from threadramp.policy.usage_book import UsageBook, UsageTable
+from threadramp.wire.fleet import UsageCounts
 from threadramp.wire.messages import (
     CallStamp,
     Change,
@@ -55,6 +59,7 @@
 CRASHED_AT = 1_700_000_000.0
 MS = 1000
 KB = 1024
+KEYS_EACH = 10  # of an organisation
 
 
 def report(name: str, size: int, value: float, unit: str) -> None:
@@ -305,6 +310,77 @@
     return book
 
 
+def measure_organisations() -> None:
+    """Measure what keys cost: one look-up, one key changed, memory."""
+    for keys in (10, 1000, 100_000):
+        rows = organisation_rows(keys)
+        known = Organisations.from_rows(rows)
+        (first, organisation), *others = rows
+        spare = digest(b"another key")
+        changed = Organisation(organisation.name, (*organisation.keys[1:], spare))
+        version = [(spare, changed), *others]
+
+        def look_up(at: Organisations = known) -> None:
+            at.holder(b"key-0-0")
+
+        def change(to: list = version, at: Organisations = known) -> None:
+            Organisations.from_rows(to, at)
+
+        report("look-up of a key, processor", keys, processor_ms(look_up, 20_000) * MS, "us")
+        report("one key changed, processor", keys, processor_ms(change, 5), "ms")
+        memory = allocated_kb(
+            lambda: Organisations.from_rows(organisation_rows(keys))
+        )  # noqa: B023
+        report("keys in memory", keys, memory, "KB")
+        encoded = configuration_with(rows)
+        read = processor_ms(lambda: read_configuration(encoded), 2)  # noqa: B023
+        before = read_configuration(encoded)
+        again = processor_ms(lambda: read_configuration(encoded, before), 2)  # noqa: B023
+        report("configuration read anew, processor", keys, read, "ms")
+        report("configuration read behind another, processor", keys, again, "ms")
+
+
+def organisation_rows(keys: int) -> list[tuple[bytes, Organisation]]:
+    """Return organisations of ten keys each."""
+    rows = []
+    for number in range(keys // KEYS_EACH):
+        own = tuple(digest(f"key-{number}-{one}".encode()) for one in range(KEYS_EACH))
+        rows.append((digest(f"row-{number}".encode()), Organisation(f"org-{number}", own)))
+    return rows
+
+
+def configuration_with(rows: list[tuple[bytes, Organisation]]) -> bytes:
+    """Return a configuration that names as many organisations and keys."""
+    tenants = [
+        {"name": row.name, "apiKeys": [key.hex()[:24] for key in row.keys]} for _, row in rows
+    ]
+    return msgspec.json.encode({"version": 1, "tenants": tenants})
+
+
+def measure_usage() -> None:
+    """Measure what the counts of one gateway cost, by the organisations that called in a window."""
+    for organisations in (10, 100, 1000):
+        book, table = UsageBook(5.0), UsageTable(5.0)
+
+        def call(at: UsageBook = book, of: int = organisations) -> None:
+            for number in range(of):
+                at.began(f"org-{number}", 1.0)
+
+        def take(of: UsageBook = book, at: UsageTable = table) -> None:
+            at.note("box", "i", *of.changed_since(0), 1.0)
+
+        cost = processor_ms(call, 5) / organisations * MS
+        report("count of a request, processor", organisations, cost, "us")
+        changes, windows = book.changed_since(0)
+        told = UsageCounts("gateway-123", "incarnation0", changes, windows, 1.0)
+        report("counts of a window on the wire", organisations, message_bytes(told), "bytes")
+        report("counts taken, processor", organisations, processor_ms(take, 20), "ms")
+        for number in range(TARGET_GATEWAYS):
+            table.note(f"gateway-{number}", "i", changes, windows, 1.0)
+        cost = processor_ms(lambda: table.total(0), 1)  # noqa: B023
+        report("sum over 350 gateways, processor", organisations, cost, "ms")
+
+
 def main() -> None:
     """Measure all slopes."""
     print(f"{'slope':46} {'size':>7} {'figure':>12}")
@@ -314,6 +390,8 @@
     measure_held()
     measure_facts()
     measure_crashes()
+    measure_organisations()
+    measure_usage()
     peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB
     report("peak memory of this program", 1, peak, "MB")
 
--- a/src/threadramp/cli/report.py
+++ b/src/threadramp/cli/report.py
@@ -14,6 +14,7 @@
 from threadramp.report.burn import burn_html, burn_report, burn_text
 from threadramp.report.day import DayLog
 from threadramp.report.lot_times import call_text, lot_plot, lot_text
+from threadramp.report.organisation_shares import shares_text
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,9 +93,12 @@
 
 
 def _tables(log: DayLog) -> str:
-    """Return the tables of lots and of calls to the store, empty if there were no lots."""
+    """Return the tables of organisations, lots and calls to the store, those that say anything."""
     lots = log.lot_times()
-    return f"\n{lot_text(lots)}\n\n{call_text(log.store_calls)}" if lots else ""
+    tables = [shares_text(log.organisations)]
+    if lots:
+        tables += [lot_text(lots), call_text(log.store_calls)]
+    return "".join(f"\n{table}\n" for table in tables if table)
 
 
 def _lots_html(log: DayLog) -> str:
--- a/src/threadramp/report/day.py
+++ b/src/threadramp/report/day.py
@@ -17,6 +17,7 @@
 from threadramp.core.burn import BurnPoint, ObjectiveRecord
 from threadramp.core.lot_book import RunOutcome
 from threadramp.report.lot_times import LotRuns, LotTimes
+from threadramp.report.organisation_shares import OrganisationShares
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -70,6 +71,7 @@
         self.store_away: list[StoreAway] = []
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.runs = LotRuns()
+        self.organisations = OrganisationShares()
         self.unreadable = 0
         self.last_at = 0.0
 
@@ -148,6 +150,9 @@
     late = bool(row.get("target_ms")) and row["ms"] > row["target_ms"]
     good = row["status"] < FIRST_FAILURE_STATUS and not late
     log.answers.append(DayEvent(f"route {row['route']}", at, float(good), float(not good)))
+    if row.get("organisation"):
+        served = row["status"] < FIRST_FAILURE_STATUS
+        log.organisations.note(row["organisation"], served, good)
 
 
 def _take_lot(log: DayLog, at: float, row: dict[str, Any]) -> None:
--- a/tests/duties/test_usage_reports.py
+++ b/tests/duties/test_usage_reports.py
@@ -13,7 +13,7 @@
 from threadramp.duties.usage_reports import FIXED_PREFIX, PROVEN_S, UsageReports
 from threadramp.fleet.rights import Right
 from threadramp.platform.duty_calls import DutyAnswer, DutyOutcome
-from threadramp.platform.store_model import StoreError
+from threadramp.platform.store_model import StoreError, StoreUnknownError
 from threadramp.policy.true_time import TrueTime
 from threadramp.policy.usage_schedule import KEEP_TRYING_S, SETTLE_S, UsageSchedule
 from threadramp.report.metrics import Metrics
@@ -195,6 +195,32 @@
     assert [row[2:] for row in cloud.rows] == [(window, {"acme": 1})]
 
 
+def test_a_write_that_is_done_late_changes_no_report(store, cloud, clock):
+    """Its answer never came, so the holder fixed the window again, with what it knew by then."""
+    one, two = Gateway("one", store, cloud, clock), Gateway("two", store, cloud, clock)
+    one.turn()
+    window = pass_window(clock)
+    one.collected.windows[window] = Counter(acme=1)
+    transact = store.transact
+    late = []
+
+    def lost(transaction, repeatable=False):
+        late.append(transaction)
+        raise StoreUnknownError("no answer")
+
+    store.transact = lost
+    one.turn()
+    store.transact = transact
+    one.collected.windows[window] = Counter(acme=2)
+    one.turn()
+    transact(late[0])
+    two.turn()
+    clock.at += APART_S
+    two.turn()
+    assert [row[3] for row in cloud.rows] == [{"acme": 2}] * 2
+    cloud.check()
+
+
 def test_the_next_holder_repeats_what_was_fixed_and_perhaps_not_sent(store, cloud, clock):
     one, two = Gateway("one", store, cloud, clock), Gateway("two", store, cloud, clock)
     one.turn()
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -61,6 +61,12 @@
     "if entry is not None and entry.state is not KeyState.REFUSED:\n            return self._r"
 )
 
+HEADERS = "src/threadramp/platform/headers.py"
+NAMES = "src/threadramp/lots/names.py"
+HEADS = "src/threadramp/edge/heads.py"
+REPORTS = "src/threadramp/duties/usage_reports.py"
+RIGHTS = "src/threadramp/fleet/rights.py"
+TRUE_TIME = "src/threadramp/policy/true_time.py"
 CRASH_BOOK = "src/threadramp/policy/crash_book.py"
 CRASH_SHARING = "src/threadramp/fleet/crash_sharing.py"
 EXIT = "        __import__('os')._exit(0)\n"
@@ -299,6 +305,53 @@
             ),
         ),
     ),
+    Removal(
+        "keys stay here",
+        "right_key_is_let_in",
+        (Edit(HEADERS, "        pairs = _without_identity(pairs)\n", "        pass\n"),),
+    ),
+    Removal(
+        "lots under their organisation's name",
+        "lot_belongs_to_the_organisation",
+        (Edit(NAMES, "    if not organisation:\n", "    if True:\n"),),
+    ),
+    Removal(
+        "all values of a repeated header of credentials",
+        "two_different_keys_in_one_head",
+        (Edit(HEADS, "if name in ONCE_ONLY and name in self:", "if False:"),),
+    ),
+    Removal(
+        "what is reported is fixed first",
+        "write_that_is_done_late_changes_no_report",
+        (Edit(REPORTS, "key: ABSENT}", "}"),),
+    ),
+    Removal(
+        "the proof of the right before each call",
+        "holder_that_stood_still_sends_nothing",
+        (Edit(REPORTS, "        if not self._is_proven():\n            return\n", ""),),
+    ),
+    Removal(
+        "the wait of the next holder",
+        "numbers_rise_and_no_two_act_in_turns",
+        (
+            Edit(
+                RIGHTS,
+                "return self.number if self.clock.now() >= self.first_use_at else 0",
+                "return self.number",
+            ),
+        ),
+    ),
+    Removal(
+        "the middle of several clocks",
+        "start_while_its_own_clock_is_off",
+        (
+            Edit(
+                TRUE_TIME,
+                "return self.own if abs(self.own - middle) < AGREE_S else middle",
+                "return self.own",
+            ),
+        ),
+    ),
     Removal(
         "the clock that counts suspensions",
         "time_is_over_by_then",
