Soak with keys that come and go and an interface to duties that misbehaves

Cause: the soak knew no organisation and no duty.

Change: two organisations, one whose key is another each 0.8 s; calls show it, an old one, or a key that always holds; calls of duties are turned away, lost or unanswered. Checked: no key that always holds is refused, names at endpoints are those of whoever holds the key that was shown, no key reaches one, what was taken away is away at each gateway once all is healed, no window is missing, one report a window, numbers rise and holders take no turns.

--- a/tests/serve/faults.py
+++ b/tests/serve/faults.py
@@ -217,4 +217,16 @@
     return lambda: [soak.fleet.remove(f"servers/x-{n}") for n in range(len(soak.fleet.engines))]
 
 
+@FAULTS.register("calls of duties turned away and lost")
+def misbehaving_cloud(soak: Soak) -> Callable[[], None]:
+    soak.fleet.cloud.faults.update(turn_away=2, lose=2)
+    return lambda: None
+
+
+@FAULTS.register("calls of duties unanswered")
+def silent_cloud(soak: Soak) -> Callable[[], None]:
+    soak.fleet.cloud.faults["hold_s"] = 4.0
+    return lambda: soak.fleet.cloud.faults.update(hold_s=0.0)
+
+
 __all__ = ["FAULTS"]
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -91,6 +91,7 @@
         if endpoint:
             self.settings.update(app=endpoint, backend="engines")
         self.process = None
+        self.key = ""
         self.write()
 
     def write(self) -> None:
@@ -132,7 +133,8 @@
     def call(self, method: str, target: str, host=HOST, body=b"", timeout_s=10.0, **headers):
         """Send one request to this gateway."""
         pool = HTTPConnectionPool(self.ip, PORTS["front"], retries=False)
-        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        shown = bearer(self.key) | headers
+        named = {name.replace("_", "-"): value for name, value in shown.items()}
         with pool:
             return pool.urlopen(
                 method, target, body=body, headers={"Host": host, **named},
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -18,6 +18,7 @@
 from tests.serve.crashing_pool import CrashingPool
 from tests.serve.faults import FAULTS
 from tests.serve.fleet import CALLS, HOST, PlatformFleet, is_engine, wait_for
+from tests.serve.keys_in_turn import STEADY_KEY, OrganisationKeysInTurn
 from tests.serve.way import put_before, serve_behind
 
 if TYPE_CHECKING:
@@ -39,6 +40,8 @@
 UNDER_ONE = 3  # endpoints that may end before a request is known
 MORE_MOST = 3  # and after that, for trials
 FORGETFUL = {"all killed", "gateway killed", "gateway stopped as planned", "process frozen"}
+WINDOW_S = 2.0
+APART_S = 3.0  # holders of the duties may not take turns within this time
 WHOLE_WITHIN_S = 60.0  # after all is healed; a bound for a busy machine, not a promise
 
 
@@ -49,7 +52,10 @@
         self.random = Random(seed)
         self.engine_ways: list[Way] = []
         behind = serve_behind(serve, self.engine_ways, is_engine)
-        self.fleet = PlatformFleet(folder, behind, gateways=3, engines=3)
+        self.fleet = PlatformFleet(folder, behind, gateways=3, engines=3, window_s=WINDOW_S)
+        self.keys = OrganisationKeysInTurn(self.fleet)
+        for gateway in self.fleet.gateways:
+            gateway.key = STEADY_KEY
         self.ways = [put_before(box, self.fleet.store_address) for box in self.fleet.boxes]
         for engine in self.fleet.engines:
             engine.faults.update(events=EVENTS, gap_s=GAP_S)
@@ -70,7 +76,13 @@
         self.fleet.start()
         threads = [
             threading.Thread(target=loop, daemon=True)
-            for loop in (self._hand_in_lots, self._read_lots, self._call, self._name_versions)
+            for loop in (
+                self._hand_in_lots,
+                self._read_lots,
+                self._call,
+                self._name_versions,
+                lambda: self.keys.turn_until(self.stopped),
+            )
         ]
         for thread in threads:
             thread.start()
@@ -82,6 +94,8 @@
         self._check_not_run()
         self._check_orders()
         self._check_crashers()
+        self.broken += self.keys.broken()
+        self.broken += self.fleet.cloud.broken(APART_S)
         return self.broken
 
     def _check_orders(self) -> None:
@@ -178,7 +192,9 @@
             name = f"call{number}"
             gateway = self.random.choice(self.fleet.gateways)
             with suppress(HTTPError, OSError):
-                answer = gateway.call("POST", "/x", host=CALLS, body=b"q", X_Attempt_Id=name)
+                answer = gateway.call(
+                    "POST", "/x", host=CALLS, body=b"q", X_Attempt_Id=name, **self.keys.header(name)
+                )
                 self._note_answer(name, answer.status, answer.data)
 
     def _note_answer(self, name: str, status: int, data: bytes) -> None:
@@ -189,6 +205,8 @@
                 self.broken.append(f"{name} got {data!r}")
         elif status == 503:
             self.calls_not_run.add(name)
+        elif status == 401 and self.keys.is_steady(name):
+            self.broken.append(f"{name}: a key that always held was refused")
 
     def _name_versions(self) -> None:
         while not self.stopped.wait(VERSION_EACH_S):
