--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -328,10 +328,11 @@
 
         report("look-up of a key, processor", keys, processor_ms(look_up, 20_000) * MS, "us")
         report("one key changed, processor", keys, processor_ms(change, 5), "ms")
-        memory = allocated_kb(
-            lambda: Organisations.from_rows(organisation_rows(keys))
-        )  # noqa: B023
-        report("keys in memory", keys, memory, "KB")
+
+        def build(count: int = keys) -> Organisations:
+            return Organisations.from_rows(organisation_rows(count))
+
+        report("keys in memory", keys, allocated_kb(build), "KB")
         encoded = configuration_with(rows)
         read = processor_ms(lambda: read_configuration(encoded), 2)  # noqa: B023
         before = read_configuration(encoded)
--- a/src/threadramp/runner/hosting.py
+++ b/src/threadramp/runner/hosting.py
@@ -14,9 +14,9 @@
 from threadramp.fleet.facts import facts_for
 from threadramp.fleet.runner_members import engines, hosted_member
 from threadramp.policy.engine_host import host_of
-from threadramp.report.beliefs import RunnerBeliefs
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
+from threadramp.runner.beliefs import RunnerBeliefs
 from threadramp.runner.engine import Engine
 from threadramp.runner.order_right import order_right
 from threadramp.runner.runs import RunTable
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -13,9 +13,10 @@
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
 from threadramp.policy.renewals import renewal_s
-from threadramp.report.beliefs import Beliefs, RunnerBeliefs
+from threadramp.report.beliefs import Beliefs
 from threadramp.report.call_tally import CallTally
 from threadramp.report.metrics import Metrics
+from threadramp.runner.beliefs import RunnerBeliefs
 from threadramp.runner.engine import Engine
 from threadramp.runner.order_right import order_right
 from threadramp.runner.runs import RunTable
