Let a version stay new while its engine may not be ordered

Cause: an engine loads in its turn what was named lately; a version that is named while the engine's runner waits 5 s for the right to order was known for longer than that once it might order, and an engine that is one behind makes up for nothing.

Ruled out: a longer time for which versions are new (loads of all engines would meet).

Change: a version whose turn came while the right was missing counts as just named until it is ordered.

Shown: the new test failed before and passes after.

--- a/src/threadramp/runner/weights.py
+++ b/src/threadramp/runner/weights.py
@@ -24,15 +24,17 @@
 ORDER_PAUSE_S = 0.5  # between two orders that were not taken
 
 
-@dataclass(frozen=True)
+@dataclass
 class SeenVersion:
     """The newest version of a model that this sidecar knows of.
 
     :param since: time at which it heard of it
+    :param held_up: whether it was its engine's turn but the engine might not be ordered
     """
 
     version: int
     since: float
+    held_up: bool = False
 
 
 class Weights:
@@ -103,7 +105,8 @@
             model=target.model,
             version=target.version,
             held=self.engine.report.versions.get(target.model, 0),
-            known_s=now - seen.since,
+            # While the right to order is waited for, 5 s after a take-over, it does not get old.
+            known_s=0.0 if seen.held_up else now - seen.since,
         )
 
     def hurry(self, model: str) -> None:
@@ -119,6 +122,7 @@
         report = self.engine.report
         start = self.engine.start
         fence = self.right.usable_number()
+        self.seen[target.model].held_up = not fence
         if not fence:
             self.not_before = self.clock.now() + ORDER_PAUSE_S
             return
--- a/tests/runner/test_weights.py
+++ b/tests/runner/test_weights.py
@@ -53,6 +53,22 @@
         time.sleep(0.01)
 
 
+def test_a_version_stays_new_while_its_engine_may_not_be_ordered(sidecar_engine, engine):
+    """Seen: a version was loaded only when the next one was named, 25 s and more later.
+
+    It was named while the runner waited 5 s for the right to order its engine. By then it was known
+    for longer than a version counts as new, and an engine that is one behind makes up for nothing.
+    """
+    right = Right(number=0)
+    weights = Weights(sidecar_engine, Clock(), right)
+    sidecar_engine.learn(facts(version=2))
+    until = time.monotonic() + ModelShare({"m": 0}).new_s(1) + 0.5
+    turn_until(weights, lambda: time.monotonic() > until)
+    right.number = 10
+    turn_until(weights, lambda: engine.versions["m"] == 2)
+    assert len(engine.orders) == 1
+
+
 def test_the_named_version_is_ordered_once(sidecar_engine, engine):
     weights = Weights(sidecar_engine, Clock(), Right())
     sidecar_engine.learn(facts(version=2))
