--- a/src/threadramp/duties/collecting.py
+++ b/src/threadramp/duties/collecting.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from threadramp.policy.usage_book import UsageBook, UsageTable
+from threadramp.policy.usage_book import KEPT_WINDOWS, UsageBook, UsageTable
 from threadramp.wire.fleet import ReadUsage, UsageCounts
 
 if TYPE_CHECKING:
@@ -88,10 +88,18 @@
         self._take_own(asked_at)
         names = {one.name for one in others}
         self.unanswered = {name: n for name, n in self.unanswered.items() if name in names}
+        self._forget_old({*names, self.counting.box})
+        return len(replies)
+
+    def _forget_old(self, names: set[str]) -> None:
+        """Drop windows that nobody reports any more, and what is open at gateways that are gone.
+
+        Also where this gateway collects beside the holder and reports nothing itself.
+        """
+        oldest = self.counting.book.window_at(self.true_time.now()) - KEPT_WINDOWS
         with self.lock:
-            names.add(self.counting.box)
+            self.table.forget_before(oldest)
             self.opened = {name: row for name, row in self.opened.items() if name in names}
-        return len(replies)
 
     def take(self, told: UsageCounts, asked_at: float) -> None:
         """Take what a gateway told.
@@ -121,11 +129,6 @@
                 total.update(row.get(pool, {}))
         return dict(total)
 
-    def forget_before(self, window: int) -> None:
-        """Drop what is older than a window."""
-        with self.lock:
-            self.table.forget_before(window)
-
     def _expected(self) -> Iterable[str]:
         """Return the gateways that are listed, this one among them, and those heard lately."""
         listed = [one.name for one in self.peers.picture.belief.gateways()]
--- a/src/threadramp/duties/usage_reports.py
+++ b/src/threadramp/duties/usage_reports.py
@@ -70,7 +70,6 @@
         self._fix_ready()
         for window in sorted(self.unsent):
             self._send(window)
-        self.collecting.forget_before(self.next_window - KEPT_WINDOWS)
 
     def _take_up(self, number: int) -> None:
         """Go on where the holder before may have stopped: after a window fixed, not yet sent."""
--- /dev/null
+++ b/tests/duties/test_collecting.py
@@ -0,0 +1,85 @@
+"""A gateway that collects the counts of others."""
+
+from __future__ import annotations
+
+import pytest
+
+from threadramp.duties.collecting import UsageCollecting, UsageCounting
+from threadramp.fleet.picture import Member
+from threadramp.policy.true_time import TrueTime
+from threadramp.policy.usage_book import KEPT_WINDOWS
+
+WINDOW_S = 5.0
+OTHER = Member("other", "gateway", "i2", "10.0.0.2:7720", "a", "")
+
+
+class Others:
+    """One other gateway, which answers or not."""
+
+    def __init__(self, clock, counting) -> None:
+        self.clock = clock
+        self.counting = counting
+        self.member = Member("me", "gateway", "i1", "10.0.0.1:7720", "a", "")
+        self.myself = ("me", "10.0.0.1:7720")
+        self.answers = True
+        self.picture = self
+        self.belief = self
+
+    def gateways(self):
+        return [self.member, OTHER]
+
+    def gateways_lately(self):
+        return [OTHER]
+
+    def ask_all(self, asks, timeout_s):
+        if not self.answers:
+            return {}
+        return {address: self.counting.answer(ask) for address, ask in asks.items()}
+
+
+@pytest.fixture
+def other(clock) -> UsageCounting:
+    return UsageCounting(WINDOW_S, TrueTime(clock), "other", "i2")
+
+
+@pytest.fixture
+def peers(clock, other) -> Others:
+    return Others(clock, other)
+
+
+@pytest.fixture
+def collecting(clock, peers) -> UsageCollecting:
+    true_time = TrueTime(clock)
+    return UsageCollecting(peers, UsageCounting(WINDOW_S, true_time, "me", "i1"), true_time)
+
+
+def test_counts_of_both_come_together(clock, collecting, other):
+    window = collecting.counting.book.window_at(collecting.true_time.now())
+    collecting.counting.began("acme", clock.now())
+    other.began("acme", clock.now())
+    other.began(None, clock.now())
+    other.began("", clock.now())
+    assert collecting.round() == 1
+    assert collecting.total(window) == {"acme": 2}
+
+
+def test_one_that_does_not_answer_is_missed(clock, collecting, peers):
+    since = collecting.true_time.now() - 1.0
+    collecting.round()
+    assert collecting.all_told(since)
+    peers.answers = False
+    clock.at += 5.0
+    for rounds in (1, 2):
+        collecting.round()
+        assert collecting.unanswered == {"other": rounds}
+    assert not collecting.all_told(since + 5.0)
+
+
+def test_a_collector_that_reports_nothing_forgets_old_windows_too(clock, collecting, other):
+    """It kept all of them: only the holder forgot, by what it had reported."""
+    for _ in range(4 * KEPT_WINDOWS):
+        other.began("acme", clock.now())
+        collecting.round()
+        clock.at += WINDOW_S
+    kept = {window for told in collecting.table.told.values() for window in told.windows}
+    assert len(kept) <= KEPT_WINDOWS + 1
--- a/tests/duties/test_usage_reports.py
+++ b/tests/duties/test_usage_reports.py
@@ -69,9 +69,6 @@
     def total(self, window):
         return dict(self.windows.get(window, {}))
 
-    def forget_before(self, window):
-        pass
-
 
 class Gateway:
     def __init__(self, box: str, store: MemoryStore, cloud: Cloud, clock: FakeClock) -> None:
