Do no duties where their address is empty, in place of refusing to start

Cause: fields of matters that are not open may be empty; an empty address of the duties was a finding, so that no process would have started there. A spoiled one is a finding still.

Shown: tests of both, of the duties' names and of how long keys are trusted; no sheet at hand has an empty one.

--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -179,13 +179,14 @@
         return StoreSettings(address, int(value_bytes), lease_min_ms / 1000, reads_per_s)
 
     def _duties(self) -> DutySettings | None:
-        table = self.table.get("cloud")
-        if not table:
+        """Return where duties are taken; none where the fields are empty, as they may be."""
+        table = self._table("cloud")
+        address = table.get("address")
+        names = table.get("duties") or []
+        if not address:
             return None
-        address = table.get("address") if isinstance(table, dict) else None
-        names = table.get("duties", []) if isinstance(table, dict) else None
         if not isinstance(address, str) or ":" not in address:
-            self.findings.append(Finding("cloud.address", "is missing or no ip:port"))
+            self.findings.append(Finding("cloud.address", "is no ip:port"))
             return None
         if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
             self.findings.append(Finding("cloud.duties", "is no list of names"))
