Hand the duties over also before the first turn of a process

Cause, traced in a soak: a holder was killed, started again, and was asked to stop before its first turn.

Change: a process that leaves learns the number first.

--- a/src/threadramp/duties/turns.py
+++ b/src/threadramp/duties/turns.py
@@ -67,7 +67,13 @@
         return may_take(self._me, holder, self._names(), unanswered, self.answered)
 
     def leave(self) -> None:
-        """Hand the duties to the gateway that they fall to next; for a planned stop."""
+        """Hand the duties to the gateway that they fall to next; for a planned stop.
+
+        Also what a process of this box took before and this one has not used yet: others wait for a
+        holder that answers them, 5 s and more while it stops.
+        """
+        if self.holding.is_mine():
+            self.holding.right.usable_number()  # learns its number, if it is not known yet
         self.leaving = True
         if not self.holding.is_mine():
             return
