--- a/src/threadramp/serve/own_settings.py
+++ b/src/threadramp/serve/own_settings.py
@@ -29,7 +29,7 @@
     :param listing: when results are written, one of ``policy/listing.py``
     """
 
-    listing: str = "as_needed"
+    listing: str = "at_once"
 
 
 class OwnSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
