Choose the connection by the id that is sent to the endpoint

What callers saw: 502, after the request had run at up to five endpoints.

Cause: the id of a request had two sources. AttemptLoop.send decided by Job.request_id whether a pooled connection may be used; Exchange.is_own matched the response with the id in the headers. Where these named none, the connection was pooled and used again, but no unnamed response is accepted on a reused one.

Change: send reads the id from the headers that go out, for the pool as for the match, so the two cannot differ. The new test failed before for both kinds of route.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -11,7 +11,7 @@
 from threadramp.edge.crash_guard import CrashGuard
 from threadramp.edge.exchange import ExchangeError
 from threadramp.edge.job import Ending, Outcome, is_disconnected
-from threadramp.platform.headers import to_endpoint
+from threadramp.platform.headers import sent_id, to_endpoint
 from threadramp.policy.crash_tracker import Assessment, CrashTracker, SuspicionLevel
 from threadramp.policy.idle_connections import max_idle_connections
 from threadramp.report.log import log_state
@@ -179,7 +179,9 @@
         if left <= 0.0:  # the process was paused since the deadline was checked
             return
         self.history.sent_at[endpoint.incarnation] = now
-        request_id = self.job.request_id
+        headers = self.headers(left, endpoint.instance)
+        # The response is matched with the id that is sent; the caller's id may have been dropped.
+        request_id = sent_id(headers)
         # Without an id nothing tells its response from a duplicate of an earlier one.
         force_new = force_new or not request_id
         try:
@@ -190,7 +192,6 @@
             self.record_exchange_error(endpoint, error, ran=False)
             return
         self.access.choice.request_started(endpoint)
-        headers = self.headers(left, endpoint.instance)
         try:
             exchange.send(self.job.method, self.job.target, headers, self.job.body)
         except ExchangeError as error:
--- a/tests/edge/test_response_matching.py
+++ b/tests/edge/test_response_matching.py
@@ -52,10 +52,11 @@
     picture.snapshot = FleetSnapshot(endpoints={"i-1": endpoint})
     forwarder = Forwarder(picture, connections, EndpointSelector(Random(1)), RetryBudget(), Clock())
 
-    def run(request_id: str, kind: RouteKind = RouteKind.REPEATABLE, **more):
+    def run(request_id: str, kind=RouteKind.REPEATABLE, sent_id=None, more=(), **options):
         route = Route("r", "h", "/", kind, (PoolShare("p", 1.0),), 2.0, 1.0, 3)
-        headers = (("Host", "h"), ("x-attempt-id", request_id)) if request_id else (("Host", "h"),)
-        job = Job(request_id, "POST", "/x", headers, b"q", route, steady_s() + 2.0, **more)
+        sent_id = request_id if sent_id is None else sent_id
+        headers = (("Host", "h"), *more, *((("x-attempt-id", sent_id),) if sent_id else ()))
+        job = Job(request_id, "POST", "/x", headers, b"q", route, steady_s() + 2.0, **options)
         return forwarder.run(job)
 
     return run
@@ -194,3 +195,12 @@
     for _ in range(2):
         assert forward("").ending is Ending.ANSWERED
     assert proxy.opened == 2
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
+def test_a_request_whose_sent_headers_name_no_id_goes_on_a_new_connection(proxy, forward, kind):
+    """Its unnamed response was refused on a pooled connection, so it ended ``unknown``."""
+    for number in range(4):
+        outcome = forward(f"r{number}", kind, sent_id="")
+        assert outcome.ending is Ending.ANSWERED
+    assert proxy.opened == 4
