Pass the request id on even if a Connection header lists it

What callers saw: a caller that lists X-Attempt-Id in its Connection header got no id echoed, and 502 for every second request, each of which had run.

Cause: to_endpoint drops what the Connection header lists. The protocol asks for the id just as the client sent it: it names the request at its endpoint, so it is no field of one connection, as content fields are not either (RFC 9110, 7.6.1).

The tests of the forwarder and of the gateway failed before this commit.

Change: to_endpoint keeps the id whatever the Connection header lists.

--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -171,7 +171,9 @@
         caller says of it stay here then. None where the configuration names no organisations.
     """
     pairs = [(name, value) for name, value in incoming]
-    dropped = _named_by_connection(pairs) | _ONE_CONNECTION | _SET_BY_US
+    # The id names the request at its endpoint, so a caller cannot restrict it to one connection.
+    by_caller = _named_by_connection(pairs) - {REQUEST_ID.lower()}
+    dropped = by_caller | _ONE_CONNECTION | _SET_BY_US
     if organisation is not None:
         pairs = _without_identity(pairs)
     headers = {name: value for name, value in pairs if name.lower() not in dropped}
--- a/tests/edge/test_response_matching.py
+++ b/tests/edge/test_response_matching.py
@@ -204,3 +204,15 @@
         outcome = forward(f"r{number}", kind, sent_id="")
         assert outcome.ending is Ending.ANSWERED
     assert proxy.opened == 4
+
+
+@pytest.mark.parametrize("connection", ["X-Attempt-Id", "keep-alive, x-attempt-id", "close"])
+def test_the_id_of_a_request_reaches_the_endpoint_whatever_its_connection_header_lists(
+    proxy, engine, forward, connection
+):
+    """A caller that listed the id there got 502, after its request had run."""
+    for number in range(4):
+        outcome = forward(f"r{number}", RouteKind.ONCE, more=(("Connection", connection),))
+        assert outcome.response.head.request_id == f"r{number}"
+    assert [run["id"] for run in engine.runs] == ["r0", "r1", "r2", "r3"]
+    assert proxy.opened == 1
--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -24,6 +24,15 @@
     assert fleet.callee.runs[-1]["id"] == "r1"
 
 
+def test_a_caller_that_lists_the_id_in_its_connection_header_gets_its_answers(fleet):
+    """The id was dropped, so later requests ran at each endpoint and were answered 502."""
+    gateway = fleet.gateways[0]
+    for number in range(6):
+        response = send_request(gateway, name=f"r{number}", Connection="keep-alive, X-Attempt-Id")
+        assert (response.status, response.data) == (200, f"i-c0 answers r{number}".encode())
+    assert [run["id"] for run in fleet.callee.runs] == [f"r{number}" for number in range(6)]
+
+
 def test_a_request_without_a_route_gets_404(fleet):
     assert fleet.gateways[0].call("GET", "/", host="unknown.example").status == 404
 
