Open a connection after a response that named no request id

What callers saw: 502 after the request had run at up to as many endpoints as its route allows, where the endpoints send error pages that name no id.

Cause: on a reused connection an unnamed response is refused, as it may be a duplicate of an earlier one. The next attempt went to another endpoint on a reused connection again, so its page was refused too.

Evidence: three endpoints with pooled connections that answer 404 without an id. Before: unknown, after three runs. After: the 404 is passed on after two, with one new connection. The test failed before.

Change: once a response on a reused connection was unnamed, further attempts of that request open a new connection. The first attempt is still lost and counted as before (answer_not_own, unnamed): nothing tells such a page from a duplicate.

--- a/src/threadramp/edge/attempt_history.py
+++ b/src/threadramp/edge/attempt_history.py
@@ -20,6 +20,7 @@
     :param crashed: endpoints that crashed while it was open there
     :param unreachable: endpoints that refuse connections
     :param sent_at: when it was last sent to an endpoint, by the steady clock
+    :param response_was_unnamed: whether a response on a reused connection named no request id
     :param started_at: when it was counted as started at an endpoint, by the steady clock
     """
 
@@ -31,6 +32,7 @@
     sent_at: dict[Incarnation, float] = field(default_factory=dict)
     started_at: dict[Incarnation, float] = field(default_factory=dict)
     may_have_run: bool = False
+    response_was_unnamed: bool = False
     rejection_rounds: int = 0
     last_error_response: EndpointResponse | None = None
 
--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -183,7 +183,7 @@
         # The response is matched with the id that is sent; the caller's id may have been dropped.
         request_id = sent_id(headers)
         # Without an id nothing tells its response from a duplicate of an earlier one.
-        force_new = force_new or not request_id
+        force_new = force_new or not request_id or self.history.response_was_unnamed
         try:
             exchange = self.access.connection_pool.acquire(
                 endpoint, now, left, force_new, request_id
@@ -230,6 +230,8 @@
         if exchange.is_own(head):
             return True
         exchange.close()
+        if not head.request_id:  # error pages of one service may all lack it
+            self.history.response_was_unnamed = True
         self.access.connection_pool.count(
             "answer_not_own", "named" if head.request_id else "unnamed"
         )
--- a/tests/edge/test_response_matching.py
+++ b/tests/edge/test_response_matching.py
@@ -16,6 +16,7 @@
 from threadramp.fleet.clock import Clock, steady_s
 from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
 from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
+from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.platform.standins.stuttering import (
     IDLE_S,
     OTHER,
@@ -26,6 +27,7 @@
 )
 from threadramp.policy.endpoint_choice import EndpointSelector
 from threadramp.policy.retries import RetryBudget
+from threadramp.standins.server import Response
 
 
 @pytest.fixture
@@ -216,3 +218,28 @@
         assert outcome.response.head.request_id == f"r{number}"
     assert [run["id"] for run in engine.runs] == ["r0", "r1", "r2", "r3"]
     assert proxy.opened == 1
+
+
+def test_a_second_attempt_after_an_unnamed_response_goes_on_a_new_connection(
+    serve, connections, monkeypatch
+):
+    """A request ran at each endpoint and ended ``unknown`` where error pages named no id."""
+    engines = [PlatformEngine({"instance": f"i-{number}"}) for number in range(3)]
+    endpoints = {one.instance: Endpoint(one.instance, "p", serve(one), "a", 6) for one in engines}
+    picture = FleetView()
+    picture.snapshot = FleetSnapshot(endpoints=endpoints)
+    forwarder = Forwarder(picture, connections, EndpointSelector(Random(1)), RetryBudget(), Clock())
+    route = Route("r", "h", "/", RouteKind.REPEATABLE, (PoolShare("p", 1.0),), 2.0, 1.0, 3)
+
+    def run(request_id: str):
+        headers = (("Host", "h"), ("X-Attempt-Id", request_id))
+        return forwarder.run(Job(request_id, "GET", "/x", headers, b"", route, steady_s() + 2.0))
+
+    for number in range(60):
+        run(f"fill-{number}")
+    assert len(connections.idle) == 3
+    for one in engines:
+        monkeypatch.setattr(one, "answer", lambda request: Response(404, b"no such page"))
+    outcome = run("r1")
+    assert (outcome.ending, outcome.response.body) == (Ending.ANSWERED, b"no such page")
+    assert connections.opened == 4
