End the threads of a message server that is closed

What users saw: a stopping sidecar wrote up to 152,157 lines sync_failed in one second, and the sender of a message that was being handled got no reply.

Cause: close() closed the contexts of threads that were handling a request. pynng raises TypeError, not Closed, on such a context, so the loop logged a failed request and received again at once.

Evidence: the three new tests (closed while it handles, reply in progress, closed at rest) failed before; closing at rest never looped.

Change: a closing server takes no new request, lets those that are being handled reply within 0.5 s, and its threads end on any error after that.

--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -24,6 +24,7 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 OLD_S = 0.5  # beyond the time in which a reply comes or is given up, on a busy processor
+CLOSE_TIMEOUT_S = 0.5  # for the replies to requests that are handled when a server is closed
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 _requests = msgspec.msgpack.Decoder(Request)
@@ -183,6 +184,9 @@
         self.socket = Rep0(listen=f"tcp://{address}")
         self.socket.recv_max_size = MAX_MESSAGE_BYTES
         self.rejected = 0
+        self.is_closing = False
+        self.handling: set[Context] = set()
+        self.lock = threading.Lock()
         self.contexts = [self.socket.new_context() for _ in range(threads)]
         self.threads = [
             threading.Thread(target=self._serve, args=(context,), name="sync", daemon=True)
@@ -192,27 +196,53 @@
             thread.start()
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening; requests that are being handled get their replies if these are soon."""
+        with self.lock:
+            self.is_closing = True
+            idle = [context for context in self.contexts if context not in self.handling]
+        for context in idle:
+            context.close()
+        deadline = steady_s() + CLOSE_TIMEOUT_S
+        for thread in self.threads:
+            thread.join(max(0.0, deadline - steady_s()))
         for context in self.contexts:
             context.close()
         self.socket.close()
 
     def _serve(self, context: Context) -> None:
-        while True:
+        while not self.is_closing:
             try:
-                body = self.seal.unwrap(context.recv())
-                if body is None:
-                    self.rejected += 1  # not of this fleet: no reply, its sender times out
-                    continue
-                reply = self.handle(self.decode(body))
-                context.send(self.seal.wrap(_encoder.encode(reply)))
+                self._serve_one(context)
             except Closed:
                 return
             except (NNGException, msgspec.DecodeError):
                 self.rejected += 1
             except Exception as error:  # its sender times out and asks again; this thread goes on
+                if self.is_closing:  # pynng raises a TypeError for a context that is closed
+                    return
                 self.rejected += 1
                 log_state("sync_failed", error=repr(error))
 
+    def _serve_one(self, context: Context) -> None:
+        body = self.seal.unwrap(context.recv())
+        if body is None:
+            self.rejected += 1  # not of this fleet: no reply, its sender times out
+            return
+        if not self._start_handling(context):
+            return
+        try:
+            reply = self.handle(self.decode(body))
+            context.send(self.seal.wrap(_encoder.encode(reply)))
+        finally:
+            with self.lock:
+                self.handling.discard(context)
+
+    def _start_handling(self, context: Context) -> bool:
+        """Return whether a request may still be handled; its context is kept open meanwhile."""
+        with self.lock:
+            if not self.is_closing:
+                self.handling.add(context)
+            return not self.is_closing
+
 
 __all__ = ["SyncClient", "SyncServer"]
--- a/tests/wire/test_sync.py
+++ b/tests/wire/test_sync.py
@@ -125,3 +125,65 @@
     assert client.ask(address, KeyQuery("after"), PATIENCE_S) == KeyAnswer("i", "after")
     client.close()
     made.close()
+
+
+class HeldServer:
+    """A server whose handler waits until it is released, and one request that it handles."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.logged: list[str] = []
+        monkeypatch.setattr(sync_module, "log_state", lambda kind, **more: self.logged.append(kind))
+        self.started, self.released = threading.Event(), threading.Event()
+        address = free_address()
+        self.server = SyncServer(address, Seal("k"), self.handle, 2)
+        self.client = SyncClient(Seal("k"))
+        self.replies: list[KeyAnswer | None] = []
+        self.request = threading.Thread(
+            target=lambda: self.replies.append(self.client.ask(address, KeyQuery("a"), 5.0))
+        )
+        self.request.start()
+        assert self.started.wait(PATIENCE_S)
+
+    def handle(self, request: KeyQuery) -> KeyAnswer:
+        self.started.set()
+        self.released.wait(PATIENCE_S)
+        return KeyAnswer("i", request.key)
+
+    def threads_end(self) -> bool:
+        for thread in self.server.threads:
+            thread.join(2.0)
+        return not any(thread.is_alive() for thread in self.server.threads)
+
+
+@pytest.fixture
+def held(monkeypatch) -> Iterator[HeldServer]:
+    made = HeldServer(monkeypatch)
+    yield made
+    made.released.set()
+    made.request.join()
+    made.client.close()
+
+
+def test_a_server_closed_while_it_handles_a_request_ends_its_threads(held) -> None:
+    """The thread received on its closed context without end, logging each failure."""
+    held.server.close()
+    held.released.set()
+    assert held.threads_end()
+    assert held.logged == []
+
+
+def test_a_request_that_is_handled_when_its_server_is_closed_gets_its_reply(held) -> None:
+    """The sender never heard what became of an order that had been accepted."""
+    threading.Timer(0.1, held.released.set).start()
+    held.server.close()
+    held.request.join()
+    assert held.replies == [KeyAnswer("i", "a")]
+    assert held.threads_end()
+
+
+def test_a_server_that_is_closed_at_rest_ends_its_threads_at_once(server) -> None:
+    _, made = server
+    started = time.monotonic()
+    made.close()
+    assert not any(thread.is_alive() for thread in made.threads)
+    assert time.monotonic() - started < 0.5
