Count a connection of the stand-in as soon as its client is connected

No caller is affected.

Cause: the stand-in runs in the test's process and counted a connection when its thread accepted it. The first pass gives up 0.3 s after it connected, so a later accept counted its connection for the second pass.

Change: the stand-in's count first lets every connection be accepted that a client has opened.

--- a/src/threadramp/platform/standins/stuttering.py
+++ b/src/threadramp/platform/standins/stuttering.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import select
 import socket
 import threading
 import time
@@ -25,6 +26,8 @@
 IDLE_S = 0.02  # behind an answer, before most callers send again
 LATER_S = 2.0
 ACCEPT_S = 0.05
+POLL_S = 0.001
+MS_PER_S = 1000
 OTHER = b"of-another-request"
 _ID_LINE = re.compile(rb"(?i)\r\n" + REQUEST_ID.encode() + rb":[^\r\n]*")
 
@@ -100,12 +103,13 @@
         self.behind = behind
         self.stutter = stutter
         self.random = Random(seed)
-        self.opened = 0
+        self.accepted = 0
         self.seconds: list[tuple[str, str]] = []  # target and id of what was answered twice
         self.open: set[socket.socket] = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.listener.settimeout(ACCEPT_S)
+        self.accepting = threading.Lock()
         self.closed = False
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -115,6 +119,20 @@
         host, port = self.listener.getsockname()
         return f"{host}:{port}"
 
+    @property
+    def opened(self) -> int:
+        """Return the number of connections that clients have opened.
+
+        A client is connected before its connection is accepted, which may take long on a busy
+        processor.
+        """
+        while not self.closed:
+            with self.accepting:
+                if not self._has_unaccepted(0.0):
+                    break
+            time.sleep(POLL_S)
+        return self.accepted
+
     def close(self) -> None:
         """End it and all that is open."""
         self.closed = True
@@ -125,14 +143,22 @@
     def _accept(self) -> None:
         with self.listener:
             while not self.closed:
-                with suppress(TimeoutError):
+                if not self._has_unaccepted(ACCEPT_S):
+                    continue
+                with self.accepting:
                     caller, _ = self.listener.accept()
-                    caller.settimeout(None)
-                    caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                    with self.lock:
-                        self.opened += 1
-                        self.open.add(caller)
-                    threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
+                    self.accepted += 1
+                caller.settimeout(None)
+                caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                with self.lock:
+                    self.open.add(caller)
+                threading.Thread(target=self._serve, args=(caller,), daemon=True).start()
+
+    def _has_unaccepted(self, timeout_s: float) -> bool:
+        """Return whether a client is connected whose connection was not accepted yet."""
+        poll = select.poll()
+        poll.register(self.listener, select.POLLIN)
+        return bool(poll.poll(timeout_s * MS_PER_S))
 
     def _serve(self, caller: socket.socket) -> None:
         way = _Way(caller)
--- a/tests/platform/test_stuttering.py
+++ b/tests/platform/test_stuttering.py
@@ -106,3 +106,30 @@
     found = ask(caller, FIRST.replace(b"Host: h", b"Host: h\r\nX-Model: m"), 0.4)
     assert found.count(b"data: r1-5") == 2
     assert found.count(b"HTTP/1.1 200") == 2
+
+
+class SlowListener:
+    """A listener whose process gets no processor for a while before each accept."""
+
+    def __init__(self, listener: socket.socket, delay_s: float) -> None:
+        self.listener = listener
+        self.delay_s = delay_s
+
+    def fileno(self) -> int:
+        return self.listener.fileno()
+
+    def getsockname(self):
+        return self.listener.getsockname()
+
+    def accept(self):
+        time.sleep(self.delay_s)
+        return self.listener.accept()
+
+
+def test_a_connection_counts_as_opened_before_it_is_accepted(front):
+    """It was counted in the next step of a test, as that step's connection."""
+    front.listener = SlowListener(front.listener, 0.3)
+    host, _, port = front.address.partition(":")
+    for count in (1, 2):
+        with socket.create_connection((host, int(port)), 2.0):
+            assert front.opened == count
