Log when a process did not run, and what it waited for

The gateway exited 8.4 s after SIGTERM, where 8 are allowed, and its log had a gap of 4.2 s. Nothing told whether it had waited for a processor, had been busy itself, or had been paused.

Change: a thread that sleeps a quarter of a second logs process_stalled if it wakes up 0.5 s late or more, with the processor time of the process and its own time in the run queue as the kernel counts them. A gateway paused while it stops logs it (new test).

--- a/src/threadramp/serve/process.py
+++ b/src/threadramp/serve/process.py
@@ -15,6 +15,7 @@
 from threadramp.config.registry import Registry
 from threadramp.platform.settings import read_settings, settings_path
 from threadramp.report.log import flush_logs, log_state, log_to_stdout
+from threadramp.report.stall_monitor import StallMonitor
 from threadramp.serve.service_settings import read_service_settings
 
 if TYPE_CHECKING:
@@ -73,6 +74,7 @@
             incarnation=self.incarnation,
             own=msgspec.to_builtins(self.service_settings),
         )
+        StallMonitor().start()
         self.start()
         while not self.stop_requested.wait(SETTINGS_CHECK_INTERVAL_S):
             version = _settings_file_version()
--- a/tests/serve/test_callers.py
+++ b/tests/serve/test_callers.py
@@ -229,3 +229,17 @@
     assert response.read() == rest
     connection.close()
     assert wait_for(lambda: gateway.lines("stream_resumed"), "the stream broke and was resumed")
+
+
+def test_a_stop_that_took_long_tells_that_its_process_was_paused(fleet):
+    """A stop of 8.4 s left no line from which a paused process could be told from a slow one."""
+    first = fleet.gateways[0]
+    first.process.send_signal(signal.SIGTERM)
+    time.sleep(0.5)
+    first.process.send_signal(signal.SIGSTOP)
+    time.sleep(1.5)
+    first.process.send_signal(signal.SIGCONT)
+    first.process.wait(8.0)
+    stall = max(first.lines("process_stalled"), key=lambda row: row["late_s"])
+    assert stall["late_s"] >= 1.0
+    assert stall["cpu_s"] < 0.5 * stall["late_s"]
