Report no window by the clock of a gateway that hears no other

What users saw: a usage report up to 3 s before the end of its window, which then lacked the requests that began later in it. In the listed test the first window with calls was reported without any, 17 were asked for.

Cause: after 3 s alone a gateway took its own clock for reliable. It was the only gateway listed, so every gateway had answered, and the report of a window is stored once. A box whose clock is ahead and that starts first on a busy machine does this.

Change: without a reading of another clock the time is not reliable, with one it is 10 s after the start. A holder without reliable time reports halfway between the end of a window and its due time. Answers count for no window until then, and the first window follows the time as it becomes known.

One check was wrong: test_true_time asked that a box alone counts as reliable after some time, which is this fault. It now asks that it never does, and that a box with one reading does after 10 s.

--- a/src/threadramp/duties/collecting.py
+++ b/src/threadramp/duties/collecting.py
@@ -124,6 +124,7 @@
         self.incarnations: dict[str, str] = {}
         self.missed_rounds: dict[str, int] = {}
         self.open_by_gateway: dict[str, Open] = {}
+        self.has_reliable_time = False  # in the last round
         self.lock = threading.Lock()
 
     def round(self) -> int:
@@ -142,7 +143,9 @@
                 counts.append(reply)
             else:
                 self.missed_rounds[member.name] = self.missed_rounds.get(member.name, 0) + 1
-        asked_at = self.true_time.at(started_at)  # with the time corrected by the answers
+        # With the time corrected by the answers, and before any counts are read with it.
+        self.has_reliable_time = self.true_time.is_reliable()
+        asked_at = self.true_time.at(started_at) if self.has_reliable_time else NEVER
         for reply in counts:
             self.record(reply, asked_at)
         self._record_own(asked_at)
@@ -167,7 +170,7 @@
     def record(self, counts: UsageCounts, asked_at: float) -> None:
         """Record the counts that a gateway reported.
 
-        :param asked_at: true time before which it was not asked
+        :param asked_at: true time before which it was not asked, ``NEVER`` if it is not known
         """
         with self.lock:
             self.incarnations[counts.box] = counts.incarnation
@@ -206,11 +209,8 @@
     def _record_own(self, asked_at: float) -> None:
         counter = self.counter
         seen = self.table.seen(counter.box, counter.incarnation)
-        is_sure = self.true_time.is_reliable()
         changes, windows = counter.changed_since(seen)
-        own = UsageCounts(
-            counter.box, counter.incarnation, changes, windows, 0.0, counter.open(), is_sure
-        )
+        own = UsageCounts(counter.box, counter.incarnation, changes, windows, 0.0, counter.open())
         self.record(own, asked_at)
 
 
--- a/src/threadramp/duties/usage_reports.py
+++ b/src/threadramp/duties/usage_reports.py
@@ -58,6 +58,8 @@
         self.started_at = true_time.clock.now()
         self.fencing_token = 0
         self.next_window = 0
+        self.stored_before: list[int] = []
+        self.has_stored = False
         self.unsent: dict[int, dict[str, int]] = {}
 
     def run_once(self, fencing_token: int) -> None:
@@ -85,9 +87,9 @@
         self.unsent = {
             window: counts for window, counts in stored.items() if not self._is_expired(window)
         }
-        # Others have reported the time by now; the own clock may have been off at the start.
-        started_at = self.true_time.at(self.started_at)
-        self.next_window = self.schedule.first_window(list(stored), started_at, now)
+        self.stored_before = list(stored)
+        self.has_stored = False
+        self._set_first_window(now)
         self.fencing_token = fencing_token
         log_state(
             "usage_reporting_resumed",
@@ -96,12 +98,20 @@
             again=sorted(self.unsent),
         )
 
+    def _set_first_window(self, now: float) -> None:
+        """Set the window to report first; the own clock may have been off at the start."""
+        started_at = self.true_time.at(self.started_at)
+        self.next_window = self.schedule.first_window(self.stored_before, started_at, now)
+
     def _store_ready(self) -> None:
         now = self.true_time.now()
+        if not self.has_stored:  # others may have reported the time meanwhile
+            self._set_first_window(now)
         while now >= self.schedule.final_at(self.next_window):
             window = self.next_window
             all_answered = self.collector.all_answered(self.schedule.final_at(window))
-            if not self.schedule.is_ready(window, now, all_answered):
+            is_time_reliable = self.collector.has_reliable_time
+            if not self.schedule.is_ready(window, now, all_answered, is_time_reliable):
                 return
             self._store_report(window, all_answered)
 
@@ -139,6 +149,7 @@
         )
         self.unsent[window] = counts
         self.next_window = window + 1
+        self.has_stored = True
 
     def _send(self, window: int) -> None:
         """Send a window's report if the lock is verified; it is retried until it is taken."""
--- a/src/threadramp/policy/true_time.py
+++ b/src/threadramp/policy/true_time.py
@@ -18,7 +18,9 @@
 # time moved by that much, counts of requests in windows of 2 s were wrong by 12%.
 MAX_DEVIATION_S = 0.5
 RELIABLE_READINGS = 2  # from other boxes; if two clocks differ, either may be wrong
-RELIABLE_AFTER_S = 3.0  # after the start; several others ask each gateway once a second
+# After the start, one reading is enough. Processes that start together on busy boxes hear of each
+# other some seconds apart.
+RELIABLE_AFTER_S = 10.0
 READING_TTL_S = 10.0  # older readings are ignored; other boxes are asked every second
 
 
@@ -59,9 +61,14 @@
         return self.own if abs(self.own - median) < MAX_DEVIATION_S else median
 
     def is_reliable(self) -> bool:
-        """Return whether enough readings arrived to detect a wrong clock, or none are expected."""
-        is_old = self.clock.now() - self.started >= RELIABLE_AFTER_S
-        return is_old or len(self._recent()) >= RELIABLE_READINGS
+        """Return whether enough readings arrived to detect a wrong clock, or no more are expected.
+
+        Without any reading the own clock may be off by seconds, whatever the age of the process.
+        """
+        readings = len(self._recent())
+        if readings >= RELIABLE_READINGS:
+            return True
+        return readings > 0 and self.clock.now() - self.started >= RELIABLE_AFTER_S
 
     def _median(self, offsets: list[float]) -> float:
         count = len(offsets)
--- a/src/threadramp/policy/usage_schedule.py
+++ b/src/threadramp/policy/usage_schedule.py
@@ -10,6 +10,9 @@
 # Share of the time until a report is due in which it waits for gateways that do not answer. The
 # rest is for the write that stores it, the call, and one retry of either.
 WAIT_SHARE = 0.65
+# Share of that time after which a window is reported if no other clock was read. Halfway, the own
+# clock may be as far ahead as behind before the report is early or late.
+CLOCK_WAIT_SHARE = 0.5
 RETRY_FOR_S = 30.0  # after the due time; a later report is of no use
 
 
@@ -32,13 +35,18 @@
         """Return the true time from which a gateway's counts of a window are complete."""
         return self.end(window) + SETTLE_S
 
-    def is_ready(self, window: int, now: float, all_answered: bool) -> bool:
+    def is_ready(
+        self, window: int, now: float, all_answered: bool, is_time_reliable: bool = True
+    ) -> bool:
         """Return whether a window is reported now.
 
         :param all_answered: whether all gateways answered after its counts were final
+        :param is_time_reliable: whether a wrong clock would have been detected
         """
         if now < self.final_at(window):
             return False
+        if not is_time_reliable:
+            return now >= self.end(window) + CLOCK_WAIT_SHARE * self.late_s
         return all_answered or now >= self.end(window) + WAIT_SHARE * self.late_s
 
     def is_abandoned(self, window: int, now: float) -> bool:
--- a/tests/duties/test_collecting.py
+++ b/tests/duties/test_collecting.py
@@ -105,10 +105,10 @@
     assert reported.windows.get(counter.windows.window_at(clock.time_of_day() + ahead), {}) == {}
 
 
-def counter_of_a_box_that_is(ahead: float, clock) -> UsageCounter:
+def counter_of_a_box_that_is(ahead: float, clock, box: str = "off") -> UsageCounter:
     truth = clock.time_of_day
     clock.time_of_day = lambda: truth() + ahead
-    counter = UsageCounter(WINDOW_S, TrueTime(clock), "off", "i3")
+    counter = UsageCounter(WINDOW_S, TrueTime(clock), box, "i3")
     clock.time_of_day = truth
     return counter
 
@@ -147,3 +147,26 @@
     clock.at += RELIABLE_AFTER_S
     collector.round()
     assert collector.all_answered(since)
+
+
+def test_answers_before_the_time_is_known_do_not_count_for_later_windows(clock, peers):
+    """Asked while the own clock was ahead, a gateway passed for one that was asked later."""
+    counter = counter_of_a_box_that_is(7.0, clock, "me")
+    collector = UsageCollector(peers, counter, counter.true_time)
+    collector.round()
+    assert not collector.has_reliable_time
+    asked_at = clock.time_of_day()
+    clock.at += 1.0
+    for box in ("other", "third"):
+        collector.true_time.add_reading(box, clock.time_of_day(), clock.now())
+    assert not collector.all_answered(asked_at)
+    clock.at += RELIABLE_AFTER_S
+    collector.round()
+    assert collector.all_answered(asked_at)
+
+
+def test_a_collector_that_is_answered_by_nobody_has_no_reliable_time(clock, collector, peers):
+    peers.answers = False
+    clock.at += 10 * RELIABLE_AFTER_S
+    collector.round()
+    assert not collector.has_reliable_time
--- a/tests/duties/test_usage_reports.py
+++ b/tests/duties/test_usage_reports.py
@@ -77,6 +77,7 @@
     def __init__(self) -> None:
         self.windows: dict[int, Counter] = {}
         self.told = True
+        self.has_reliable_time = True
 
     def all_answered(self, since):
         return self.told
@@ -164,6 +165,30 @@
     assert [row[2] for row in cloud.rows] == [first]
 
 
+@pytest.mark.parametrize("ahead", [-4.0, 4.0])
+def test_a_holder_that_starts_alone_reports_no_window_by_its_clock_alone(
+    store, cloud, clock, ahead
+):
+    """A window was reported before its end, and windows before it were reported by nobody."""
+    truth = clock.time_of_day
+    clock.time_of_day = lambda: truth() + ahead
+    one = Gateway("one", store, cloud, clock)
+    clock.time_of_day = truth
+    one.collector.has_reliable_time = False
+    first = window_at(clock)
+    one.run_once()  # takes the lock while no other gateway is known
+    clock.at += 4.0
+    one.run_once()
+    assert cloud.rows == []
+    for other in ("two", "three"):
+        one.true_time.add_reading(other, truth(), clock.now())
+    one.collector.has_reliable_time = True
+    one.collector.windows[first] = Counter(acme=3)
+    pass_window(clock)
+    one.run_once()
+    assert cloud.rows[0][2:] == (first, {"acme": 3})
+
+
 def test_a_window_costs_one_call_to_the_store(store, cloud, clock):
     one = Gateway("one", store, cloud, clock)
     one.run_once()
--- a/tests/policy/test_true_time.py
+++ b/tests/policy/test_true_time.py
@@ -52,17 +52,20 @@
     assert true_time.now() == BOOT + clock.now() + jump
 
 
-def test_it_is_reliable_after_two_readings_or_some_time():
+def test_it_is_reliable_after_two_readings_or_with_one_after_some_time():
+    """With none it was after some time as well, so a box that started first went by its clock."""
     clock = JumpingClock()
     true_time = TrueTime(clock)
     true_time.add_reading("a", BOOT + clock.now(), clock.now())
     assert not true_time.is_reliable()
     true_time.add_reading("b", BOOT + clock.now(), clock.now())
     assert true_time.is_reliable()
-    alone = TrueTime(clock)
-    assert not alone.is_reliable()
+    alone, one_of_two = TrueTime(clock), TrueTime(clock)
     clock.steady += RELIABLE_AFTER_S
-    assert alone.is_reliable()
+    assert not alone.is_reliable()
+    assert not one_of_two.is_reliable()
+    one_of_two.add_reading("a", BOOT + clock.now(), clock.now())
+    assert one_of_two.is_reliable()
 
 
 def test_late_messages_have_no_effect():
--- a/tests/policy/test_usage_schedule.py
+++ b/tests/policy/test_usage_schedule.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from threadramp.policy.usage_schedule import SETTLE_S, WAIT_SHARE, UsageSchedule
+from threadramp.policy.usage_schedule import CLOCK_WAIT_SHARE, SETTLE_S, WAIT_SHARE, UsageSchedule
 
 SCHEDULE = UsageSchedule(window_s=5.0, late_s=10.0)
 
@@ -35,3 +35,11 @@
 def test_a_report_that_is_too_late_is_abandoned():
     assert not SCHEDULE.is_abandoned(3, 20.0 + 10.0 + 29.0)
     assert SCHEDULE.is_abandoned(3, 20.0 + 10.0 + 31.0)
+
+
+def test_a_window_waits_for_readings_of_other_clocks():
+    """A holder whose clock was ahead reported a window before its end, without its requests."""
+    due_at = 20.0 + CLOCK_WAIT_SHARE * 10.0
+    for all_answered in (False, True):
+        assert not SCHEDULE.is_ready(3, due_at - 0.1, all_answered, is_time_reliable=False)
+        assert SCHEDULE.is_ready(3, due_at, all_answered, is_time_reliable=False)
--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -208,6 +208,10 @@
         """Start all processes and wait until the gateways are ready and all boxes are members."""
         for box in self.boxes:
             box.start()
+        self.wait_until_ready()
+
+    def wait_until_ready(self) -> None:
+        """Wait until the gateways are ready and all boxes are members."""
         for gateway in self.gateways:
             wait_for(lambda box=gateway: box.ready() == 200, f"{gateway.name} ready")
         # The prefix also holds keys of no box, such as that of the holder of the duties.
--- a/tests/serve/test_clocks.py
+++ b/tests/serve/test_clocks.py
@@ -51,6 +51,15 @@
             self.shift(box.name, ahead.get(box.name, 0.0))
             box.command = [str(LAUNCHER), str(self._file(box.name))]
 
+    def start_others_late(self, name: str, late_s: float) -> None:
+        """Start one box, all others some time later, and wait until they are ready."""
+        gateway_named(self, name).start()
+        time.sleep(late_s)
+        for box in self.boxes:
+            if box.name != name:
+                box.start()
+        self.wait_until_ready()
+
     def shift(self, name: str, seconds: float) -> None:
         """Set the wall clock of a box ahead by so many seconds; negative: behind."""
         written = self.folder / "shift"
@@ -66,7 +75,9 @@
     """Return a function that starts a fleet under load and waits until a box holds the duties."""
     made = []
 
-    def started(ahead: dict[str, float] | None = None, turned_away: str = "") -> ShiftedFleet:
+    def started(
+        ahead: dict[str, float] | None = None, turned_away: str = "", others_late_s: float = 0.0
+    ) -> ShiftedFleet:
         fleet = ShiftedFleet(tmp_path, serve, ahead or {})
         callers = Callers(fleet)
         ways = (
@@ -75,7 +86,10 @@
             else []
         )
         made.append((fleet, callers, ways))
-        fleet.start()
+        if others_late_s:
+            fleet.start_others_late(HOLDER, others_late_s)
+        else:
+            fleet.start()
         for way in ways:
             way.block()
         callers.start()
@@ -115,6 +129,21 @@
     check_in_time(fleet, calls_from + 1, told[-1] - calls_from)
 
 
+@pytest.mark.parametrize("late_s", [4.0])
+@pytest.mark.parametrize("ahead", [-3.0, 3.0])
+def test_a_holder_whose_clock_is_off_and_that_starts_before_the_others(start, ahead, late_s):
+    """It reported a window before its end, without the requests that began later in it."""
+    fleet = start({HOLDER: ahead}, others_late_s=late_s)
+    first = current_window()
+    wait_for_windows(fleet, first, 4)
+    for row in list(fleet.cloud.taken):
+        if row["duty"] == "usage":
+            assert row["at"] > (row["window"] + 1) * WINDOW_S
+    calls_from = min(int(run["at"] // WINDOW_S) for run in fleet.callee.runs)
+    assert is_close(reported(fleet)[calls_from], started_counts(fleet, calls_from), MAX_DEVIATION)
+    check_in_time(fleet, calls_from + 1, 3)
+
+
 @pytest.mark.parametrize("ahead", [-3.0, 3.0])
 @pytest.mark.parametrize("name", [HOLDER, SUCCESSOR, COUNTS_ONLY])
 def test_a_box_whose_clock_jumps_and_jumps_back(start, name, ahead):
