Make each proof name one place and a test that exists

Cause: the text that it takes out stands three times in endpoint_probe.py, where one place is asked for. The test of the list asked only that the text stands there, and did not ask whether the test that should notice exists: a renamed one selects nothing.

Change: the proof names the one place, and two tests ask for exactly one place and for an existing test or scenario for all removals. The first failed before.

--- a/tests/tools/test_prove.py
+++ b/tests/tools/test_prove.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 import pytest
@@ -25,6 +26,21 @@
     return {name for name in named if (ROOT / name).is_dir()}
 
 
+def _lines(pattern: str) -> list[str]:
+    paths = (ROOT / "tests").rglob(pattern)
+    return [line for path in paths for line in path.read_text(encoding="utf-8").splitlines()]
+
+
+def _functions() -> set[str]:
+    return {line.partition("(")[0] for line in _lines("*.py") if line.startswith("def test_")}
+
+
+def _scenarios() -> set[str]:
+    """Return the names that pytest-bdd gives to the scenarios of the feature files."""
+    titles = [line.partition(":")[2] for line in _lines("*.feature") if "Scenario" in line]
+    return {re.sub(r"\W+", "_", title.strip()).lower() for title in titles}
+
+
 def test_a_failed_test_is_noticed():
     assert is_noticed(1, FAILED)
 
@@ -46,5 +62,11 @@
 def test_what_is_taken_out_stands_in_the_source():
     """A mechanism that was written anew elsewhere would no longer be shown to be noticed."""
     edits = [edit for removal in REMOVALS for edit in removal.edits]
-    gone = [edit for edit in edits if edit.old not in (ROOT / edit.path).read_text("utf-8")]
-    assert gone == []
+    counts = {edit.old: (ROOT / edit.path).read_text("utf-8").count(edit.old) for edit in edits}
+    assert {old: count for old, count in counts.items() if count != 1} == {}
+
+
+def test_the_test_that_should_notice_a_removal_exists():
+    """A proof whose test was renamed selects no test, so that nothing can notice it."""
+    names = _functions() | _scenarios()
+    assert [one.test for one in REMOVALS if not any(one.test in name for name in names)] == []
--- a/tools/removals.py
+++ b/tools/removals.py
@@ -267,8 +267,8 @@
         "an end told from a cut connection",
         "cut_connection_is_attributed_to_no_request",
         ENDPOINT_PROBE,
-        "return EndpointState.LISTENS",
-        "return EndpointState.ENDED",
+        "if response.status >= SERVER_ERROR else EndpointState.LISTENS",
+        "if response.status >= SERVER_ERROR else EndpointState.ENDED",
     ),
     Removal.of_one(
         "samples held back",
