Keep the connections of stand-ins open while a request is held up

Cause: the test holds an order up for as long as a take-over takes, 9.5 to 10.3 s. The stand-in's server closed a connection after 10 s without a byte, so the late order often reached nobody, and the test passed without the mechanism that it is about.

Change: stand-ins wait 60 s. The test asks for more than the longest take-over.

--- a/src/threadramp/standins/server.py
+++ b/src/threadramp/standins/server.py
@@ -18,6 +18,7 @@
 
 THREADS = 96
 BACKLOG = 256
+IDLE_TIMEOUT_S = 60.0  # longer than tests hold up a request on its connection
 REASONS = {200: "OK", 404: "Not Found", 409: "Conflict", 429: "Too Many Requests", 500: "Error"}
 STANDINS: Registry[type[StandIn]] = Registry()
 
@@ -83,7 +84,13 @@
 
     def _server(self, listen: str, threads: int) -> Server:
         host, _, port = listen.partition(":")
-        return Server((host, int(port)), self._wsgi, numthreads=threads, request_queue_size=BACKLOG)
+        return Server(
+            (host, int(port)),
+            self._wsgi,
+            numthreads=threads,
+            request_queue_size=BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+        )
 
     def answer(self, request: Request) -> Response:
         """Answer a request."""
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from tests.serve.test_one_holder import TAKEOVER_S
 from threadramp.platform.standins.store import PlatformStore, encoded
 from threadramp.standins.engine import ModelEngine
 from threadramp.standins.server import Request
@@ -127,3 +128,12 @@
         answer = engine.answer(ask("POST", "v1/orders/load", order))
     assert answer.status == status
     assert engine.weights["m"] == (1 if ignores else 2)
+
+
+def test_a_stand_in_waits_for_a_request_that_is_held_up_on_its_connection():
+    """It closed the connection after 10 s, so a late order never arrived and broke no rule."""
+    server = PlatformStore({}).start("127.0.0.1:0", 4)
+    try:
+        assert server.timeout > TAKEOVER_S
+    finally:
+        server.stop()
