Log whether a window was reported with a reliable time

What was missing: a window that is reported 5 s after its end looks the same in the log whether a gateway did not answer or no other clock was read.

No decision depends on it.

--- a/src/threadramp/duties/usage_reports.py
+++ b/src/threadramp/duties/usage_reports.py
@@ -145,6 +145,7 @@
             organisations=len(counts),
             requests=sum(counts.values()),
             all_answered=all_answered,
+            time_reliable=self.collector.has_reliable_time,
             late_s=round(self.true_time.now() - self.schedule.end(window), 2),
         )
         self.unsent[window] = counts
