--- a/src/threadramp/gateway/daemon.py
+++ b/src/threadramp/gateway/daemon.py
@@ -15,6 +15,7 @@
 from threadramp.gateway.state import GatewayState, now
 from threadramp.gateway.steps import Steps
 from threadramp.report.log import log_state
+from threadramp.report.stall_monitor import StallMonitor
 from threadramp.wire.http import open_requests, start_http, stop_http
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         own = self.settings
         start_http(root, own.listen, own.threads)
         self.background.start()
+        StallMonitor().start()
         log_state("gateway_started", gateway=own.name)
         while not self.stop.wait(STOP_POLL_S):
             pass
--- a/src/threadramp/sidecar/daemon.py
+++ b/src/threadramp/sidecar/daemon.py
@@ -12,6 +12,7 @@
 from threadramp.core.sidecar import SidecarCore
 from threadramp.platform.kv import ABSENT, KvClient, KvUnavailableError
 from threadramp.report.log import log_state
+from threadramp.report.stall_monitor import StallMonitor
 from threadramp.sidecar.calls import CallRunner
 from threadramp.sidecar.reconciler import Reconciler
 from threadramp.sidecar.resources import sidecar_root
@@ -60,6 +61,7 @@
         server = SyncServer(self.settings.listen_sync, self.seal, self._handle, SYNC_THREADS)
         self.rollouts.start()
         self.reconciler.start()
+        StallMonitor().start()
         log_state("sidecar_started", endpoint=self.settings.endpoint)
         while not self.stop.wait(STOP_POLL_S):
             pass
