End the open requests of a message client that is closed

What users saw: nothing on the platform, whose processes end without closing it.

Cause: close() stopped the event loop with requests on it and left it open. Found by looking for the fault of the message server at its other end.

Change: a closing client closes its sockets, which ends the open requests without a reply, waits for them and closes the loop. A request of a closed client gets no reply.

--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -15,7 +15,7 @@
 from threadramp.wire.messages import Reply, Request
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Coroutine
 
     from threadramp.wire.packing import Packing
     from threadramp.wire.seal import Seal
@@ -24,6 +24,7 @@
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
 OLD_S = 0.5  # beyond the time in which a reply comes or is given up, on a busy processor
+CLOSE_POLL_S = 0.01
 CLOSE_TIMEOUT_S = 0.5  # for the replies to requests that are handled when a server is closed
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
@@ -52,13 +53,14 @@
         self.loop = asyncio.new_event_loop()
         self.sockets: dict[str, Req0] = {}
         self.contexts: dict[str, list[Context]] = {}
+        self.is_closing = False
+        self.lock = threading.Lock()
         self.thread = threading.Thread(target=self.loop.run_forever, name="sync", daemon=True)
         self.thread.start()
 
     def ask(self, address: str, request: Any, timeout_s: float) -> Any | None:
         """Send one address a request; none if no answer came in time."""
-        work = self._exchange_one(address, request, timeout_s)
-        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+        return self._run(self._exchange_one, address, request, timeout_s)
 
     def exchange(self, requests: dict[str, Request], timeout_s: float) -> dict[str, Reply]:
         """Send each address its request and collect what comes back in time.
@@ -77,19 +79,41 @@
 
         :param requests: with the address, ``ip:port``, of each
         """
-        work = self._exchange_each(requests, timeout_s)
-        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+        replies = self._run(self._exchange_each, requests, timeout_s)
+        return [None] * len(requests) if replies is None else replies
 
     def forget(self, address: str) -> None:
         """Close the socket to an address that is no longer wanted."""
         self.loop.call_soon_threadsafe(self._close, address)
 
     def close(self) -> None:
-        """Close all sockets and end the thread."""
-        for address in list(self.sockets):
-            self.forget(address)
+        """Close all sockets and end the thread; open requests end without a reply."""
+        with self.lock:
+            if self.is_closing:
+                return
+            self.is_closing = True
+        asyncio.run_coroutine_threadsafe(self._end_requests(), self.loop).result()
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
+        self.loop.close()
+
+    async def _end_requests(self) -> None:
+        """Close all sockets until no request is open; one may have just begun to connect."""
+        while True:
+            for address in list(self.sockets):
+                self._close(address)
+            open_requests = asyncio.all_tasks() - {asyncio.current_task()}
+            if not open_requests:
+                return
+            await asyncio.wait(open_requests, timeout=CLOSE_POLL_S)
+
+    def _run(self, exchange: Callable[..., Coroutine[Any, Any, Any]], *arguments: Any) -> Any:
+        """Run an exchange in the loop and return its result; none if this client is closed."""
+        with self.lock:
+            if self.is_closing:
+                return None
+            result = asyncio.run_coroutine_threadsafe(exchange(*arguments), self.loop)
+        return result.result()
 
     def _close(self, address: str) -> None:
         socket = self.sockets.pop(address, None)
--- a/tests/wire/test_sync.py
+++ b/tests/wire/test_sync.py
@@ -162,6 +162,7 @@
     made.released.set()
     made.request.join()
     made.client.close()
+    made.server.close()
 
 
 def test_a_server_closed_while_it_handles_a_request_ends_its_threads(held) -> None:
@@ -187,3 +188,22 @@
     made.close()
     assert not any(thread.is_alive() for thread in made.threads)
     assert time.monotonic() - started < 0.5
+
+
+def test_a_request_that_is_open_when_its_client_is_closed_ends_at_once(held) -> None:
+    """It waited for ever: the loop that it ran in was stopped with the request on it."""
+    held.client.close()
+    held.request.join(2.0)
+    assert not held.request.is_alive()
+    assert held.replies == [None]
+
+
+def test_a_closed_client_closes_its_event_loop(server) -> None:
+    """The interpreter warned of an event loop that was never closed."""
+    address, _ = server
+    client = SyncClient(Seal("fleet"))
+    client.ask(address, KeyQuery("a"), PATIENCE_S)
+    client.close()
+    client.close()
+    assert client.loop.is_closed()
+    assert client.ask(address, KeyQuery("a"), PATIENCE_S) is None
