Do not rely on a clock that the only other clock contradicts

Cause: after 10 s one reading of another clock made the time reliable, also one that differs from the own clock. A holder that is 3 s ahead and was alone for 12 s hears one gateway a round before the other. It went by its clock in that round and recorded answers as given 3 s later than they were, so that later counts were not waited for.

Change: the only reading makes the time reliable if it agrees with the own clock. The unit test of two clocks that differ failed before.

--- a/src/threadramp/policy/true_time.py
+++ b/src/threadramp/policy/true_time.py
@@ -18,8 +18,8 @@
 # time moved by that much, counts of requests in windows of 2 s were wrong by 12%.
 MAX_DEVIATION_S = 0.5
 RELIABLE_READINGS = 2  # from other boxes; if two clocks differ, either may be wrong
-# After the start, one reading is enough. Processes that start together on busy boxes hear of each
-# other some seconds apart.
+# After the start, one reading is enough if it agrees. Processes that start together on busy boxes
+# hear of each other some seconds apart.
 RELIABLE_AFTER_S = 10.0
 READING_TTL_S = 10.0  # older readings are ignored; other boxes are asked every second
 
@@ -63,12 +63,14 @@
     def is_reliable(self) -> bool:
         """Return whether enough readings arrived to detect a wrong clock, or no more are expected.
 
-        Without any reading the own clock may be off by seconds, whatever the age of the process.
+        Without any reading the own clock may be off by seconds, whatever the age of the process. If
+        the only reading differs from the own clock, either may be wrong.
         """
-        readings = len(self._recent())
-        if readings >= RELIABLE_READINGS:
-            return True
-        return readings > 0 and self.clock.now() - self.started >= RELIABLE_AFTER_S
+        readings = self._recent()
+        if len(readings) != 1:
+            return len(readings) >= RELIABLE_READINGS
+        agrees = abs(readings[0] - self.own) < MAX_DEVIATION_S
+        return agrees and self.clock.now() - self.started >= RELIABLE_AFTER_S
 
     def _median(self, offsets: list[float]) -> float:
         count = len(offsets)
--- a/tests/policy/test_true_time.py
+++ b/tests/policy/test_true_time.py
@@ -68,6 +68,17 @@
     assert one_of_two.is_reliable()
 
 
+def test_two_clocks_that_differ_are_not_reliable():
+    """A box that was alone for long went by its own clock until it heard a third one."""
+    clock = JumpingClock(jump=3.0)
+    true_time = TrueTime(clock)
+    clock.steady += RELIABLE_AFTER_S
+    true_time.add_reading("a", BOOT + clock.now(), clock.now())
+    assert not true_time.is_reliable()
+    true_time.add_reading("b", BOOT + clock.now(), clock.now())
+    assert true_time.is_reliable()
+
+
 def test_late_messages_have_no_effect():
     clock = JumpingClock()
     true_time = TrueTime(clock)
