Reword wire and its tests in the usual terms

What readers saw: docstrings and comments of the messages spoke of what is told, heard, believed and kept, of marks, births and starts, so a newcomer could not tell what a field holds.

Change: docstrings, comments and names of tests of wire/ only. No identifier of the source, no message and no log line changed.

--- a/src/threadramp/wire/crashes.py
+++ b/src/threadramp/wire/crashes.py
@@ -1,4 +1,4 @@
-"""What gateways tell each other, and keep in the store, of requests under which endpoints ended."""
+"""Crash records: which requests were open at endpoints that crashed; sent to peers and stored."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """An endpoint that ended while a request was open there.
-
-    :param at: seconds since the epoch: other boxes compare it with their own time, and a box that
-        was suspended must not take it for newer than it is
-    :param listens: whether its port went on taking connections, so that an answer from there does
-        not tell whether it had ended
-    :param next_born: birth of the start that came after it, which proves its end; 0 if none is
-        known
+    """A crash of an endpoint while a request was open there.
+
+    :param start: the incarnation that crashed
+    :param at: seconds since the epoch; other boxes compare it with their own time, and a box that
+        was suspended must not take it for more recent than it is
+    :param listens: whether its port still accepted connections, so that a response from there does
+        not disprove the crash
+    :param next_born: start time of the next incarnation, which proves the crash; 0 if unknown
     """
 
     start: Incarnation
@@ -25,11 +25,11 @@
 
     @property
     def is_proven(self) -> bool:
-        """Return whether no later answer can take it back."""
+        """Return whether the crash is proven, so that no later response retracts it."""
         return self.next_born > 0
 
     def merged(self, other: Crash) -> Crash:
-        """Return what two processes know of the same end."""
+        """Return the record that combines the observations of two processes of one crash."""
         return Crash(
             self.start,
             min(self.at, other.at),
@@ -39,13 +39,13 @@
 
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
-    """All that is known of one request under which endpoints ended.
+    """The crash history of one request.
 
-    :param fingerprint: what stands for it, whatever its id
-    :param crashes: the newest, each of another start
-    :param well_at: when it last had an answer after which the endpoint lived on; 0 for never
-    :param trials: numbers of the trials that were made of it since it is refused, the highest
-    :param seen_at: when anything of it was last seen; it is forgotten some time after
+    :param fingerprint: identifies the request independently of its id
+    :param crashes: the most recent ones, each of another incarnation
+    :param well_at: time of its last response that the endpoint survived; 0 for never
+    :param trials: highest number of its trial runs since it is refused
+    :param seen_at: time of the last observation; the record expires some time after it
     """
 
     fingerprint: bytes
@@ -56,19 +56,19 @@
 
     @property
     def standing(self) -> tuple[Crash, ...]:
-        """Return the crashes that no good answer has followed."""
+        """Return the crashes since the last successful response."""
         return tuple(one for one in self.crashes if one.at > self.well_at)
 
 
 class Living(msgspec.Struct, frozen=True, array_like=True):
-    """A start that answered at a time; what had said before that it ended was wrong."""
+    """An incarnation that responded at a time, which disproves its earlier unproven crashes."""
 
     start: Incarnation
     at: float
 
 
 class CrashNews(msgspec.Struct, frozen=True, array_like=True):
-    """What one process has seen lately."""
+    """The observations that one process has not sent to its peers yet."""
 
     suspects: tuple[Suspect, ...] = ()
     living: tuple[Living, ...] = ()
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -11,17 +11,17 @@
 
 
 class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Base of all messages; the type's name travels along."""
+    """Base of all messages; the name of the class is sent as a tag."""
 
 
 class Ask(Message, frozen=True):
-    """Base of what is asked.
+    """Base of all requests.
 
-    What is asked of the runner of an engine names the engine by its address, since a gateway may
-    stand in for the sidecars of several.
+    A request to the runner of an engine names the engine by its address, because a gateway may host
+    the runners of several engines.
 
     :param sender: name of the box
-    :param address: at which the sender answers peers
+    :param address: at which the sender accepts requests of peers
     """
 
     sender: str
@@ -29,13 +29,13 @@
 
 
 class UsageCounts(Message, frozen=True):
-    """What one process counted.
+    """The usage counts of one process.
 
     :param changes: number of its last change
-    :param windows: by number those that changed, each with all its counts by organisation
-    :param time_of_day: of its box
-    :param open: requests by pool and data centre, of pools whose size is ordered
-    :param is_sure: whether the process had heard what the time is; else requests may still move to
+    :param windows: the changed windows by number, each with all its counts by organisation
+    :param time_of_day: wall clock of its box
+    :param open: open requests by pool and data centre, for the pools whose size is controlled
+    :param is_sure: whether the time of the process was reliable; else counts may still be moved to
         other windows
     """
 
@@ -49,21 +49,21 @@
 
 
 class Beat(Ask, frozen=True):
-    """A regular sign of life to a sidecar."""
+    """A heartbeat of a gateway to a sidecar."""
 
     facts: Facts
     engine: str = ""
 
 
 class HurryLoad(Ask, frozen=True):
-    """Load the newest version of a model now, since no engine can run what waits for it."""
+    """Load the newest version of a model now: samples wait for it, and no engine has it."""
 
     model: str
     engine: str = ""
 
 
 class MirrorBeat(Ask, frozen=True):
-    """A regular sign of life between gateways, with what each has seen of the store.
+    """A heartbeat between gateways, with the store revisions that the sender has seen.
 
     :param revisions: by prefix
     """
@@ -72,10 +72,10 @@
 
 
 class MirrorChanges(Ask, frozen=True):
-    """What a gateway that watches the store has just seen change, for those that follow it.
+    """Changes in the store, sent by a gateway that watches it to those that follow this gateway.
 
-    :param after: revision at which the sender stood before
-    :param revision: at which it stands now
+    :param after: revision of the sender before the changes
+    :param revision: revision of the sender after them
     """
 
     prefix: str
@@ -86,7 +86,7 @@
 
 
 class Submit(Ask, frozen=True):
-    """Samples for a sidecar."""
+    """Submit samples to a sidecar."""
 
     facts: Facts
     orders: tuple[RunOrder, ...]
@@ -94,7 +94,7 @@
 
 
 class Collect(Ask, frozen=True):
-    """Ask for news about samples; answered when there is some or the wait is over.
+    """Long poll for updates of samples.
 
     :param have: events that the asker has, by sample
     """
@@ -106,10 +106,10 @@
 
 
 class Drop(Ask, frozen=True):
-    """Samples that the sender no longer wants; answered with their last events.
+    """Cancel samples; the reply has their last events.
 
     :param have: events that the asker has, by sample
-    :param let_finish: whether those that run may go on, so that their text can be used later
+    :param let_finish: whether running samples may continue, so that their text can be used later
     """
 
     have: dict[str, int]
@@ -118,7 +118,7 @@
 
 
 class Find(Ask, frozen=True):
-    """Which of these samples does a sidecar have text of that is fresh enough?"""
+    """Ask which of these samples a sidecar has text of, from a version that is recent enough."""
 
     samples: tuple[str, ...]
     min_version: int
@@ -126,10 +126,10 @@
 
 
 class CallStore(Ask, frozen=True):
-    """Pass a call to the store on.
+    """Relay a call to the store.
 
-    :param mark: for a write the one that the receiver gave for it, empty to ask for one; none from
-        a sender that knows of no marks
+    :param mark: the token that the receiver issued for a write, empty to request one; none from a
+        sender of a version without tokens
     """
 
     call: Call
@@ -137,29 +137,29 @@
 
 
 class CrashesTold(Ask, frozen=True):
-    """What the sender saw of requests under which endpoints ended."""
+    """Crash records that the sender has observed."""
 
     news: CrashNews
 
 
 class Acquit(Ask, frozen=True):
-    """An operator lets a request go on that is held back.
+    """Clear a request that is held back, for an operator.
 
-    :param request: its fingerprint as it stands in logs
+    :param request: its short fingerprint, as logged
     """
 
     request: str
 
 
 class Inspect(Ask, frozen=True):
-    """What does the receiver believe of an endpoint, a lot or a member?"""
+    """Ask for the receiver's cached state of an endpoint, a lot or a member."""
 
     kind: str
     name: str
 
 
 class ReadLot(Ask, frozen=True):
-    """Results from a position on, from the lot's owner."""
+    """Read results from a position on, from the owner of the lot."""
 
     lot: str
     after: int
@@ -167,11 +167,11 @@
 
 
 class ReadUsage(Ask, frozen=True):
-    """How many requests began for each organisation, as far as the asker does not know it.
+    """Ask for the usage counts that changed since the last reply.
 
-    :param incarnation: of the process that it knows
-    :param seen: number of that process's last change that it knows
-    :param true_time: as the asker knows it
+    :param incarnation: of the process that gave that reply
+    :param seen: number of the last change in that reply
+    :param true_time: the sender's estimate of the true time
     """
 
     incarnation: str
@@ -180,19 +180,19 @@
 
 
 class UsageLeft(Ask, frozen=True):
-    """What a gateway that stops has counted last, for those that collect."""
+    """The final usage counts of a gateway that stops, for the collectors."""
 
     counts: UsageCounts
 
 
 class FindLot(Ask, frozen=True):
-    """The head of a lot, from the gateway of the data centre that the lot falls to."""
+    """Ask for the head of a lot, at the gateway of a data centre to which the lot is assigned."""
 
     lot: str
 
 
 class ReadBody(Ask, frozen=True):
-    """The body of a sample, from the lot's owner."""
+    """Read the body of a sample, from the owner of its lot."""
 
     lot: str
     sample: str
@@ -205,34 +205,34 @@
 
 
 class EndKept(Ask, frozen=True):
-    """The end of a lot that the sender wrote to the store; the receiver may run that lot."""
+    """Notice that the sender stored the end of a lot that the receiver may still run."""
 
     kept: StoredHead
 
 
 class Adopt(Ask, frozen=True):
-    """A lot that the receiver owns now, as the store has it."""
+    """Hand a lot over to the receiver, as it is stored."""
 
     kept: StoredLot
 
 
 class Status(Message, frozen=True):
-    """A sidecar's plain answer."""
+    """The status of a sidecar."""
 
     status: RunnerStatus
 
 
 class Accepted(Message, frozen=True):
-    """Which of the submitted samples the sidecar took, with the chain of events of each."""
+    """The submitted samples that the sidecar accepted, with the lineage of each."""
 
     status: RunnerStatus
     samples: dict[str, str]
 
 
 class Updates(Message, frozen=True):
-    """News about samples.
+    """Updates of samples.
 
-    :param unknown: samples that the sidecar does not have, or not from where the asker needs them
+    :param unknown: samples that the sidecar does not have, or lacks the requested events of
     """
 
     status: RunnerStatus
@@ -241,19 +241,20 @@
 
 
 class Found(Message, frozen=True):
-    """Samples with text, with the number of events of each."""
+    """Samples that the sidecar has text of, with the number of events of each."""
 
     status: RunnerStatus
     samples: dict[str, int]
 
 
 class MirrorCopy(Message, frozen=True):
-    """What the answering gateway has seen of the store where the asker is behind.
+    """The store contents of a gateway, for the prefixes where the sender of the request is behind.
 
     :param revisions: by prefix
-    :param items: by prefix, all of them
-    :param confirmed_ago_s: since the store itself answered that gateway, none if it has no way
-    :param current_ago_s: by prefix, since it was shown that nothing newer stood in the store
+    :param items: all items by prefix
+    :param confirmed_ago_s: seconds since the store last answered this gateway, none if the store is
+        unreachable for it
+    :param current_ago_s: by prefix, seconds since the contents were known to be current
     """
 
     revisions: dict[str, int]
@@ -263,9 +264,9 @@
 
 
 class StoreAnswered(Message, frozen=True):
-    """The store's answer, none if this process has no way to it either.
+    """The relayed answer of the store, none if it is unreachable for this process too.
 
-    :param mark: with which the write has to be sent again, since it had none that holds
+    :param mark: token with which to send the write again, because it had no valid one
     """
 
     answer: RawAnswer | None
@@ -273,9 +274,9 @@
 
 
 class LotPage(Message, frozen=True):
-    """Results of a lot; ``total`` is 0 if the answering gateway does not own it.
+    """Results of a lot; ``total`` is 0 if this gateway does not own it.
 
-    :param sure: whether the store lately showed that it does, so that no further result stands
+    :param sure: whether the store recently confirmed the ownership, so that no result is missing
     """
 
     total: int
@@ -285,22 +286,22 @@
 
 
 class LotFound(Message, frozen=True):
-    """The head of a lot, none if the answering gateway has none."""
+    """The head of a lot, none if this gateway does not have it."""
 
     kept: StoredHead | None
 
 
 class SampleBody(Message, frozen=True):
-    """The body of a sample, none if it is listed already or unknown."""
+    """The body of a sample, none if its result is already listed or it is unknown."""
 
     owned: bool
     body: bytes | None
 
 
 class LotEnded(Message, frozen=True):
-    """Whether the lot's end is kept.
+    """Whether the end of a lot is stored.
 
-    :param owned: whether the answering gateway ran the lot
+    :param owned: whether this gateway owned the lot
     """
 
     owned: bool
@@ -308,10 +309,10 @@
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
-    """One thing that a process believes.
+    """One entry of the cached state of a process.
 
-    :param source: by which it was learned, empty if that is not known
-    :param ago_s: since it was learned, none if that is not known
+    :param source: where it was received from, empty if unknown
+    :param ago_s: seconds since it was received, none if unknown
     """
 
     what: str
@@ -321,13 +322,13 @@
 
 
 class Believed(Message, frozen=True):
-    """What a process believes of a thing; empty if it knows nothing of its kind."""
+    """The cached state that was asked for; empty if there is none."""
 
     facts: tuple[Fact, ...]
 
 
 class Done(Message, frozen=True):
-    """Nothing more to say."""
+    """An acknowledgement without content."""
 
 
 AnyAsk = (
--- a/src/threadramp/wire/http.py
+++ b/src/threadramp/wire/http.py
@@ -1,4 +1,4 @@
-"""What the daemons share of CherryPy: server set-up, bodies, typed refusals."""
+"""CherryPy helpers of the daemons: server set-up, request bodies, typed refusals."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 MAX_HEADER_BYTES = 16_384
 SOCKET_QUEUE = 256
-SHUTDOWN_TIMEOUT_S = 1  # open requests were waited for before
+SHUTDOWN_TIMEOUT_S = 1  # the daemon has waited for open requests before
 MAX_DISCARDED_BYTES = 16 * 1024 * 1024
 BLOCK_BYTES = 65_536
 JSON_TYPE = "application/json"
@@ -65,7 +65,7 @@
 
 
 class OpenRequests(cherrypy.Tool):
-    """Counts the requests that are open, a streamed answer's end included."""
+    """Counts the open requests, until the end of a streamed response."""
 
     def __init__(self) -> None:
         super().__init__("on_start_resource", self.begin, name="open_requests")
@@ -77,18 +77,18 @@
         cherrypy.request.hooks.attach("on_end_request", self.end)
 
     def begin(self) -> None:
-        """Count a request that begins."""
+        """Count a request as open."""
         with self.lock:
             self.count += 1
 
     def end(self) -> None:
-        """Count a request that has ended."""
+        """Count a request as finished."""
         with self.lock:
             self.count -= 1
 
 
 def _name_answer() -> None:
-    """Name the request in its answer, a refusal's too, so that its sender knows it for its own."""
+    """Echo the request id in every response, so that the sender can match it."""
     request_id = header(REQUEST_ID)
     if request_id:
         cherrypy.response.headers[REQUEST_ID] = request_id
@@ -111,7 +111,7 @@
 def read_body(limit: int) -> bytes:
     """Read the request's body.
 
-    :param limit: most bytes that are accepted
+    :param limit: maximum length in bytes
     :raises RefusedError: if it is longer
     """
     length = cherrypy.request.headers.get("Content-Length")
@@ -130,14 +130,14 @@
 
 
 def answer_json(value: Any, status: int = 200, headers: dict[str, str] | None = None) -> bytes:
-    """Answer with JSON."""
+    """Set up a JSON response and return its body."""
     return answer_bytes(msgspec.json.encode(value), status, JSON_TYPE, headers)
 
 
 def answer_bytes(
     body: bytes, status: int, content_type: str, headers: dict[str, str] | None = None
 ) -> bytes:
-    """Answer with a whole body."""
+    """Set up a response with a complete body and return the body."""
     cherrypy.response.status = status
     cherrypy.response.headers["Content-Type"] = content_type
     cherrypy.response.headers["Content-Length"] = str(len(body))
@@ -147,7 +147,7 @@
 
 
 def answer_refusal(refusal: Refusal, headers: dict[str, str] | None = None) -> bytes:
-    """Answer with a typed refusal, at once."""
+    """Set up a typed refusal and return its body."""
     extra = {OUTCOME: refusal.outcome.value, **(headers or {})}
     if refusal.retry_after_s:
         extra["Retry-After"] = str(refusal.retry_after_s)
@@ -157,7 +157,7 @@
 
 
 def edge(handler: Callable[..., Any]) -> Callable[..., Any]:
-    """Turn the errors of a handler into typed answers."""
+    """Turn the errors of a handler into typed responses."""
     signature = inspect.signature(handler)
 
     @functools.wraps(handler)
@@ -171,7 +171,7 @@
             refusal = Refusal(Reason.FINDINGS, Outcome.NOT_RUN, "the change was not accepted")
             body = {"error": refusal, "findings": error.findings}
             return answer_json(body, refusal.status, {OUTCOME: Outcome.NOT_RUN.value})
-        except Exception as error:  # the process goes on, and the caller gets a typed answer
+        except Exception as error:  # the process continues, and the caller gets a typed response
             log_state("internal_error", handler=handler.__qualname__, error=repr(error))
             return answer_refusal(Refusal.unknown(Reason.INTERNAL, "a fault of this process"))
 
@@ -179,7 +179,7 @@
 
 
 def _check_path(signature: inspect.Signature, args: tuple, kwargs: dict[str, Any]) -> None:
-    """Refuse a path or query that the handler does not take."""
+    """Refuse a path or query that the handler does not accept."""
     try:
         signature.bind(*args, **kwargs)
     except TypeError as error:
@@ -187,7 +187,7 @@
 
 
 def _error_page(status: str, message: str, traceback: str, version: str) -> str:
-    """Return a typed refusal for what CherryPy itself refuses, such as an unknown path."""
+    """Return a typed refusal for a request that CherryPy rejects, such as an unknown path."""
     reason = Reason.NOT_FOUND if status.startswith("404") else Reason.BAD_REQUEST
     refusal = Refusal(reason, Outcome.NOT_RUN, message, place="path")
     cherrypy.response.headers["Content-Type"] = JSON_TYPE
@@ -196,14 +196,14 @@
 
 
 def _discard(length: int) -> None:
-    """Read on without keeping it, so that the sender gets to read its refusal."""
+    """Read and discard the body, so that the sender reads the refusal instead of a reset."""
     left = min(length, MAX_DISCARDED_BYTES)
     while left > 0 and (block := cherrypy.request.rfile.read(min(left, BLOCK_BYTES))):
         left -= len(block)
 
 
 def _too_large(limit: int) -> RefusedError:
-    cherrypy.response.headers["Connection"] = "close"  # the body stays unread
+    cherrypy.response.headers["Connection"] = "close"  # the body may not be read completely
     message = f"the body is longer than {limit} bytes"
     return RefusedError(Refusal(Reason.TOO_LARGE, Outcome.NOT_RUN, message, place="body"))
 
--- a/src/threadramp/wire/late_bytes.py
+++ b/src/threadramp/wire/late_bytes.py
@@ -1,8 +1,8 @@
-"""Sockets whose unsent bytes are dropped by the kernel, whatever becomes of their process.
+"""Sockets whose undelivered bytes are dropped by the kernel, even after their process has ended.
 
-What a process has sent lies in its box's kernel until the other end has taken it, behind a cut for
-minutes, also once the process has ended or while it stands still. Where it must not arrive after
-what another box does next, the kernel itself has to drop it.
+Sent bytes stay queued in the kernel until the peer acknowledges them, for minutes during a network
+partition, even if the process has ended or is paused meanwhile. Where they must not arrive after
+another box has taken over, the kernel itself has to drop them.
 """
 
 from __future__ import annotations
@@ -16,21 +16,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # also where the process is killed
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: also applies if the process is killed
 MS_PER_S = 1000
 
 
 class TooLateError(Exception):
-    """What was to be sent may not be sent any more; no whole request has left."""
+    """Raised if a request may no longer be sent; no complete request was sent."""
 
 
 def body_in_time(body: bytes, may_send: Callable[[], bool]) -> Iterator[bytes]:
-    """Return the body of a request, which makes it whole, to be sent behind its head.
+    """Yield the body of a request only if the request may still be sent.
 
-    Whether it may be sent is asked now, and again right before its bytes go: the process may have
-    stood still in any statement before.
+    A request is incomplete without its body. The check runs now and again right before the body is
+    sent, because the process may be paused at any point in between.
 
-    :raises TooLateError: if it may not be sent
+    :raises TooLateError: if it may no longer be sent
     """
     _check(may_send)
     return _pieces(body, may_send)
@@ -47,11 +47,11 @@
 
 
 def drop_what_is_late(sock: socket.socket, seconds: float) -> None:
-    """Let the kernel drop what the other end has not taken within a time, or at a close."""
+    """Let the kernel drop bytes that the peer does not acknowledge in time, or at the close."""
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * MS_PER_S))
-    except OSError as error:  # what is sent may arrive late then, but without it nothing would
+    except OSError as error:  # a late delivery is possible then; not sending would be worse
         log_state("late_bytes_not_dropped", error=str(error))
 
 
--- a/src/threadramp/wire/lines.py
+++ b/src/threadramp/wire/lines.py
@@ -1,4 +1,4 @@
-"""Read a streamed answer line by line."""
+"""Reads a streamed response line by line."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def response_lines(response: BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield each whole line without its end; what follows the last line end is cut and left out."""
+    """Yield each complete line without its line ending; an incomplete last line is dropped."""
     rest = b""
     for block in response.stream(BLOCK_BYTES):
         *lines, rest = (rest + block).split(b"\n")
--- a/src/threadramp/wire/lots.py
+++ b/src/threadramp/wire/lots.py
@@ -1,4 +1,4 @@
-"""What trainers send for a step, and the lines that they get back."""
+"""Requests of trainers for a step, and the lines of the response."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class StepRequest(msgspec.Struct, frozen=True):
-    """A trainer's call for a step.
+    """A request of a trainer for a step.
 
     :param version: the newest weight version that the trainer has
-    :param call: the trainer's own count of its calls for this step; a later one supersedes
+    :param call: number of this request for the step, counted by the trainer; the highest counts
     """
 
     run: str
@@ -31,7 +31,7 @@
 
 
 class AckRequest(msgspec.Struct, frozen=True):
-    """A trainer's word that it has a lot."""
+    """An acknowledgement of a trainer that it received a lot."""
 
     run: str
     lot: str
@@ -40,8 +40,8 @@
 class StepClosure(msgspec.Struct, frozen=True):
     """A closed step.
 
-    :param sidecars: how many sidecars know that it is closed
-    :param recorded: whether the key-value service knows; if not, it is told when it answers
+    :param sidecars: number of sidecars that recorded the closure
+    :param recorded: whether the key-value service recorded it; if not, it is written later
     """
 
     sidecars: int
@@ -49,7 +49,7 @@
 
 
 class ProgressLine(msgspec.Struct, frozen=True, tag="progress"):
-    """How far a step is."""
+    """The progress of a step."""
 
     finished: int
     wanted: int
@@ -67,13 +67,13 @@
 
 
 class WithdrawLine(msgspec.Struct, frozen=True, tag="withdraw"):
-    """A sample of this answer that is not part of the lot after all; another follows."""
+    """Withdraws a sample of this response from the lot; a replacement follows."""
 
     id: str
 
 
 class EndLine(msgspec.Struct, frozen=True, tag="end"):
-    """The end mark; without it the lot was not delivered."""
+    """The end marker; without it the lot was not delivered."""
 
     lot: str
     count: int
@@ -81,7 +81,7 @@
 
 
 class ErrorLine(msgspec.Struct, frozen=True, tag="error"):
-    """The step was given up; the lot was not delivered."""
+    """The step was aborted; the lot was not delivered."""
 
     error: Refusal
 
--- a/src/threadramp/wire/messages.py
+++ b/src/threadramp/wire/messages.py
@@ -50,11 +50,11 @@
 
 
 class EndpointReport(msgspec.Struct, frozen=True, array_like=True):
-    """What holds at one endpoint, as its sidecar reports it.
+    """The state of one endpoint, as reported by its sidecar.
 
     :param epoch: the sidecar's count of key epochs, see :mod:`threadramp.core.keys`
-    :param leaving: whether it takes no new work
-    :param weights: verified versions by model; a model that is not there is not verified
+    :param leaving: whether it accepts no new work
+    :param weights: verified versions by model; a missing model is not verified
     """
 
     endpoint: str
@@ -71,7 +71,7 @@
 
 
 class SyncRequest(Message, frozen=True):
-    """A gateway's beat: what it has, so that the sidecar sends what is missing."""
+    """A heartbeat of a gateway with its state, so that the sidecar replies with what is missing."""
 
     sender: str
     revision: int
@@ -82,7 +82,7 @@
 
 
 class SyncReply(Message, frozen=True):
-    """A sidecar's answer to a beat.
+    """The reply of a sidecar to a heartbeat.
 
     :param marks_count: the sidecar's count of changes to its marks
     """
@@ -103,10 +103,10 @@
 
 
 class CallStamp(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """Orders the calls for one step: a later one supersedes an earlier one.
+    """Orders the requests for one step: a later one supersedes an earlier one.
 
-    :param number: the trainer's own count of calls for the step
-    :param started_ms: wall clock of the gateway, a tie break only
+    :param number: number of the request, counted by the trainer
+    :param started_ms: wall clock of the gateway, only to break ties
     """
 
     number: int
@@ -115,7 +115,7 @@
 
 
 class SampleSpec(msgspec.Struct, frozen=True, array_like=True):
-    """A sample that a sidecar is asked to produce."""
+    """A sample that a sidecar should produce."""
 
     sample: str
     prompt: str
@@ -169,7 +169,7 @@
 
 
 class StepPoll(Message, frozen=True):
-    """A gateway's exchange about one step: submit, cancel, fetch and ask."""
+    """A request of a gateway for one step: submits, cancels and fetches samples."""
 
     key: StepKey
     call: CallStamp
@@ -182,7 +182,7 @@
 
 
 class StepPollReply(Message, frozen=True):
-    """What a sidecar holds of a step, and whether it takes more samples."""
+    """The samples of a step at a sidecar, and whether it accepts more."""
 
     finished: tuple[SampleStatus, ...] = ()
     running: tuple[RunningStatus, ...] = ()
@@ -191,7 +191,7 @@
 
 
 class StepRefused(Message, frozen=True):
-    """A sidecar takes nothing for this call.
+    """The refusal of a request for a step.
 
     :param reason: a value of :class:`threadramp.wire.outcomes.Reason`
     """
@@ -203,26 +203,26 @@
 
 
 class CloseStep(Message, frozen=True):
-    """The trainer has the lot; the step is closed for ever."""
+    """Close a step for good, because the trainer received the lot."""
 
     key: StepKey
     lot: str
 
 
 class StepClosed(Message, frozen=True):
-    """A sidecar has closed the step."""
+    """Confirmation that a sidecar closed the step."""
 
     key: StepKey
 
 
 class KeyQuery(Message, frozen=True):
-    """Ask what became of an idempotency key."""
+    """Ask for the state of an idempotency key."""
 
     key: str
 
 
 class KeyAnswer(Message, frozen=True):
-    """What a sidecar knows of a key.
+    """The state of an idempotency key at a sidecar.
 
     :param state: a value of :class:`threadramp.core.keys.KeyState`, empty if it has none
     """
--- a/src/threadramp/wire/outcomes.py
+++ b/src/threadramp/wire/outcomes.py
@@ -1,4 +1,4 @@
-"""What a call came to, and the refusals that say so."""
+"""Outcomes of requests, and typed refusals."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 
 class Outcome(StrEnum):
-    """What is known about whether a request ran."""
+    """Whether a request ran, as far as is known."""
 
     RAN = "ran"
     NOT_RUN = "not_run"
@@ -15,7 +15,7 @@
 
 
 class Reason(StrEnum):
-    """Why a request was refused or given up."""
+    """Why a request was refused or aborted."""
 
     BAD_REQUEST = "bad_request"
     UNAUTHORIZED = "unauthorized"
@@ -52,7 +52,8 @@
     INTERNAL = "internal"
 
 
-# One side of a call lacks a revision that the other has; it is sent again once both have it.
+# One side lacks a configuration revision that the other has; the request is retried once both
+# have it.
 BEHIND = frozenset((Reason.SENDER_BEHIND, Reason.RECEIVER_BEHIND))
 
 STATUS: dict[Reason, int] = {
@@ -85,9 +86,10 @@
     """A typed refusal, as it is sent to a caller.
 
     :param outcome: whether the request ran, as far as is known
-    :param retry_after_s: seconds after which to come back; 0 if that will not help
-    :param number: of a key's refusal; the same key runs only with this number in ``X-Refusal``
-    :param place: the part of the request that is at fault, if one is
+    :param retry_after_s: seconds after which to retry; 0 if a retry will not help
+    :param number: number of the refusal of a key; the key runs only with this number in
+        ``X-Refusal``
+    :param place: the invalid part of the request, empty if there is none
     """
 
     reason: Reason
@@ -109,12 +111,12 @@
 
     @classmethod
     def unknown(cls, reason: Reason, message: str, retry_after_s: int = 0) -> Refusal:
-        """Give up a request of which it is not known whether it ran."""
+        """Refuse a request that may have run."""
         return cls(reason, Outcome.UNKNOWN, message, retry_after_s)
 
 
 class RefusedError(Exception):
-    """Carries a refusal up to the edge that answers with it."""
+    """Carries a refusal to the handler that responds with it."""
 
     def __init__(self, refusal: Refusal) -> None:
         self.refusal = refusal
@@ -122,7 +124,7 @@
 
 
 def bad_request(place: str, message: str) -> RefusedError:
-    """Return the error for a malformed request, with the place that is at fault."""
+    """Return the error for a malformed request, with its invalid part."""
     return RefusedError(Refusal(Reason.BAD_REQUEST, Outcome.NOT_RUN, message, place=place))
 
 
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -1,4 +1,4 @@
-"""What gateways and sidecars tell each other of engines and samples, as parts of their messages."""
+"""Parts of the messages between gateways and sidecars about engines and samples."""
 
 from __future__ import annotations
 
@@ -8,20 +8,20 @@
 from threadramp.lots.model import DEFAULT_RANK, Sample
 from threadramp.policy.load_schedule import LoadSchedule
 
-ANY_MODEL = "*"  # where weights change and it is not known of which model
+ANY_MODEL = "*"  # weights are being loaded, and the model is not known
 
 
 class Facts(msgspec.Struct, frozen=True, array_like=True):
-    """What a gateway knows that a sidecar needs.
-
-    :param endpoints_revision: of the list of endpoints that ``instance`` is from
-    :param instance: current start of the sidecar's endpoint, empty if the list has none
-    :param leaving: whether that endpoint wants no new work
-    :param share: what the engine loads of the models of its pool
-    :param targets_revision: the newest at which any version was named
-    :param listed: whether the sidecar itself is in the list of members
-    :param sidecars: in the list of members
-    :param born: when that start of the endpoint began, 0 if it does not tell
+    """The part of a gateway's state that a sidecar needs.
+
+    :param endpoints_revision: revision of the endpoint list that ``instance`` is from
+    :param instance: current instance id of the sidecar's endpoint, empty if it is not listed
+    :param leaving: whether that endpoint accepts no new work
+    :param share: the models of its pool that the engine loads
+    :param targets_revision: latest revision at which a version was published
+    :param listed: whether the sidecar itself is in the member list
+    :param sidecars: number of sidecars in the member list
+    :param born: start time of that instance, 0 if it is not reported
     """
 
     endpoints_revision: int = 0
@@ -38,21 +38,21 @@
 
     @property
     def start(self) -> Incarnation:
-        """Return the current start of the sidecar's endpoint."""
+        """Return the current incarnation of the sidecar's endpoint."""
         return Incarnation(self.instance, self.born)
 
 
 class RunnerStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What a sidecar says of itself and its engine.
+    """The status of a sidecar and its engine.
 
     :param incarnation: of the sidecar's process
-    :param instance: start of the engine that it sends work to
+    :param instance: instance id of the engine that it sends work to
     :param ready: whether new samples would start now
-    :param slots: samples that run at once
-    :param taken: samples that run or wait
-    :param versions: of the weights, by model
-    :param gap_ms: usual time between two events of a sample lately, 0 if none came
-    :param loading: model whose weights change now or ``ANY_MODEL``, empty if none do
+    :param slots: maximum number of running samples
+    :param taken: number of running and queued samples
+    :param versions: weight versions by model
+    :param gap_ms: median time between two recent events of a sample, 0 if there were none
+    :param loading: model whose weights are being loaded or ``ANY_MODEL``, empty if there is none
     """
 
     incarnation: str
@@ -68,14 +68,14 @@
 class RunOrder(msgspec.Struct, frozen=True, array_like=True):
     """A sample to run.
 
-    :param after: events that the gateway has already; the run goes on behind them
-    :param lineage: names the chain of events that the gateway has, empty if it has none
-    :param new_lineage: name of the chain if a new run has to be begun
-    :param due: seconds until its lot is due, negative if it is late; smaller goes first
-    :param give_up_in_s: seconds after which nobody wants it any more
-    :param rank: of the lot's route, 0 is the most urgent
-    :param model: whose weights are to make it
-    :param organisation: whose lot it is of, as the lot has it
+    :param after: number of events that the gateway already has; the run resumes after them
+    :param lineage: id of the chain of events that the gateway has, empty if it has none
+    :param new_lineage: id of the chain if the sample has to be restarted
+    :param due: seconds until its lot is due, negative if it is late; the lowest runs first
+    :param give_up_in_s: seconds after which the sample is abandoned
+    :param rank: priority of the lot's route, 0 is the most urgent
+    :param model: model that produces the sample
+    :param organisation: organisation of the lot
     """
 
     sample: Sample
@@ -93,14 +93,14 @@
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """What is new about a sample at a sidecar.
+    """The update of one sample at a sidecar.
 
     :param base: number of events before the first one in ``events``
-    :param events: data of the events behind those that the asker has
-    :param versions: of the weights, one for each of ``events``
-    :param lineage: names the chain that the events are of
-    :param outcome: empty while it runs, else how it ended
-    :param start: of the engine that it was sent to last
+    :param events: data of the events that the receiver does not have yet
+    :param versions: weight version of each of ``events``
+    :param lineage: id of the chain that the events belong to
+    :param outcome: how the run ended, empty while it runs
+    :param start: incarnation of the engine to which the sample was sent last
     """
 
     sample: str
@@ -113,9 +113,9 @@
 
 
 def is_changing(loading: str, model: str) -> bool:
-    """Return whether the weights of a model change, so that its samples would be rejected.
+    """Return whether the weights of a model are being loaded, so that its samples are rejected.
 
-    :param loading: of the engine's status
+    :param loading: from the status of the engine
     """
     return bool(loading) and (loading in (model, ANY_MODEL) or not model)
 
--- a/src/threadramp/wire/seal.py
+++ b/src/threadramp/wire/seal.py
@@ -1,4 +1,4 @@
-"""Authenticate messages between the system's processes with the fleet's key."""
+"""Authenticates messages between the processes of a fleet with its shared key."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 
 class Seal:
-    """Signs byte strings with the fleet's key.
+    """Signs messages with the shared key of the fleet.
 
-    :param key: the fleet's key, of any length
+    :param key: the shared key, of any length
     """
 
     def __init__(self, key: str) -> None:
@@ -22,11 +22,11 @@
         return hashlib.blake2b(body, key=self._key, digest_size=TAG_BYTES).digest()
 
     def wrap(self, body: bytes) -> bytes:
-        """Return ``body`` with its tag before it."""
+        """Return ``body`` prefixed with its tag."""
         return self.tag(body) + body
 
     def unwrap(self, sealed: bytes) -> bytes | None:
-        """Return the body, or none if the tag is not the fleet's."""
+        """Return the body, none if its tag is invalid."""
         body = sealed[TAG_BYTES:]
         if not hmac.compare_digest(sealed[:TAG_BYTES], self.tag(body)):
             return None
@@ -34,12 +34,12 @@
 
     @property
     def token(self) -> str:
-        """Return the bearer token that sidecars expect of gateways."""
+        """Return the bearer token with which gateways authenticate to sidecars."""
         return self.tag(b"sidecar-http").hex()
 
 
 def digest(body: bytes) -> str:
-    """Return the short digest by which two bodies are told apart."""
+    """Return a short digest of a body, to compare two bodies."""
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
--- a/src/threadramp/wire/status.py
+++ b/src/threadramp/wire/status.py
@@ -1,4 +1,4 @@
-"""The status of the fleet, as it travels to operators."""
+"""The status of the fleet, as sent to operators."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 
 
 class EndpointStatus(msgspec.Struct, frozen=True):
-    """What holds at one endpoint.
+    """The state of one endpoint.
 
     :param state: ``in service``, ``leaving`` or ``not heard``
-    :param revision: the configuration in force there, -1 if it was never heard
+    :param revision: configuration revision in force there, -1 if it never reported
     :param weights: verified versions by model
     """
 
@@ -27,9 +27,9 @@
 
 
 class FleetStatus(msgspec.Struct, frozen=True):
-    """What holds in the fleet.
+    """The state of the fleet.
 
-    :param in_force: how many endpoints have each revision
+    :param in_force: number of endpoints by revision
     """
 
     gateway: str
--- a/src/threadramp/wire/sync.py
+++ b/src/threadramp/wire/sync.py
@@ -1,4 +1,4 @@
-"""Carry messages between gateways and sidecars over pynng request and reply sockets."""
+"""Message exchange between processes over pynng request and reply sockets."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
     from threadramp.wire.packing import Packing
     from threadramp.wire.seal import Seal
 
-NO_RESEND_MS = 3_600_000  # the request itself is repeated by whoever still wants the answer
+NO_RESEND_MS = 3_600_000  # the sender itself repeats a request that is still needed
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
-OLD_S = 0.5  # beyond the time in which a reply comes or is given up, on a busy processor
+OLD_S = 0.5  # beyond the timeout, for scheduling delays on a busy processor
 CLOSE_POLL_S = 0.01
 CLOSE_TIMEOUT_S = 0.5  # for the replies to requests that are handled when a server is closed
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -37,8 +37,8 @@
     """Exchanges messages with many peers at once from one thread.
 
     :param decode: turns the bytes of a reply into the reply
-    :param redial: whether a connection on which an answer stayed out is given up; behind a cut it
-        would hang until long after the cut has healed
+    :param redial: whether a connection without a reply in time is closed; after a network partition
+        it would otherwise stay unresponsive long after the partition has healed
     """
 
     def __init__(
@@ -59,14 +59,14 @@
         self.thread.start()
 
     def ask(self, address: str, request: Any, timeout_s: float) -> Any | None:
-        """Send one address a request; none if no answer came in time."""
+        """Send a request to one address; none if no reply arrives in time."""
         return self._run(self._exchange_one, address, request, timeout_s)
 
     def exchange(self, requests: dict[str, Request], timeout_s: float) -> dict[str, Reply]:
-        """Send each address its request and collect what comes back in time.
+        """Send each address its request and collect the replies that arrive in time.
 
         :param requests: by ``ip:port``
-        :returns: replies by address; one that did not answer in time is not there
+        :returns: replies by address; addresses without a reply in time are left out
         """
         answers = self.exchange_each(list(requests.items()), timeout_s)
         pairs = zip(requests, answers, strict=True)
@@ -75,7 +75,7 @@
     def exchange_each(
         self, requests: list[tuple[str, Request]], timeout_s: float
     ) -> list[Reply | None]:
-        """Send requests, several to one address if need be; none where no answer came in time.
+        """Send requests, also several to one address; none where no reply arrives in time.
 
         :param requests: with the address, ``ip:port``, of each
         """
@@ -123,7 +123,7 @@
             socket.close()
 
     def _dial(self, address: str) -> Req0:
-        """Open the socket to an address; it connects by itself."""
+        """Open a socket to an address; it connects and reconnects in the background."""
         socket = Req0(resend_time=NO_RESEND_MS)
         socket.reconnect_time_min = RECONNECT_MIN_MS
         socket.reconnect_time_max = RECONNECT_MAX_MS
@@ -142,7 +142,7 @@
     async def _exchange_one(self, address: str, request: Request, timeout_s: float) -> Reply | None:
         socket = self.sockets.get(address) or self._dial(address)
         free = self.contexts[address]
-        # A context whose request timed out is used again: its next request voids the last.
+        # A context whose request timed out can be reused: the next request cancels that one.
         context = free.pop() if free else socket.new_context()
         begun = steady_s()
         try:
@@ -168,9 +168,9 @@
 
 
 def _is_old(address: str, begun: float, timeout_s: float) -> bool:
-    """Return whether a reply lay here while this process stood still or its box was suspended.
+    """Return whether a reply was queued here while this process was paused or its box suspended.
 
-    It tells what held before that, and the loop's clock may have stood as well.
+    Its content is outdated by that time, and the clock of the loop may have stopped as well.
     """
     took_s = steady_s() - begun
     if took_s <= timeout_s + OLD_S:
@@ -180,7 +180,7 @@
 
 
 def _close_quietly(context: Context) -> None:
-    """Close a context; one whose socket was closed meanwhile is closed already."""
+    """Close a context whose socket may have been closed meanwhile."""
     try:
         context.close()
     except Closed:
@@ -188,7 +188,7 @@
 
 
 class SyncServer:
-    """Answers messages at one address from a few threads.
+    """Replies to messages at one address from a few threads.
 
     :param handle: turns a request into its reply
     :param decode: turns the bytes of a request into the request
@@ -241,7 +241,7 @@
                 return
             except (NNGException, msgspec.DecodeError):
                 self.rejected += 1
-            except Exception as error:  # its sender times out and asks again; this thread goes on
+            except Exception as error:  # the sender times out and retries; this thread continues
                 if self.is_closing:  # pynng raises a TypeError for a context that is closed
                     return
                 self.rejected += 1
@@ -250,7 +250,7 @@
     def _serve_one(self, context: Context) -> None:
         body = self.seal.unwrap(context.recv())
         if body is None:
-            self.rejected += 1  # not of this fleet: no reply, its sender times out
+            self.rejected += 1  # not from this fleet: no reply, so the sender times out
             return
         if not self._start_handling(context):
             return
--- a/src/threadramp/wire/unread.py
+++ b/src/threadramp/wire/unread.py
@@ -1,8 +1,8 @@
-"""An HTTP server that never reads the rest of a body as the next request.
+"""An HTTP server that never parses the rest of a body as the next request.
 
-The library reads on to the end of a body whose length its head names, but not to that of one that
-comes in pieces. A handler that answers before it has read such a body, as a refusal does, would
-leave the rest on a connection that is kept.
+CherryPy discards the unread rest of a body with a Content-Length, but not that of a chunked body. A
+handler that responds before it has read a chunked body, such as with a refusal, would leave the
+rest on a connection that is kept alive.
 """
 
 from __future__ import annotations
@@ -14,27 +14,27 @@
 if TYPE_CHECKING:
     from cherrypy._cpserver import Server
 
-MAX_REST_BYTES = 1024 * 1024  # that are read and left out, so that the sender gets its answer
-# What is not there by then may never come: its sender may wait for the answer before it goes on.
+MAX_REST_BYTES = 1024 * 1024  # to discard, so that the sender reads the response and not a reset
+# The rest may never arrive: the sender may wait for the response before it continues.
 REST_S = 0.2
 
 
 class WholeRequest(CPWSGIHTTPRequest):
-    """A request whose body is at its end before its connection is used again."""
+    """A request whose body is read to its end before the connection is reused."""
 
     def send_headers(self) -> None:
-        """Read what is left of a body that comes in pieces, then send the head of the answer."""
+        """Discard the rest of a chunked body, then send the response headers."""
         if self.chunked_read and not self._read_rest():
             self.close_connection = True
         super().send_headers()
 
     def _read_rest(self) -> bool:
-        """Return whether the body is at its end."""
+        """Read on and return whether the body was read to its end."""
         patience = self.conn.socket.gettimeout()
         try:
             self.conn.socket.settimeout(REST_S)
             self.rfile.read(MAX_REST_BYTES)
-        except (OSError, ValueError):  # it ends early, or its pieces cannot be read
+        except (OSError, ValueError):  # it ends early, or a chunk is malformed
             return False
         finally:
             self.conn.socket.settimeout(patience)
@@ -42,9 +42,9 @@
 
 
 class WholeRequestServer(CPWSGIServer):
-    """The library's server with such requests.
+    """CherryPy's server for such requests.
 
-    :param adapter: the library's settings of its server
+    :param adapter: CherryPy's settings of the server
     """
 
     def __init__(self, adapter: Server) -> None:
--- a/tests/wire/test_packing.py
+++ b/tests/wire/test_packing.py
@@ -1,4 +1,4 @@
-"""Messages, packed and unpacked."""
+"""Compression of messages."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 
 
 @given(st.binary(max_size=4 * PACK_BYTES))
-def test_what_is_packed_comes_back(body):
+def test_a_packed_body_is_unpacked_unchanged(body):
     assert Packing().unwrap(Packing().wrap(body)) == body
 
 
-def test_long_messages_get_shorter_and_short_ones_hardly_longer():
+def test_long_messages_are_compressed_and_short_ones_are_not():
     text = b"the same words again and again " * 100
     assert len(Packing().wrap(text)) < len(text) / 2
     assert len(Packing().wrap(b"short")) == len(b"short") + 1
@@ -28,10 +28,10 @@
     [b"", b"\x02abc", b"\x01abc", b"\x01" + zlib.compress(b"x" * 5000)[:-3],
      b"\x01" + zlib.compress(b"x") + b"more"],
 )  # fmt: skip
-def test_bytes_that_are_no_message_are_none(message):
+def test_invalid_messages_are_rejected(message):
     assert Packing().unwrap(message) is None
 
 
-def test_a_message_that_unpacks_to_too_much_is_none(monkeypatch):
+def test_a_message_that_unpacks_to_too_many_bytes_is_rejected(monkeypatch):
     monkeypatch.setattr(packing, "MAX_BYTES", 10_000)
     assert Packing().unwrap(b"\x01" + zlib.compress(b"x" * 20_000)) is None
--- a/tests/wire/test_sync.py
+++ b/tests/wire/test_sync.py
@@ -28,7 +28,7 @@
     made.close()
 
 
-def test_replies_come_back_by_address_and_silence_is_left_out(server) -> None:
+def test_replies_are_returned_by_address_without_those_that_timed_out(server) -> None:
     address, _ = server
     client = SyncClient(Seal("fleet"))
     nobody = free_address()
@@ -38,7 +38,7 @@
     client.close()
 
 
-def test_message_without_the_fleets_key_gets_no_reply(server) -> None:
+def test_a_message_with_another_key_gets_no_reply(server) -> None:
     address, made = server
     stranger = SyncClient(Seal("other"))
     assert stranger.exchange({address: KeyQuery("a")}, IMPATIENCE_S) == {}
@@ -49,7 +49,7 @@
     assert made.rejected >= 1
 
 
-def test_late_reply_is_never_taken_for_the_next_one() -> None:
+def test_a_late_reply_is_not_taken_for_the_reply_to_the_next_request() -> None:
     address = free_address()
     held = threading.Event()
 
@@ -70,7 +70,7 @@
     made.close()
 
 
-def test_seal_tells_a_changed_body() -> None:
+def test_a_changed_body_does_not_match_its_seal() -> None:
     seal = Seal("fleet")
     sealed = bytearray(seal.wrap(b"body"))
     assert seal.unwrap(bytes(sealed)) == b"body"
@@ -79,7 +79,7 @@
     assert seal.unwrap(b"") is None
 
 
-def test_a_connection_on_which_an_answer_stayed_out_is_given_up_for_all_that_wait_on_it() -> None:
+def test_a_connection_without_a_reply_in_time_is_closed_for_all_its_requests() -> None:
     held = threading.Event()
 
     def handle(request: KeyQuery) -> KeyAnswer:
@@ -106,15 +106,17 @@
     made.close()
 
 
-def test_a_reply_that_lay_here_while_the_box_was_suspended_counts_as_none(monkeypatch) -> None:
-    """It tells what held before, with ages that are counted from now; the usual clock stood too."""
-    gone = [0.0]
+def test_a_reply_that_was_queued_while_the_box_was_suspended_is_dropped(monkeypatch) -> None:
+    """Its ages are relative to the time before, and the monotonic clock stood still as well."""
+    suspended_s = [0.0]
     lines: list[str] = []
-    monkeypatch.setattr(sync_module, "steady_s", lambda: time.monotonic() + gone[0], raising=False)
+    monkeypatch.setattr(
+        sync_module, "steady_s", lambda: time.monotonic() + suspended_s[0], raising=False
+    )
     monkeypatch.setattr(sync_module, "log_state", lambda kind, **fields: lines.append(kind))
 
     def handle(request: KeyQuery) -> KeyAnswer:
-        gone[0] += SUSPENDED_S if request.key == "before" else 0.0
+        suspended_s[0] += SUSPENDED_S if request.key == "before" else 0.0
         return KeyAnswer("i", request.key)
 
     address = free_address()
@@ -166,7 +168,7 @@
 
 
 def test_a_server_closed_while_it_handles_a_request_ends_its_threads(held) -> None:
-    """The thread received on its closed context without end, logging each failure."""
+    """The thread kept receiving on its closed context and logged each failure."""
     held.server.close()
     held.released.set()
     assert held.threads_end()
@@ -176,7 +178,7 @@
 def test_a_request_that_is_handled_when_its_server_is_closed_gets_its_reply(
     held, monkeypatch
 ) -> None:
-    """The sender never heard what became of an order that had been accepted."""
+    """The sender never learned that its request had been accepted."""
     monkeypatch.setattr(sync_module, "CLOSE_TIMEOUT_S", PATIENCE_S)
     threading.Timer(0.1, held.released.set).start()
     held.server.close()
@@ -195,7 +197,7 @@
 
 
 def test_a_request_that_is_open_when_its_client_is_closed_ends_at_once(held) -> None:
-    """It waited for ever: the loop that it ran in was stopped with the request on it."""
+    """It never ended, because its event loop was stopped before it."""
     held.client.close()
     held.request.join(2.0)
     assert not held.request.is_alive()
