--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -254,12 +254,14 @@
         limits: dict | None = None,
         organisations: dict | None = None,
         pool: dict | None = None,
+        engine_pool: dict | None = None,
         **route,
     ) -> None:
         """Write the configuration.
 
         :param organisations: API keys by name; None for a configuration without organisations
         :param pool: more fields of the pool that serves calls
+        :param engine_pool: more fields of the pool of engines
         :param route: fields of the route for calls that replace the defaults
         """
         calls = {
@@ -271,7 +273,8 @@
             "timeoutMs": 10000, "targetLatencyMs": 400, "runTargetMs": 7500, "queueTtlS": 40,
             "backend": "engines", "maxAttempts": 3,
         }  # fmt: skip
-        engines = {"name": "engines", "engine": {"slots": 6, "models": [{"name": "m"}]}}
+        engine = {"slots": 6, "models": [{"name": "m"}]}
+        engines = {"name": "engines", "engine": engine, **(engine_pool or {})}
         table = {
             "version": version,
             "routes": [{**calls, **route}, lots],
