Watch for stalls in the wait that a process has anyway

Result: the tests of the monitor, of a paused stop and of paused processes passed; a wait that a stop ends early is no stall (new test).

--- a/src/threadramp/report/stall_monitor.py
+++ b/src/threadramp/report/stall_monitor.py
@@ -39,38 +39,41 @@
 
 
 class StallMonitor:
-    """A thread that sleeps for a fixed time and logs when it woke up late.
+    """Logs when a wait for a fixed time took much longer.
 
     The kernel tells the causes apart: the time in the run queue is about as long as the stall if
     the box has too few processors; the processor time is if one thread of the process kept the
     others from running; both are short if the process was stopped or its box was suspended.
 
     :param now: returns seconds of a steady clock
-    :param sleep: sleeps for a number of seconds
     :param use: returns the processor use of the calling thread and its process
     """
 
     def __init__(
         self,
         now: Callable[[], float] = steady_s,
-        sleep: Callable[[float], None] = time.sleep,
         use: Callable[[], ProcessorUse] = ProcessorUse.current,
     ) -> None:
         self.now = now
-        self.sleep = sleep
         self.use = use
 
     def start(self) -> None:
-        """Check until the process exits."""
+        """Check in a thread of its own until the process exits."""
         threading.Thread(target=self._run, name="stalls", daemon=True).start()
 
-    def check(self) -> None:
-        """Sleep once, and log a stall if the sleep took too long."""
+    def wait(self, wait: Callable[[float], bool | None], seconds: float) -> bool:
+        """Wait, log a stall if that took too long, and return what ``wait`` returned.
+
+        :param wait: waits for a number of seconds
+        """
         used_before, started_at = self.use(), self.now()
-        self.sleep(CHECK_INTERVAL_S)
-        late_s = self.now() - started_at - CHECK_INTERVAL_S
-        if late_s < MIN_STALL_S:
-            return
+        is_set = bool(wait(seconds))
+        late_s = self.now() - started_at - seconds
+        if late_s >= MIN_STALL_S:
+            self._log(late_s, used_before)
+        return is_set
+
+    def _log(self, late_s: float, used_before: ProcessorUse) -> None:
         used = self.use()
         queued_s = None
         if used.run_queue_s is not None and used_before.run_queue_s is not None:
@@ -84,7 +87,7 @@
 
     def _run(self) -> None:
         while True:
-            self.check()
+            self.wait(time.sleep, CHECK_INTERVAL_S)
 
 
 def _run_queue_s() -> float | None:
--- a/tests/report/test_stall_monitor.py
+++ b/tests/report/test_stall_monitor.py
@@ -8,7 +8,9 @@
 import pytest
 
 from threadramp.report import stall_monitor as stall_monitor_module
-from threadramp.report.stall_monitor import CHECK_INTERVAL_S, ProcessorUse, StallMonitor
+from threadramp.report.stall_monitor import ProcessorUse, StallMonitor
+
+WAIT_S = 1.0
 
 
 @pytest.fixture
@@ -20,28 +22,29 @@
     return rows
 
 
-def monitor_of(took_s: float, before: ProcessorUse, after: ProcessorUse) -> StallMonitor:
-    """Return a monitor whose sleep takes a given time."""
+def wait_that_takes(took_s: float, before: ProcessorUse, after: ProcessorUse) -> None:
+    """Wait for a second with a monitor, by a clock that advances by another time."""
     times = iter([100.0, 100.0 + took_s])
     uses = iter([before, after])
-    return StallMonitor(lambda: next(times), lambda seconds: None, lambda: next(uses))
+    monitor = StallMonitor(lambda: next(times), lambda: next(uses))
+    assert not monitor.wait(lambda seconds: None, WAIT_S)
 
 
 def test_a_stall_is_logged_with_what_the_process_waited_for(logged):
     """A gateway that did not run for 4.2 s left no line that told why."""
     before, after = ProcessorUse(1.0, 2.0), ProcessorUse(1.25, 5.5)
-    monitor_of(CHECK_INTERVAL_S + 4.2, before, after).check()
+    wait_that_takes(WAIT_S + 4.2, before, after)
     assert logged == [("process_stalled", {"late_s": 4.2, "cpu_s": 0.25, "run_queue_s": 3.5})]
 
 
 def test_a_short_delay_is_not_logged(logged):
     """One line for each delay of a busy box would flood the log."""
-    monitor_of(CHECK_INTERVAL_S + 0.4, ProcessorUse(1.0, 2.0), ProcessorUse(1.0, 2.4)).check()
+    wait_that_takes(WAIT_S + 0.4, ProcessorUse(1.0, 2.0), ProcessorUse(1.0, 2.4))
     assert logged == []
 
 
 def test_a_stall_is_logged_where_the_kernel_does_not_report_the_run_queue(logged):
-    monitor_of(2.0, ProcessorUse(1.0, None), ProcessorUse(1.0, None)).check()
+    wait_that_takes(WAIT_S + 2.0, ProcessorUse(1.0, None), ProcessorUse(1.0, None))
     assert logged[0][1]["run_queue_s"] is None
 
 
@@ -58,3 +61,11 @@
     thread.start()
     thread.join()
     assert ProcessorUse.current().cpu_s - before.cpu_s >= 0.2
+
+
+def test_a_wait_that_ends_early_is_no_stall(logged):
+    """A request to stop ends the wait of the process."""
+    event = threading.Event()
+    event.set()
+    assert StallMonitor().wait(event.wait, 60.0)
+    assert logged == []
