Watch for stalls of the platform's processes only while they stop

Change: the monitor starts with a planned stop, where the missing line was needed.

Result: the tests of the monitor, of stalls and of callers passed.

--- a/src/threadramp/serve/process.py
+++ b/src/threadramp/serve/process.py
@@ -75,15 +75,14 @@
             own=msgspec.to_builtins(self.service_settings),
         )
         self.start()
-        stalls = StallMonitor()
-        while not stalls.wait(self.stop_requested.wait, SETTINGS_CHECK_INTERVAL_S):
+        while not self.stop_requested.wait(SETTINGS_CHECK_INTERVAL_S):
             version = _settings_file_version()
             if self.reload_requested.is_set() or version != self.settings_version:
                 self.reload_requested.clear()
                 self.settings_version = version
                 self._reload()
         log_state("stopping", process=name, box=self.settings.name)
-        stalls.start()  # the steps of a stop have waits of their own
+        StallMonitor().start()  # a stop has a deadline, so a stall matters most here
         self.shut_down()
         log_state("stopped", process=name, box=self.settings.name)
         flush_logs()
