Limit the requests that a cold endpoint receives

Cause: coldMs, coldStartS and coldPerS were not used, so a cold engine received samples as fast as its slots became free: 18 in one second where it bears 12.5. Change: the number is divided once between the sidecar, a host that stands in and the gateways chosen by rendezvous hash; a process sends nothing to a cold endpoint in its first second, and a gateway only while its lease holds and all others have had time to list it. Where a pool states no rate, nothing is limited.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -17,9 +17,10 @@
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
-    from collections.abc import Set
+    from collections.abc import Iterable, Set
 
     from threadramp.duties.collecting import UsageCounter
+    from threadramp.edge.cold_gate import ColdGate
     from threadramp.edge.connection_pool import ConnectionPool
     from threadramp.edge.exchange import EndpointResponse, Exchange
     from threadramp.edge.job import Job
@@ -52,6 +53,7 @@
         clock: Clock,
         guard: CrashGuard | None = None,
         usage_counter: UsageCounter | None = None,
+        cold_gate: ColdGate | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.connection_pool = connection_pool
@@ -59,6 +61,7 @@
         self.retry_budget = retry_budget
         self.clock = clock
         self.usage_counter = usage_counter
+        self.cold_gate = cold_gate
         self.guard = guard or CrashGuard(CrashTracker(), clock, fleet_view)
 
     def drop_unlisted(self) -> None:
@@ -66,6 +69,12 @@
         incarnations = {one.incarnation for one in self.fleet_view.snapshot.endpoints.values()}
         self.connection_pool.retain_only(incarnations)
         self.choice.retain(incarnations)
+        if self.cold_gate is not None:
+            self.cold_gate.retain(incarnations)
+
+    def blocked(self, endpoints: Iterable[Endpoint]) -> set[Incarnation]:
+        """Return the endpoints that must not receive a request of this gateway now."""
+        return set() if self.cold_gate is None else self.cold_gate.blocked(endpoints)
 
     def release_connection(self, exchange: Exchange, response: EndpointResponse) -> None:
         """Return a connection to the pool, within this gateway's share of idle connections."""
@@ -153,7 +162,8 @@
     def _choose_endpoint(self, taken: Set[Incarnation]) -> Endpoint | None:
         """Return an endpoint that was not tried yet and is not in ``taken``."""
         endpoints = self.access.fleet_view.snapshot.in_pool(self.pool)
-        return self.access.choice.choose(endpoints, self.history.excluded | taken, self.now())
+        excluded = self.history.excluded | taken | self.access.blocked(endpoints)
+        return self.access.choice.choose(endpoints, excluded, self.now())
 
     def _stop_after_crashes(self) -> Outcome | None:
         """Return the outcome if too many endpoints crashed; none if the job may continue."""
@@ -178,6 +188,10 @@
         left = self.job.deadline - now
         if left <= 0.0:  # the process was paused since the deadline was checked
             return
+        gate = self.access.cold_gate
+        if gate is not None and not gate.take(endpoint):
+            self.history.rejected.add(endpoint.incarnation)  # another thread sent in between
+            return
         self.history.sent_at[endpoint.incarnation] = now
         headers = self.headers(left, endpoint.instance)
         # The response is matched with the id that is sent; the caller's id may have been dropped.
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -108,10 +108,11 @@
         pool = self.access.fleet_view.snapshot.in_pool(self.pool)
         chosen = None
         if len(used) < self.job.route.max_attempts:
-            chosen = self.access.choice.choose(pool, used | history.rejected, self.now())
+            used |= history.rejected | self.access.blocked(pool)
+            chosen = self.access.choice.choose(pool, used, self.now())
         if chosen is None and slow.reused:
             same = [one for one in pool if one.incarnation == slow.endpoint.incarnation]
-            chosen = self.access.choice.choose(same, (), self.now())
+            chosen = self.access.choice.choose(same, self.access.blocked(same), self.now())
         return chosen
 
     def _close_idle_of_slow(self) -> None:
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -8,7 +8,7 @@
 
 from threadramp.fleet.fleet_view import HOST_ROLE
 from threadramp.policy.load_schedule import holds_all_models, load_schedule
-from threadramp.wire.runner import Facts
+from threadramp.wire.runner import ColdFacts, Facts
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -17,7 +17,7 @@
     from threadramp.fleet.model import Endpoint
 
 
-def facts_for(sidecar: Member, snapshot: FleetSnapshot) -> Facts:
+def facts_for(sidecar: Member, snapshot: FleetSnapshot, now: float) -> Facts:
     """Return the facts for a sidecar."""
     facts = Facts(
         endpoints_revision=snapshot.endpoints_revision,
@@ -28,7 +28,7 @@
     endpoint = snapshot.at_address(sidecar.endpoint)
     if endpoint is None or snapshot.configuration is None:
         return facts
-    return _with_endpoint(facts, endpoint, snapshot)
+    return _with_endpoint(facts, endpoint, snapshot, now)
 
 
 def serves_any(sidecar: Member, models: Set[str], snapshot: FleetSnapshot) -> bool:
@@ -47,7 +47,7 @@
     return not models.isdisjoint(share.shifts)
 
 
-def _with_endpoint(facts: Facts, endpoint: Endpoint, snapshot: FleetSnapshot) -> Facts:
+def _with_endpoint(facts: Facts, endpoint: Endpoint, snapshot: FleetSnapshot, now: float) -> Facts:
     """Add the sidecar's endpoint and its position in its pool."""
     pool = snapshot.pool(endpoint.pool)
     position = snapshot.positions[endpoint.address]
@@ -61,7 +61,16 @@
         slots=endpoint.slots or pool.slots,
         memory_tokens=pool.memory_tokens,
         targets=tuple(one for one in snapshot.targets if one.model in share.shifts),
+        cold=_cold_facts(endpoint, snapshot, now),
     )
 
 
+def _cold_facts(endpoint: Endpoint, snapshot: FleetSnapshot, now: float) -> ColdFacts | None:
+    per_s = snapshot.pool(endpoint.pool).cold_per_s
+    if not per_s:
+        return None
+    left_s = max(0.0, snapshot.cold_until.get(endpoint.instance, now) - now)
+    return ColdFacts(per_s, left_s, snapshot.configuration.serves_calls(endpoint.pool))
+
+
 __all__ = ["facts_for", "serves_any"]
--- a/src/threadramp/fleet/fleet_view.py
+++ b/src/threadramp/fleet/fleet_view.py
@@ -83,7 +83,10 @@
 
 @dataclass(frozen=True)
 class FleetSnapshot:
-    """One consistent state of the fleet; immutable and replaced as a whole."""
+    """One consistent state of the fleet; immutable and replaced as a whole.
+
+    :param cold_until: time until which an endpoint is cold, by instance id
+    """
 
     configuration: Configuration | None = None
     endpoints: dict[str, Endpoint] = field(default_factory=dict)
@@ -92,6 +95,7 @@
     targets_revision: int = 0
     retire_requests: tuple[RetireRequest, ...] = ()
     endpoints_revision: int = 0
+    cold_until: dict[str, float] = field(default_factory=dict)
 
     def newest_version(self, model: str) -> int:
         """Return the newest published version of a model, 0 if there is none."""
@@ -189,9 +193,10 @@
         self.decode_cache.retain_only(OPERATOR_PREFIX, operator)
         configuration = self._configuration(operator.get(CONFIGURATION_KEY))
         targets = self._documents_under(WEIGHTS_PREFIX, operator, _read_target)
+        endpoints = self._endpoints(configuration)
         return FleetSnapshot(
             configuration=configuration,
-            endpoints=self._endpoints(configuration),
+            endpoints=endpoints,
             members=self._members(),
             targets=tuple(targets),
             targets_revision=max((target.revision for target in targets), default=0),
@@ -199,8 +204,24 @@
                 self._documents_under(EMPTY_PREFIX, operator, _read_retire_request)
             ),
             endpoints_revision=self.endpoints.revision,
+            cold_until=self._cold_until(endpoints),
         )
 
+    def _cold_until(self, endpoints: dict[str, Endpoint]) -> dict[str, float]:
+        """Return until when endpoints are cold, counted from when their entry was received.
+
+        A process that starts later counts from its start, so it may take an endpoint for cold for
+        too long, never for too short a time.
+        """
+        received = {
+            name: self.endpoints.source_of(ENDPOINT_PREFIX + name)[1]
+            for name, endpoint in endpoints.items()
+            if endpoint.cold_s
+        }
+        return {
+            name: at + endpoints[name].cold_s for name, at in received.items() if at is not None
+        }
+
     def _log_retained(self) -> None:
         """Log entries that are retained for a while although the store no longer has them."""
         found = self.endpoints.retained() | self.members.retained()
--- a/src/threadramp/fleet/membership.py
+++ b/src/threadramp/fleet/membership.py
@@ -5,6 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
+from threadramp.fleet.clock import steady_s
 from threadramp.fleet.fleet_view import MEMBER_PREFIX
 from threadramp.lots.model import encode
 from threadramp.platform.store_model import LeaseGone, Put, StoreError, Transaction
@@ -35,12 +36,17 @@
         self.stopped = threading.Event()
         self.wake = threading.Event()
         self.lease_ttl_s = 0.0
+        self.renewed_at = float("-inf")
         self.renew_s: Callable[[], float] = lambda: RENEW_S
 
     def start(self) -> None:
         """Start the registration thread."""
         start_loop(self._run, self.stopped)
 
+    def is_listed(self, now: float) -> bool:
+        """Return whether the store is sure to list this member now, by its lease."""
+        return bool(self.lease) and now - self.renewed_at < self.lease_ttl_s
+
     def mark_unlisted(self) -> None:
         """Write this member's entry again because the member list lacks it."""
         self.unlisted.set()
@@ -69,15 +75,18 @@
         wanted_s = max(self.lease_s, RENEWALS_PER_LEASE * self.renew_s())
         if wanted_s > self.lease_ttl_s:
             self.lease = 0  # the present lease expires by itself
+        asked_at = steady_s()
         if self.lease and not self.store.renew_lease(self.lease):
             log_state("lease_expired", lease=self.lease)
             self.lease = 0
         if self.lease and not self.unlisted.is_set():
+            self.renewed_at = asked_at
             return
         if not self.lease:
             self.lease = self.store.grant_lease(wanted_s)
             self.lease_ttl_s = wanted_s
         self._write()
+        self.renewed_at = asked_at
 
     def _run(self) -> None:
         while not self.stopped.is_set():
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -73,6 +73,7 @@
     :param memory_tokens: tokens that fit into an engine's memory, 0 if the endpoints are no engines
     :param models: names of the models that its engines serve
     :param autoscale: bounds of its size, none if threadramp does not scale this pool
+    :param cold_per_s: requests a second that a cold endpoint bears, 0 if that is not limited
     """
 
     name: str
@@ -82,6 +83,7 @@
     memory_tokens: int = 0
     models: tuple[str, ...] = ()
     autoscale: Autoscale | None = None
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -129,6 +131,15 @@
                 best = route
         return best
 
+    def serves_calls(self, pool: str) -> bool:
+        """Return whether any route sends calls to a pool, not only samples."""
+        return any(
+            share.pool == pool
+            for route in self.routes
+            if route.kind is not RouteKind.SAMPLES
+            for share in route.shares
+        )
+
     def accepts_anonymous_lots(self, host: str) -> bool:
         """Return whether the host has a public route for lots, whose lots have no owner."""
         return any(
@@ -163,6 +174,7 @@
     :param leaving: whether it is draining and takes no new work
     :param revision: the store's revision at which its entry last changed
     :param born: start time in Unix milliseconds, 0 if it does not report one
+    :param cold_s: how much longer it is cold, from the revision of its entry on
     """
 
     instance: str
@@ -173,6 +185,7 @@
     leaving: bool = False
     revision: int = 0
     born: int = 0
+    cold_s: float = 0.0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -171,7 +171,7 @@
 
     def facts_for(self, sidecar: Member) -> Facts:
         """Return the facts for a sidecar from the current snapshot."""
-        return facts_for(sidecar, self.fleet_view.snapshot)
+        return facts_for(sidecar, self.fleet_view.snapshot, self.clock.now())
 
     def push_changes(self, prefix: str, after: int, changes: Changes) -> None:
         """Push the changes after a revision to the gateways that follow this one."""
--- a/src/threadramp/platform/documents.py
+++ b/src/threadramp/platform/documents.py
@@ -117,6 +117,7 @@
     name: str
     health_path: str = "/"
     max_conns: int = 64
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     engine: _Engine | None = None
     autoscale: _Autoscale | None = None
 
@@ -126,6 +127,7 @@
             name=self.name,
             health_path=self.health_path,
             max_connections=self.max_conns,
+            cold_per_s=self.cold_per_s,
             slots=engine.slots,
             memory_tokens=engine.kv_capacity,
             models=tuple(model.name for model in engine.models),
@@ -234,6 +236,7 @@
         leaving=found.state is _State.LEAVING,
         revision=revision,
         born=found.born,
+        cold_s=found.coldMs / MS_PER_S,
     )
 
 
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -36,6 +36,8 @@
         box that is cut off; infinite where such a box may go on
     :param usage_window_s: length of the windows whose usage is reported
     :param usage_late_s: after a window's end, until its report is due
+    :param cold_overage: factor by which the configured rate of a cold endpoint may be exceeded
+    :param cold_slack: requests a second that a cold endpoint bears beyond that
     """
 
     drain_s: float = 2.0
@@ -47,6 +49,8 @@
     keys_within_s: float = math.inf
     usage_window_s: float = 5.0
     usage_late_s: float = 10.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -205,6 +209,8 @@
             keys_within_s=self._keys_within_s(table),
             usage_window_s=self._number(table, "reportWindowS", 5, "bounds."),
             usage_late_s=self._number(table, "usageLateS", 10, "bounds."),
+            cold_overage=self._number(table, "coldOverage", 1, "bounds."),
+            cold_slack=self._number(table, "coldSlack", 0, "bounds."),
         )
 
     def _keys_within_s(self, table: dict[str, Any]) -> float:
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -22,7 +22,9 @@
     read_report,
 )
 from threadramp.platform.headers import order_headers
+from threadramp.platform.settings import Bounds
 from threadramp.report.log import log_state
+from threadramp.runner.send_limit import SendLimit
 from threadramp.wire.late_bytes import TooLateError, body_in_time, drop_what_is_late
 from threadramp.wire.runner import ANY_MODEL, Facts
 
@@ -47,9 +49,17 @@
     """The one engine of a sidecar.
 
     :param holder: name of the box that sends the orders
+    :param send_limit: how many samples a second it may receive from this process
     """
 
-    def __init__(self, address: str, pool: str, holder: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: str,
+        holder: str,
+        clock: Clock,
+        send_limit: SendLimit | None = None,
+    ) -> None:
         self.address = address
         self.pool = pool
         self.holder = holder
@@ -70,6 +80,7 @@
         self.on_new_incarnation: Callable[[], None] = lambda: None
         self.event_gaps: deque[tuple[float, float]] = deque(maxlen=MAX_GAPS)
         self.on_suspect_connections: Callable[[], None] = lambda: None
+        self.send_limit = send_limit or SendLimit(Bounds(), False, clock.now())
         self.lock = threading.Lock()
 
     @property
@@ -147,6 +158,7 @@
                 targets=published.targets,
                 targets_revision=published.targets_revision,
             )
+        self.send_limit.update(self.facts, self.clock.now())
         self._check_incarnation()
 
     def _check_incarnation(self) -> None:
--- a/src/threadramp/runner/hosting.py
+++ b/src/threadramp/runner/hosting.py
@@ -21,6 +21,7 @@
 from threadramp.runner.engine_lock import make_engine_lock
 from threadramp.runner.inspector import RunnerInspector
 from threadramp.runner.runs import RunTable
+from threadramp.runner.send_limit import SendLimit
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weight_loader import WeightLoader
 from threadramp.wire.fleet import Beat, Done
@@ -30,6 +31,7 @@
     from threadramp.fleet.fleet_view import FleetSnapshot, Member
     from threadramp.fleet.model import Endpoint
     from threadramp.fleet.peers import Peers
+    from threadramp.platform.settings import Bounds
     from threadramp.platform.store import StoreClient
     from threadramp.report.metrics import Metrics
     from threadramp.wire.fleet import AnyAsk, AnyReply, Fact
@@ -58,7 +60,7 @@
 class HostedRunners:
     """The runners that one gateway hosts; the methods are thread-safe.
 
-    :param apart_s: minimum time between orders of two holders of an engine lock
+    :param bounds: of the deployment
     """
 
     def __init__(
@@ -68,14 +70,14 @@
         clock: Clock,
         metrics: Metrics,
         versions_apart: int,
-        apart_s: float,
+        bounds: Bounds,
     ) -> None:
         self.peers = peers
         self.store = store
         self.clock = clock
         self.metrics = metrics
         self.versions_apart = versions_apart
-        self.apart_s = apart_s
+        self.bounds = bounds
         self.hosted: dict[str, HostedRunner] = {}
         self.last_covered_at: dict[str, float] = {}
         self.sidecars: dict[str, Member] = {}
@@ -121,7 +123,8 @@
             if self.clock.now() - one.last_used_at > IDLE_TIMEOUT_S:
                 self._stop_runner(engine)
                 continue
-            one.runner.engine.update_facts(facts_for(one.runner.member, snapshot))
+            facts = facts_for(one.runner.member, snapshot, self.clock.now())
+            one.runner.engine.update_facts(facts)
 
     def _update_coverage(self, snapshot: FleetSnapshot) -> None:
         """Record which engines have a sidecar that is listed or has answered recently.
@@ -172,17 +175,18 @@
 
     def _new_runner(self, address: str, endpoint: Endpoint) -> Sidecar:
         member = hosted_member(self.peers.member, address)
-        engine = Engine(address, endpoint.pool, self.peers.member.name, self.clock)
+        send_limit = SendLimit(self.bounds, True, self.clock.now())
+        engine = Engine(address, endpoint.pool, self.peers.member.name, self.clock, send_limit)
         lock = make_engine_lock(
             self.store,
             address,
             self.peers.member.name,
-            self.apart_s,
+            self.bounds.holders_apart_s,
             self.clock,
             may_take=lambda: self._may_take_lock(address),
         )
         weights = WeightLoader(engine, self.clock, lock, self.versions_apart)
-        table = RunTable(self.clock.now)
+        table = RunTable(self.clock.now, send_limit)
         return Sidecar(member, engine, weights, table, self.peers.client, self.clock, self.metrics)
 
     def _may_take_lock(self, address: str) -> bool:
@@ -192,7 +196,7 @@
         if endpoint is None or not self._should_host(endpoint, snapshot):
             return False
         sidecar = self.sidecars.get(address)
-        answers = sidecar is not None and self._sidecar_answers(sidecar, snapshot)
+        answers = sidecar is not None and self._sidecar_answers(sidecar)
         log_state(
             "engine_takeover_check",
             engine=address,
@@ -202,8 +206,8 @@
         )
         return not answers
 
-    def _sidecar_answers(self, sidecar: Member, snapshot: FleetSnapshot) -> bool:
-        beat = Beat(*self.peers.sender_fields, facts_for(sidecar, snapshot))
+    def _sidecar_answers(self, sidecar: Member) -> bool:
+        beat = Beat(*self.peers.sender_fields, self.peers.facts_for(sidecar))
         return self.peers.ask(sidecar.address, beat, PROBE_TIMEOUT_S) is not None
 
     def _stop_runner(self, engine: str) -> None:
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from threadramp.runner.send_limit import SendLimit
     from threadramp.wire.runner import RunOrder, RunUpdate
 
 MAX_QUEUED = 2  # samples that may wait beyond the slots, so that no slot idles for a round trip
@@ -31,10 +32,14 @@
 
 
 class RunTable:
-    """All sample runs of a sidecar; the methods are thread-safe."""
+    """All sample runs of a sidecar; the methods are thread-safe.
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    :param send_limit: how many samples a second may start, none without a limit
+    """
+
+    def __init__(self, now: Callable[[], float], send_limit: SendLimit | None = None) -> None:
         self.now = now
+        self.send_limit = send_limit
         self.runs: dict[str, Run] = {}
         self.slots = 0
         self.accepting = False
@@ -69,11 +74,13 @@
             running = [run for run in self.runs.values() if run.is_open and run.started]
             now = self.now()
             waiting = [run for run in self.runs.values() if self._is_startable(run, now)]
-            if not waiting:
+            if not waiting or not self._may_send(now):
                 return None
             if len(running) >= self.slots and not self._make_room(running):
                 return None
             chosen = min(waiting, key=lambda run: (run.due_at, -run.order.sample.expected_tokens))
+            if self.send_limit is not None:
+                self.send_limit.take(now)
             chosen.started = True
             chosen.last_progress_at = now
             chosen.generation += 1
@@ -244,6 +251,9 @@
         """Return whether a run may be started and the engine would not reject it."""
         return run.is_startable(now) and not is_changing(self.loading_model, run.order.model)
 
+    def _may_send(self, now: float) -> bool:
+        return self.send_limit is None or self.send_limit.has_room(now)
+
     def _submit_one(self, order: RunOrder) -> bool:
         name = order.sample.id
         run = self.runs.get(name)
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -51,6 +51,7 @@
         self.table = table
         self.run = run
         self.generation = run.generation
+        self.taken_at: float | None = run.last_progress_at  # of the send limit
         self.clock = clock
         self.incarnation = engine.incarnation
         self.version = 0
@@ -93,7 +94,10 @@
         if not self._register_cancel(exchange):
             exchange.close()
             return
-        self._send(exchange)
+        if not self._send(exchange):
+            exchange.close()
+            self.table.requeue(self.run, self.generation)
+            return
         response = exchange.read_own_head(HEAD_TIMEOUT_S)
         if exchange.duplicates:
             self.metrics.count("answer_not_own", "named")
@@ -114,8 +118,11 @@
         self.version = head.version
         self._read_stream(exchange, response)
 
-    def _send(self, exchange: Exchange) -> None:
-        """Send the sample, to be resumed after the events that are already here."""
+    def _send(self, exchange: Exchange) -> bool:
+        """Send the sample, to be resumed after the events that are already here.
+
+        :returns: false if a cold engine must not receive it yet
+        """
         order = self.run.order
         headers = sample_headers(
             (*order.sample.headers, ("Host", order.host)),
@@ -127,7 +134,11 @@
             order.organisation,
         )
         self.sent_at = self.clock.now()
+        if not self.engine.send_limit.confirm(self.taken_at, self.sent_at):
+            return False
+        self.taken_at = None  # a retry is another request
         exchange.send("POST", order.sample.path, headers, order.sample.body)
+        return True
 
     def _handle_not_begun(self, status: int) -> None:
         """Requeue the sample; if the engine was replaced, mark this incarnation as superseded."""
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -12,6 +12,7 @@
 from threadramp.duties.duty_loop import DutyLoop
 from threadramp.duties.scale_orders import ScaleOrders
 from threadramp.duties.usage_reports import UsageReports
+from threadramp.edge.cold_gate import ColdGate
 from threadramp.edge.connection_pool import ConnectionPool
 from threadramp.edge.crash_guard import CrashGuard
 from threadramp.edge.disconnect_watcher import DisconnectWatcher
@@ -195,7 +196,7 @@
             clock,
             self.metrics,
             self.service_settings.weights.versions_apart,
-            settings.bounds.holders_apart_s,
+            settings.bounds,
         )
         self.peer_requests = PeerRequestHandler(
             self.peers,
@@ -300,6 +301,7 @@
             clock,
             self.crash_guard,
             self.usage_counting,
+            ColdGate(self.peers, self.settings.bounds, clock, self.membership.is_listed),
         )
         self.forwarder = forwarder
         self.caller_watch = DisconnectWatcher()
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -20,6 +20,7 @@
 from threadramp.runner.engine_lock import make_engine_lock
 from threadramp.runner.inspector import RunnerInspector
 from threadramp.runner.runs import RunTable
+from threadramp.runner.send_limit import SendLimit
 from threadramp.runner.sidecar import Sidecar
 from threadramp.runner.weight_loader import WeightLoader
 from threadramp.serve.metrics_server import serve_metrics
@@ -63,7 +64,8 @@
         store = StoreClient(
             settings.store.address, self._relay, health.observe, count=store_call_counter.record
         )
-        engine = Engine(settings.endpoint, settings.pool, settings.name, clock)
+        send_limit = SendLimit(settings.bounds, False, clock.now())
+        engine = Engine(settings.endpoint, settings.pool, settings.name, clock, send_limit)
         takeover_delay_s = settings.bounds.holders_apart_s
         engine_lock = make_engine_lock(
             store, settings.endpoint, settings.name, takeover_delay_s, clock
@@ -71,7 +73,7 @@
         weights = WeightLoader(
             engine, clock, engine_lock, self.service_settings.weights.versions_apart
         )
-        table = RunTable(clock.now)
+        table = RunTable(clock.now, send_limit)
         self.sidecar = Sidecar(member, engine, weights, table, client, clock, self.metrics)
         self.membership = Membership(member, store, settings.store.lease_min_s)
         self.membership.renew_s = lambda: renewal_interval_s(
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -11,6 +11,19 @@
 ANY_MODEL = "*"  # weights are being loaded, and the model is not known
 
 
+class ColdFacts(msgspec.Struct, frozen=True, array_like=True):
+    """How an engine must be treated that is cold, or may become cold at any moment.
+
+    :param per_s: requests a second that it bears while it is cold
+    :param left_s: seconds for which it is still cold, 0 if it is not known to be cold
+    :param serves_calls: whether any route sends calls to its pool
+    """
+
+    per_s: float
+    left_s: float
+    serves_calls: bool
+
+
 class Facts(msgspec.Struct, frozen=True, array_like=True):
     """The part of a gateway's state that a sidecar needs.
 
@@ -22,6 +35,7 @@
     :param listed: whether the sidecar itself is in the member list
     :param sidecars: number of sidecars in the member list
     :param born: start time of that instance, 0 if it is not reported
+    :param cold: none for a pool whose cold endpoints bear any rate
     """
 
     endpoints_revision: int = 0
@@ -35,6 +49,7 @@
     sidecars: int = 0
     share: LoadSchedule = LoadSchedule({})
     born: int = 0
+    cold: ColdFacts | None = None
 
     @property
     def start(self) -> Incarnation:
@@ -120,4 +135,12 @@
     return bool(loading) and (loading in (model, ANY_MODEL) or not model)
 
 
-__all__ = ["ANY_MODEL", "is_changing", "Facts", "RunOrder", "RunUpdate", "RunnerStatus"]
+__all__ = [
+    "ANY_MODEL",
+    "is_changing",
+    "ColdFacts",
+    "Facts",
+    "RunOrder",
+    "RunUpdate",
+    "RunnerStatus",
+]
--- a/tests/fleet/test_facts.py
+++ b/tests/fleet/test_facts.py
@@ -43,7 +43,7 @@
     snapshot = fleet(2_700)
     found = asked(snapshot, *models)
     assert len(found) == engines
-    named = {target.model for one in found for target in facts_for(one, snapshot).targets}
+    named = {target.model for one in found for target in facts_for(one, snapshot, 0.0).targets}
     assert named == set(models)
 
 
@@ -61,8 +61,8 @@
     """Every request to a sidecar carries its facts; computing them iterated over all endpoints."""
     snapshot = fleet(2_700)
     sidecars = snapshot.sidecars()
-    facts_for(sidecars[0], snapshot)
+    facts_for(sidecars[0], snapshot, 0.0)
     started = time.process_time()
     for one in sidecars:
-        facts_for(one, snapshot)
+        facts_for(one, snapshot, 0.0)
     assert time.process_time() - started < 1.0  # 2,700 sorts of 2,700 addresses took 2.5 s
