Admit calls by the time in which endpoints can answer them

A load header of four figures was ignored as a whole, and the choice of endpoints knew no time of work. Change: a queue for each pool without engines, ordered by priority, organisation and time left, in front of a limit that follows the load that endpoints report, or their latency. What cannot be sent within a quarter of the latency objective is refused with a Retry-After that spreads the returns. Endpoints are chosen by expected time, with a learned factor and the reported slowdown. No hedged attempt while calls wait. Switched on by [admission] limit; none is the behaviour before. Tests changed: the deployed settings differ from the defaults by the limit; a stub of the choice takes its new argument.

--- a/src/threadramp/edge/attempt_history.py
+++ b/src/threadramp/edge/attempt_history.py
@@ -20,6 +20,7 @@
     :param crashed: endpoints that crashed while it was open there
     :param unreachable: endpoints that refuse connections
     :param sent_at: when it was last sent to an endpoint, by the steady clock
+    :param ahead_at_send: requests that were expected at an endpoint when it was sent there
     :param response_was_unnamed: whether a response on a reused connection named no request id
     :param started_at: when it was counted as started at an endpoint, by the steady clock
     """
@@ -30,6 +31,7 @@
     crashed: set[Incarnation] = field(default_factory=set)
     unreachable: set[Incarnation] = field(default_factory=set)
     sent_at: dict[Incarnation, float] = field(default_factory=dict)
+    ahead_at_send: dict[Incarnation, float] = field(default_factory=dict)
     started_at: dict[Incarnation, float] = field(default_factory=dict)
     may_have_run: bool = False
     response_was_unnamed: bool = False
--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.edge.attempt_history import AttemptHistory
+from threadramp.edge.call_queue import CallerLeftError, CallRefusedError
 from threadramp.edge.connection_breaks import BrokenExchange
 from threadramp.edge.crash_admission import CrashAdmission
 from threadramp.edge.crash_guard import CrashGuard
@@ -20,6 +21,7 @@
     from collections.abc import Iterable, Set
 
     from threadramp.duties.collecting import UsageCounter
+    from threadramp.edge.call_queue import CallQueues, Place
     from threadramp.edge.cold_gate import ColdGate
     from threadramp.edge.connection_pool import ConnectionPool
     from threadramp.edge.exchange import EndpointResponse, Exchange
@@ -54,6 +56,7 @@
         guard: CrashGuard | None = None,
         usage_counter: UsageCounter | None = None,
         cold_gate: ColdGate | None = None,
+        call_queues: CallQueues | None = None,
     ) -> None:
         self.fleet_view = fleet_view
         self.connection_pool = connection_pool
@@ -62,6 +65,7 @@
         self.clock = clock
         self.usage_counter = usage_counter
         self.cold_gate = cold_gate
+        self.call_queues = call_queues
         self.guard = guard or CrashGuard(CrashTracker(), clock, fleet_view)
 
     def drop_unlisted(self) -> None:
@@ -93,6 +97,7 @@
     """
 
     starts_when_sent = True
+    waits_for_place = False  # whether a caller's job waits for its turn at the pool
 
     def __init__(self, access: EndpointAccess, job: Job) -> None:
         self.access = access
@@ -101,6 +106,12 @@
         self.history = AttemptHistory()
         self.pool = access.choice.choose_pool(job.route)
         self.admission = CrashAdmission(access.guard, job)
+        self.place: Place | None = None
+
+    @property
+    def target_s(self) -> float:
+        """Return the latency objective that guides the choice of endpoints, 0 for none."""
+        return self.place.call.target_s if self.place is not None else 0.0
 
     def run(self) -> Outcome:
         """Try endpoints until there is an outcome."""
@@ -109,6 +120,12 @@
         admitted = self.admission.admit()
         if admitted.level is SuspicionLevel.REFUSED:
             return Outcome(Ending.NOT_RUN, retry_after_s=admitted.retry_after_s)
+        try:
+            self._take_place()
+        except CallRefusedError as error:
+            return Outcome(Ending.NOT_RUN, retry_after_s=error.refusal.retry_after_s)
+        except CallerLeftError:
+            return Outcome(Ending.CALLER_DISCONNECTED)
         self.access.retry_budget.record_first_attempt()
         try:
             while True:
@@ -118,6 +135,17 @@
         finally:
             self.close_all()
             self.admission.release()
+            if self.place is not None:
+                self.place.leave()
+
+    def _take_place(self) -> None:
+        """Wait for the turn of a caller's job, where calls are limited.
+
+        Jobs without a caller, such as scoring calls, are few and their sender waits for them.
+        """
+        queues = self.access.call_queues
+        if queues is not None and self.waits_for_place and self.job.caller_socket is not None:
+            self.place = queues.enter(self.job, self.pool)
 
     def assess(self) -> Assessment:
         """Return the current crash assessment of the request."""
@@ -153,6 +181,8 @@
             return None
         if not history.rejected and not self.admission.must_wait:
             return self._no_endpoint_left()
+        if self.place is not None and self.now() >= self.place.call.latest_start:
+            return self.give_up(Ending.NOT_RUN, self.place.retry_after_s())
         history.rejection_rounds += 1
         if history.rejection_rounds > MAX_REJECTION_ROUNDS:
             return self.give_up(Ending.NOT_RUN)
@@ -163,7 +193,7 @@
         """Return an endpoint that was not tried yet and is not in ``taken``."""
         endpoints = self.access.fleet_view.snapshot.in_pool(self.pool)
         excluded = self.history.excluded | taken | self.access.blocked(endpoints)
-        return self.access.choice.choose(endpoints, excluded, self.now())
+        return self.access.choice.choose(endpoints, excluded, self.now(), self.target_s)
 
     def _stop_after_crashes(self) -> Outcome | None:
         """Return the outcome if too many endpoints crashed; none if the job may continue."""
@@ -206,6 +236,8 @@
             self.record_exchange_error(endpoint, error, ran=False)
             return
         self.access.choice.request_started(endpoint)
+        if self.place is not None:
+            self.place.sent()
         try:
             exchange.send(self.job.method, self.job.target, headers, self.job.body)
         except ExchangeError as error:
@@ -257,6 +289,9 @@
         """Record that an endpoint reported that it did not run the job."""
         self.retract_start(endpoint)
         self.history.rejected.add(endpoint.incarnation)
+        if self.place is not None:
+            sent_at = self.history.sent_at[endpoint.incarnation]
+            self.place.record(endpoint, self.now() - sent_at, rejected=True)
         log_state(
             "rejected", request=self.job.request_id, instance=endpoint.instance, status=status
         )
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -35,12 +35,16 @@
 class _CompleteResponseLoop(AttemptLoop):
     """Forwards one job, with a hedged attempt if the first one is slow."""
 
+    waits_for_place = True
+
     def __init__(self, access: EndpointAccess, job: Job) -> None:
         super().__init__(access, job)
         self.hedge_at = 0.0
 
     def send(self, endpoint: Endpoint, force_new: bool = False) -> None:
         """Send to an endpoint, and set the time for a hedged attempt."""
+        ahead = self.access.choice.expected_ahead(endpoint, self.now())
+        self.history.ahead_at_send[endpoint.incarnation] = ahead
         super().send(endpoint, force_new)
         self.hedge_at = self.now() + self.job.route.target_s * HEDGE_AFTER_SHARE
 
@@ -89,6 +93,8 @@
             return
         if self.assess().level is not SuspicionLevel.NONE:
             return  # it might crash a second endpoint as well
+        if self.place is not None and not self.place.may_hedge():
+            return  # it would delay calls that wait, and wait itself
         self.hedge_at = self.job.deadline  # at most one hedged attempt
         chosen = self._choose_hedge_endpoint(history.open_exchanges[0])
         if chosen is not None and self.access.retry_budget.retry():
@@ -109,7 +115,7 @@
         chosen = None
         if len(used) < self.job.route.max_attempts:
             used |= history.rejected | self.access.blocked(pool)
-            chosen = self.access.choice.choose(pool, used, self.now())
+            chosen = self.access.choice.choose(pool, used, self.now(), self.target_s)
         if chosen is None and slow.reused:
             same = [one for one in pool if one.incarnation == slow.endpoint.incarnation]
             chosen = self.access.choice.choose(same, self.access.blocked(same), self.now())
@@ -156,6 +162,8 @@
     def _evaluate(self, endpoint: Endpoint, response: EndpointResponse) -> Outcome | None:
         head = response.head
         if head.not_run:
+            if head.load is not None:
+                self.access.choice.record_load(endpoint, head.load, self.now())
             self.record_rejection(endpoint, head.status)
             return None
         if head.signature:  # else a reverse proxy may have sent it for a crashed endpoint
@@ -163,7 +171,12 @@
         unsigned = 200 <= head.status < 300 and not head.signature
         if unsigned or head.status >= 500:
             return self._handle_failed_response(endpoint, response, unsigned)
-        self.access.choice.record_success(endpoint, head.load, self.now())
+        now = self.now()
+        latency_s = now - self.history.sent_at[endpoint.incarnation]
+        ahead = self.history.ahead_at_send.get(endpoint.incarnation, 0.0)
+        self.access.choice.record_success(endpoint, head.load, now, latency_s, ahead)
+        if self.place is not None:
+            self.place.record(endpoint, latency_s, rejected=False)
         return Outcome(Ending.ANSWERED, response)
 
     def _handle_failed_response(
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -186,6 +186,7 @@
             deadline=started + min(limits),
             caller_socket=request.socket,
             identity=identity,
+            arrived_at=started,
         )
         if route.kind is RouteKind.STREAM:
             outcome = self.stream_forwarder.run(job, request, self.stopping)
--- a/src/threadramp/edge/job.py
+++ b/src/threadramp/edge/job.py
@@ -40,6 +40,7 @@
     :param caller_socket: socket of the caller, watched for a disconnect; none if nobody waits
     :param retry_errors: whether a status 500 is retried at another endpoint; else it is passed on
     :param identity: who sent the request
+    :param arrived_at: time at which its first bytes had arrived
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     caller_socket: socket.socket | None = None
     retry_errors: bool = True
     identity: Caller = UNIDENTIFIED
+    arrived_at: float = 0.0
 
     @cached_property
     def fingerprint(self) -> bytes:
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -26,6 +26,9 @@
 KEY_SCHEME = "bearer"
 KEY_IN_TEXT_LEAST = 8  # characters of a key that is looked for within other headers
 MS_PER_S = 1000.0
+LOAD_FIGURES_LEAST = 3  # requests running, requests waiting, slots
+LOAD_FIGURES_MOST = 4  # and how long work takes right now, in percent
+LOAD_DIGITS_MOST = 9
 LAST_RANK = 9  # the least urgent that endpoints know
 OTHER_INSTANCE_STATUS = 421
 REJECTED_STATUSES = (421, 429, 503)
@@ -59,11 +62,15 @@
 
 @dataclass(frozen=True)
 class EndpointLoad:
-    """What an endpoint says of its load in an answer."""
+    """What an endpoint reports about its load in an answer.
+
+    :param work_percent: how long work takes right now, 100 as usual
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = 100
 
 
 @dataclass(frozen=True)
@@ -313,9 +320,12 @@
 
 def _load(text: str) -> EndpointLoad | None:
     parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    figures = parts[:LOAD_FIGURES_MOST]  # a later version may add more
+    if len(figures) < LOAD_FIGURES_LEAST or not all(
+        part.isascii() and part.isdigit() for part in figures
+    ):
         return None
-    return EndpointLoad(*(int(part) for part in parts))
+    return EndpointLoad(*(int(part[:LOAD_DIGITS_MOST]) for part in figures))
 
 
 def _seconds(text: str) -> float | None:
--- a/src/threadramp/report/gateway_inspector.py
+++ b/src/threadramp/report/gateway_inspector.py
@@ -49,6 +49,7 @@
         handler.register("lot", self.lot)
         handler.register("member", self.member)
         handler.register("organisation", self.organisation)
+        handler.register("pool", self.pool)
         handler.register("request", self.request)
         return handler
 
@@ -139,9 +140,49 @@
         yield Fact(
             "failures, avoided s", f"{record.failures}, {avoided_s:.1f}", "own requests", None
         )
-        if record.load is not None:
-            load = f"{record.load.running} running, {record.load.waiting} waiting"
-            yield Fact("load", load, "its answers", round(now - record.load_at, 2))
+        times = record.times
+        if times.samples:
+            factor = f"{times.factor:.2f} times the usual time of work"
+            yield Fact("speed", factor, "own requests", None)
+        if times.load is not None:
+            load = f"{times.load.running} running, {times.load.waiting} waiting"
+            age_s = round(now - times.load_at, 2)
+            yield Fact("load", load, "its answers", age_s)
+            yield Fact("work takes", f"{times.load.work_percent}% of usual", "its answers", age_s)
+
+    def pool(self, name: str) -> Iterable[Fact]:
+        """Yield how calls to a pool are limited here, and what is known about its endpoints.
+
+        :param name: of the pool
+        """
+        queues = self.access.call_queues
+        queue = queues.by_pool.get(name) if queues is not None else None
+        if queue is None:
+            yield Fact("calls", "are not limited, or none came yet", "own settings", None)
+            return
+        now = self.clock.now()
+        with queue.lock:
+            admission = queue.admission
+            waiting = list(admission.waiting.values())
+            in_flight = len(admission.in_flight)
+            rate = admission.rate_per_s(now)
+            booked_s = max(0.0, admission.return_booked_until - now)
+        yield Fact("limit", queues.limit, "own settings", None)
+        yield Fact("open calls", str(in_flight), "own requests", 0.0)
+        yield Fact("started per s", f"{rate:.0f}", "own requests", 0.0)
+        yield Fact("waiting", str(len(waiting)), "own queue", 0.0)
+        for priority in sorted({call.priority for call in waiting}):
+            calls = [call for call in waiting if call.priority == priority]
+            oldest_ms = max(now - call.arrived_at for call in calls) * 1000
+            text = f"{len(calls)}, the oldest for {oldest_ms:.0f} ms"
+            yield Fact(f"waiting with priority {priority}", text, "own queue", 0.0)
+        yield Fact("returns booked for", f"{booked_s:.2f} s", "own queue", 0.0)
+        usual = self.access.choice.work_times.get(name)
+        if usual is not None:
+            yield Fact("usual time of work", f"{usual.usual_s * 1000:.0f} ms", "own requests", None)
+        for endpoint in self.fleet_view.snapshot.in_pool(name):
+            yield Fact("endpoint", endpoint.instance, "the store", None)
+            yield from self._request_facts(endpoint)
 
     def lot(self, name: str) -> Iterable[Fact]:
         """Yield facts about a lot that this gateway runs."""
--- a/src/threadramp/report/inspect_handler.py
+++ b/src/threadramp/report/inspect_handler.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-KINDS = ("configuration", "duty", "endpoint", "lot", "member", "organisation", "request")
+KINDS = ("configuration", "duty", "endpoint", "lot", "member", "organisation", "pool", "request")
 
 
 class InspectHandler:
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -12,6 +12,7 @@
 from threadramp.duties.duty_loop import DutyLoop
 from threadramp.duties.scale_orders import ScaleOrders
 from threadramp.duties.usage_reports import UsageReports
+from threadramp.edge.call_queue import CallQueues
 from threadramp.edge.cold_gate import ColdGate
 from threadramp.edge.connection_pool import ConnectionPool
 from threadramp.edge.crash_guard import CrashGuard
@@ -300,15 +301,17 @@
         random = Random(self.incarnation)
         connections = ConnectionPool(self.metrics.count)
         self.usage_counting = self._new_usage_counting()
+        choice = EndpointSelector(random)
         forwarder = Forwarder(
             self.fleet_view,
             connections,
-            EndpointSelector(random),
+            choice,
             RetryBudget(),
             clock,
             self.crash_guard,
             self.usage_counting,
             ColdGate(self.peers, self.settings.bounds, clock, self.membership.is_listed),
+            self._new_call_queues(choice, clock),
         )
         self.forwarder = forwarder
         self.caller_watch = DisconnectWatcher()
@@ -355,6 +358,20 @@
             self.settings.bounds.keys_within_s,
         )
 
+    def _new_call_queues(self, choice: EndpointSelector, clock: Clock) -> CallQueues | None:
+        """Return the queues for calls, None if the settings limit no calls."""
+        admission = self.service_settings.admission
+        if admission.limit == "none":
+            return None
+        return CallQueues(
+            admission.limit,
+            admission.weights,
+            self.fleet_view,
+            choice,
+            clock,
+            self.metrics.count,
+        )
+
     def _renewal_interval_s(self) -> float:
         """Return the seconds between renewals.
 
--- a/src/threadramp/serve/service_settings.py
+++ b/src/threadramp/serve/service_settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from threadramp.config.findings import Finding, FindingsError
+from threadramp.policy.concurrency_limit import LIMITS
 from threadramp.policy.listing_policy import LISTINGS
 
 SETTINGS_FILE = Path("deploy", "threadramp.toml")  # processes start at the root of the checkout
@@ -32,11 +33,24 @@
     listing: str = "at_once"
 
 
+class AdmissionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How calls are admitted to pools.
+
+    :param limit: how the calls open at a pool are limited, a policy of
+        ``policy/concurrency_limit.py``; ``none`` sends each call at once
+    :param weights: share of organisations under overload, by name; others have weight 1
+    """
+
+    limit: str = "none"
+    weights: dict[str, float] = {}
+
+
 class ServiceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All settings of threadramp itself."""
 
     weights: WeightSettings = WeightSettings()
     lots: LotSettings = LotSettings()
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def read_service_settings(path: Path = SETTINGS_FILE) -> ServiceSettings:
@@ -61,11 +75,16 @@
         raise FindingsError([finding])
     if settings.lots.listing not in LISTINGS:
         raise FindingsError([Finding("lots.listing", f"expected one of {sorted(LISTINGS)}")])
+    if settings.admission.limit not in LIMITS:
+        raise FindingsError([Finding("admission.limit", f"expected one of {sorted(LIMITS)}")])
+    if any(weight <= 0 for weight in settings.admission.weights.values()):
+        raise FindingsError([Finding("admission.weights", "expected numbers above 0")])
     return settings
 
 
 __all__ = [
     "SETTINGS_FILE",
+    "AdmissionSettings",
     "LotSettings",
     "ServiceSettings",
     "WeightSettings",
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -228,13 +228,13 @@
     pool.fleet_view.snapshot = FleetSnapshot(endpoints=dict(pool.endpoints))
     choose = pool.choice.choose
 
-    def once_it_failed(endpoints, tried, now):
+    def once_it_failed(endpoints, tried, now, target_s):
         if tried:
             pool.endpoints["i-0"] = replace(
                 pool.endpoints["i-0"], address=pool.serve(dead), born=2000
             )
             pool.fleet_view.snapshot = FleetSnapshot(endpoints=dict(pool.endpoints))
-        return choose(pool.fleet_view.snapshot.in_pool("p"), tried, now)
+        return choose(pool.fleet_view.snapshot.in_pool("p"), tried, now, target_s)
 
     pool.choice.choose = once_it_failed
     assert pool.run().ending is Ending.ANSWERED
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from urllib3 import HTTPHeaderDict
 
 from threadramp.platform.headers import (
+    EndpointLoad,
     read_answer,
     sample_headers,
     sent_id,
@@ -54,6 +56,25 @@
     assert read_answer(200, HTTPHeaderDict({"X-Instance-Load": "x"})).load is None
 
 
+@pytest.mark.parametrize(
+    ("text", "figures"),
+    [
+        ("3,1,6", (3, 1, 6, 100)),
+        ("3, 1, 6, 250", (3, 1, 6, 250)),
+        ("3,1,6,100,7", (3, 1, 6, 100)),
+        ("3,1", None),
+        ("3,1,-6", None),
+        ("3,1,6,x", None),
+        ("3,1,6,\u0663", None),
+    ],
+)
+def test_a_load_of_three_figures_or_more_is_decoded(text, figures):
+    """A load of four figures was ignored as a whole."""
+    load = read_answer(200, HTTPHeaderDict({"X-Instance-Load": text})).load
+    expected = None if figures is None else EndpointLoad(*figures)
+    assert load == expected
+
+
 def test_an_answer_goes_back_without_its_connections_headers():
     answer = [("Connection", "close"), ("X-Server-Stamp", "s"), ("Content-Length", "3")]
     assert to_caller(answer) == [("X-Server-Stamp", "s")]
--- a/tests/serve/test_service_settings.py
+++ b/tests/serve/test_service_settings.py
@@ -7,13 +7,18 @@
 import pytest
 
 from threadramp.config.findings import FindingsError
-from threadramp.serve.service_settings import ServiceSettings, read_service_settings
+from threadramp.serve.service_settings import (
+    AdmissionSettings,
+    ServiceSettings,
+    read_service_settings,
+)
 
 DEPLOYED = Path(__file__).parents[2] / "deploy" / "threadramp.toml"
 
 
 def test_the_deployed_file_is_valid():
-    assert read_service_settings(DEPLOYED) == ServiceSettings()
+    deployed = ServiceSettings(admission=AdmissionSettings("adaptive"))
+    assert read_service_settings(DEPLOYED) == deployed
 
 
 def test_without_a_file_the_defaults_apply(tmp_path):
@@ -27,6 +32,8 @@
         ('[weights]\nversions_apart = "two"\n', "weights.versions_apart"),
         ("[weights]\nversion_apart = 2\n", "version_apart"),
         ('[lots]\nlisting = "sometimes"\n', "lots.listing"),
+        ('[admission]\nlimit = "some"\n', "admission.limit"),
+        ("[admission]\nweights = { a = 0.0 }\n", "admission.weights"),
         ("[other]\n", "other"),
         ("[weights\n", "own.toml"),
     ],
--- a/tools/removals.py
+++ b/tools/removals.py
@@ -445,6 +445,27 @@
         "and not self._may_have_paused(errors)",
         "",
     ),
+    Removal.of_one(
+        "limit of the samples that a cold engine receives",
+        "cold_engine_receives_no_more",
+        "src/threadramp/runner/send_limit.py",
+        "        if self.rate is None:\n            return UNLIMITED\n",
+        "        return UNLIMITED\n",
+    ),
+    Removal.of_one(
+        "refusal of calls that waited too long",
+        "after_a_pause_the_overdue_calls",
+        "src/threadramp/policy/call_admission.py",
+        "if call.latest_start <= now]",
+        "if False]",
+    ),
+    Removal.of_one(
+        "limit of the calls sent under load",
+        "short_burst_leaves_the_capacity",
+        "src/threadramp/policy/concurrency_limit.py",
+        "if pool.pressure > self._bound(pool) and not is_uninformed:",
+        "if False:",
+    ),
 )
 
 
