Hold calls to the initial limit until an endpoint has reported its load

Cause: a gateway that knew no load yet took its endpoints for reporting ones and sent any number of calls at once. Change: only an endpoint that has reported a load counts as reporting.

--- a/src/threadramp/policy/concurrency_limit.py
+++ b/src/threadramp/policy/concurrency_limit.py
@@ -274,6 +274,7 @@
 
 
 __all__ = [
+    "INITIAL_LIMIT",
     "LIMITS",
     "Answer",
     "ConcurrencyLimit",
--- a/src/threadramp/policy/endpoint_choice.py
+++ b/src/threadramp/policy/endpoint_choice.py
@@ -123,12 +123,9 @@
             )
 
     def reports_load(self, endpoints: Sequence[Endpoint]) -> bool:
-        """Return whether the endpoints report their load, as far as they have answered."""
+        """Return whether an endpoint has reported its load."""
         with self.lock:
-            known = [self._record(one).times for one in endpoints]
-            return any(one.load is not None for one in known) or not any(
-                one.factor != 1.0 for one in known
-            )
+            return any(self._record(one).times.load is not None for one in endpoints)
 
     def expected_ahead(self, endpoint: Endpoint, now: float) -> float:
         """Return how many requests are expected to be at an endpoint."""
--- a/tests/edge/test_call_queue.py
+++ b/tests/edge/test_call_queue.py
@@ -19,7 +19,7 @@
 from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.policy.call_admission import QUEUE_SHARE
 from threadramp.policy.callers import Caller
-from threadramp.policy.concurrency_limit import LIMITS, ConcurrencyLimit
+from threadramp.policy.concurrency_limit import INITIAL_LIMIT, LIMITS, ConcurrencyLimit
 from threadramp.policy.endpoint_choice import EndpointSelector
 from threadramp.policy.retries import RetryBudget
 
@@ -250,3 +250,14 @@
     kinds = {kind for kind, _ in gateway.counts}
     assert {"queued_calls", "queue_ms", "call_refused"} <= kinds
     assert ("queued_calls", "organisation org") in gateway.counts
+
+
+def test_before_the_first_answer_the_initial_limit_holds(serve, monkeypatch):
+    """A gateway that knew no load yet sent any number of calls at once."""
+    gateway = Gateway(serve, monkeypatch, hold_s=1.0)
+    gateway.queues.limit = "adaptive"
+    for number in range(12):
+        gateway.call(f"call-{number}")
+    gateway.join()
+    endings = [gateway.ending(f"call-{number}") for number in range(12)]
+    assert endings.count(Ending.ANSWERED) == INITIAL_LIMIT
