Free the place of a caller that leaves as its turn comes

Cause: a call may get its place between the check of its thread and the check of its caller's connection. Its place was then never freed, and it counted as about to be sent, which raises the expected wait of all others until the process ends. Found by reading. Change: a caller that leaves frees whatever its call has. The soak sends bursts of calls to a slowed endpoint, with a random source of its own.

--- a/src/threadramp/edge/call_queue.py
+++ b/src/threadramp/edge/call_queue.py
@@ -58,10 +58,7 @@
 
 @dataclass(frozen=True)
 class Place:
-    """The place that a call has at a pool, until it is left.
-
-    :param queue: the queue of that pool
-    """
+    """The right of one call to be sent to a pool; it is freed by ``leave``."""
 
     call: Call
     queue: PoolQueue
@@ -100,14 +97,12 @@
         fleet_view: FleetView,
         choice: EndpointSelector,
         clock: Clock,
-        count: Callable[..., None],
     ) -> None:
         self.pool = pool
         self.admission = admission
         self.fleet_view = fleet_view
         self.choice = choice
         self.clock = clock
-        self.count = count
         self.waiters: dict[int, _Waiter] = {}
         self.unsent: set[int] = set()  # calls that were started and not sent yet
         self.polling: int | None = None  # the call whose thread polls the endpoints
@@ -127,26 +122,34 @@
                 self._refuse(refusal)
             self._advance()
         try:
-            while not waiter.started and waiter.refusal is None:
-                waiter.wake.wait(self._wait_s(waiter))
-                waiter.wake.clear()
-                if job.caller_socket is not None and is_disconnected(job.caller_socket):
-                    raise CallerLeftError
-                with self.lock:
-                    self._advance()
+            self._wait(waiter, job)
+        except CallerLeftError:
+            self.leave(call.key)  # it may just have got a place
+            raise
         finally:
             with self.lock:
-                self.waiters.pop(call.key, None)
-                self.admission.withdraw(call.key)
-                if waiter.refusal is None and not waiter.started:
-                    self._advance()
+                del self.waiters[call.key]
         if waiter.refusal is not None:
             raise CallRefusedError(waiter.refusal)
         return Place(call, self)
 
+    def _wait(self, waiter: _Waiter, job: Job) -> None:
+        """Wait until a call is started or refused.
+
+        :raises CallerLeftError: if its caller disconnected
+        """
+        while not waiter.started and waiter.refusal is None:
+            waiter.wake.wait(self._wait_s(waiter))
+            waiter.wake.clear()
+            if job.caller_socket is not None and is_disconnected(job.caller_socket):
+                raise CallerLeftError
+            with self.lock:
+                self._advance()
+
     def leave(self, key: int) -> None:
-        """Free the place of a call."""
+        """Free the place of a call, or remove the call from the queue."""
         with self.lock:
+            self.admission.withdraw(key)
             self.admission.finished(key)
             self.unsent.discard(key)
             self._advance()
@@ -230,6 +233,7 @@
 
     :param limit: name of the policy that limits the calls sent to a pool
     :param weights: of organisations, by name; others have weight 1
+    :param count: adds to the counter of a kind and label
     """
 
     def __init__(
@@ -299,7 +303,7 @@
             if pool not in self.by_pool:
                 admission = CallAdmission(LIMITS[self.limit](Random()))
                 self.by_pool[pool] = PoolQueue(
-                    pool, admission, self.fleet_view, self.choice, self.clock, self.count
+                    pool, admission, self.fleet_view, self.choice, self.clock
                 )
             return self.by_pool[pool]
 
--- a/src/threadramp/policy/endpoint_speed.py
+++ b/src/threadramp/policy/endpoint_speed.py
@@ -40,6 +40,7 @@
     """The usual time of work of the endpoints of one pool.
 
     :param usual_s: seconds at an endpoint with factor 1 and without other requests ahead
+    :param samples: number of answers from which it was learned
     """
 
     usual_s: float = INITIAL_WORK_S
@@ -56,6 +57,7 @@
     """What is known about the times at one endpoint.
 
     :param factor: its permanent time of work relative to the pool
+    :param samples: number of answers from which the factor was learned
     :param load: as it last reported
     :param load_at: time of that report
     :param sent_since: own requests sent to it since that report
--- a/tests/edge/test_call_queue.py
+++ b/tests/edge/test_call_queue.py
@@ -60,8 +60,8 @@
         self.took_s: dict[str, float] = {}
         self.callers: dict[str, socket.socket] = {}
 
-    def call(self, name: str, time_s=3.0, target_s=TARGET_S, priority=2, caller="") -> None:
-        """Send a call in a thread of its own."""
+    def call(self, name: str, time_s=3.0, target_s=TARGET_S, priority=2, caller=""):
+        """Send a call in a thread of its own; return the gateway's end of its connection."""
         ours, self.callers[name] = socket.socketpair()
         route = Route(
             "r", "h", "/", RouteKind.ONCE, (PoolShare("p", 1.0),), 3.0, target_s, 1, priority
@@ -81,6 +81,7 @@
         thread.start()
         self.threads.append(thread)
         time.sleep(0.01)  # calls are started in the order of the test
+        return ours
 
     def join(self) -> None:
         for thread in self.threads:
@@ -155,6 +156,31 @@
     assert not gateway.queue().waiters
 
 
+def test_a_caller_that_leaves_as_it_gets_its_place_frees_it(gateway, monkeypatch):
+    """The place was lost until the process ended, and its call counted as about to be sent."""
+    gateway.call("a")
+    queue = gateway.queue()
+    queue.admission.started_at.extend([gateway.clock.now()] * 100)
+
+    def is_disconnected(caller: socket.socket) -> bool:
+        if caller is not ours_of_b:
+            return False
+        for key in list(queue.admission.in_flight):
+            queue.leave(key)  # now b has the place
+        return True
+
+    monkeypatch.setattr("threadramp.edge.call_queue.is_disconnected", is_disconnected)
+    ours_of_b = None
+    ours_of_b = gateway.call("b")
+    gateway.join()
+    assert gateway.ending("b") is Ending.CALLER_DISCONNECTED
+    assert not queue.admission.in_flight
+    assert not queue.unsent
+    gateway.call("c")
+    gateway.join()
+    assert gateway.ending("c") is Ending.ANSWERED
+
+
 def test_every_place_is_freed_whatever_the_outcome(gateway):
     """A place that is not freed is lost until the process ends."""
     gateway.standin.faults["reject"] = 50
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from functools import partial
 from random import Random
@@ -50,6 +51,10 @@
 EVENT_INTERVAL_S = 0.04
 LOT_INTERVAL_S = 0.7
 VERSION_INTERVAL_S = 2.0
+BURST_INTERVAL_S = 1.5
+BURST_CALLS = 16
+FIRST_BURST_NUMBER = 1_000_000  # other calls have smaller numbers
+BURST_HOLD_S = 0.4  # of each call at the endpoint; a route's latency objective
 FAULT_DURATION_S = 1.2
 DEADLINE_MS = "6000"
 CRASHING_ENDPOINTS = 3  # endpoints for calls, which crash when they get certain requests
@@ -70,6 +75,7 @@
     """One soak test of a fleet; ``run`` returns the violations found."""
 
     def __init__(self, folder: Path, serve: Callable[[StandIn], str], seed: int) -> None:
+        self.seed = seed
         self.seed = seed
         self.random = Random(seed)
         self.engine_proxies: list[PartitionableProxy] = []
@@ -125,6 +131,7 @@
             self._submit_lots,
             self._read_lots,
             self._call,
+            self._call_in_bursts,
             self._publish_versions,
             lambda: self.keys.rotate_until(self.stopped),
             *self._fault_loops(deadline),
@@ -309,12 +316,28 @@
             if self.stopped.wait(0.05):
                 return
             name = f"call{number}"
-            gateway = self.random.choice(self.fleet.gateways)
-            with suppress(HTTPError, OSError):
-                response = gateway.call(
-                    "POST", "/x", host=CALLS, body=b"q", X_Attempt_Id=name, **self.keys.header(name)
-                )
-                self._check_response(name, response.status, response.data)
+            self._call_one(self.random.choice(self.fleet.gateways), name)
+
+    def _call_in_bursts(self) -> None:
+        """Send more calls at once than a gateway may have open at the slowed endpoint."""
+        random = Random(self.seed)  # of its own, so that the faults drawn by a seed stay the same
+        for burst in range(100_000):
+            if self.stopped.wait(BURST_INTERVAL_S):
+                return
+            gateway = random.choice(self.fleet.gateways)
+            self.fleet.callee.faults["hold_s"] = BURST_HOLD_S
+            first = FIRST_BURST_NUMBER + burst * BURST_CALLS
+            names = [f"call{number}" for number in range(first, first + BURST_CALLS)]
+            with ThreadPoolExecutor(BURST_CALLS) as threads:
+                list(threads.map(lambda name, box=gateway: self._call_one(box, name), names))
+            self.fleet.callee.faults["hold_s"] = 0.0
+
+    def _call_one(self, gateway: Box, name: str) -> None:
+        with suppress(HTTPError, OSError):
+            response = gateway.call(
+                "POST", "/x", host=CALLS, body=b"q", X_Attempt_Id=name, **self.keys.header(name)
+            )
+            self._check_response(name, response.status, response.data)
 
     def _check_response(self, name: str, status: int, data: bytes) -> None:
         if status == 200:
