List the endpoints of a pool once for each state of the fleet

Cause: each call now asks several times for the endpoints of its pool, and each time all endpoints of the fleet were gone through; the target has 2,700.

--- a/src/threadramp/fleet/fleet_view.py
+++ b/src/threadramp/fleet/fleet_view.py
@@ -103,7 +103,15 @@
 
     def in_pool(self, pool: str) -> list[Endpoint]:
         """Return the endpoints of a pool."""
-        return [endpoint for endpoint in self.endpoints.values() if endpoint.pool == pool]
+        return list(self.by_pool.get(pool, ()))
+
+    @cached_property
+    def by_pool(self) -> dict[str, tuple[Endpoint, ...]]:
+        """Return the endpoints by pool; computed once, since each call asks several times."""
+        rows: dict[str, list[Endpoint]] = {}
+        for endpoint in self.endpoints.values():
+            rows.setdefault(endpoint.pool, []).append(endpoint)
+        return {pool: tuple(row) for pool, row in rows.items()}
 
     def pool(self, name: str) -> Pool:
         """Return a pool as configured, or one with default values."""
