--- a/tests/edge/test_call_queue.py
+++ b/tests/edge/test_call_queue.py
@@ -224,13 +224,13 @@
 
 
 def test_after_a_pause_the_overdue_calls_are_refused_and_none_is_sent(serve, monkeypatch):
-    """They were sent although their callers had given up."""
+    """They were sent although they could not be answered in time any more."""
     clock = JumpingClock()
     gateway = Gateway(serve, monkeypatch, clock, hold_s=0.5)
     gateway.call("a")
     gateway.queue().admission.started_at.extend([clock.now()] * 100)
     for name in "bcd":
-        gateway.call(name)
+        gateway.call(name, time_s=60.0)
     clock.ahead_s = 20.0
     gateway.join()
     assert gateway.sent == ["a"]
