Send a late call if there is a place for it

Cause: a call that had waited for a thread for a quarter of its latency objective, as on a slow box, was refused before the endpoints were looked at, also with all of them idle. Found by reading. Change: calls are started first; what then is overdue is refused. A call whose caller has given up is refused without being sent, with a reason of its own.

--- a/src/threadramp/edge/call_queue.py
+++ b/src/threadramp/edge/call_queue.py
@@ -189,17 +189,21 @@
     def _advance(self) -> None:
         """Start and refuse the calls whose time has come; the caller holds the lock."""
         now = self.clock.now()
-        for refusal in self.admission.expired(now):
+        for refusal in self.admission.abandoned(now):
             self._refuse(refusal)
         while (first := self.admission.first()) is not None:
             call = self.admission.next_call(self._state(first.target_s, first.priority), now)
             if call is None:
-                self._let_poll(first)
-                return
+                break
             waiter = self.waiters[call.key]
             waiter.started = True
             self.unsent.add(call.key)
             waiter.wake.set()
+        for refusal in self.admission.expired(now):
+            self._refuse(refusal)
+        first = self.admission.first()
+        if first is not None:
+            self._let_poll(first)
 
     def _let_poll(self, first: Call) -> None:
         """Wake the thread of the call that goes next, once; from then on it polls."""
--- a/src/threadramp/policy/call_admission.py
+++ b/src/threadramp/policy/call_admission.py
@@ -41,6 +41,7 @@
     QUEUE_TOO_LONG = "expected wait too long"
     WAITED_TOO_LONG = "no place in time"
     DISPLACED = "queue full of calls that go first"
+    ABANDONED = "caller gave up"
 
 
 @dataclass(frozen=True)
@@ -66,7 +67,7 @@
 
     @property
     def latest_start(self) -> float:
-        """Return the time by which it is refused if it was not sent."""
+        """Return the time by which it is refused if there is no place for it."""
         share = RETURN_QUEUE_SHARE if self.returns else QUEUE_SHARE
         return min(self.deadline, self.arrived_at + share * self.target_s)
 
@@ -114,8 +115,7 @@
         if len(self.waiting) <= MAX_QUEUED:
             return None
         last = max(self.waiting.values(), key=self._order)
-        del self.waiting[last.key]
-        return self._refuse(last, Reason.DISPLACED, now)
+        return self._remove(last, Reason.DISPLACED, now)
 
     def withdraw(self, key: int) -> None:
         """Remove a waiting call whose caller has disconnected."""
@@ -141,11 +141,18 @@
         return more_urgent, sum(other > priority for other in lately)
 
     def expired(self, now: float) -> list[Refusal]:
-        """Remove and return the waiting calls that can no longer be answered in time."""
+        """Remove and return the waiting calls that found no place in time.
+
+        Called after all calls were started for which there is a place: a call that waited for a
+        thread of a slow box is late, but is answered sooner than if its caller had to return.
+        """
         late = [call for call in self.waiting.values() if call.latest_start <= now]
-        for call in late:
-            del self.waiting[call.key]
-        return [self._refuse(call, Reason.WAITED_TOO_LONG, now) for call in late]
+        return [self._remove(call, Reason.WAITED_TOO_LONG, now) for call in late]
+
+    def abandoned(self, now: float) -> list[Refusal]:
+        """Remove and return the waiting calls whose callers have given up."""
+        late = [call for call in self.waiting.values() if call.deadline <= now]
+        return [self._remove(call, Reason.ABANDONED, now) for call in late]
 
     def finished(self, key: int) -> None:
         """Record that a call that was sent has ended."""
@@ -194,6 +201,10 @@
         """Return the key by which waiting calls are ordered."""
         return (call.priority, self._start_tag(call.organisation), call.deadline, call.key)
 
+    def _remove(self, call: Call, reason: Reason, now: float) -> Refusal:
+        del self.waiting[call.key]
+        return self._refuse(call, reason, now)
+
     def _refuse(self, call: Call, reason: Reason, now: float) -> Refusal:
         retry_after_s = self.retry_after_s(now)
         return Refusal(call.key, reason, retry_after_s, len(self.waiting), self.rate_per_s(now))
--- a/tests/policy/call_load.py
+++ b/tests/policy/call_load.py
@@ -177,7 +177,7 @@
 
     def _pump(self, gateway: _Gateway) -> None:
         """Start and refuse what is due at a gateway."""
-        for refusal in gateway.admission.expired(self.now):
+        for refusal in gateway.admission.abandoned(self.now):
             self._refuse(gateway, refusal)
         while True:
             first = gateway.admission.first()
@@ -188,6 +188,8 @@
             if call is None:
                 break
             self._send(gateway, gateway.callers.pop(call.key), set())
+        for refusal in gateway.admission.expired(self.now):
+            self._refuse(gateway, refusal)
         if gateway.admission.waiting and gateway.wakes_at <= self.now + 1e-9:
             gateway.wakes_at = float("inf")
         if gateway.admission.waiting and gateway.wakes_at == float("inf"):
--- a/tools/removals.py
+++ b/tools/removals.py
@@ -454,7 +454,7 @@
     ),
     Removal.of_one(
         "refusal of calls that waited too long",
-        "after_a_pause_the_overdue_calls",
+        "waited_for_its_part_of_the_target",
         "src/threadramp/policy/call_admission.py",
         "if call.latest_start <= now]",
         "if False]",
