Let a sample wait at a full engine only if no other has a free slot

Cause: with places in the queues of sidecars, full engines were ranked together with free ones, so an urgent sample could wait at a fast full engine while a slower one had a free slot. Change: engines with a free slot first; a queue only if there is none.

--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -65,20 +65,19 @@
     now: float,
     queued: int = 0,
 ) -> RunnerView | None:
-    """Return the sidecar for one sample, none if none has a free slot.
+    """Return the sidecar for one sample, none if none has a free slot or a place in its queue.
 
     The fastest engines come first, because the longest samples are placed first and need them.
     Among equally fast engines the one with the largest share of free slots is chosen, then one in
     the same data centre.
 
     :param avoid: sidecar that is chosen only if there is no other
-    :param queued: number of samples that may wait there beyond its slots
+    :param queued: number of samples that may wait at a sidecar beyond its slots, if no slot is free
     """
-    eligible = [
-        view
-        for view in views
-        if view.free_slots(now, queued) > 0 and has_fresh_weights(view, model, min_version)
-    ]
+    fresh = [view for view in views if has_fresh_weights(view, model, min_version)]
+    eligible = [view for view in fresh if view.free_slots(now) > 0]
+    if not eligible:
+        eligible = [view for view in fresh if view.free_slots(now, queued) > 0]
     if not eligible:
         return None
     fastest = min((view.status.gap_ms for view in views if _reports_gap(view)), default=0.0)
--- a/tests/policy/test_sample_placement.py
+++ b/tests/policy/test_sample_placement.py
@@ -17,8 +17,8 @@
     return RunnerView(member, status, taken, last_answer_at=NOW)
 
 
-def chosen(views, min_version: int = 1, near: str = "", avoid: str = ""):
-    found = choose_runner(views, "m", min_version, near, avoid, NOW)
+def chosen(views, min_version: int = 1, near: str = "", avoid: str = "", queued: int = 0):
+    found = choose_runner(views, "m", min_version, near, avoid, NOW, queued)
     return found.member.name if found is not None else None
 
 
@@ -52,3 +52,11 @@
     assert chosen([loading]) is None
     loading.status = replace(loading.status, loading=ANY_MODEL)
     assert chosen([loading]) is None
+
+
+def test_a_sample_waits_at_a_full_engine_only_if_no_other_has_a_free_slot():
+    """An urgent sample waited at a fast engine while a slower one would have started it at once."""
+    full, slower = view("a", taken=12), view("b", gap=60.0, taken=8)
+    assert chosen([full, slower], queued=2) == "b"
+    assert chosen([full], queued=2) == "a"
+    assert chosen([full]) is None
