Never refuse a single call because earlier answers were slow

Change: latencies leave a limit of one; only full endpoints go below. Latencies up to 0.3 of the latency objective reduce nothing. The port for callers is served first. test_overload takes the gateway's own time from the arrival on, with the bound as it was.

--- a/src/threadramp/edge/call_queue.py
+++ b/src/threadramp/edge/call_queue.py
@@ -171,7 +171,7 @@
         pressure = self.choice.pressure(endpoint, target_s, now)
         with self.lock:
             in_flight = len(self.admission.in_flight)
-            answer = Answer(latency_s, pressure, rejected, in_flight)
+            answer = Answer(latency_s, pressure, rejected, in_flight, target_s)
             self.admission.limit.record(answer, now)
 
     def retry_after_s(self) -> float:
--- a/src/threadramp/policy/concurrency_limit.py
+++ b/src/threadramp/policy/concurrency_limit.py
@@ -72,12 +72,14 @@
     :param pressure: of that endpoint, for a request that is sent now
     :param rejected: whether the endpoint was full and did not run the request
     :param in_flight: own open requests at the pool, with this one
+    :param target_s: latency objective of the request's route
     """
 
     latency_s: float
     pressure: float
     rejected: bool
     in_flight: int
+    target_s: float
 
 
 def pressure(wait_s: float, work_s: float, target_s: float) -> float:
@@ -194,10 +196,10 @@
         if answer.in_flight + 1 >= self.value:  # else the limit was not in use
             self.value = min(MAX_LIMIT, self.value + step / max(1.0, self.value))
 
-    def _reduce(self, factor: float, now: float) -> None:
+    def _reduce(self, factor: float, now: float, least: float = MIN_LIMIT) -> None:
         if now - self.reduced_at >= self.round_trip_s:
             self.reduced_at = now
-            self.value = max(MIN_LIMIT, self.value * factor)
+            self.value = min(self.value, max(least, self.value * factor))
 
 
 @LIMITS.register("reported_queue")
@@ -225,10 +227,16 @@
 
 @LIMITS.register("latency_gradient")
 class LatencyGradient(_AdaptiveLimit):
-    """Follows the ratio of the shortest to the current latency; for endpoints without reports."""
+    """Follows the ratio of the shortest to the current latency; for endpoints without reports.
 
-    STEP = 0.5
+    Latencies alone never take the limit below one: with one open request its latency is not due to
+    the requests of this gateway, and a call would be refused although the endpoints may be idle.
+    Only endpoints that are full do.
+    """
+
+    STEP = 0.25
     TOLERANCE = 1.8  # latencies up to this many times the shortest are normal
+    TARGET_PART = 0.3  # of the latency objective; up to it a latency needs no limit
     SHORTEST_TTL_S = 30.0
 
     def __init__(self, random: Random) -> None:
@@ -244,9 +252,10 @@
         self._observe(answer)
         if self.round_trip_s < self.shortest_s or now - self.shortest_at > self.SHORTEST_TTL_S:
             self.shortest_s, self.shortest_at = self.round_trip_s, now
-        gradient = self.TOLERANCE * self.shortest_s / self.round_trip_s
+        usual_s = max(self.TOLERANCE * self.shortest_s, self.TARGET_PART * answer.target_s)
+        gradient = usual_s / self.round_trip_s
         if gradient < 1.0:
-            self._reduce(max(MIN_FACTOR, gradient), now)
+            self._reduce(max(MIN_FACTOR, gradient), now, least=1.0)
         else:
             self._raise(self.STEP, answer)
 
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -109,9 +109,6 @@
             self.member.address, Packing(), self.peer_requests.handle, PEER_THREADS, decode_ask
         )
         limits = CallerLimits()  # until the configuration is known
-        self.readiness_server = EdgeServer(
-            settings.ready, self.handler.serve_ready, READY_THREADS, limits
-        )
         self.caller_server = EdgeServer(
             settings.callers,
             self.handler.handle,
@@ -119,6 +116,10 @@
             limits,
             max_held_bytes(settings.memory_mb),
         )
+        # After the server for callers: whoever got an answer about readiness may connect to that.
+        self.readiness_server = EdgeServer(
+            settings.ready, self.handler.serve_ready, READY_THREADS, limits
+        )
         self.fleet_view.operator.listeners.append(self._apply_caller_limits)
         self._apply_caller_limits()
         self.metrics_server = serve_metrics(settings.ip, self.metrics)
--- a/tests/policy/call_load.py
+++ b/tests/policy/call_load.py
@@ -268,7 +268,7 @@
             gateway.selector.record_load(endpoint, report, self.now)
         found = gateway.selector.pressure(endpoint, TARGET_S, self.now)
         in_flight = len(gateway.admission.in_flight)
-        answer = Answer(self.now - sent_at, found, rejected, in_flight)
+        answer = Answer(self.now - sent_at, found, rejected, in_flight, TARGET_S)
         gateway.admission.limit.record(answer, self.now)
 
     def _refuse(self, gateway: _Gateway, refusal: Refusal) -> None:
--- a/tests/policy/test_concurrency_limit.py
+++ b/tests/policy/test_concurrency_limit.py
@@ -79,7 +79,7 @@
         now += 0.02
         found = latency_s(number)
         load = pressure(max(0.0, found - WORK_S), WORK_S, TARGET_S)
-        limit.record(Answer(found, load, False, round(limit.value)), now)
+        limit.record(Answer(found, load, False, round(limit.value), TARGET_S), now)
         values.append(limit.value)
     return values
 
@@ -96,10 +96,10 @@
     """Rejections come at once: they passed for the shortest latency, and the limit never rose."""
     limit = LIMITS[name](Random(1))
     for number in range(50):
-        limit.record(Answer(0.004, 0.0, True, 4), number * 0.1)
+        limit.record(Answer(0.004, 0.0, True, 4, TARGET_S), number * 0.1)
     assert limit.value == MIN_LIMIT
     for number in range(50, 100):
-        limit.record(Answer(WORK_S, 0.0, False, 1), number * 0.1)
+        limit.record(Answer(WORK_S, 0.0, False, 1, TARGET_S), number * 0.1)
     assert limit.value > 1.0
 
 
@@ -116,3 +116,19 @@
     limit.gradient.value = 1.0
     assert limit.allows(PoolState(1.0, 0.0, True, 0.0, 5, 0.0))
     assert not limit.allows(PoolState(1.0, 0.0, False, 0.0, 5, 0.0))
+
+
+def test_slow_answers_never_stop_a_gateway_from_having_one_open_call():
+    """On a busy machine, short latencies varied, and single calls to idle endpoints got 503."""
+    limit = LIMITS["latency_gradient"](Random(1))
+    for number in range(200):
+        limit.record(Answer(0.3 if number % 3 else 0.002, 0.0, False, 1, TARGET_S), number * 0.4)
+        assert limit.allows(state(0.0, in_flight=0, since_s=0.0))
+
+
+def test_latencies_well_within_the_target_reduce_nothing():
+    limit = LIMITS["latency_gradient"](Random(1))
+    for number in range(200):
+        latency_s = 0.001 if number < 20 else 0.25 * TARGET_S
+        limit.record(Answer(latency_s, 0.0, False, 4, TARGET_S), number * 0.4)
+    assert limit.value >= 4.0
--- a/tests/serve/test_overload.py
+++ b/tests/serve/test_overload.py
@@ -63,10 +63,16 @@
     assert len(answers) == CALLERS
     assert {status for status, _, _ in answers.values()} == {200, 503}
     assert check_refusals(fleet, answers) > 0
-    took = [took_s for status, took_s, _ in answers.values() if status == 503]
-    assert max(took) < 0.35 * TARGET_S + REFUSAL_MARGIN_S
-    lines = wait_for(lambda: fleet.gateways[0].lines("call_refused"), "the refusals are logged")
+    refused = sum(status == 503 for status, _, _ in answers.values())
+    lines = wait_for(
+        lambda: refused <= len(fleet.gateways[0].lines("call_refused"))
+        and fleet.gateways[0].lines("call_refused"),
+        "the refusals are logged",
+    )
     assert {"reason", "queued", "retry_after_s", "endpoints"} <= lines[0].keys()
+    # From the arrival on: starting 24 callers takes tenths of a second on a busy machine.
+    waited_s = [line["waited_ms"] / 1000 for line in lines]
+    assert max(waited_s) < 0.35 * TARGET_S + REFUSAL_MARGIN_S
     fleet.callee.faults["hold_s"] = 0.0
     time.sleep(1.0)
     statuses = [
