Give the choice of endpoints its switch, and starve no priority

(1) says that limit none is the behaviour before, but the choice by expected time had no switch. (2) The bound for less urgent calls was halved for each more urgent priority seen, so that with ten priorities the last was refused at the slightest pressure. (3) An error other than a disconnect left a call in the queue without a thread, and each later call failed at its turn. That no limit in the settings makes no queue is tested. The test of the deployed settings names the second setting that differs.

--- a/src/threadramp/edge/call_queue.py
+++ b/src/threadramp/edge/call_queue.py
@@ -14,7 +14,7 @@
 
 from threadramp.edge.job import is_disconnected
 from threadramp.policy.call_admission import Call, CallAdmission, Refusal
-from threadramp.policy.concurrency_limit import LIMITS, Answer, PoolState
+from threadramp.policy.concurrency_limit import LIMITS, UNLIMITED, Answer, PoolState
 from threadramp.policy.returning_callers import UsualTime
 from threadramp.report.log import log_state
 
@@ -26,6 +26,7 @@
     from threadramp.fleet.fleet_view import FleetView
     from threadramp.fleet.model import Endpoint
     from threadramp.policy.endpoint_choice import EndpointSelector
+    from threadramp.serve.service_settings import AdmissionSettings
 
 CHECK_INTERVAL_S = 0.005  # at which the first waiting call checks the endpoints again
 DEFAULT_WEIGHT = 1.0
@@ -123,8 +124,8 @@
             self._advance()
         try:
             self._wait(waiter, job)
-        except CallerLeftError:
-            self.leave(call.key)  # it may just have got a place
+        except BaseException:
+            self.leave(call.key)  # it may wait still, or just have got a place
             raise
         finally:
             with self.lock:
@@ -260,6 +261,20 @@
         self.by_pool: dict[str, PoolQueue] = {}
         self.lock = threading.Lock()
 
+    @classmethod
+    def from_settings(
+        cls,
+        settings: AdmissionSettings,
+        fleet_view: FleetView,
+        choice: EndpointSelector,
+        clock: Clock,
+        count: Callable[..., None],
+    ) -> CallQueues | None:
+        """Return the queues, none if the settings limit no calls."""
+        if settings.limit == UNLIMITED:
+            return None
+        return cls(settings.limit, settings.weights, fleet_view, choice, clock, count)
+
     def enter(self, job: Job, pool: str) -> Place | None:
         """Wait until a job may be sent; none if the calls to that pool are not limited.
 
--- a/src/threadramp/policy/concurrency_limit.py
+++ b/src/threadramp/policy/concurrency_limit.py
@@ -16,6 +16,7 @@
     from random import Random
 
 LIMITS: Registry[type[ConcurrencyLimit]] = Registry()
+UNLIMITED = "none"  # the name under which every request is sent at once
 
 INITIAL_LIMIT = 4.0
 MIN_LIMIT = 0.25
@@ -30,6 +31,7 @@
 # Less urgent requests are held back at this part of the bound, so that more urgent ones of other
 # gateways find room at the endpoints.
 LESS_URGENT_PART = 0.5
+MIN_URGENCY_PART = 0.25  # however many more urgent priorities there are, so that none is starved
 # A gateway without open requests learns nothing of an overload that has ended. Under overload a
 # gateway has answers more often than this, so it adds no load then.
 MAX_REPORT_AGE_S = 0.1
@@ -115,7 +117,7 @@
         """Record an answer."""
 
 
-@LIMITS.register("none")
+@LIMITS.register(UNLIMITED)
 class NoLimit(ConcurrencyLimit):
     """Sends every request at once."""
 
@@ -160,7 +162,7 @@
             bound = MAX_BOUND
         else:
             bound = self.bound
-        return bound * LESS_URGENT_PART**pool.more_urgent
+        return bound * max(MIN_URGENCY_PART, LESS_URGENT_PART**pool.more_urgent)
 
     def _draw(self) -> float:
         return self.random.uniform(MIN_BOUND, MAX_BOUND)
@@ -286,6 +288,7 @@
 __all__ = [
     "INITIAL_LIMIT",
     "LIMITS",
+    "UNLIMITED",
     "Answer",
     "ConcurrencyLimit",
     "PoolState",
--- a/src/threadramp/policy/endpoint_choice.py
+++ b/src/threadramp/policy/endpoint_choice.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from threadramp.config.registry import Registry
 from threadramp.policy.concurrency_limit import pressure
 from threadramp.policy.endpoint_speed import EndpointTimes, WorkTime
 
@@ -21,6 +22,8 @@
     from threadramp.fleet.model import Endpoint, Incarnation, Route
     from threadramp.platform.headers import EndpointLoad
 
+CHOICES: Registry[type[EndpointSelector]] = Registry()
+
 SUSPEND_S = 0.5  # after a failure; doubles with each further failure
 MAX_SUSPEND_S = 4.0
 ERRORS_UNTIL_SUSPEND = (
@@ -33,6 +36,7 @@
 # Part of the slots up to which a request certainly found a free one, although its gateway knows
 # only what was reported with the last answer.
 FREE_SHARE = 0.5
+MAX_LOAD_AGE_S = 0.5  # an older load report is ignored by the choice by open requests
 OCCUPANCY_SHARE = 0.25  # endpoints get slower as they fill up
 
 
@@ -47,6 +51,7 @@
     times: EndpointTimes = field(default_factory=EndpointTimes)
 
 
+@CHOICES.register("expected_time")
 class EndpointSelector:
     """Picks the faster of two random endpoints; recently failed ones are a last resort.
 
@@ -91,7 +96,7 @@
                     one for one in usable if self._pressure(one, target_s, now) <= 1.0
                 ] or usable
             candidates = self.random.sample(usable, min(2, len(usable)))
-            return min(candidates, key=lambda one: self._expected_s(one, now))
+            return min(candidates, key=lambda one: self._cost(one, now))
 
     def pressure(self, endpoint: Endpoint, target_s: float, now: float) -> float:
         """Return the pressure at an endpoint for a request that is sent now."""
@@ -258,6 +263,10 @@
         work_s = self._record(endpoint).times.work_s(self._work_time(endpoint).usual_s, now)
         return pressure(self._wait_s(endpoint, now, unsent), work_s, target_s)
 
+    def _cost(self, endpoint: Endpoint, now: float) -> float:
+        """Return what is compared between two endpoints, here the expected time in seconds."""
+        return self._expected_s(endpoint, now)
+
     def _expected_s(self, endpoint: Endpoint, now: float) -> float:
         """Return the expected seconds until the answer.
 
@@ -272,4 +281,21 @@
         return self._wait_s(endpoint, now) + work_s * (1.0 + OCCUPANCY_SHARE * ahead / slots)
 
 
-__all__ = ["HEDGE_AFTER_SHARE", "EndpointRecord", "EndpointSelector"]
+@CHOICES.register("open_requests")
+class OpenRequestsSelector(EndpointSelector):
+    """Picks the less loaded of two random endpoints, whatever their speed.
+
+    The load is the larger of the own open requests and the load that the endpoint reported.
+    """
+
+    def _cost(self, endpoint: Endpoint, now: float) -> float:
+        """Return the occupied part of the slots."""
+        record = self._record(endpoint)
+        load = record.times.load
+        reported = 0
+        if load is not None and now - record.times.load_at <= MAX_LOAD_AGE_S:
+            reported = load.running + load.waiting
+        return max(record.open, reported) / max(1, endpoint.slots)
+
+
+__all__ = ["CHOICES", "HEDGE_AFTER_SHARE", "EndpointRecord", "EndpointSelector"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -51,7 +51,7 @@
 from threadramp.platform.duty_calls import DutyCalls
 from threadramp.platform.store import StoreClient
 from threadramp.policy.crash_tracker import CrashTracker
-from threadramp.policy.endpoint_choice import EndpointSelector
+from threadramp.policy.endpoint_choice import CHOICES
 from threadramp.policy.listing_policy import LISTINGS
 from threadramp.policy.reader_buffers import max_held_bytes
 from threadramp.policy.retries import RetryBudget
@@ -303,7 +303,8 @@
         random = Random(self.incarnation)
         connections = ConnectionPool(self.metrics.count)
         self.usage_counting = self._new_usage_counting()
-        choice = EndpointSelector(random)
+        admission = self.service_settings.admission
+        choice = CHOICES[admission.choice](random)
         forwarder = Forwarder(
             self.fleet_view,
             connections,
@@ -313,7 +314,7 @@
             self.crash_guard,
             self.usage_counting,
             ColdGate(self.peers, self.settings.bounds, clock, self.membership.is_listed),
-            self._new_call_queues(choice, clock),
+            CallQueues.from_settings(admission, self.fleet_view, choice, clock, self.metrics.count),
         )
         self.forwarder = forwarder
         self.caller_watch = DisconnectWatcher()
@@ -365,20 +366,6 @@
             self.settings.bounds.keys_within_s,
         )
 
-    def _new_call_queues(self, choice: EndpointSelector, clock: Clock) -> CallQueues | None:
-        """Return the queues for calls, None if the settings limit no calls."""
-        admission = self.service_settings.admission
-        if admission.limit == "none":
-            return None
-        return CallQueues(
-            admission.limit,
-            admission.weights,
-            self.fleet_view,
-            choice,
-            clock,
-            self.metrics.count,
-        )
-
     def _renewal_interval_s(self) -> float:
         """Return the seconds between renewals.
 
--- a/src/threadramp/serve/service_settings.py
+++ b/src/threadramp/serve/service_settings.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from threadramp.config.findings import Finding, FindingsError
-from threadramp.policy.concurrency_limit import LIMITS
+from threadramp.policy.concurrency_limit import LIMITS, UNLIMITED
+from threadramp.policy.endpoint_choice import CHOICES
 from threadramp.policy.listing_policy import LISTINGS
 from threadramp.policy.sample_order import ORDERS
 
@@ -41,10 +42,13 @@
 
     :param limit: how the calls open at a pool are limited, a policy of
         ``policy/concurrency_limit.py``; ``none`` sends each call at once
+    :param choice: how the endpoint of a request is chosen, a policy of
+        ``policy/endpoint_choice.py``
     :param weights: share of organisations under overload, by name; others have weight 1
     """
 
-    limit: str = "none"
+    limit: str = UNLIMITED
+    choice: str = "open_requests"
     weights: dict[str, float] = {}
 
 
@@ -82,6 +86,8 @@
         raise FindingsError([Finding("lots.order", f"expected one of {sorted(ORDERS)}")])
     if settings.admission.limit not in LIMITS:
         raise FindingsError([Finding("admission.limit", f"expected one of {sorted(LIMITS)}")])
+    if settings.admission.choice not in CHOICES:
+        raise FindingsError([Finding("admission.choice", f"expected one of {sorted(CHOICES)}")])
     if any(weight <= 0 for weight in settings.admission.weights.values()):
         raise FindingsError([Finding("admission.weights", "expected numbers above 0")])
     return settings
--- a/tests/edge/test_call_queue.py
+++ b/tests/edge/test_call_queue.py
@@ -17,11 +17,12 @@
 from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
 from threadramp.fleet.model import Configuration, Endpoint, Pool, PoolShare, Route, RouteKind
 from threadramp.platform.standins.endpoint import PlatformEngine
-from threadramp.policy.call_admission import QUEUE_SHARE
+from threadramp.policy.call_admission import QUEUE_SHARE, Call
 from threadramp.policy.callers import Caller
 from threadramp.policy.concurrency_limit import INITIAL_LIMIT, LIMITS, ConcurrencyLimit
 from threadramp.policy.endpoint_choice import EndpointSelector
 from threadramp.policy.retries import RetryBudget
+from threadramp.serve.service_settings import AdmissionSettings
 
 TARGET_S = 4.0  # calls wait for a second, so that a busy machine starts all of them in time
 MARGIN_S = 0.5  # of a busy machine
@@ -293,3 +294,31 @@
     gateway.join()
     endings = [gateway.ending(f"call-{number}") for number in range(12)]
     assert endings.count(Ending.ANSWERED) == INITIAL_LIMIT
+
+
+def test_an_unexpected_error_removes_the_call_from_the_queue(gateway, monkeypatch):
+    """The call stayed without a thread, and every later call failed at its turn."""
+    gateway.call("a")
+    queue = gateway.queue()
+    queue.admission.started_at.extend([gateway.clock.now()] * 100)
+
+    def fail(caller: socket.socket) -> bool:
+        raise ValueError("file descriptor cannot be a negative integer (-1)")
+
+    now = gateway.clock.now()
+    call = Call(999, 2, "", 1.0, now, TARGET_S, now + 8.0)
+    job = Job("b", "POST", "/a", (), b"", None, now + 8.0, gateway.callers["a"])
+    monkeypatch.setattr("threadramp.edge.call_queue.is_disconnected", fail)
+    with pytest.raises(ValueError, match="negative"):
+        queue.enter(call, job)
+    monkeypatch.undo()
+    gateway.join()
+    gateway.call("c")
+    gateway.join()
+    assert gateway.ending("c") is Ending.ANSWERED
+
+
+def test_without_a_limit_in_the_settings_there_are_no_queues(gateway):
+    arguments = (gateway.fleet_view, gateway.forwarder.choice, gateway.clock, lambda *_: None)
+    assert CallQueues.from_settings(AdmissionSettings(), *arguments) is None
+    assert CallQueues.from_settings(AdmissionSettings("adaptive"), *arguments) is not None
--- a/tests/policy/test_concurrency_limit.py
+++ b/tests/policy/test_concurrency_limit.py
@@ -132,3 +132,10 @@
         latency_s = 0.001 if number < 20 else 0.25 * TARGET_S
         limit.record(Answer(latency_s, 0.0, False, 4, TARGET_S), number * 0.4)
     assert limit.value >= 4.0
+
+
+def test_the_least_urgent_of_many_priorities_is_not_starved():
+    """With ten priorities the last one was refused at the slightest pressure."""
+    limit = standing()
+    at_low_pressure = PoolState(100.0, 0.2 * MIN_BOUND, True, 0.0, 1, 0.0, 9)
+    assert all(limit.allows(at_low_pressure) for _ in range(50))
--- a/tests/serve/test_service_settings.py
+++ b/tests/serve/test_service_settings.py
@@ -19,7 +19,8 @@
 
 def test_the_deployed_file_is_valid():
     deployed = ServiceSettings(
-        lots=LotSettings(order="latest_start"), admission=AdmissionSettings("adaptive")
+        lots=LotSettings(order="latest_start"),
+        admission=AdmissionSettings("adaptive", "expected_time"),
     )
     assert read_service_settings(DEPLOYED) == deployed
 
@@ -37,6 +38,7 @@
         ('[lots]\nlisting = "sometimes"\n', "lots.listing"),
         ('[lots]\norder = "any"\n', "lots.order"),
         ('[admission]\nlimit = "some"\n', "admission.limit"),
+        ('[admission]\nchoice = "any"\n', "admission.choice"),
         ("[admission]\nweights = { a = 0.0 }\n", "admission.weights"),
         ("[other]\n", "other"),
         ("[weights\n", "own.toml"),
