Review, case 2: fewer items, and no refusal to judge where the store stays up

Cause: a lot of 96 items may not be whole in 12 s on a slow machine, and the script then ended as not run. Change: 80 items; the rule is judged whether the store went down or not.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,7 @@
 
 HOST, CALLS = "models.example", "calls.example"
 GATEWAYS, ENGINES, SLOTS = 8, 2, 6
-ITEMS, GROUP = 96, 4
+ITEMS, GROUP = 80, 4
 EVENTS, GAP_S = 20, 0.04
 STORE_DOWN_S = 2.0
 TRAINER_WAITS_S = 12.0  # from the hand-in, as on the sheet; then it ends the lot
@@ -113,7 +113,7 @@
             threading.Timer(STORE_DOWN_S, store_up).start()
 
     fleet.store.on_done = store_down
-    handed_in = time.monotonic()
+    handed_in, began_at = time.monotonic(), time.time()
     headers = {"X-Attempt-Id": "job", "X-Deadline-Ms": "12000"}
     status, _, _ = call(
         f"{taker.ip}:8161", "POST", "/lots/job", HOST, headers, lot_body("job"), 12.0
@@ -153,10 +153,9 @@
     never = [f"job-item{n}" for n in range(ITEMS) if f"job-item{n}" not in begun]
     if listed == ITEMS:
         return []
-    if not up_at:
-        raise ValueError("the store never went down, and the lot is not whole")
-    steady_s = out_at - up_at[0] - CONTACT_S
-    late = [at for at, _, _ in runs if at > up_at[0] + CONTACT_S]
+    calm_from = up_at[0] + CONTACT_S if up_at else began_at
+    steady_s = out_at - calm_from
+    late = [at for at, _, _ in runs if at > calm_from]
     running = sum(engine.running for engine in engines)
     record(
         f"trainer: out of time; {len(never)} items never reached a worker, {len(begun)} did; steady "
