Review, case 3: items run at a service that is not their route's

Cause: the engines that run a lot's samples are chosen by the model alone; the pools of the lot's route are not looked at.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""REFUSED: a batch job that every attempt was refused for, since the store went down, runs later."""
+"""ROUTE: items of a batch job run at a service that no configuration allows for their route."""
 
 from __future__ import annotations
 
@@ -6,7 +6,6 @@
 import json
 import socket
 import sys
-import threading
 import time
 from pathlib import Path
 
@@ -18,10 +17,10 @@
 from threadramp.platform.standins.endpoint import PlatformEngine  # noqa: E402
 
 HOST, CALLS = "models.example", "calls.example"
-ENGINES, GATEWAYS = 2, 2
-STORE_DOWN_S = 4.5
-TRAINER_WAITS_S = 4.0  # its deadline for the hand-in
-LOOKED_AFTER_S = 20.0  # how long after that runs are looked for
+GATEWAYS, TRAINING, CHAT = 2, 2, 2  # boxes, workers of lm-train, workers of lm-chat
+ITEMS = 96
+MODEL = {"slots": 6, "models": [{"name": "m"}]}
+APPLIED_S = 5.0  # after a change; configApplyMs is 2,000
 
 
 def serve(standin):
@@ -49,108 +48,88 @@
                 "body": text(b"x"),
             },
         }
-        for number in range(8)
+        for number in range(ITEMS)
     ]  # fmt: skip
     return json.dumps(
-        {"step": 0, "model": "m", "minVersion": 1, "desired": 2, "requests": items}
+        {"step": 0, "model": "m", "minVersion": 1, "desired": ITEMS // 4, "requests": items}
     ).encode()
 
 
+def configuration(version, with_chat):
+    """Return a configuration; lots go to lm-train in each of them."""
+    routes = [
+        {"name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
+         "timeoutMs": 1500, "targetLatencyMs": 400, "backend": "calls", "maxAttempts": 4},
+        {"name": "lots", "hostname": HOST, "pathPrefix": "/lots/", "kind": "rollout",
+         "timeoutMs": 10000, "targetLatencyMs": 400, "runTargetMs": 7500, "queueTtlS": 40,
+         "backend": "lm-train", "maxAttempts": 3},
+    ]  # fmt: skip
+    backends = [{"name": "lm-train", "engine": MODEL}, {"name": "calls"}]
+    if with_chat:
+        routes.append(
+            {"name": "chat", "hostname": "chat.example", "pathPrefix": "/", "kind": "streaming",
+             "timeoutMs": 10000, "targetLatencyMs": 400, "backend": "lm-chat", "maxAttempts": 2,
+             "resumable": True}
+        )  # fmt: skip
+        backends.append({"name": "lm-chat", "engine": MODEL})
+    limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 5000,
+              "idleTimeoutMs": 20000}  # fmt: skip
+    return {"version": version, "routes": routes, "backends": backends, "limits": limits}
+
+
 def case(fleet, record):
     gateways = [fleet.add("gateway", f"front-hall-a-{n}") for n in range(1, GATEWAYS + 1)]
-    engines = [PlatformEngine({"instance": f"i-e{n}"}) for n in range(ENGINES)]
-    for number, engine in enumerate(engines):
+    training = [PlatformEngine({"instance": f"i-train{n}"}) for n in range(TRAINING)]
+    chat = [PlatformEngine({"instance": f"i-chat{n}"}) for n in range(CHAT)]
+    for number, engine in enumerate(training):
         address = serve(engine)
-        fleet.add("sidecar", f"side-hall-a-{number}", address, "engines")
-        fleet.register(engine.instance, "engines", address, 6)
+        fleet.add("sidecar", f"side-hall-a-{number}", address, "lm-train")
+        fleet.register(engine.instance, "lm-train", address, 6)
+    for engine in chat:
+        fleet.register(engine.instance, "lm-chat", serve(engine), 6)
+    for engine in (*training, *chat):
+        engine.faults |= {"events": 20, "gap_s": 0.04}
     fleet.register("i-c0", "calls", serve(PlatformEngine({"instance": "i-c0"})), 6)
-    fleet.put("op/config", {
-        "version": 3,
-        "routes": [
-            {"name": "calls", "hostname": CALLS, "pathPrefix": "/", "kind": "safe",
-             "timeoutMs": 1500, "targetLatencyMs": 400, "backend": "calls", "maxAttempts": 4},
-            {"name": "lots", "hostname": HOST, "pathPrefix": "/lots/", "kind": "rollout",
-             "timeoutMs": 10000, "targetLatencyMs": 400, "runTargetMs": 7500, "queueTtlS": 40,
-             "backend": "engines", "maxAttempts": 3},
-        ],
-        "backends": [
-            {"name": "engines", "engine": {"slots": 6, "models": [{"name": "m"}]}},
-            {"name": "calls"},
-        ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 33554432, "headerTimeoutMs": 5000,
-                   "idleTimeoutMs": 20000},
-    })  # fmt: skip
+    fleet.put("op/config", configuration(3, False))
     fleet.put("op/version/m", {"model": "m", "version": 1})
     fleet.start()
 
-    def runs_of(lot):
-        return [
-            f"{run['id']} at {engine.instance}"
-            for engine in engines
-            for run in list(engine.runs)
-            if run["id"].startswith(lot)
-        ]
-
-    def hand_in(lot):
-        """Hand a lot in as a trainer does; returns the statuses of its attempts."""
-        until = time.monotonic() + TRAINER_WAITS_S
-        statuses = []
-        while (left := until - time.monotonic()) > 0.2:
-            gateway = gateways[len(statuses) % GATEWAYS]
-            headers = {"X-Attempt-Id": lot, "X-Deadline-Ms": str(int(left * 1000))}
-            headers["Content-Type"] = "application/json"
-            record(f"trainer: hands {lot} in at {gateway.name}")
-            address = f"{gateway.ip}:8161"
-            retry_after = 0.0
-            try:
-                status, head, _ = call(
-                    address, "POST", f"/lots/{lot}", HOST, headers, lot_body(lot), left
-                )
-                retry_after = float(head.get("retry-after", "0"))
-            except OSError as error:
-                status = repr(error)
-            record(f"trainer: {lot} is answered {status}, to come back after {retry_after} s")
-            statuses.append(status)
-            if status == 202:
-                break
-            time.sleep(min(retry_after, max(0.0, until - time.monotonic()) / 3))
-        return statuses
-
-    # One lot in calm times shows that lots run, and gives every process its kept connections.
-    if hand_in("calm") != [202]:
-        raise ValueError("the lot of calm times was not taken")
-    wait_for(lambda: len(set(runs_of("calm"))) >= 8, "the lot of calm times runs", 15)
-    call(f"{gateways[0].ip}:8161", "DELETE", "/threadramp/lots/calm", HOST, {}, b"", 5.0)
-    time.sleep(2.0)
-
-    def store_up():
-        fleet.proxy.up()
-        record("store: up")
-
-    def store_down(keys):
-        """Go down when the hand-in is written and not yet answered."""
-        if TROUBLE and "lot/job" in keys and fleet.proxy.listener is not None:
-            fleet.store.on_done = lambda keys: None
-            fleet.proxy.down()
-            record(f"store: has written {', '.join(keys)}; down, its connections are reset")
-            threading.Timer(STORE_DOWN_S, store_up).start()
-
-    fleet.store.on_done = store_down
-    statuses = hand_in("job")
-    refused = all(status in (408, 421, 429, 503) for status in statuses)
-    until = time.monotonic() + LOOKED_AFTER_S
-    while time.monotonic() < until and not (refused and runs_of("job")):
-        time.sleep(0.1)
-    time.sleep(1.0)
-    ran = runs_of("job")
-    for run in ran:
-        record(f"engine: ran {run}")
-    if refused and ran:
-        return [
-            f"REFUSED: all {len(statuses)} attempts were answered {statuses}, "
-            f"and {len(ran)} runs of its items began"
-        ]
-    return []
+    def run_lot(lot):
+        """Hand a lot in, wait until it is whole and end it."""
+        address = f"{gateways[0].ip}:8161"
+        headers = {"X-Attempt-Id": lot, "X-Deadline-Ms": "12000"}
+        status, _, _ = call(address, "POST", f"/lots/{lot}", HOST, headers, lot_body(lot), 12.0)
+        record(f"trainer: {lot} handed in, answered {status}")
+        if status != 202:
+            raise ValueError(f"{lot} was answered {status}")
+
+        def is_whole():
+            target = f"/threadramp/lots/{lot}?after=0"
+            status, _, body = call(address, "GET", target, HOST, {}, b"", 3.0)
+            found = json.loads(body) if status == 200 else {"results": [], "total": 1}
+            return len(found["results"]) == found["total"]
+
+        wait_for(is_whole, f"{lot} whole", 25)
+        status, _, _ = call(address, "DELETE", f"/threadramp/lots/{lot}", HOST, {}, b"", 5.0)
+        record(f"trainer: {lot} whole and ended, answered {status}")
+
+    run_lot("before")
+    if TROUBLE:
+        fleet.put("op/config", configuration(7, True))
+        record(
+            "operator: configuration 7 acknowledged: adds the route chat and its service lm-chat"
+        )
+    time.sleep(APPLIED_S)
+    run_lot("after")
+    for engine in (*training, *chat):
+        for run in engine.runs:
+            record(f"{engine.instance}: ran {run['id']} path /{run['target']}")
+    return [
+        f"ROUTE: {len(engine.runs)} items of the route lots, which every configuration sends to "
+        f"lm-train, ran at {engine.instance} of lm-chat"
+        for engine in chat
+        if engine.runs
+    ]
 
 
 if __name__ == "__main__":
--- a/review/harness.py
+++ b/review/harness.py
@@ -35,7 +35,7 @@
 PEERS = (7720, 7735)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 RESET = struct.pack("ii", 1, 0)
-LATEST_END_S = 110.0
+LATEST_END_S = 110
 
 
 class CannotRunError(Exception):
@@ -377,6 +377,10 @@
         client.close()
 
 
+def _give_up(number: int, frame: object) -> None:
+    raise CannotRunError(f"ended by signal {number}")
+
+
 def play(folder: Path, case) -> int:  # noqa: ANN001
     """Play a case and return the exit code of its script.
 
@@ -384,7 +388,9 @@
     """
     record = Record(folder)
     record(f"disruption: {'on' if TROUBLE else 'off'}")
-    signal.alarm(int(LATEST_END_S) + 5)  # ends this process, were it to hang
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _give_up)
+    signal.alarm(LATEST_END_S)
     with tempfile.TemporaryDirectory() as place:
         fleet = Fleet(Path(place))
         try:
