Log which write to the store an answer to a trainer rested on

Cause: no log line joined a refused hand-in to the write whose outcome it rested on, so that the hypotheses of the incident of refused lots could not be told apart: a repeat on a new connection, a relay through a peer, or a 408. Change: each write that fails is logged with its key, its leg and whether it may have been done; a relay logs the key at both ends; a refused head is logged with how much of it was read. No decision is changed. Result: tests of platform, fleet and edge pass (pytest -n 4); the new test fails without the lines.

--- a/src/threadramp/edge/caller_server.py
+++ b/src/threadramp/edge/caller_server.py
@@ -27,6 +27,7 @@
 SINGLE_VALUE_HEADERS = (b"Authorization", b"Host", b"Content-Length")  # as cheroot spells them
 TOO_LARGE = "431 Request Header Fields Too Large"
 CHEROOT_TOO_LARGE = ("413", "414")  # cheroot's status for a head over the limit
+MAX_LOGGED_TARGET = 200  # characters of the path of a request whose head was refused
 DISCARD_BYTES = 65_536  # read at once from a refused request
 IDLE_MARGIN_S = 1.0  # added to the idle time, as a request may cross our close
 MIN_TIMEOUT_S = 0.001  # a timeout of zero would mean non-blocking
@@ -94,13 +95,21 @@
         deadline_socket.deadline = None
         self.conn.socket.settimeout(limits.idle_s)  # for each read of the body
 
+    def _describe_head(self) -> dict[str, object]:
+        """Return how much of the head was read, for the log."""
+        return {
+            "request_line_read": self.started_request,
+            "target": getattr(self, "uri", b"").decode("latin-1")[:MAX_LOGGED_TARGET],
+            "served_before": self.conn.served,
+        }
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Respond to a request that cannot be served."""
         if self.in_head:
             if status.startswith(CHEROOT_TOO_LARGE):
                 status = TOO_LARGE
             self.close_connection = True
-            log_state("head_refused", status=status)
+            log_state("head_refused", status=status, **self._describe_head())
         super().simple_response(status, msg)
         if self.in_head:
             _drain(self.conn.socket)
@@ -124,6 +133,7 @@
     def __init__(self, server: CallerServer, sock: socket.socket, makefile: object = None) -> None:
         super().__init__(server, sock, _make_file)
         self.has_sent_data = False
+        self.served = 0  # requests on this connection that were answered or given up
         self.arrived_at = 0.0
         self.unsent_lock = threading.Lock()
         self.has_unsent = False
@@ -167,6 +177,7 @@
         try:
             return super().communicate()
         finally:
+            self.served += 1
             self.server.request_done()
 
 
--- a/src/threadramp/fleet/relaying.py
+++ b/src/threadramp/fleet/relaying.py
@@ -16,7 +16,7 @@
 
 from msgspec.structs import replace
 
-from threadramp.platform.store_model import StoreError
+from threadramp.platform.store_model import StoreError, StoreUnknownError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import CallStore, StoreAnswered
 
@@ -47,8 +47,15 @@
     for address, _ in zip(addresses, range(MAX_RELAY_ATTEMPTS), strict=False):
         reply = _send_call(address, ask, send)
         if isinstance(reply, StoreAnswered) and reply.answer is not None:
-            log_state("store_call_relayed", path=_path(ask.call), through=address)
+            log_state("store_call_relayed", path=_path(ask.call), key=ask.call.key, through=address)
             return reply.answer
+        if ask.call.key:
+            log_state(
+                "store_call_not_relayed",
+                key=ask.call.key,
+                through=address,
+                reply="none" if reply is None else "without an answer",
+            )
     return None
 
 
@@ -79,7 +86,13 @@
         try:
             answer = self.store.direct(ask.call)
         except StoreError as error:
-            log_state("relay_failed", asker=ask.sender, error=str(error))
+            log_state(
+                "relay_failed",
+                asker=ask.sender,
+                key=ask.call.key,
+                may_be_done=isinstance(error, StoreUnknownError),
+                error=str(error),
+            )
             return StoreAnswered(None)
         return StoreAnswered(None if answer.turned_away else answer)
 
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -178,8 +178,9 @@
         """
         body = transaction_body(transaction)
         keys = [*(put.key for put in transaction.puts), *transaction.removals]
-        cause = _cause("write" if transaction.puts else "remove", keys[0] if keys else "")
-        answer = self._ask(cause, "POST", f"{KEY_ROOT}/kv-txn", body, repeatable)
+        key = keys[0] if keys else ""
+        cause = _cause("write" if transaction.puts else "remove", key)
+        answer = self._ask(cause, "POST", f"{KEY_ROOT}/kv-txn", body, repeatable, key=key)
         if answer.status == 404:
             return LeaseGone()
         if answer.status == 412:
@@ -239,6 +240,7 @@
         probes: bool = False,
         direct_when_shut: bool = True,
         timeout_s: float = 0.0,
+        key: str = "",
     ) -> RawAnswer:
         """Send a call directly, then through a peer where that is safe.
 
@@ -252,7 +254,7 @@
         :raises StoreError: if no answer came
         """
         again = method == "GET" if repeatable is None else repeatable
-        call = Call(method, path, body, timeout_s or self.timeout_s, again, cause)
+        call = Call(method, path, body, timeout_s or self.timeout_s, again, cause, key)
         peer_first = self.shut and not probes
         relayed = self._relayed(call) if peer_first else None
         if relayed is not None:
@@ -284,6 +286,7 @@
         except StoreError as error:
             self.shut = True
             self.observe(error)
+            self._log_failed_write(call, "direct", error)
             raise
         self.shut = False
         self.observe(None)
@@ -299,12 +302,24 @@
         try:
             return self.direct(call), False
         except KeptLineError as error:
+            self._log_failed_write(call, "kept connection", error)
             if not call.repeatable:
                 raise
             is_first = error.is_first
         again = replace(call, timeout_s=min(AGAIN_TIMEOUT_S, call.timeout_s))
         return self.direct(again), is_first
 
+    def _log_failed_write(self, call: Call, leg: str, error: StoreError) -> None:
+        """Log a write without an answer: an answer to a caller may rest on its outcome."""
+        if call.key:
+            log_state(
+                "store_write_failed",
+                key=call.key,
+                leg=leg,
+                may_be_done=isinstance(error, StoreUnknownError),
+                error=str(error),
+            )
+
     def _check_own(self, asked: str, strangers: list[str]) -> None:
         """Let an answer count only if it names nothing but what was asked for.
 
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -136,6 +136,7 @@
     :param timeout_s: seconds to wait for the answer
     :param repeatable: whether it may be sent again when its outcome is unknown
     :param cause: as which it is counted, also where a peer passes it on
+    :param key: the first key that it writes, for the log; empty for other calls
     """
 
     method: str
@@ -144,6 +145,7 @@
     timeout_s: float
     repeatable: bool
     cause: str = ""
+    key: str = ""
 
 
 class RawAnswer(msgspec.Struct, frozen=True):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -245,3 +245,18 @@
         with pytest.raises(StoreUnknownError):
             client.grant_lease(5.0)
         assert isinstance(seen[0], StoreUnknownError)
+
+
+def test_a_failed_write_is_logged_with_its_key_and_whether_it_may_be_done(
+    free_address, monkeypatch
+):
+    """Without the key no line joins an answer to a trainer to the write that it rested on."""
+    lines = []
+    monkeypatch.setattr(
+        "threadramp.platform.store.log_state", lambda kind, **fields: lines.append((kind, fields))
+    )
+    store = StoreClient(free_address, timeout_s=0.5)
+    with pytest.raises(StoreRefusedError):
+        put(store, "lot-part/a/0")
+    fields = dict(lines)["store_write_failed"]
+    assert (fields["key"], fields["may_be_done"]) == ("lot-part/a/0", False)
