--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,14 +7,13 @@
 import pytest
 from tools.known_red import listed
 
+from tests.serving import serving
 from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.platform.standins.store import PlatformStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-THREADS = 96  # each waiting watch holds one, also those of processes that were killed
-
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Let the tests that are known to fail fail without failing the run."""
@@ -59,21 +58,8 @@
 @pytest.fixture
 def serve() -> Iterator[Callable]:
     """Starts stand-ins on free ports; all of them end with the test."""
-    servers = []
-    standins = []
-
-    def start(standin, listen: str = "127.0.0.1:0") -> str:
-        server = standin.start(listen, THREADS)
-        servers.append(server)
-        standins.append(standin)
-        host, port = server.bind_addr
-        return f"{host}:{port}"
-
-    yield start
-    for standin in standins:
-        standin.faults["outage"] = True  # ends the watches that wait, for which a stop would wait
-    for server in servers:
-        server.stop()
+    with serving() as start:
+        yield start
 
 
 @pytest.fixture
