Report a write to the store as refused only if no attempt may have been done

Cause: the outcome of a write was that of its last attempt. StoreClient repeated a write without an answer on a new connection, and a refusal there replaced the unknown outcome; a relay returned None for "not passed on", "passed on without an answer" and "no reply" alike, so that the client raised its own refusal; and any status but those of an answer counted as a refusal. Change: CallAttempts joins the outcomes of the attempts at one call on all layers (connections, ways, peers, retries): one that may have been done makes the whole unknown. A relay raises what happened instead of returning None, a peer says when it certainly did not pass a call on, and only 503 and the errors of the client's making are refusals. A write that may not be repeated is not sent to a second peer. A lot whose head was never sent stays refused although a part may be stored, since nothing runs without its head. Tests changed for the new contract of relays, with the same or stricter checks: a lost second message is now asserted as unknown, a lost first one as refused (both were None), stubs raise or say not_done. A store that plainly refuses is still reported as refused.

--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -155,8 +155,12 @@
         listing = self.list_members()
         self.fleet_view.members.replace(listing, self.clock.now())
 
-    def relay(self, call: Call) -> RawAnswer | None:
-        """Relay a call to the store through a peer."""
+    def relay(self, call: Call) -> RawAnswer:
+        """Relay a call to the store through a peer.
+
+        :raises StoreRefusedError: if no peer had it done
+        :raises StoreUnknownError: if a peer may have
+        """
         ask = CallStore(*self.sender_fields, call)
         return relay_through(self.relay_addresses(), ask, self.ask)
 
--- a/src/threadramp/fleet/relaying.py
+++ b/src/threadramp/fleet/relaying.py
@@ -16,7 +16,8 @@
 
 from msgspec.structs import replace
 
-from threadramp.platform.store_model import StoreError, StoreUnknownError
+from threadramp.platform.call_attempts import CallAttempts
+from threadramp.platform.store_model import StoreError, StoreRefusedError, StoreUnknownError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import CallStore, StoreAnswered
 
@@ -38,25 +39,27 @@
     addresses: Iterable[str],
     ask: CallStore,
     send: Callable[[str, CallStore, float], AnyReply | None],
-) -> RawAnswer | None:
-    """Return the store's answer from the first peer that gets one, none if no peer does.
+) -> RawAnswer:
+    """Return the store's answer from the first peer that gets one.
 
     :param addresses: addresses of peers, in the order in which they are tried
     :param send: sends one request to an address, with a timeout in seconds
+    :raises StoreRefusedError: if no peer had the call done
+    :raises StoreUnknownError: if a peer may have; one that may not be repeated is not sent again
     """
+    attempts = CallAttempts()
     for address, _ in zip(addresses, range(MAX_RELAY_ATTEMPTS), strict=False):
-        reply = _send_call(address, ask, send)
-        if isinstance(reply, StoreAnswered) and reply.answer is not None:
+        try:
+            answer = _send_call(address, ask, send)
+        except StoreError as error:
+            attempts.record(error)
+            _log_not_relayed(ask, address, error)
+            if attempts.may_be_done and not ask.call.repeatable:
+                break
+        else:
             log_state("store_call_relayed", path=_path(ask.call), key=ask.call.key, through=address)
-            return reply.answer
-        if ask.call.key:
-            log_state(
-                "store_call_not_relayed",
-                key=ask.call.key,
-                through=address,
-                reply="none" if reply is None else "without an answer",
-            )
-    return None
+            return answer
+    raise attempts.failure() if attempts.errors else StoreRefusedError("not sent: no peer to ask")
 
 
 def interleave(gateways: Iterable[str], sidecars: Iterable[str]) -> list[str]:
@@ -80,21 +83,21 @@
     def answer(self, ask: CallStore) -> StoreAnswered:
         """Relay a call; reply without an answer if this process cannot reach the store either."""
         if self.health.is_unreachable:
-            return StoreAnswered(None)
+            return StoreAnswered(None, not_done=True)
         if _needs_token(ask) and not self._consume_token(ask):
-            return StoreAnswered(None, self._issue_token())
+            return StoreAnswered(None, self._issue_token(), not_done=True)
         try:
-            answer = self.store.direct(ask.call)
+            return StoreAnswered(self.store.direct(ask.call).checked())
         except StoreError as error:
+            not_done = isinstance(error, StoreRefusedError)
             log_state(
                 "relay_failed",
                 asker=ask.sender,
                 key=ask.call.key,
-                may_be_done=isinstance(error, StoreUnknownError),
+                may_be_done=not not_done,
                 error=str(error),
             )
-            return StoreAnswered(None)
-        return StoreAnswered(None if answer.turned_away else answer)
+            return StoreAnswered(None, not_done=not_done)
 
     def _issue_token(self) -> str:
         now = self.health.clock.now()
@@ -117,14 +120,47 @@
 
 def _send_call(
     address: str, ask: CallStore, send: Callable[[str, CallStore, float], AnyReply | None]
-) -> AnyReply | None:
-    """Send a call to a peer, a write with the token that the peer issues for it."""
+) -> RawAnswer:
+    """Send a call to a peer, a write with the token that the peer issues for it.
+
+    :raises StoreRefusedError: if the peer did not have it done
+    :raises StoreUnknownError: if the peer may have, or may do so once it runs again
+    """
     if ask.call.method == READ_METHOD:
-        return send(address, ask, RELAY_TIMEOUT_S)
+        return _answer_in(send(address, ask, RELAY_TIMEOUT_S), address)
     reply = send(address, replace(ask, mark=""), RELAY_TIMEOUT_S)
+    if reply is None:  # the peer passes a write on only with the token that it issues
+        raise StoreRefusedError(f"not sent: {address} issued no token")
     if isinstance(reply, StoreAnswered) and reply.mark:
-        return send(address, replace(ask, mark=reply.mark), RELAY_TIMEOUT_S)
-    return reply
+        reply = send(address, replace(ask, mark=reply.mark), RELAY_TIMEOUT_S)
+    return _answer_in(reply, address)
+
+
+def _answer_in(reply: AnyReply | None, address: str) -> RawAnswer:
+    """Return the store's answer in a peer's reply.
+
+    :raises StoreRefusedError: if the peer says that the call was not done
+    :raises StoreUnknownError: if there is no reply, or it does not say so
+    """
+    if not isinstance(reply, StoreAnswered):
+        raise StoreUnknownError(f"no reply of {address}, which was to pass the call on")
+    if reply.answer is not None:
+        return reply.answer.checked()
+    if reply.not_done:
+        raise StoreRefusedError(f"{address} did not pass the call on, or the store refused it")
+    raise StoreUnknownError(f"{address} passed the call on and got no answer")
+
+
+def _log_not_relayed(ask: CallStore, address: str, error: StoreError) -> None:
+    """Log a write that a peer got no answer for; reads are too many."""
+    if ask.call.key:
+        log_state(
+            "store_call_not_relayed",
+            key=ask.call.key,
+            through=address,
+            may_be_done=isinstance(error, StoreUnknownError),
+            error=str(error),
+        )
 
 
 def _needs_token(ask: CallStore) -> bool:
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -27,6 +27,7 @@
     MAX_ENTRIES,
     Committed,
     Put,
+    StoreRefusedError,
     StoreUnknownError,
     Transaction,
 )
@@ -80,13 +81,23 @@
         head = msgspec.structs.replace(head, parts=len(parts), nonce=_new_nonce())
         puts = [Put(_part_key(lot.id, number), part) for number, part in enumerate(parts)]
         writes = RetriedWrites(self.store, retry_for_s, retry_refused=True)
-        for put in puts[1:]:
-            writes.send(Transaction(puts=(put,)))
+        self._store_parts(lot.id, writes, puts[1:])
         key = HEAD_PREFIX + lot.id
         transaction = Transaction({key: ABSENT}, (puts[0], Put(key, encode(head))))
         answer = writes.commit(key, transaction, head.nonce)
         return StoredHead(lot.id, head, answer.revision) if isinstance(answer, Committed) else None
 
+    def _store_parts(self, lot_id: str, writes: RetriedWrites, puts: Sequence[Put]) -> None:
+        """Store all parts of a new lot but the first, which goes with the head.
+
+        :raises StoreRefusedError: if one may not be stored; without its head no lot exists
+        """
+        for put in puts:
+            try:
+                writes.send(Transaction(puts=(put,)))
+            except StoreUnknownError as error:
+                raise StoreRefusedError(f"the head of {lot_id} was not sent: {error}") from error
+
     def append(self, stored: StoredHead, results: Sequence[Result]) -> StoredHead:
         """Store results at the next positions.
 
--- a/src/threadramp/lots/retried_writes.py
+++ b/src/threadramp/lots/retried_writes.py
@@ -11,7 +11,8 @@
 
 from threadramp.fleet.clock import steady_s
 from threadramp.lots.model import decode_head
-from threadramp.platform.store_model import Committed, StoreError, StoreUnknownError
+from threadramp.platform.call_attempts import CallAttempts
+from threadramp.platform.store_model import Committed, StoreError
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -34,7 +35,6 @@
         self.store = store
         self.deadline = steady_s() + retry_for_s
         self.retry_refused = retry_refused
-        self.unanswered = 0
         self.next_pause_s = FIRST_PAUSE_S
 
     def commit(self, key: str, transaction: Transaction, nonce: str) -> Committed | Conflict:
@@ -45,7 +45,6 @@
         :raises StoreRefusedError: if it was not done
         :raises StoreUnknownError: if it may have been done, or may still be done
         """
-        self.unanswered = 0
         answer = self.send(transaction)
         if isinstance(answer, Committed):
             return answer
@@ -61,27 +60,26 @@
         :raises StoreRefusedError: if it was not done
         :raises StoreUnknownError: if it may have been done, or may still be done
         """
+        attempts = CallAttempts()
         while True:
             try:
                 return self.store.transact(transaction, repeatable=True)
             except StoreError as error:
-                self._record_failure(error)
-                if not self._may_retry(error):
-                    if self.unanswered and not isinstance(error, StoreUnknownError):
-                        # An earlier, unanswered attempt may have been committed.
-                        raise StoreUnknownError(str(error)) from error
-                    raise
+                attempts.record(error)
+                log_state(
+                    "write_failed",
+                    key=transaction.first_key,
+                    attempt=len(attempts.errors),
+                    may_be_done=attempts.may_be_done,
+                    error=str(error),
+                )
+                if not self._may_retry(attempts):
+                    raise attempts.failure() from error
             self._pause()
 
-    def _record_failure(self, error: StoreError) -> None:
-        """Count and log a failed attempt."""
-        unanswered = isinstance(error, StoreUnknownError)
-        self.unanswered += unanswered
-        log_state("write_failed", unanswered=unanswered, error=str(error))
-
-    def _may_retry(self, error: StoreError) -> bool:
-        """Return whether there is time for another attempt."""
-        retryable = self.retry_refused or isinstance(error, StoreUnknownError)
+    def _may_retry(self, attempts: CallAttempts) -> bool:
+        """Return whether there is a reason and time for another attempt."""
+        retryable = self.retry_refused or attempts.may_be_done
         return retryable and steady_s() + self.next_pause_s < self.deadline
 
     def _pause(self) -> None:
--- a/src/threadramp/platform/store.py
+++ b/src/threadramp/platform/store.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from threadramp.fleet.clock import steady_s
+from threadramp.platform.call_attempts import CallAttempts
 from threadramp.platform.store_lines import StoreLines
 from threadramp.platform.store_model import (
     Call,
@@ -23,7 +24,6 @@
     Listing,
     RawAnswer,
     StoreError,
-    StoreRefusedError,
     StoreUnknownError,
 )
 from threadramp.platform.store_wire import (
@@ -143,7 +143,7 @@
         call = Call("GET", path, b"", wait_s + WATCH_MARGIN_S, True, _cause("watch", prefix))
         self._count(call)
         begun = steady_s()
-        answer = _checked(line.send(call))
+        answer = line.send(call).checked()
         _check_fresh(call, begun, call.timeout_s)
         if answer.status == 410:
             return HistoryGone()
@@ -177,8 +177,7 @@
         :raises StoreUnknownError: if it may have been done
         """
         body = transaction_body(transaction)
-        keys = [*(put.key for put in transaction.puts), *transaction.removals]
-        key = keys[0] if keys else ""
+        key = transaction.first_key
         cause = _cause("write" if transaction.puts else "remove", key)
         answer = self._ask(cause, "POST", f"{KEY_ROOT}/kv-txn", body, repeatable, key=key)
         if answer.status == 404:
@@ -255,20 +254,21 @@
         """
         again = method == "GET" if repeatable is None else repeatable
         call = Call(method, path, body, timeout_s or self.timeout_s, again, cause, key)
-        peer_first = self.shut and not probes
-        relayed = self._relayed(call) if peer_first else None
-        if relayed is not None:
-            return _checked(relayed)
-        if peer_first and self.relay is not None and not direct_when_shut:
-            raise StoreRefusedError("not sent: the way is shut, and no peer has one")
-        try:
-            return self._observed(call)
-        except StoreError as error:
-            may_go_on = not peer_first and (again or isinstance(error, StoreRefusedError))
-            relayed = self._relayed(call) if may_go_on else None
-            if relayed is None:
-                raise
-            return _checked(relayed)
+        ways = [self._observed]
+        if self.relay is not None:
+            peer_first = self.shut and not probes
+            ways.insert(0 if peer_first else 1, self.relay)
+            if peer_first and not direct_when_shut:
+                ways.remove(self._observed)
+        attempts = CallAttempts()
+        for send in ways:
+            if attempts.may_be_done and not call.repeatable:
+                break
+            try:
+                return send(call)
+            except StoreError as error:
+                attempts.record(error)
+        raise attempts.failure()
 
     def _observed(self, call: Call) -> RawAnswer:
         """Send a call directly and note whether the direct way is open.
@@ -279,7 +279,6 @@
         begun = steady_s()
         try:
             answer, was_silent = self._sent(call)
-            answer = _checked(answer)
             _check_fresh(call, begun, call.timeout_s + max(call.timeout_s, AGAIN_TIMEOUT_S))
         except KeptLineError:
             raise
@@ -298,16 +297,24 @@
         """Send a call, once more if no answer came on a kept connection.
 
         :returns: its answer, and whether it is the first to show that what was open is silent
+        :raises StoreRefusedError: if nothing was done
+        :raises StoreUnknownError: if it may have been done
         """
+        attempts = CallAttempts()
         try:
-            return self.direct(call), False
+            return self.direct(call).checked(), False
         except KeptLineError as error:
             self._log_failed_write(call, "kept connection", error)
             if not call.repeatable:
                 raise
+            attempts.record(error)
             is_first = error.is_first
         again = replace(call, timeout_s=min(AGAIN_TIMEOUT_S, call.timeout_s))
-        return self.direct(again), is_first
+        try:
+            return self.direct(again).checked(), is_first
+        except StoreError as error:
+            attempts.record(error)
+            raise attempts.failure() from error
 
     def _log_failed_write(self, call: Call, leg: str, error: StoreError) -> None:
         """Log a write without an answer: an answer to a caller may rest on its outcome."""
@@ -338,9 +345,6 @@
         for tell in self.on_silence:
             tell()
 
-    def _relayed(self, call: Call) -> RawAnswer | None:
-        return None if self.relay is None else self.relay(call)
-
 
 def _strangers(found: Sequence[Item | Removal], prefix: str, after: int = -1) -> list[str]:
     """Return the keys of an answer that are not asked for.
@@ -369,11 +373,4 @@
         raise StoreUnknownError(f"{call.method} {call.path}: its answer is {took_s:.1f} s old")
 
 
-def _checked(answer: RawAnswer) -> RawAnswer:
-    """Return the answer if the store itself gave it."""
-    if answer.turned_away:
-        raise StoreRefusedError(f"status {answer.status}")
-    return answer
-
-
 __all__ = ["StoreClient"]
--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -8,7 +8,8 @@
 import msgspec
 
 ABSENT = 0  # the revision of a key that does not exist
-ANSWERED = (200, 404, 410, 412)  # statuses; all others mean that nothing was done
+ANSWERED = (200, 404, 410, 412)  # statuses of calls that the store carried out or judged
+SERVICE_UNAVAILABLE = 503
 MAX_ENTRIES = 32  # in one transaction; the store's limit
 
 
@@ -103,6 +104,12 @@
     puts: tuple[Put, ...] = ()
     removals: tuple[str, ...] = ()
 
+    @property
+    def first_key(self) -> str:
+        """Return the first key that it changes, which stands for it in logs and counts."""
+        keys = [*(put.key for put in self.puts), *self.removals]
+        return keys[0] if keys else ""
+
 
 @dataclass(frozen=True)
 class Committed:
@@ -126,8 +133,12 @@
 class Relay(Protocol):
     """Passes a call to the store through another process of ours."""
 
-    def __call__(self, call: Call, /) -> RawAnswer | None:
-        """Return the answer, or none if nobody could pass it on."""
+    def __call__(self, call: Call, /) -> RawAnswer:
+        """Return the answer.
+
+        :raises StoreRefusedError: if no peer passed it on to a store that carried it out
+        :raises StoreUnknownError: if a peer may have
+        """
 
 
 class Call(msgspec.Struct, frozen=True):
@@ -155,9 +166,25 @@
     body: bytes
 
     @property
-    def turned_away(self) -> bool:
-        """Return whether the store says that it did nothing."""
-        return self.status not in ANSWERED
+    def is_refusal(self) -> bool:
+        """Return whether the store says that it did nothing.
+
+        Of the errors of a server only 503 says so.
+        """
+        if self.status in ANSWERED:
+            return False
+        return self.status < 500 or self.status == SERVICE_UNAVAILABLE
+
+    def checked(self) -> RawAnswer:
+        """Return this answer if the store carried the call out or judged it.
+
+        :raises StoreRefusedError: if the store says that it did nothing
+        :raises StoreUnknownError: if the status does not tell whether it did anything
+        """
+        if self.status in ANSWERED:
+            return self
+        kind = StoreRefusedError if self.is_refusal else StoreUnknownError
+        raise kind(f"status {self.status}")
 
 
 __all__ = [
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -106,8 +106,12 @@
             self.weights.request_urgent_load(ask.model)
         return self._answer(ask)
 
-    def relay(self, call: Call) -> RawAnswer | None:
-        """Relay a store call through the gateways, the one with the latest request first."""
+    def relay(self, call: Call) -> RawAnswer:
+        """Relay a store call through the gateways, the one with the latest request first.
+
+        :raises StoreRefusedError: if no gateway had it done
+        :raises StoreUnknownError: if a gateway may have
+        """
         recent = sorted(self.last_request_at, key=lambda address: -self.last_request_at[address])
         ask = CallStore(self.member.name, self.member.address, call)
         return relay_through(recent, ask, self.client.ask)
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -89,7 +89,7 @@
         self.sidecar.start()
         self.metrics_server = serve_metrics(settings.ip, self.metrics)
 
-    def _relay(self, call: Call) -> RawAnswer | None:
+    def _relay(self, call: Call) -> RawAnswer:
         return self.sidecar.relay(call)
 
     def shut_down(self) -> None:
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -267,10 +267,13 @@
     """The relayed answer of the store, none if it is unreachable for this process too.
 
     :param mark: token with which to send the write again, because it had no valid one
+    :param not_done: whether the call was certainly not done; false from a sender of a version that
+        does not say so
     """
 
     answer: RawAnswer | None
     mark: str = ""
+    not_done: bool = False
 
 
 class LotPage(Message, frozen=True):
--- a/tests/fleet/test_late_relays.py
+++ b/tests/fleet/test_late_relays.py
@@ -12,7 +12,14 @@
 from threadramp.fleet.relaying import RELAY_TIMEOUT_S, StoreRelay, relay_through
 from threadramp.fleet.store_health import StoreHealth
 from threadramp.platform.store import StoreClient
-from threadramp.platform.store_model import Call, Put, RawAnswer, Transaction
+from threadramp.platform.store_model import (
+    Call,
+    Put,
+    RawAnswer,
+    StoreRefusedError,
+    StoreUnknownError,
+    Transaction,
+)
 from threadramp.platform.store_wire import transaction_body
 from threadramp.wire.fleet import CallStore, StoreAnswered, decode_ask, decode_reply
 from threadramp.wire.packing import Packing
@@ -60,8 +67,8 @@
             proxy.hold()
         return client.ask(address, ask, DELAY_S)
 
-    answer = relay_through([proxy.address], CallStore("g0", "g0:1", WRITE), send)
-    assert answer is None
+    with pytest.raises(StoreUnknownError):
+        relay_through([proxy.address], CallStore("g0", "g0:1", WRITE), send)
     clock.at += RELAY_TIMEOUT_S + DELAY_S
     proxy.release()
     time.sleep(HANDLED_S)
@@ -76,12 +83,12 @@
         proxy.address, CallStore("g0", "g0:1", Call("GET", "/x", b"", 1.0, True)), REPLY_TIMEOUT_S
     )
     proxy.hold()
-    answer = relay_through(
-        [proxy.address],
-        CallStore("g0", "g0:1", WRITE),
-        lambda address, ask, timeout_s: client.ask(address, ask, DELAY_S),
-    )
-    assert answer is None
+    with pytest.raises(StoreRefusedError):
+        relay_through(
+            [proxy.address],
+            CallStore("g0", "g0:1", WRITE),
+            lambda address, ask, timeout_s: client.ask(address, ask, DELAY_S),
+        )
     proxy.release()
     time.sleep(HANDLED_S)
     assert platform_store.data == {}
--- a/tests/fleet/test_relaying.py
+++ b/tests/fleet/test_relaying.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
+
 from threadramp.fleet.relaying import MAX_RELAY_ATTEMPTS, relay_through
-from threadramp.platform.store_model import Call, RawAnswer
-from threadramp.wire.fleet import CallStore, StoreAnswered
+from threadramp.platform.store_model import Call, RawAnswer, StoreRefusedError, StoreUnknownError
+from threadramp.wire.fleet import CallStore, StoreAnswered, decode_reply
 
 ASK = CallStore("g0", "g0:1", Call("GET", "/threadramp/kv-key?key=a", b"", 1.0, True))
 ANSWER = RawAnswer(200, b"{}")
@@ -21,7 +24,8 @@
 
 
 def test_peers_that_cannot_reach_the_store_or_do_not_answer_are_skipped():
-    answer, asked = relay({"a": StoreAnswered(None), "b": None, "c": StoreAnswered(ANSWER)})
+    away = StoreAnswered(None, not_done=True)
+    answer, asked = relay({"a": away, "b": None, "c": StoreAnswered(ANSWER)})
     assert (answer, asked) == (ANSWER, ["a", "b", "c"])
 
 
@@ -30,5 +34,19 @@
 
 
 def test_a_relay_ends_after_a_few_attempts():
-    answer, asked = relay({f"g{n}": StoreAnswered(None) for n in range(9)})
-    assert (answer, len(asked)) == (None, MAX_RELAY_ATTEMPTS)
+    asked = []
+
+    def send(address, ask, timeout_s):
+        asked.append(address)
+        return StoreAnswered(None, not_done=True)
+
+    with pytest.raises(StoreRefusedError):
+        relay_through([f"g{n}" for n in range(9)], ASK, send)
+    assert len(asked) == MAX_RELAY_ATTEMPTS
+
+
+def test_a_peer_of_a_version_that_does_not_say_what_was_done_leaves_it_unknown():
+    """During an update a relayed write would otherwise be reported as refused."""
+    old = decode_reply(msgspec.msgpack.encode(["StoreAnswered", None, ""]))
+    with pytest.raises(StoreUnknownError):
+        relay({"a": old})
--- a/tests/lots/test_journal.py
+++ b/tests/lots/test_journal.py
@@ -17,6 +17,7 @@
     StoreUnknownError,
     Transaction,
 )
+from threadramp.standins.server import Response
 
 HEAD = LotHead("g1", "inc", 0.0, 7.5, 40.0, 3, False, 2, 0, 0, 0, False, "")
 
@@ -124,6 +125,34 @@
         journal.create(make_lot(), HEAD)
 
 
+def test_a_lot_whose_head_was_not_sent_is_refused_though_a_part_may_be_stored(
+    journal, platform_store
+):
+    """A trainer would be told that the lot may run, though nothing runs without its head."""
+    platform_store.faults["lose_answers"] = 99
+    with pytest.raises(StoreRefusedError):
+        journal.create(make_lot(body=b"x" * 500_000), HEAD, retry_for_s=0.3)
+    assert [key for key in platform_store.data if not key.startswith("lot-part/")] == []
+
+
+def test_a_hand_in_that_may_be_stored_is_unknown_though_the_last_attempt_was_refused(
+    journal, platform_store
+):
+    """The lot ran after its trainer had been promised that it would not."""
+    journal.read_head("other")  # gives the client a kept connection
+    write = platform_store.calls_by_name["kv-txn"]
+
+    def write_and_fail(request):
+        write(request)
+        platform_store.calls_by_name["kv-txn"] = lambda request: Response(503)
+        return Response(200, b"", cut=True)
+
+    platform_store.calls_by_name["kv-txn"] = write_and_fail
+    with pytest.raises(StoreUnknownError):
+        journal.create(make_lot(), HEAD, retry_for_s=0.5)
+    assert journal.read_head("lot") is not None
+
+
 def test_a_submission_waits_for_an_unreachable_store(journal, platform_store):
     """It was refused at once, though the outage ended long before the trainer's timeout."""
     platform_store.faults["outage"] = True
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -125,9 +125,11 @@
         self.through = through
         self.calls: list[Call] = []
 
-    def __call__(self, call: Call) -> RawAnswer | None:
+    def __call__(self, call: Call) -> RawAnswer:
         self.calls.append(call)
-        return self.through.direct(call) if self.through is not None else None
+        if self.through is None:
+            raise StoreRefusedError("not sent: no peer to ask")
+        return self.through.direct(call)
 
 
 def test_a_call_goes_through_a_peer_when_the_own_way_is_shut(store):
@@ -208,7 +210,7 @@
 
 def test_lists_leave_a_shut_way_alone_until_a_call_that_probes_finds_it_open(store_address):
     """All processes of a fleet list again and again in an outage; refused calls are priced."""
-    cut_off = StoreClient("127.0.0.1:1", lambda call: None, timeout_s=0.3)
+    cut_off = StoreClient("127.0.0.1:1", Relay(None), timeout_s=0.3)
     for _ in range(4):
         with pytest.raises(StoreRefusedError):
             cut_off.list("a")
