Never refuse work of an accepted lot for crashes

Trainers saw steps that did not become whole: after a burst of crashes sound items were not placed for a minute or more although engines were up and had room.

Cause: SampleCrashGuard.admit judged an accepted item by the rule for requests that callers repeat. From the third crash on it waited for a trial, 3 s and then 60 s after the last crash, and for none after that; without the store no trial could be claimed at all. Scoring calls of items went through the same rule. An item and a call that are alike shared one verdict.

Fix: items and scoring calls are owed work with fingerprints apart from those of calls. They wait 1, 2 and 3 s after the third, fourth and any later crash, by the steady clock and once for each crash, and need no claim. A scoring call belongs to its item: nobody else repeats it, and the item has no result without it. An isolated item shares an engine if no other has room. In the table and in the store owed work gives way to calls, whose verdicts and trials are as before. Each wait is logged: held_after_crashes.

Why it works: no level refuses owed work any more, and the wait is a bounded time of this process.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -118,7 +118,7 @@
         if self.is_caller_disconnected():
             return Outcome(Ending.CALLER_DISCONNECTED)
         admitted = self.admission.admit()
-        if admitted.level is SuspicionLevel.REFUSED:
+        if admitted.is_held:
             return Outcome(Ending.NOT_RUN, retry_after_s=admitted.retry_after_s)
         try:
             self._take_place()
@@ -198,7 +198,9 @@
     def _stop_after_crashes(self) -> Outcome | None:
         """Return the outcome if too many endpoints crashed; none if the job may continue."""
         assessment = self.assess()
-        if assessment.level is SuspicionLevel.REFUSED or len(self.history.crashed) >= MAX_CRASHES:
+        crashes = len(self.history.crashed)
+        is_refused = assessment.level is SuspicionLevel.REFUSED
+        if is_refused or crashes >= MAX_CRASHES or (crashes and assessment.is_held):
             return self.give_up(Ending.NOT_RUN, assessment.retry_after_s)
         return None
 
--- a/src/threadramp/edge/crash_guard.py
+++ b/src/threadramp/edge/crash_guard.py
@@ -13,6 +13,7 @@
 
 import threading
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from threadramp.edge.connection_breaks import PendingBreaks, ProbeResult, timed_probe
@@ -20,6 +21,7 @@
 from threadramp.edge.endpoint_probe import EndpointState, probe_endpoint
 from threadramp.policy.crash_tracker import NO_SUSPICION, Assessment, SuspicionLevel
 from threadramp.policy.fingerprint import short_fingerprint
+from threadramp.policy.owed_holds import OwedHolds
 from threadramp.policy.proxied_crashes import ConnectionBreak, may_have_crashed
 from threadramp.report.log import log_state
 
@@ -63,6 +65,7 @@
         self.pending_breaks = PendingBreaks()
         self.recent_probes: dict[Incarnation, tuple[ProbeResult, float]] = {}
         self.isolated: set[Incarnation] = set()
+        self.owed_holds = OwedHolds()
         self.lock = threading.Lock()
 
     def assess(self, fingerprint: Callable[[], bytes]) -> Assessment:
@@ -77,9 +80,13 @@
     def admit(self, name: str, fingerprint: Callable[[], bytes]) -> Assessment:
         """Return the assessment of a request before it is sent; a refused one may get a trial.
 
+        Owed work is delayed instead of refused.
+
         :param name: the id of the request or of the sample
         """
         assessment = self.assess(fingerprint)
+        if assessment.last_crash_at:
+            return self._admit_owed(name, fingerprint(), assessment)
         if assessment.level is not SuspicionLevel.REFUSED:
             return assessment
         key = fingerprint()
@@ -106,6 +113,22 @@
         )
         return assessment
 
+    def _admit_owed(self, name: str, key: bytes, assessment: Assessment) -> Assessment:
+        """Return how long owed work is held back after its last crash."""
+        with self.lock:
+            held_s = self.owed_holds.remaining_s(key, assessment, self.clock.now())
+        if held_s:
+            self.count("crash", "held")
+            log_state(
+                "held_after_crashes",
+                request=name,
+                fingerprint=short_fingerprint(key),
+                crashes=assessment.crashes,
+                held_s=round(held_s, 2),
+                until=round(self.clock.time_of_day() + held_s, 2),
+            )
+        return replace(assessment, retry_after_s=held_s)
+
     def record_broken_connection(
         self, job: Job, endpoint: Endpoint, broken: BrokenExchange
     ) -> bool:
@@ -131,20 +154,26 @@
         if probe.state is not EndpointState.ENDED and not attributed:
             return False
         if not self._was_leaving(endpoint):
-            self.record_crash(job.request_id, job.fingerprint, incarnation, listens)
+            self.record_crash(job.request_id, job.fingerprint, incarnation, listens, job.owed)
             if listens:
                 self.resolver.resolve(incarnation, endpoint.address, job.fingerprint)
         return True
 
     def record_crash(
-        self, name: str, fingerprint: bytes, incarnation: Incarnation, listens: bool = False
+        self,
+        name: str,
+        fingerprint: bytes,
+        incarnation: Incarnation,
+        listens: bool = False,
+        owed: bool = False,
     ) -> None:
         """Record that an incarnation of an endpoint crashed while a request was open there.
 
         :param listens: whether its port still accepts connections, so that the crash is unconfirmed
+        :param owed: whether the request is work of an accepted lot
         """
         assessment = self.tracker.record_crash(
-            fingerprint, incarnation, self.clock.time_of_day(), listens
+            fingerprint, incarnation, self.clock.time_of_day(), listens, owed
         )
         self.count("crash", "seen")
         log_state(
--- a/src/threadramp/edge/job.py
+++ b/src/threadramp/edge/job.py
@@ -11,7 +11,7 @@
 from threadramp.edge.connection_pool import is_readable
 from threadramp.platform.headers import caller_of
 from threadramp.policy.callers import UNIDENTIFIED
-from threadramp.policy.fingerprint import fingerprint
+from threadramp.policy.fingerprint import OWED_METHOD, fingerprint
 
 if TYPE_CHECKING:
     from threadramp.edge.exchange import EndpointResponse
@@ -41,6 +41,7 @@
     :param retry_errors: whether a status 500 is retried at another endpoint; else it is passed on
     :param identity: who sent the request
     :param arrived_at: time at which its first bytes had arrived
+    :param owed: whether it is work of an accepted lot, whose sender repeats it until it is answered
     """
 
     request_id: str
@@ -54,13 +55,15 @@
     retry_errors: bool = True
     identity: Caller = UNIDENTIFIED
     arrived_at: float = 0.0
+    owed: bool = False
 
     @cached_property
     def fingerprint(self) -> bytes:
         """Return the fingerprint of this request, which does not depend on its id."""
         known = self.identity.organisation
         caller = caller_of(self.headers) if known is None else known
-        return fingerprint(self.route.host, self.method, self.target, caller, self.body)
+        method = OWED_METHOD if self.owed else self.method
+        return fingerprint(self.route.host, method, self.target, caller, self.body)
 
 
 @dataclass(frozen=True)
--- a/src/threadramp/lots/crashing_samples.py
+++ b/src/threadramp/lots/crashing_samples.py
@@ -1,7 +1,7 @@
-"""Holds back samples suspected of crashing engines, as requests of callers are held back.
+"""Delays and separates samples that were running when engines crashed.
 
-A refused sample stays in its lot until the lot's time is over; the other samples of the lot
-continue.
+An accepted sample is owed. Unlike a request of a caller it is never refused for crashes: it waits
+for a few seconds at most after each one. The other samples of its lot continue.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from threadramp.core.lot_tracker import Phase, RunOutcome
 from threadramp.platform.headers import caller_of
 from threadramp.policy.crash_tracker import SuspicionLevel
-from threadramp.policy.fingerprint import fingerprint
+from threadramp.policy.fingerprint import OWED_METHOD, fingerprint
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,15 +20,13 @@
     from threadramp.fleet.model import Incarnation
     from threadramp.lots.model import Lot, Sample
     from threadramp.lots.owned import OwnedLot, OwnedLots
-    from threadramp.policy.crash_tracker import Assessment
     from threadramp.policy.sample_placement import RunnerView
 
-MAX_HOLD_S = 5.0  # before a refused sample is checked again; each check writes a log line
 ENGINE_SURVIVED = (RunOutcome.COMPLETE, RunOutcome.FAILED, RunOutcome.IMPOSSIBLE)
 
 
 class SampleCrashGuard:
-    """Holds back suspect samples of a gateway's lots.
+    """Delays suspect samples of a gateway's lots.
 
     :param guard: crash guard for all requests of this process
     """
@@ -46,7 +44,7 @@
         :param start: incarnation of the engine that ran it
         """
         if outcome is RunOutcome.CRASHED:
-            self.guard.record_crash(sample, self._fingerprint(lot, sample), start)
+            self.guard.record_crash(sample, self._fingerprint(lot, sample), start, owed=True)
         elif outcome in ENGINE_SURVIVED:
             self.guard.record_response(lambda: self._fingerprint(lot, sample), start)
 
@@ -60,29 +58,26 @@
     ) -> Sequence[RunnerView]:
         """Return the runners at which a sample may run: those without an isolated suspect.
 
-        If all of them have one, any runner is allowed: a sample takes seconds, and its step waits
-        for it.
+        Where none of these has room the caller may choose any other: a sample takes seconds, and
+        its step waits for it.
         """
         assessment = self.guard.assess(lambda: self._fingerprint(lot, sample))
         if assessment.level in (SuspicionLevel.NONE, SuspicionLevel.SUSPECTED):
             return views
         isolating = self._isolating_runners()
-        return [view for view in views if view.member.name not in isolating] or views
+        return [view for view in views if view.member.name not in isolating]
 
     def admit(self, lot: OwnedLot, sample: str, runner: str, now: float) -> bool:
-        """Return whether a sample may go to a runner now; a refused one is postponed."""
+        """Return whether a sample may go to a runner now; else it is postponed."""
         assessment = self.guard.admit(sample, lambda: self._fingerprint(lot, sample))
-        if assessment.level is SuspicionLevel.REFUSED:
-            self._postpone(lot, sample, assessment, now)
+        if assessment.is_held:
+            with self.owned.lock:
+                lot.tracker.postpone(sample, now + assessment.retry_after_s)
             return False
         if assessment.level is SuspicionLevel.ISOLATED:
             self.isolated[runner] = (lot, sample)
         return True
 
-    def _postpone(self, lot: OwnedLot, sample: str, assessment: Assessment, now: float) -> None:
-        with self.owned.lock:
-            lot.tracker.postpone(sample, now + min(MAX_HOLD_S, assessment.retry_after_s))
-
     def _isolating_runners(self) -> set[str]:
         """Return the runners at which an isolated suspect runs."""
         with self.owned.lock:
@@ -98,10 +93,10 @@
 
 
 def sample_fingerprint(lot: Lot, sample: Sample) -> bytes:
-    """Return a sample's fingerprint, the same in every lot of its organisation."""
+    """Return a sample's fingerprint, the same in every lot of its organisation but of no call."""
     organisation = lot.organisation
     caller = caller_of(sample.headers) if organisation is None else organisation
-    return fingerprint(lot.host, "POST", sample.path, caller, sample.body)
+    return fingerprint(lot.host, OWED_METHOD, sample.path, caller, sample.body)
 
 
 def _is_running_at(lot: OwnedLot, sample: str, runner: str) -> bool:
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -257,9 +257,24 @@
             needs = (request.model, request.min_version, queued)
             if needs in without_runner:
                 continue
-            allowed = self.crash_guard.allowed_runners(lot, name, views)
+            view = self._choose_runner(one, views, now, queued)
+            if view is None:
+                without_runner.add(needs)
+            if view is None or not self.crash_guard.admit(lot, name, view.member.name, now):
+                continue
+            view.assigned += 1
+            batches.setdefault(view.member.name, []).append((lot, name))
+        return batches
+
+    def _choose_runner(
+        self, one: WaitingSample, views: list[RunnerView], now: float, queued: int
+    ) -> RunnerView | None:
+        """Return the sidecar for a sample, if possible one without another isolated suspect."""
+        request = one.lot.tracker.lot
+        allowed = self.crash_guard.allowed_runners(one.lot, one.sample, views)
+        for choices in (allowed,) if allowed is views else (allowed, views):
             view = choose_runner(
-                allowed,
+                choices,
                 request.model,
                 request.min_version,
                 self.peers.data_centre,
@@ -267,13 +282,9 @@
                 now,
                 queued,
             )
-            if view is None and allowed is views:
-                without_runner.add(needs)
-            if view is None or not self.crash_guard.admit(lot, name, view.member.name, now):
-                continue
-            view.assigned += 1
-            batches.setdefault(view.member.name, []).append((lot, name))
-        return batches
+            if view is not None:
+                return view
+        return None
 
     def _waiting(self, views: list[RunnerView], now: float) -> list[WaitingSample]:
         """Return the waiting samples of all open lots, the one that goes first at the front."""
--- a/src/threadramp/lots/scoring.py
+++ b/src/threadramp/lots/scoring.py
@@ -1,4 +1,7 @@
-"""Scores samples whose text is complete: one call each, retried until it is answered."""
+"""Scores samples whose text is complete: one call each, retried until it is answered.
+
+A sample without its score is still owed, so its call is delayed after crashes and never refused.
+"""
 
 from __future__ import annotations
 
@@ -87,6 +90,7 @@
             deadline=self.clock.now() + CALL_TIMEOUT_S,
             retry_errors=False,  # counted here; the sample is given up after a few
             identity=UNIDENTIFIED if configuration.organisations is None else ANONYMOUS,
+            owed=True,
         )
         return self.forwarder.run(job), route
 
--- a/src/threadramp/policy/crash_tracker.py
+++ b/src/threadramp/policy/crash_tracker.py
@@ -3,8 +3,9 @@
 Every request that is open at an endpoint when the endpoint crashes becomes a suspect. Most suspects
 did not cause the crash, so they are retried. A request is refused once different incarnations
 crashed one after the other while running it, without a successful answer in between; one answer
-that the endpoint survives clears it. Processes may merge their observations in any order and more
-than once, with the same result.
+that the endpoint survives clears it. Work of an accepted lot is owed: its crashes delay it for a
+few seconds at most, and it is never refused. Processes may merge their observations in any order
+and more than once, with the same result.
 
 All times are seconds since the epoch, because they are compared between boxes and must include the
 time for which a box was suspended.
@@ -36,6 +37,9 @@
 # back after 1 to 3 s. Requirement: at most three more crashed endpoints in total. Two trials leave
 # one for a gateway that learns of the refusal too late.
 TRIAL_DELAYS_S = (3.0, 60.0)
+# Delay of owed work after its third, its fourth and any later crash, counted from the last one. It
+# bounds how often work that does crash endpoints takes one down; endpoints are back after 1 to 3 s.
+OWED_DELAYS_S = (1.0, 2.0, 3.0)
 RETENTION_S = 600.0  # after the last observation; equals the longest lease of the store
 LATE_ANSWER_S = 2.0  # an answer may arrive up to this long after its endpoint crashed
 # Behind a proxy that keeps listening, the next incarnation answers under the same id, so an answer
@@ -65,13 +69,21 @@
 
     :param crashes: endpoints that crashed while running it, without a successful answer since
     :param trial: number of the trial run that is due now, 0 if none is due
-    :param retry_after_s: until a trial is due or the suspicion expires; 0 if not refused
+    :param retry_after_s: until a trial is due or the suspicion expires, or until owed work may be
+        sent; 0 if it may be sent now
+    :param last_crash_at: time of the last crash if it delays owed work, else 0
     """
 
     level: SuspicionLevel = SuspicionLevel.NONE
     crashes: int = 0
     trial: int = 0
     retry_after_s: float = 0.0
+    last_crash_at: float = 0.0
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether the request must not be sent now."""
+        return self.retry_after_s > 0.0
 
 
 NO_SUSPICION = Assessment()
@@ -105,14 +117,21 @@
             return _assess(self.suspects.get(fingerprint), now)
 
     def record_crash(
-        self, fingerprint: bytes, incarnation: Incarnation, now: float, listens: bool = False
+        self,
+        fingerprint: bytes,
+        incarnation: Incarnation,
+        now: float,
+        listens: bool = False,
+        owed: bool = False,
     ) -> Assessment:
         """Record that an endpoint crashed while a request was open there.
 
         :param listens: whether its port still accepts connections, so that the crash is unconfirmed
+        :param owed: whether the request is work of an accepted lot
         """
         with self.lock:
-            seen = Suspect(fingerprint, (Crash(incarnation, now, listens),), seen_at=now)
+            crash = Crash(incarnation, now, listens)
+            seen = Suspect(fingerprint, (crash,), seen_at=now, owed=owed)
             self._record(seen)
             return _assess(self.suspects.get(fingerprint), now)
 
@@ -199,13 +218,18 @@
         return CrashNews(suspects, alive)
 
     def records_to_persist(self) -> CrashNews:
-        """Return the own suspects to keep over a restart: those near isolation or refusal."""
+        """Return the own suspects to keep over a restart: those near isolation or refusal.
+
+        If there are too many, owed work is left out first: without its record it is only sent
+        earlier, while a call would not be refused.
+        """
         with self.lock:
             rows = [
                 one
                 for one in self.suspects.values()
                 if one.fingerprint in self.own and len(one.crashes) >= ISOLATE_FROM_CRASHES
             ]
+        rows.sort(key=lambda one: not one.owed)
         return CrashNews(tuple(rows[-MAX_PERSISTED:]))
 
     def restore_own(self, update: CrashNews) -> None:
@@ -283,6 +307,7 @@
             max(known.well_at, seen.well_at),
             max(known.trials, seen.trials),
             max(known.seen_at, seen.seen_at),
+            known.owed or seen.owed,
         )
         self.suspects.move_to_end(seen.fingerprint)
         if len(self.suspects) > MAX_SUSPECTS:
@@ -302,8 +327,8 @@
             self.suspects[fingerprint] = msgspec.structs.replace(known, crashes=remaining)
 
     def _evict_one(self) -> None:
-        """Forget the suspect with the fewest crashes since a success; of several the oldest one."""
-        least = min(self.suspects.values(), key=lambda one: len(one.standing))
+        """Forget owed work first, then the suspect with the fewest crashes since a success."""
+        least = min(self.suspects.values(), key=lambda one: (not one.owed, len(one.standing)))
         self._forget(least.fingerprint)
 
     def _forget(self, fingerprint: bytes) -> None:
@@ -320,6 +345,9 @@
     if count < REFUSE_FROM_CRASHES:
         level = (SuspicionLevel.NONE, SuspicionLevel.SUSPECTED, SuspicionLevel.ISOLATED)[count]
         return Assessment(level, count)
+    last_crash_at = max(one.at for one in standing)
+    if known.owed:
+        return _assess_owed(count, last_crash_at, now)
     if known.trials >= len(TRIAL_DELAYS_S):
         return Assessment(
             SuspicionLevel.REFUSED,
@@ -327,11 +355,18 @@
             0,
             max(MIN_RETRY_AFTER_S, known.seen_at + RETENTION_S - now),
         )
-    due = max(one.at for one in standing) + TRIAL_DELAYS_S[known.trials]
+    due = last_crash_at + TRIAL_DELAYS_S[known.trials]
     trial = known.trials + 1 if now >= due else 0
     return Assessment(SuspicionLevel.REFUSED, count, trial, max(MIN_RETRY_AFTER_S, due - now))
 
 
+def _assess_owed(count: int, last_crash_at: float, now: float) -> Assessment:
+    """Return the assessment of owed work for which a call would be refused."""
+    delay_s = OWED_DELAYS_S[min(count - REFUSE_FROM_CRASHES, len(OWED_DELAYS_S) - 1)]
+    remaining_s = min(delay_s, max(0.0, last_crash_at + delay_s - now))
+    return Assessment(SuspicionLevel.ISOLATED, count, 0, remaining_s, last_crash_at)
+
+
 def _is_old(known: Suspect, now: float) -> bool:
     return now - known.seen_at > RETENTION_S
 
@@ -357,6 +392,7 @@
 __all__ = [
     "ISOLATE_FROM_CRASHES",
     "NO_SUSPICION",
+    "OWED_DELAYS_S",
     "REFUSE_FROM_CRASHES",
     "RETENTION_S",
     "Assessment",
--- a/src/threadramp/policy/fingerprint.py
+++ b/src/threadramp/policy/fingerprint.py
@@ -10,6 +10,9 @@
 
 FINGERPRINT_BYTES = 16  # a collision by chance needs some 1e10 tracked requests
 SHORT_BYTES = 6  # in logs and operator commands
+# Stands for the method in fingerprints of work of lots. No request line can carry it, so a call and
+# a sample that are alike are suspected apart: neither is refused, nor cleared, by the other one.
+OWED_METHOD = "POST of a lot"
 
 
 def fingerprint(host: str, method: str, target: str, caller: str, body: bytes) -> bytes:
@@ -33,4 +36,4 @@
     return full[:SHORT_BYTES].hex()
 
 
-__all__ = ["fingerprint", "short_fingerprint"]
+__all__ = ["OWED_METHOD", "fingerprint", "short_fingerprint"]
--- a/src/threadramp/report/gateway_inspector.py
+++ b/src/threadramp/report/gateway_inspector.py
@@ -237,9 +237,8 @@
         yield Fact("verdict", assessment.level.value, "crash book", round(now - found.seen_at, 2))
         yield Fact("trials made", str(found.trials), "crash book", None)
         if assessment.retry_after_s:
-            yield Fact(
-                "next trial or end in s", f"{assessment.retry_after_s:.1f}", "crash book", None
-            )
+            label = "held back for s" if found.owed else "next trial or end in s"
+            yield Fact(label, f"{assessment.retry_after_s:.1f}", "crash book", None)
         for crash in found.standing:
             yield Fact(
                 "endpoint ended", crash.start.instance, "crash book", round(now - crash.at, 2)
--- a/src/threadramp/wire/crashes.py
+++ b/src/threadramp/wire/crashes.py
@@ -46,6 +46,7 @@
     :param well_at: time of its last response that the endpoint survived; 0 for never
     :param trials: highest number of its trial runs since it is refused
     :param seen_at: time of the last observation; the record expires some time after it
+    :param owed: whether it is work of an accepted lot, which is delayed but never refused
     """
 
     fingerprint: bytes
@@ -53,6 +54,7 @@
     well_at: float = 0.0
     trials: int = 0
     seen_at: float = 0.0
+    owed: bool = False
 
     @property
     def standing(self) -> tuple[Crash, ...]:
--- a/tests/policy/test_crash_tracker.py
+++ b/tests/policy/test_crash_tracker.py
@@ -12,6 +12,7 @@
     MAX_CRASHES_PER_REQUEST,
     MAX_SUSPECTS,
     NO_SUSPICION,
+    OWED_DELAYS_S,
     RETENTION_S,
     TRIAL_DELAYS_S,
     CrashTracker,
@@ -176,3 +177,39 @@
 def test_updates_survive_encoding():
     updates = crashed(2).take_updates()
     assert msgspec.msgpack.decode(msgspec.msgpack.encode(updates), type=CrashNews) == updates
+
+
+def test_owed_work_is_delayed_after_its_third_crash_and_never_refused():
+    tracker = CrashTracker()
+    for number, delay_s in enumerate((0.0, 0.0, *OWED_DELAYS_S, OWED_DELAYS_S[-1])):
+        tracker.record_crash(ONE, start(number), NOW + number, owed=True)
+        assessment = tracker.assess(ONE, NOW + number)
+        assert (assessment.retry_after_s, assessment.trial) == (delay_s, 0)
+        assert assessment.level is not SuspicionLevel.REFUSED
+        assert not tracker.assess(ONE, NOW + number + delay_s).is_held
+
+
+def test_owed_work_never_displaces_the_record_of_a_call():
+    """A burst of crashes under samples would end the refusal of a call that crashes endpoints."""
+    tracker = crashed(1)
+    tracker.record_crash(OTHER, start(0), NOW)
+    tracker.record_crash(OTHER, start(1), NOW)
+    for number in range(MAX_SUSPECTS + 10):
+        for crash in range(3):
+            tracker.record_crash(number.to_bytes(16, "big"), start(crash), NOW, owed=True)
+    assert tracker.assess(ONE, NOW).crashes == 1
+    assert OTHER in {one.fingerprint for one in tracker.records_to_persist().suspects}
+
+
+def test_a_record_of_owed_work_stays_owed_in_any_order_of_updates():
+    """A process that has only the confirmation of a crash does not know whose work it was."""
+    known = CrashTracker()
+    for number in range(3):
+        known.record_crash(ONE, start(number), NOW, owed=True)
+    confirmed = Suspect(ONE, (Crash(start(3), NOW),), seen_at=NOW)
+    updates = [known.take_updates(), CrashNews((confirmed,))]
+    for parts in (updates, updates[::-1]):
+        tracker = CrashTracker()
+        for part in parts:
+            tracker.merge(part, NOW)
+        assert tracker.assess(ONE, NOW).level is SuspicionLevel.ISOLATED
