Isolate suspects from each other that are sent to engines together

Trainers see sound items wait after a burst of crashes: each crash counts for all suspects that run at the engine, and the suspects of one crash were sent on together. Cause: the guard forgets an isolated item that does not run yet, which is so for all that are sent in one iteration. Evidence: three items with two crashes each, sent together, all went to the fastest of four engines; the new test failed so before. Fix: an item that was admitted in the same iteration counts as running at its engine. It still shares an engine where no other has room.

--- a/src/threadramp/lots/crashing_samples.py
+++ b/src/threadramp/lots/crashing_samples.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_tracker import Phase, RunOutcome
@@ -25,6 +26,21 @@
 ENGINE_SURVIVED = (RunOutcome.COMPLETE, RunOutcome.FAILED, RunOutcome.IMPOSSIBLE)
 
 
+@dataclass(frozen=True)
+class IsolatedSample:
+    """A sample that was sent to a runner without other suspects."""
+
+    lot: OwnedLot
+    sample: str
+    admitted_at: float
+
+    def is_running_at(self, runner: str) -> bool:
+        """Return whether it runs at a runner."""
+        tracker = self.lot.tracker
+        state = tracker.states[self.sample]
+        return not tracker.ended and state.phase is Phase.RUNNING and state.runner == runner
+
+
 class SampleCrashGuard:
     """Delays suspect samples of a gateway's lots.
 
@@ -34,7 +50,7 @@
     def __init__(self, guard: CrashGuard, owned: OwnedLots) -> None:
         self.guard = guard
         self.owned = owned
-        self.isolated: dict[str, tuple[OwnedLot, str]] = {}
+        self.isolated: dict[str, IsolatedSample] = {}
 
     def record_outcome(
         self, lot: OwnedLot, sample: str, outcome: RunOutcome, start: Incarnation
@@ -54,7 +70,7 @@
         return assessment.level in (SuspicionLevel.NONE, SuspicionLevel.SUSPECTED)
 
     def allowed_runners(
-        self, lot: OwnedLot, sample: str, views: Sequence[RunnerView]
+        self, lot: OwnedLot, sample: str, views: Sequence[RunnerView], now: float
     ) -> Sequence[RunnerView]:
         """Return the runners at which a sample may run: those without an isolated suspect.
 
@@ -64,7 +80,7 @@
         assessment = self.guard.assess(lambda: self._fingerprint(lot, sample))
         if assessment.level in (SuspicionLevel.NONE, SuspicionLevel.SUSPECTED):
             return views
-        isolating = self._isolating_runners()
+        isolating = self._isolating_runners(now)
         return [view for view in views if view.member.name not in isolating]
 
     def admit(self, lot: OwnedLot, sample: str, runner: str, now: float) -> bool:
@@ -75,16 +91,19 @@
                 lot.tracker.postpone(sample, now + assessment.retry_after_s)
             return False
         if assessment.level is SuspicionLevel.ISOLATED:
-            self.isolated[runner] = (lot, sample)
+            self.isolated[runner] = IsolatedSample(lot, sample, now)
         return True
 
-    def _isolating_runners(self) -> set[str]:
-        """Return the runners at which an isolated suspect runs."""
+    def _isolating_runners(self, now: float) -> set[str]:
+        """Return the runners at which an isolated suspect runs, or to which one is being sent.
+
+        :param now: the same for all samples that are sent together
+        """
         with self.owned.lock:
             self.isolated = {
-                runner: (lot, sample)
-                for runner, (lot, sample) in self.isolated.items()
-                if _is_running_at(lot, sample, runner)
+                runner: one
+                for runner, one in self.isolated.items()
+                if one.admitted_at == now or one.is_running_at(runner)
             }
         return set(self.isolated)
 
@@ -99,9 +118,4 @@
     return fingerprint(lot.host, OWED_METHOD, sample.path, caller, sample.body)
 
 
-def _is_running_at(lot: OwnedLot, sample: str, runner: str) -> bool:
-    state = lot.tracker.states[sample]
-    return not lot.tracker.ended and state.phase is Phase.RUNNING and state.runner == runner
-
-
 __all__ = ["SampleCrashGuard", "sample_fingerprint"]
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -271,7 +271,7 @@
     ) -> RunnerView | None:
         """Return the sidecar for a sample, if possible one without another isolated suspect."""
         request = one.lot.tracker.lot
-        allowed = self.crash_guard.allowed_runners(one.lot, one.sample, views)
+        allowed = self.crash_guard.allowed_runners(one.lot, one.sample, views, now)
         for choices in (allowed,) if allowed is views else (allowed, views):
             view = choose_runner(
                 choices,
--- a/tests/lots/test_items_after_crashes.py
+++ b/tests/lots/test_items_after_crashes.py
@@ -70,6 +70,7 @@
         self.starts = dict.fromkeys(RUNNERS, 0)
         self.crash_times: list[float] = []
         self.full: set[str] = set()
+        self.gaps_ms: dict[str, float] = {}
         self.owned = OwnedLots()
         self.peers = Peers(lambda address: self._status(address.partition(":")[0]))
         self.dispatcher = SampleDispatcher(
@@ -138,7 +139,8 @@
         )
         instance = f"i-{name}-{self.starts[name]}"
         taken = 12 if name in self.full else running
-        return RunnerStatus("1", instance, True, 12, taken, {"m": 3}, 38.0)
+        gap_ms = self.gaps_ms.get(name, 38.0)
+        return RunnerStatus("1", instance, True, 12, taken, {"m": 3}, gap_ms)
 
 
 @pytest.mark.parametrize("claims", [True, False])
@@ -264,3 +266,17 @@
     for line, crashed_at in zip(held, pool.crash_times[2:], strict=True):
         assert line["until"] > line["held_s"] > 0.0
         assert line["until"] - 1_700_000_000.0 - crashed_at <= 3.1
+
+
+def test_suspects_that_are_sent_together_go_to_different_engines(clock):
+    """Suspects were sent to the fastest engine together, and its crash counted for all of them."""
+    pool = Pool(clock)
+    pool.gaps_ms["s0"] = 20.0
+    lot = pool.add_lot(samples=("a", "b", "c"))
+    for name in "abc":
+        key = sample_fingerprint(lot.tracker.lot, lot.tracker.states[name].sample)
+        for number in range(2):
+            start = Incarnation(f"i-{number}")
+            pool.tracker.record_crash(key, start, clock.time_of_day(), owed=True)
+    pool.send()
+    assert len({state.runner for state in lot.tracker.states.values()}) == 3
