Let the soak bring two faults on one write of a lot

The soak's faults came one at a time: a store that lost responses rejected nobody, and one that rejected machines lost nothing, so no certain refusal ever followed a write that may have been done. Faults in pairs now do: the first write of a lot is lost, done late, or relayed by a sidecar that is suspended before it replies, while gateways are turned away with 503, a refused or reset connection, or silence; or the store goes as it has written a lot. Lots are submitted as such a fault begins, from trainers with 1 to 4 s. Every attempt of every lot is recorded, and a lot that was refused at every attempt may not run, also not once the faults are healed. Calls use kept connections until these break.

--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from pathlib import Path
 
 import msgspec
@@ -135,15 +135,21 @@
                     rows.append(row)
         return rows
 
-    def call(self, method: str, target: str, host=HOST, body=b"", timeout_s=10.0, **headers):
+    def call(
+        self, method: str, target: str, host=HOST, body=b"", timeout_s=10.0, connections=None,
+        **headers,
+    ):  # fmt: skip
         """Send one request to this gateway, with the box's API key if it has one.
 
+        :param connections: kept connections to this gateway; none for a connection of its own
         :param headers: names with ``_`` for ``-``
         """
-        pool = HTTPConnectionPool(self.ip, PORTS["front"], retries=False)
         with_key = bearer(self.key) | headers
         sent = {name.replace("_", "-"): value for name, value in with_key.items()}
-        with pool:
+        with ExitStack() as stack:
+            pool = connections or stack.enter_context(
+                HTTPConnectionPool(self.ip, PORTS["front"], retries=False)
+            )
             return pool.urlopen(
                 method, target, body=body, headers={"Host": host, **sent},
                 timeout=Timeout(connect=1.0, read=timeout_s), redirect=False,
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -1,8 +1,9 @@
 """A soak test: lots, reads and calls continue while processes, the network and the store fail.
 
 A seed draws short faults from a registry, one or two at a time, and beside them faults that last
-for seconds. Some properties are checked during the soak (the result at a position never changes,
-a response belongs to its request), others once all faults are healed (lots are complete, orders
+for seconds, some of which bring two faults on one write. Some properties are checked during the
+soak (the result at a position never changes, a response belongs to its request), others once all
+faults are healed (lots are complete, lots that were refused at every attempt did not run, orders
 came from one holder after the other).
 """
 
@@ -17,13 +18,14 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from urllib3 import HTTPConnectionPool
 from urllib3.exceptions import HTTPError
 
 from tests.serve import shifted
 from tests.serve.crashing_pool import CrashingPool
 from tests.serve.duplicating_proxies import serve_behind_duplicating_proxy
 from tests.serve.faults import SHORT_FAULTS
-from tests.serve.fleet import CALLS, HOST, PlatformFleet, is_engine
+from tests.serve.fleet import CALLS, HOST, PORTS, PlatformFleet, is_engine
 from tests.serve.lasting_faults import (
     DURATIONS_S,
     NETWORK_FAULTS,
@@ -31,12 +33,15 @@
     REPLACEMENT_FAULTS,
     TAKEOVER_FAULTS,
 )
+from tests.serve.machine_store import serve_to_machine
 from tests.serve.order_watch import OrderWatch
+from tests.serve.paired_faults import PAIR_DURATIONS_S, PAIRED_FAULTS
 from tests.serve.partitionable_proxy import PartitionableProxy
 from tests.serve.rotating_keys import STABLE_KEY, RotatingKeys
 from tests.serve.soak_checks import EVENTS, SAMPLES, find_violations
 from tests.serve.store_interceptor import StoreInterceptor
-from tests.serve.tcp_proxy import proxy_store, serve_behind_proxy
+from tests.serve.tcp_proxy import serve_behind_proxy
+from tests.serve.trainer import Attempt, is_refused, submit
 from threadramp.platform.standins.crashing import FrontProxy, WhileDown
 
 if TYPE_CHECKING:
@@ -56,7 +61,8 @@
 FIRST_BURST_NUMBER = 1_000_000  # other calls have smaller numbers
 BURST_HOLD_S = 0.4  # of each call at the endpoint; a route's latency objective
 FAULT_DURATION_S = 1.2
-DEADLINE_MS = "6000"
+TRAINER_WAITS_S = 6.0
+HURRIED_TRAINER_WAITS_S = (1.0, 4.0)  # of the lots that a fault submits
 CRASHING_ENDPOINTS = 3  # endpoints for calls, which crash when they get certain requests
 # Reverse proxies in front of those endpoints, or none; a seed draws one.
 REVERSE_PROXIES = [None, FrontProxy(), *(FrontProxy(down, new_ids=True) for down in WhileDown)]
@@ -75,7 +81,6 @@
     """One soak test of a fleet; ``run`` returns the violations found."""
 
     def __init__(self, folder: Path, serve: Callable[[StandIn], str], seed: int) -> None:
-        self.seed = seed
         self.seed = seed
         self.random = Random(seed)
         self.engine_proxies: list[PartitionableProxy] = []
@@ -95,10 +100,10 @@
         self.keys = RotatingKeys(self.fleet)
         for gateway in self.fleet.gateways:
             gateway.key = STABLE_KEY
-        self.store_proxies = [
-            proxy_store(box, self.fleet.store_address, PartitionableProxy)
-            for box in self.fleet.boxes
-        ]
+        self.machine_stores = {
+            box.name: serve_to_machine(box, self.fleet.store, serve) for box in self.fleet.boxes
+        }
+        self.store_proxies = [store.proxy for store in self.machine_stores.values()]
         for engine in self.fleet.engines:
             engine.faults.update(events=EVENTS, gap_s=EVENT_INTERVAL_S, marked=True)
         self.resumed_at: dict[str, list[float]] = defaultdict(list)
@@ -115,13 +120,19 @@
         self.publish_lock = threading.Lock()
         self.restart_lock = threading.Lock()
         self.accepted: dict[str, int] = {}
-        self.refused_lots: set[str] = set()
+        self.attempts: dict[str, list[Attempt]] = {}
+        self.submissions: list[threading.Thread] = []
+        self.kept_connections = {
+            box.name: HTTPConnectionPool(box.ip, PORTS["front"], retries=False, maxsize=4)
+            for box in self.fleet.gateways
+        }
         self.results_seen: dict[str, dict[int, dict]] = defaultdict(dict)
         self.refused_calls: set[str] = set()
         self.answered = 0
         self.violations: list[str] = []
         self.faults_drawn: list[str] = []
         self.stopped = threading.Event()
+        self.healed_at = 0.0
 
     def run(self, seconds: float) -> list[str]:
         """Run under faults for a time, heal them all, and return the violations found."""
@@ -143,8 +154,9 @@
             thread.start()
         self.stopped.wait(seconds)
         self.stopped.set()
-        for thread in threads:
+        for thread in [*threads, *self.submissions]:
             thread.join()
+        self.healed_at = time.monotonic()
         self._publish_final_versions()
         found = find_violations(self)  # also adds to self.violations
         return self.violations + found
@@ -153,6 +165,8 @@
         """End all processes and close all proxies."""
         self.fleet.close()
         self.pool.close()
+        for pool in self.kept_connections.values():
+            pool.close()
         for proxy in (*self.store_proxies, *self.engine_proxies, *self.duplicating_proxies):
             proxy.close()
 
@@ -169,9 +183,21 @@
             f" duplicate responses {duplicates},"
             f" orders by holder and fencing token {arrived},"
             f" clock offsets {self.clock_offsets}, accepted lots {len(self.accepted)},"
-            f" answered calls {self.answered}"
+            f" answered calls {self.answered},"
+            f" attempts {self._statuses()}"
         )
 
+    def _statuses(self) -> dict[str, str]:
+        """Return the statuses of all attempts to submit each lot."""
+        return {
+            lot: " ".join(str(one.status) for one in made) for lot, made in self.attempts.items()
+        }
+
+    @property
+    def refused_lots(self) -> set[str]:
+        """Return the lots of which every attempt promised that nothing runs."""
+        return {lot for lot, made in self.attempts.items() if is_refused(made)}
+
     def publish_version(self) -> None:
         """Publish the next version, and check the orders that arrived so far."""
         with self.publish_lock:
@@ -209,7 +235,8 @@
         """Return the loops that cause faults; the seed chooses one of three kinds of soak.
 
         The calm kind lets takeovers complete. One kind has network faults beside the short faults,
-        so that gateways seldom lose their state. One kind has all faults at once.
+        so that gateways seldom lose their state. One kind has all faults at once. The last two also
+        have pairs of faults on one write.
 
         The names of the sequences seed their random generators.
         """
@@ -223,11 +250,14 @@
             name: partial(self._cause_lasting_faults, name, faults, deadline)
             for name, faults in sequences.items()
         }
+        lasting["pairs"] = partial(
+            self._cause_lasting_faults, "pairs", PAIRED_FAULTS, deadline, PAIR_DURATIONS_S
+        )
         network_and_short = [lasting["bytes"], partial(self._cause_short_faults, deadline)]
         kinds = (
             [lasting["calm"]],
-            [lasting["replaced"], lasting["standing"], *network_and_short],
-            network_and_short,
+            [lasting["replaced"], lasting["standing"], lasting["pairs"], *network_and_short],
+            [lasting["pairs"], *network_and_short],
         )
         return kinds[self.seed % len(kinds)]
 
@@ -241,7 +271,13 @@
                 heal()
             time.sleep(self.random.uniform(0.2, FAULT_DURATION_S))
 
-    def _cause_lasting_faults(self, sequence: str, faults: Registry, deadline: float) -> None:
+    def _cause_lasting_faults(
+        self,
+        sequence: str,
+        faults: Registry,
+        deadline: float,
+        durations_s: tuple[tuple[float, float], ...] = DURATIONS_S,
+    ) -> None:
         """Cause lasting faults one after the other, drawn from a registry.
 
         Replacement faults come first only: process faults follow them.
@@ -252,7 +288,7 @@
             self.faults_drawn.append(name)
             heal = faults[name](self, random)
             duration_s = min(
-                random.uniform(*random.choice(DURATIONS_S)), deadline - time.monotonic()
+                random.uniform(*random.choice(durations_s)), deadline - time.monotonic()
             )
             self.stopped.wait(max(0.0, duration_s))
             heal()
@@ -263,28 +299,28 @@
         for number in range(10_000):
             if self.stopped.wait(LOT_INTERVAL_S):
                 return
-            self._submit(f"lot{number}")
-
-    def _submit(self, lot: str) -> None:
-        """Submit a lot as a trainer does: retry at a random gateway after any status but 202."""
+            self._submit_beside(f"lot{number}", TRAINER_WAITS_S, self.random)
+
+    def submit_at_once(self, count: int, random: Random) -> None:
+        """Submit some lots from trainers of which some have little time."""
+        for _ in range(count):
+            within_s = random.uniform(*HURRIED_TRAINER_WAITS_S)
+            self._submit_beside(f"hurried{len(self.submissions)}", within_s, random)
+
+    def _submit_beside(self, lot: str, within_s: float, random: Random) -> None:
+        gateways = random.sample(self.fleet.gateways, len(self.fleet.gateways))
+        thread = threading.Thread(target=self._submit, args=(lot, within_s, gateways), daemon=True)
+        self.submissions.append(thread)
+        thread.start()
+
+    def _submit(self, lot: str, within_s: float, gateways: list[Box]) -> None:
+        """Submit a lot as a trainer does: retry at another gateway after any status but 202."""
         min_version = max(1, self.version - 1)
-        statuses = []
-        for _ in range(3):
-            statuses.append(self._post(lot, min_version))
-            if statuses[-1] == 202:
-                self.accepted[lot] = min_version
-                return
-        if set(statuses) <= {429, 503}:
-            self.refused_lots.add(lot)
-
-    def _post(self, lot: str, min_version: int) -> int:
-        gateway = self.random.choice(self.fleet.gateways)
         body = self.fleet.lot(lot, samples=SAMPLES, min_version=min_version)
-        with suppress(HTTPError, OSError):
-            return gateway.call(
-                "POST", f"/lots/{lot}", body=body, X_Attempt_Id=lot, X_Deadline_Ms=DEADLINE_MS
-            ).status
-        return 0
+        attempts = submit(gateways, lot, body, within_s)
+        self.attempts[lot] = attempts
+        if attempts and attempts[-1].status == 202:
+            self.accepted[lot] = min_version
 
     def _read_lots(self) -> None:
         while not self.stopped.wait(0.05):
@@ -316,7 +352,8 @@
             if self.stopped.wait(0.05):
                 return
             name = f"call{number}"
-            self._call_one(self.random.choice(self.fleet.gateways), name)
+            gateway = self.random.choice(self.fleet.gateways)
+            self._call_one(gateway, name, self.kept_connections[gateway.name])
 
     def _call_in_bursts(self) -> None:
         """Send more calls at once than a gateway may have open at the slowed endpoint."""
@@ -332,11 +369,19 @@
                 list(threads.map(lambda name, box=gateway: self._call_one(box, name), names))
             self.fleet.callee.faults["hold_s"] = 0.0
 
-    def _call_one(self, gateway: Box, name: str) -> None:
+    def _call_one(
+        self, gateway: Box, name: str, connections: HTTPConnectionPool | None = None
+    ) -> None:
+        """Send a call and check its response.
+
+        :param connections: kept ones, which are used until the gateway or its process ends them;
+            without them the call opens its own
+        """
         with suppress(HTTPError, OSError):
             response = gateway.call(
-                "POST", "/x", host=CALLS, body=b"q", X_Attempt_Id=name, **self.keys.header(name)
-            )
+                "POST", "/x", host=CALLS, body=b"q", connections=connections, X_Attempt_Id=name,
+                **self.keys.header(name),
+            )  # fmt: skip
             self._check_response(name, response.status, response.data)
 
     def _check_response(self, name: str, status: int, data: bytes) -> None:
--- a/tests/serve/soak_checks.py
+++ b/tests/serve/soak_checks.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from tests.serve.fleet import wait_for
+from tests.serve.fleet import WaitTimeoutError, wait_for
 from tests.serve.texts import events_for, text_errors
+from tests.serve.trainer import is_refused
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Collection, Iterator, Mapping, Sequence
 
     from tests.serve.fleet import Box
     from tests.serve.soak import Soak
+    from tests.serve.trainer import Attempt
 
 EVENTS = 12  # of a sample
 SAMPLES = 8  # of a lot
@@ -29,6 +33,8 @@
     "gateways take over from suspended sidecars",
     "holder suspended after it verified its lock",
 }
+LATE_WRITE_S = 4.0  # after the faults; a write that a partition delayed has arrived by then
+SCAN_TIMEOUT_S = 22.0  # gateways look for lots without an owner each 10 s
 COMPLETION_TIMEOUT_S = 60.0  # after the faults; allows for a busy machine, no guarantee
 
 
@@ -85,16 +91,52 @@
 
 
 def _refused_work(soak: Soak) -> Iterator[str]:
-    """Check that refused lots and calls did not run."""
-    ran = {run["id"] for engine in soak.fleet.engines for run in engine.runs}
-    for lot in soak.refused_lots:
-        if any(name.startswith(f"{lot}-") for name in ran):
-            yield f"{lot} was refused but ran"
+    """Check that refused lots and calls did not run, nor do once all faults are healed."""
+    _watch_refused_lots(soak)
+    yield from refused_lots_that_ran(soak.attempts, _ran(soak))
     called = {run["id"] for run in soak.fleet.callee.runs} | soak.pool.ran
     for name in soak.refused_calls & called:
         yield f"{name} was refused but ran"
 
 
+def refused_lots_that_ran(
+    attempts: Mapping[str, Sequence[Attempt]], ran: Collection[str]
+) -> Iterator[str]:
+    """Report the lots of which something ran though every attempt promised that nothing would.
+
+    :param attempts: all attempts to submit each lot
+    :param ran: ids of the samples and reward calls that engines and endpoints ran
+    """
+    lots_run = {name.rpartition("-")[0] for name in ran}
+    for lot, made in attempts.items():
+        if is_refused(made) and lot in lots_run:
+            answered = ", ".join(f"{one.gateway} {one.status}" for one in made)
+            yield f"{lot} was refused at every attempt but ran: {answered}"
+
+
+def _watch_refused_lots(soak: Soak) -> None:
+    """Wait until refused lots run, or until it is clear that they do not.
+
+    A lot that the store has is run by a gateway that finds it, at the latest with its next scan.
+    """
+    if not soak.refused_lots:
+        return
+    time.sleep(max(0.0, soak.healed_at + LATE_WRITE_S - time.monotonic()))
+    with suppress(WaitTimeoutError):
+        wait_for(lambda: not _stored_and_not_run(soak), "refused lots run", SCAN_TIMEOUT_S)
+
+
+def _stored_and_not_run(soak: Soak) -> set[str]:
+    stored = {key.removeprefix("lot/") for key in soak.fleet.keys("lot/")}
+    return soak.refused_lots & stored - {name.rpartition("-")[0] for name in _ran(soak)}
+
+
+def _ran(soak: Soak) -> set[str]:
+    """Return the ids of all samples and calls that engines and endpoints ran."""
+    standins = [*soak.fleet.engines, soak.fleet.callee]
+    return {run["id"] for standin in standins for run in list(standin.runs)} | soak.pool.ran
+
+
 def _crashing_requests(soak: Soak) -> Iterator[str]:
     """Check that requests that crash endpoints are stopped, unless gateways lost their state.
 
@@ -108,4 +150,4 @@
             yield f"{target}: started {started} times, faults {soak.faults_drawn}"
 
 
-__all__ = ["EVENTS", "SAMPLES", "find_violations"]
+__all__ = ["EVENTS", "SAMPLES", "find_violations", "refused_lots_that_ran"]
--- a/tests/serve/test_soak_checks.py
+++ b/tests/serve/test_soak_checks.py
@@ -5,7 +5,9 @@
 import pytest
 
 from tests.serve.order_watch import OrderWatch
+from tests.serve.soak_checks import refused_lots_that_ran
 from tests.serve.texts import text_errors
+from tests.serve.trainer import Attempt
 from threadramp.platform.standins.endpoint import MadeEvent, PlatformEngine
 
 EVENTS = 3
@@ -94,3 +96,27 @@
 def test_texts_that_were_not_generated_so_are_reported(lines, versions, word):
     events = [*generated("a", range(1, 4)), *generated("b", range(1, 4))]
     assert any(word in one for one in text_errors("\n".join(lines), versions, events, EVENTS))
+
+
+def attempts(*statuses: int) -> list[Attempt]:
+    return [Attempt(FRONT, status) for status in statuses]
+
+
+@pytest.mark.parametrize("ran", ["lot1-s3", "lot1-r0"])
+@pytest.mark.parametrize("statuses", [(503,), (503, 429, 408, 421)])
+def test_a_lot_that_was_refused_at_every_attempt_and_ran_is_reported(statuses, ran):
+    """The sample, or the reward call, of a refused lot is enough."""
+    made = {"lot1": attempts(*statuses), "lot10": attempts(503)}
+    (found,) = refused_lots_that_ran(made, {ran, "call7"})
+    assert found.startswith("lot1 ")
+    assert f"{FRONT} 503" in found
+
+
+@pytest.mark.parametrize("other", [0, 202, 500, 502, 504])
+def test_a_lot_with_an_attempt_that_promised_nothing_may_run(other):
+    made = {"lot1": attempts(503, other, 503), "lot2": []}
+    assert list(refused_lots_that_ran(made, {"lot1-s0", "lot2-s0"})) == []
+
+
+def test_a_refused_lot_that_did_not_run_is_accepted():
+    assert list(refused_lots_that_ran({"lot1": attempts(503)}, {"lot11-s0"})) == []
