Check that plain refusals of all kinds are reported as such, and at once

The test of a store that refuses every call covered rejections with 503 only, and ran while the gateways still took the store for reachable. Now it closes the ports of half of the machines as well and waits until the gateways have noticed, so that a later change that answers 504 out of caution is found.

--- a/tests/serve/machine_store.py
+++ b/tests/serve/machine_store.py
@@ -31,7 +31,7 @@
     DROP = "lost before it was done"
     LATE = "done late, without a response"
     REJECT = "rejected with 503"
-    REFUSE = "connection refused"
+    REFUSE = "lost before it was done, and connections refused from then on"
 
 
 class MachineProxy(PartitionableProxy):
--- a/tests/serve/test_refused_lots.py
+++ b/tests/serve/test_refused_lots.py
@@ -159,6 +159,7 @@
         """Wait until every gateway accepts a lot, so that each has a connection that is kept."""
         self.fleet.wait_until_ready()
         for gateway in self.fleet.gateways:
+            wait_for(lambda box=gateway: not has_lost_store(box), f"{gateway.name} has the store")
             lot = f"calm-{name}-{gateway.name}"
             wait_for(lambda box=gateway, lot=lot: self.fleet.hand_in(box, lot) == 202, lot)
 
@@ -187,6 +188,16 @@
         }
 
 
+def has_lost_store(box: Box) -> bool:
+    """Return whether the store is out of reach for a process, by its log."""
+    changes = [
+        row["message_type"]
+        for row in box.lines()
+        if row.get("message_type") in ("threadramp:store_lost", "threadramp:store_regained")
+    ]
+    return changes[-1:] == ["threadramp:store_lost"]
+
+
 def _lot_of(keys: list[str]) -> str:
     """Return the lot that a write is about, empty if it is about none."""
     key = next((key for key in keys if key.startswith(("lot/", PARTS_PREFIX))), "")
@@ -391,13 +402,19 @@
     assert machines.ran_though_refused(attempts) == {}
 
 
-def test_a_store_that_rejects_every_call_makes_a_503_and_not_a_504(machines):
-    """The trainer may submit the lot elsewhere without risk only after a promise."""
+def test_a_store_that_refuses_every_call_makes_a_503_and_not_a_504(machines):
+    """The trainer may submit the lot elsewhere without risk only after a promise.
+
+    The store rejects the calls of half of the machines and refuses connections of the others.
+    """
+    ways = ("rejected", "refused")
     for store in machines.stores.values():
-        store.is_rejected = True
-    body = machines.fleet.lot("rejected", SAMPLES)
+        turn_away(store, ways[store.machine in ("front-1", "side-1")])
+    for gateway in machines.fleet.gateways:
+        wait_for(lambda box=gateway: has_lost_store(box), f"{gateway.name} has lost the store")
+    body = machines.fleet.lot("plainly", SAMPLES)
     calls = {
-        gateway.name: partial(attempt, gateway, "rejected", body, LONG_WAIT_S)
+        gateway.name: partial(attempt, gateway, "plainly", body, LONG_WAIT_S)
         for gateway in machines.fleet.gateways
     }
     attempts = {name: [made] for name, made in in_parallel(calls).items()}
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -27,8 +28,9 @@
     yield start
     for standin in standins:
         standin.faults["outage"] = True  # ends the watches that wait, for which a stop would wait
-    for server in servers:
-        server.stop()
+    with ThreadPoolExecutor() as threads:  # each waits for its connections to end
+        for server in servers:
+            threads.submit(server.stop)
 
 
 __all__ = ["serving"]
