Repeat a request that runs once only if no byte of it can have arrived

Change: sending goes on beside the wait for the response, within the request's deadline, and ends at a final response or when the caller disconnects; such a connection is reset afterwards, not reused. `ExchangeError.sent` says whether bytes may have arrived and decides alone: false if the kernel took none, or if the endpoint closed its socket before any arrived (the end of the stream was read, the kernel's count of acknowledged bytes has not moved, and a reset followed). A call on an idle connection that was closed between taking and using it is sent again.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -214,6 +214,8 @@
     def send(self, endpoint: Endpoint, force_new: bool = False) -> None:
         """Send to an endpoint before the deadline; on success the exchange is left open.
 
+        The rest of a long body is sent while the response is awaited.
+
         :param force_new: whether to open a new connection even if idle ones are pooled
         """
         now = self.now()
@@ -241,10 +243,12 @@
         if self.place is not None:
             self.place.sent()
         try:
-            exchange.send(self.job.method, self.job.target, headers, self.job.body)
+            exchange.send(
+                self.job.method, self.job.target, headers, self.job.body, defers_rest=True
+            )
         except ExchangeError as error:
             self.access.choice.request_finished(endpoint)
-            self.record_exchange_error(endpoint, error, ran=not exchange.reused)
+            self.record_exchange_error(endpoint, error, ran=error.sent)
             return
         self.history.open_exchanges.append(exchange)
         if self.starts_when_sent:
--- a/src/threadramp/edge/connection_pool.py
+++ b/src/threadramp/edge/connection_pool.py
@@ -61,12 +61,12 @@
         :raises ExchangeError: if the endpoint cannot be reached
         """
         reused = None if force_new else self._take_idle(endpoint, now, request_id)
-        send_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)  # to connect and to send
+        connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
         if reused is not None:
-            reused.timeout = send_timeout_s
+            reused.timeout = connect_timeout_s
             return Exchange(endpoint, reused, True)
         host, _, port = endpoint.address.partition(":")
-        connection = EndpointConnection(host, int(port), send_timeout_s)
+        connection = EndpointConnection(host, int(port), connect_timeout_s)
         try:
             connection.connect()
         except (OSError, HTTPError) as error:
@@ -93,6 +93,9 @@
         if response.head.leaving or lacks_id or exchange.connection.sock is None:
             exchange.connection.close()
             return
+        if not exchange.connection.is_request_delivered:
+            exchange.close()  # where the rest of the body is due, other bytes would arrive
+            return
         surplus = exchange.connection.read_surplus()
         if surplus:
             self._discard_with_surplus(exchange, surplus, "behind an answer")
--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -3,26 +3,32 @@
 from __future__ import annotations
 
 import io
-from collections import OrderedDict
+import os
+import select
+import socket
+from collections import OrderedDict, deque
 from contextlib import suppress
-from http.client import HTTPResponse
+from http.client import HTTPResponse, RemoteDisconnected
 from typing import TYPE_CHECKING
 
 from urllib3 import HTTPHeaderDict
 from urllib3 import HTTPResponse as BodyResponse
 from urllib3.connection import HTTPConnection
 
+from threadramp.edge.delivery import acked_bytes, is_delivered, was_closed_before
 from threadramp.fleet.clock import steady_s
-from threadramp.platform.headers import ends_in_head, holds_head
+from threadramp.platform.headers import ends_in_head, holds_head, named_id
 
 if TYPE_CHECKING:
-    import socket
+    from collections.abc import Callable
 
     from urllib3 import BaseHTTPResponse
 
 MAX_REMEMBERED_IDS = 256  # per connection; duplicate responses came within seconds
 SURPLUS_SAMPLE_BYTES = 400  # enough to find the request id in surplus bytes
 STATUS_LINE = b"HTTP/1."
+INTERIM_STATUS_LINES = (b"HTTP/1.1 1", b"HTTP/1.0 1")
+HEAD_SAMPLE_BYTES = 4096  # enough to find the request id in a response
 
 
 class EndpointConnection(HTTPConnection):
@@ -38,6 +44,29 @@
         self.request_ids: OrderedDict[str, None] = OrderedDict()
         self.reader: _ResponseReader | None = None
         self.method = ""
+        self.request_id = ""
+        self.unsent: deque[memoryview] = deque()  # of the current request
+        self.defers_rest = False  # whether `send` returns while bytes are unsent
+        self.can_send_rest = True
+        self.looks_for_response = True  # before the request is sent completely
+        self.accepted_bytes = 0  # of the current request, by the kernel
+        self.acked_before = 0  # before the current request
+        self.closed_before_request = False
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether the rest of the request is still to be sent."""
+        return bool(self.unsent) and self.can_send_rest
+
+    @property
+    def may_have_arrived(self) -> bool:
+        """Return whether the endpoint may have received bytes of the current request."""
+        return bool(self.accepted_bytes) and not self.closed_before_request
+
+    @property
+    def is_request_delivered(self) -> bool:
+        """Return whether the endpoint has received all bytes of the current request."""
+        return not self.unsent and is_delivered(self.sock)
 
     @property
     def age_s(self) -> float:
@@ -53,12 +82,112 @@
         """Record that a request is sent on this connection."""
         self.uses += 1
         self.method = method
+        self.request_id = request_id
+        self.unsent.clear()
+        self.can_send_rest = self.looks_for_response = True
+        self.accepted_bytes = 0
+        self.acked_before = 0 if self.sock is None else acked_bytes(self.sock)
+        self.closed_before_request = False
         if not request_id:
             return
         self.request_ids[request_id] = None
         while len(self.request_ids) > MAX_REMEMBERED_IDS:
             self.request_ids.popitem(last=False)
 
+    def send(self, data: bytes | memoryview) -> None:
+        """Send bytes of the current request; http.client calls it for the head and the body.
+
+        Stops at a response: an endpoint may respond before it has read a long body.
+
+        :raises OSError: if the connection is broken, or takes nothing for its timeout
+        """
+        if self.sock is None:
+            self.connect()  # as http.client does
+        self.unsent.append(memoryview(data))
+        self.send_unsent()
+        while not self.defers_rest and self.is_sending and not self.has_early_response():
+            self.send_more(self.timeout)
+
+    def send_more(self, timeout_s: float) -> None:
+        """Wait until the connection takes more bytes or a response arrives, and send.
+
+        :raises OSError: if the connection is broken, or neither happens in time
+        """
+        poll = select.poll()
+        poll.register(self.sock.fileno(), self.poll_events)
+        if not poll.poll(max(1, int(timeout_s * 1000))):
+            raise TimeoutError("timed out while sending")
+        if not self.has_early_response():
+            self.send_unsent()
+
+    @property
+    def poll_events(self) -> int:
+        """Return the events to wait for while the request is sent or its response is awaited."""
+        if not self.is_sending:
+            return select.POLLIN
+        return select.POLLOUT | (select.POLLIN if self.looks_for_response else 0)
+
+    def send_unsent(self) -> None:
+        """Send as many bytes as the kernel takes at once.
+
+        :raises OSError: if the connection is broken and no response has arrived
+        """
+        while self.is_sending:
+            piece = self.unsent[0]
+            try:
+                count = os.write(self.sock.fileno(), piece)  # `send` would wait for the timeout
+            except BlockingIOError:
+                return
+            except ConnectionError as error:
+                self._handle_broken(error)
+                return
+            self.accepted_bytes += count
+            self.unsent.popleft()
+            if count < len(piece):
+                self.unsent.appendleft(piece[count:])
+
+    def _handle_broken(self, error: ConnectionError) -> None:
+        """Keep the connection if a response says why the rest could not be sent."""
+        with suppress(OSError):
+            if self._peek():
+                self.can_send_rest = False
+                return
+        if isinstance(error, BrokenPipeError):  # the end of the stream came before the reset
+            self.record_end_of_stream()
+        raise error
+
+    def record_end_of_stream(self) -> None:
+        """Record whether the endpoint had closed the connection before the current request."""
+        self.closed_before_request = was_closed_before(self.sock, self.acked_before)
+
+    def has_early_response(self) -> bool:
+        """Return whether a response, or the end of the connection, came before all was sent.
+
+        :raises OSError: if the connection was reset
+        """
+        if not self.looks_for_response:
+            return False
+        start = self._peek()
+        if start is None:
+            return False
+        named = named_id(start)
+        is_duplicate = named != self.request_id and named in self.request_ids
+        if start.startswith(INTERIM_STATUS_LINES) or is_duplicate:
+            self.looks_for_response = False  # the own response follows once all is sent
+            return False
+        return True
+
+    def _peek(self) -> bytes | None:
+        """Return the first bytes that wait in the socket, empty at its end, none if none wait."""
+        timeout = self.sock.gettimeout()
+        self.sock.setblocking(False)
+        try:
+            return self.sock.recv(HEAD_SAMPLE_BYTES, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        finally:
+            self.sock.settimeout(timeout)
+
     def response_class(
         self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
     ) -> HTTPResponse:
@@ -87,7 +216,7 @@
     def _response(
         self, sock: socket.socket, debuglevel: int, method: str | None, read_ahead: bytes
     ) -> HTTPResponse:
-        response = HTTPResponse(sock, debuglevel, method)
+        response = _Response(sock, debuglevel, method, self.record_end_of_stream)
         raw = response.fp.detach()
         self.reader = _ResponseReader(
             _PrependedReader(read_ahead, raw) if read_ahead else raw, sock
@@ -118,6 +247,31 @@
         return is_reused and not STATUS_LINE.startswith(surplus_sample[: len(STATUS_LINE)])
 
 
+class _Response(HTTPResponse):
+    """Reads one response.
+
+    :param on_end_of_stream: called, while the socket is open, if there is none
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        debuglevel: int,
+        method: str | None,
+        on_end_of_stream: Callable[[], None],
+    ) -> None:
+        super().__init__(sock, debuglevel, method)
+        self.on_end_of_stream = on_end_of_stream
+
+    def begin(self) -> None:
+        """Read the head."""
+        try:
+            super().begin()
+        except RemoteDisconnected:
+            self.on_end_of_stream()
+            raise
+
+
 class _PrependedReader(io.RawIOBase):
     """Reads bytes that were read ahead, then those of the socket."""
 
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -38,7 +38,7 @@
 class ExchangeError(Exception):
     """An exchange without a complete response.
 
-    :param sent: whether the request may have reached the endpoint
+    :param sent: whether bytes of the request may have reached the endpoint, so that it may run
     :param stale: whether an idle connection was found closed, which says nothing of the endpoint
     :param timed_out: whether no response head arrived in time
     :param unresponsive: whether that was on a reused connection, which may deliver nothing any more
@@ -94,18 +94,40 @@
         """Return the file descriptor of the socket."""
         return self.connection.sock.fileno()
 
+    @property
+    def poll_events(self) -> int:
+        """Return the events to wait for while the request is sent or its response is awaited."""
+        return self.connection.poll_events
+
+    @property
+    def is_sending(self) -> bool:
+        """Return whether the rest of the request is still to be sent, with ``send_more``."""
+        return self.connection.is_sending
+
     def send(
-        self, method: str, target: str, headers: Mapping[str, str], body: bytes | Iterable[bytes]
+        self,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes | Iterable[bytes],
+        defers_rest: bool = False,
+        timeout_s: float | None = None,
     ) -> None:
-        """Send the request.
+        """Send the request, up to an early response.
 
         :param body: an iterable only if a header states its length
-        :raises ExchangeError: if it could not be sent completely
+        :param defers_rest: whether to return, without waiting, while some of it is unsent
+        :param timeout_s: bound of each wait for the endpoint to take more, by default the one to
+            connect
+        :raises ExchangeError: if the connection broke or took nothing in time
         """
         names = {name.lower() for name in headers}
         extra = {} if "user-agent" in names else NO_USER_AGENT
         self.request_id = sent_id(headers)
         self.connection.record_request(self.request_id, method)
+        self.connection.defers_rest = defers_rest
+        if timeout_s is not None:
+            self.connection.timeout = timeout_s
         try:
             self.connection.request(
                 method,
@@ -116,9 +138,30 @@
                 decode_content=False,
             )
         except (OSError, HTTPError) as error:
-            self.close()
-            stale, broken = self._is_stale(error), is_connection_error(error)
-            raise ExchangeError(True, repr(error), stale, broken=broken) from error
+            raise self._send_failure(error) from error
+
+    def send_more(self, timeout_s: float = 0.0) -> bool:
+        """Send more of the request.
+
+        :param timeout_s: to wait until the endpoint takes more or responds
+        :returns: false if a response, or the end of the connection, is to be read instead
+        :raises ExchangeError: if the connection broke or took nothing in time
+        """
+        try:
+            if self.connection.has_early_response():
+                return False
+            if timeout_s:
+                self.connection.send_more(timeout_s)
+            else:
+                self.connection.send_unsent()
+        except OSError as error:
+            raise self._send_failure(error) from error
+        return True
+
+    def _send_failure(self, error: Exception) -> ExchangeError:
+        self.close()
+        sent, stale = self.connection.may_have_arrived, self._is_stale(error)
+        return ExchangeError(sent, repr(error), stale, broken=is_connection_error(error))
 
     def read_head(self, timeout_s: float) -> BaseHTTPResponse:
         """Return the response with its head read and its body unread.
@@ -131,8 +174,9 @@
             self.close()
             timed_out = isinstance(error, TimeoutError)
             stale, broken = self._is_stale(error), is_connection_error(error)
+            unresponsive, sent = self.reused and timed_out, self.connection.may_have_arrived
             raise ExchangeError(
-                True, repr(error), stale, self.reused and timed_out, broken, timed_out=timed_out
+                sent, repr(error), stale, unresponsive, broken, timed_out=timed_out
             ) from error
         if response.status < MIN_FINAL_STATUS:  # http.client skips only status 100
             self.close()
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -7,7 +7,7 @@
 
 from threadramp.edge.attempt_loop import RESPONSE_MARGIN_S, AttemptLoop, EndpointAccess
 from threadramp.edge.exchange import ExchangeError
-from threadramp.edge.job import Ending, Outcome, is_disconnected
+from threadramp.edge.job import Ending, Outcome
 from threadramp.platform.headers import read_answer
 from threadramp.policy.crash_tracker import SuspicionLevel
 from threadramp.policy.endpoint_choice import HEDGE_AFTER_SHARE
@@ -57,8 +57,8 @@
             return self._read_response(readable)
         poll = select.poll()
         by_descriptor = {exchange.fileno(): exchange for exchange in self.history.open_exchanges}
-        for descriptor in by_descriptor:
-            poll.register(descriptor, select.POLLIN)
+        for descriptor, exchange in by_descriptor.items():
+            poll.register(descriptor, exchange.poll_events)
         caller = self.job.caller_socket
         if caller is not None:
             poll.register(caller.fileno(), select.POLLIN)
@@ -66,12 +66,18 @@
         for descriptor, _ in ready:
             exchange = by_descriptor.get(descriptor)
             if exchange is not None:
-                return self._read_response(exchange)
-        if caller is not None and ready and is_disconnected(caller):
-            log_state("caller_disconnected", request=self.job.request_id)
-            return Outcome(Ending.CALLER_DISCONNECTED)
-        self._send_hedge()
-        return None
+                return self._continue_exchange(exchange)
+        outcome = self._end_if_disconnected() if ready else None
+        if outcome is None:
+            self._send_hedge()
+        return outcome
+
+    def _end_if_disconnected(self) -> Outcome | None:
+        """Return the outcome if the caller has disconnected, none if it has not."""
+        if not self.is_caller_disconnected():
+            return None
+        log_state("caller_disconnected", request=self.job.request_id)
+        return Outcome(Ending.CALLER_DISCONNECTED)
 
     def _poll_timeout_s(self) -> float:
         now = self.now()
@@ -130,6 +136,17 @@
             if slow.reused:
                 self.access.connection_pool.close_idle(slow.endpoint.incarnation)
 
+    def _continue_exchange(self, exchange: Exchange) -> Outcome | None:
+        """Send more of the request, or read the response if there is one."""
+        try:
+            if exchange.is_sending and exchange.send_more():
+                return self._end_if_disconnected()
+        except ExchangeError as error:
+            self.record_closed(exchange)
+            self.record_exchange_error(exchange.endpoint, error, ran=error.sent)
+            return None
+        return self._read_response(exchange)
+
     def _read_response(self, exchange: Exchange) -> Outcome | None:
         left = max(0.05, min(READ_TIMEOUT_S, self.job.deadline - self.now()))
         try:
@@ -138,7 +155,7 @@
                 return None
         except ExchangeError as error:
             self.record_closed(exchange)
-            self.record_exchange_error(exchange.endpoint, error, ran=True)
+            self.record_exchange_error(exchange.endpoint, error, ran=error.sent)
             return None
         self.record_closed(exchange)
         return self._read_own_body(exchange, response)
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -128,7 +128,7 @@
             return self._end_disconnected()
         if not isinstance(error, ExchangeError):
             error = ExchangeError(True, str(error), broken=error.broken)
-        self.record_exchange_error(exchange.endpoint, error, ran=True)
+        self.record_exchange_error(exchange.endpoint, error, ran=error.sent)
         return None
 
     def _end_disconnected(self) -> Outcome:
@@ -138,6 +138,7 @@
         return Outcome(Ending.CALLER_DISCONNECTED)
 
     def _relay(self, exchange: Exchange) -> Outcome | None:
+        self._send_rest(exchange)
         response = exchange.read_own_head(self._read_timeout_s())
         head = read_answer(response.status, response.headers)
         if not self.is_own(exchange, head):
@@ -156,6 +157,12 @@
         self.access.choice.record_success(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
 
+    def _send_rest(self, exchange: Exchange) -> None:
+        """Send the rest of a long body, until a response arrives."""
+        while exchange.is_sending and exchange.send_more(self._read_timeout_s()):
+            if self.now() >= self.job.deadline:
+                raise ExchangeError(True, "deadline reached while sending")
+
     def _handle_other_response(
         self, exchange: Exchange, response: BaseHTTPResponse, head: AnswerHead
     ) -> Outcome | None:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -124,10 +124,11 @@
         :returns: false if a cold engine must not receive it yet
         """
         order = self.run.order
+        left_s = max(1.0, order.give_up_in_s)
         headers = sample_headers(
             (*order.sample.headers, ("Host", order.host)),
             unscoped_id(order.sample.id),
-            max(1.0, order.give_up_in_s),
+            left_s,
             self.incarnation.instance,
             self.run.event_count,
             order.rank,
@@ -137,7 +138,8 @@
         if not self.engine.send_limit.confirm(self.taken_at, self.sent_at):
             return False
         self.taken_at = None  # a retry is another request
-        exchange.send("POST", order.sample.path, headers, order.sample.body)
+        timeout_s = min(left_s, STREAM_IDLE_TIMEOUT_S)
+        exchange.send("POST", order.sample.path, headers, order.sample.body, timeout_s=timeout_s)
         return True
 
     def _handle_not_begun(self, status: int) -> None:
--- a/tests/runner/test_sample_run.py
+++ b/tests/runner/test_sample_run.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
+from tests.edge.scripted_endpoint import LONG_BODY, Connection, ScriptedEndpoint
 from tests.runner.test_runs import order
+from tests.runner.test_weight_loader import facts
 from threadramp.core.lot_tracker import RunOutcome
 from threadramp.fleet.clock import Clock
 from threadramp.lots.model import Sample
 from threadramp.platform.standins.stuttering import Moment, Second, Stutter
 from threadramp.report.metrics import Metrics
 from threadramp.runner import sample_run
+from threadramp.runner.engine import Engine
 from threadramp.runner.runs import RunTable
 from threadramp.runner.sample_run import SampleRun
 
@@ -69,3 +74,39 @@
     for name in "abc":
         assert run_one(name).outcome is RunOutcome.COMPLETE
     assert proxy.opened == 1
+
+
+def stream_one(connection: Connection) -> None:
+    connection.answer(200, "Content-Type: text/event-stream\r\n", "id: 1\ndata: one\n\n")
+
+
+def read_slowly(connection: Connection) -> None:
+    """Read the body over more than the time to connect, then answer."""
+    connection.begin()
+    while connection.left:
+        connection.read(1_000_000)
+        threading.Event().wait(0.06)
+    stream_one(connection)
+
+
+def answer_early(connection: Connection) -> None:
+    connection.begin()
+    stream_one(connection)
+    threading.Event().wait(1.0)
+    connection.read(connection.left)
+
+
+@pytest.mark.parametrize("script", [read_slowly, answer_early])
+def test_a_sample_with_a_long_body_runs_once_and_keeps_its_text(table, monkeypatch, script):
+    """Sending had the time to connect, and a text that came before the whole body was lost."""
+    monkeypatch.setattr(sample_run, "HEAD_TIMEOUT_S", 1.0)
+    made = ScriptedEndpoint(0, script)
+    engine = Engine(made.endpoint.address, "p", "box-1", Clock())
+    engine.update_facts(facts())
+    sample = Sample("long", "/p", (("X-Model", "m"),), LONG_BODY, 100, "g", None, 10)
+    table.submit((order("long", sample=sample),))
+    run = table.next_start()
+    SampleRun(engine, table, run, Clock(), Metrics("t")).execute()
+    made.close()
+    assert (run.outcome, run.events) == (RunOutcome.COMPLETE, ["one"])
+    assert made.runs == ["long"]
