Read a chunked request to its end before it is served or refused

Seen: after the response to a chunked request its caller got a 408 on the idle connection when the time for a head was over, or a 400 at once if there were trailers or the body had not been wanted (404); a next request on it had a time that began with the response before it. The log told the 408 as a refused head. Cause: cheroot's ChunkedRFile stops at the line of the last chunk, and does not discard a chunked body that nobody read. The rest was the next turn's head. Change: the body is read with its trailers, bounded as a head is; one that is not wanted is read first, or the connection is closed. A body that is malformed or ends too early is an OSError, which closes the connection without a response.

--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -9,7 +9,8 @@
 import threading
 from typing import TYPE_CHECKING
 
-from cheroot.server import Gateway
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, SizeCheckWrapper
 from urllib3 import HTTPHeaderDict
 
 from threadramp.edge.caller_server import CallerServer
@@ -28,6 +29,7 @@
 # Of the kernel for each connection, which doubles it. By default it grows to megabytes for a slow
 # reader, and none of that would be bounded here.
 SEND_BUFFER_BYTES = 32_768
+DISCARD_BYTES = 65_536  # read at once from a body that nobody wants
 DEFAULT_MAX_HELD_BYTES = 40_000_000
 REASONS = {
     200: "OK",
@@ -53,6 +55,7 @@
 
     def __init__(self, raw) -> None:  # noqa: ANN001 - cheroot's request has no public type
         self.raw = raw
+        self.is_read = not raw.chunked_read  # cheroot discards the rest of a body with a length
         self.method = raw.method.decode("latin-1")
         self.target = raw.uri.decode("latin-1")
         self.headers = HTTPHeaderDict()
@@ -84,15 +87,50 @@
 
         :param limit: in bytes
         :raises BodyTooLongError: if it is longer than ``limit``
+        :raises OSError: if the caller stopped, disconnected or sent malformed chunks before its end
         """
         length = self.headers.get("Content-Length", "")
         if length.isdigit() and int(length) > limit:
             raise BodyTooLongError(f"body of {length} bytes exceeds the limit of {limit}")
-        body = self.raw.rfile.read()
+        body = self._read_chunked() if self.raw.chunked_read else self.raw.rfile.read()
         if len(body) > limit:
             raise BodyTooLongError(f"body of {len(body)} bytes exceeds the limit of {limit}")
         return body
 
+    def _read_chunked(self, size: int | None = None) -> bytes:
+        """Read a chunked body, or the next bytes of it; at its end also the trailers.
+
+        cheroot leaves the line that ends the body, and trailers, for the next request.
+        """
+        try:
+            data = self.raw.rfile.read(size)
+            if self.raw.rfile.closed and not self.is_read:
+                self._read_trailers()
+                self.is_read = True
+        except (MaxSizeExceeded, ValueError) as error:
+            raise OSError(f"the chunked body is incomplete or malformed: {error!r}") from error
+        return data
+
+    def _read_trailers(self) -> None:
+        trailers = SizeCheckWrapper(self.raw.conn.rfile, self.raw.server.limits.header_bytes)
+        while (line := trailers.readline()) != b"\r\n":
+            if not line:
+                raise ConnectionError("the caller disconnected before the end of its body")
+
+    def _discard_body(self) -> None:
+        """Read the rest of a chunked body, which would be taken for the next request.
+
+        The connection is closed instead if the rest is too long or does not arrive.
+        """
+        left = self.raw.server.limits.body_bytes
+        try:
+            while not self.is_read and left > 0:
+                left -= len(self._read_chunked(DISCARD_BYTES))
+        except OSError as error:
+            log_state("body_not_discarded", error=repr(error))
+        if not self.is_read:
+            self.raw.close_connection = True
+
     def respond(
         self,
         status: int,
@@ -151,6 +189,8 @@
         ]
         if close:
             self.raw.close_connection = True
+        if not self.raw.close_connection:
+            self._discard_body()
 
     def close_without_response(self) -> None:
         """Close the connection without a response, as the caller has disconnected."""
--- /dev/null
+++ b/tests/edge/test_request_bodies.py
@@ -0,0 +1,155 @@
+"""Bodies of callers' requests: nothing of one is taken for another request, nor cut short.
+
+What is left of a body on a kept connection was read as the head of the next request.
+"""
+
+from __future__ import annotations
+
+import socket
+from contextlib import closing
+
+import pytest
+
+from threadramp.edge.server import CallerRequest, EdgeServer
+from threadramp.fleet.clock import steady_s
+from threadramp.fleet.model import CallerLimits
+
+LIMITS = CallerLimits(header_bytes=2_000, body_bytes=1_000, header_s=0.3, idle_s=1.0)
+CHUNKED = b"POST %b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+KNOWN = b"POST %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+CHUNKS = b"2\r\nab\r\n3\r\ncde\r\n0\r\n"
+ENDS = [b"\r\n", b"X-Trailer: 1\r\nX-Other: 2\r\n\r\n"]
+
+
+class Server:
+    """A server that records the requests it serves."""
+
+    def __init__(self) -> None:
+        self.served: list[tuple[str, bytes]] = []
+        self.arrived_at: list[float] = []
+        self.edge = EdgeServer("127.0.0.1:0", self._answer, 2, LIMITS)
+
+    def _answer(self, request: CallerRequest) -> None:
+        if request.path == "/unread":
+            request.respond(404)
+            return
+        try:
+            body = request.read_body(LIMITS.body_bytes)
+        except OSError:
+            request.close_without_response()
+            return
+        self.arrived_at.append(request.arrived_at)
+        self.served.append((request.path, body))
+        request.respond(200, body=b"ok")
+
+    def connect(self) -> socket.socket:
+        return socket.create_connection(self.edge.server.bind_addr, timeout=5.0)
+
+
+@pytest.fixture
+def server():
+    built = Server()
+    yield built
+    built.edge.server.stop()
+
+
+def read_response(caller: socket.socket) -> bytes:
+    """Read one response and return its status."""
+    found = b""
+    while b"\r\n\r\n" not in found:
+        found += caller.recv(1)
+    head = found.lower()
+    left = int(head.partition(b"content-length: ")[2].partition(b"\r\n")[0])
+    while left:
+        left -= len(caller.recv(left))
+    return found[9:12]
+
+
+def read_until_closed(caller: socket.socket) -> bytes:
+    found = b""
+    try:
+        while piece := caller.recv(4096):
+            found += piece
+    except ConnectionResetError:
+        pass
+    return found
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_nothing_follows_the_response_to_a_chunked_request(server, end):
+    """Without a next request the caller got a 408, or a 400 if there were trailers."""
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/a" + CHUNKS + end)
+        assert read_response(caller) == b"200"
+        assert read_until_closed(caller) == b""  # closed when it was idle for long
+    assert server.served == [("/a", b"abcde")]
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_request_after_a_chunked_one_counts_from_its_own_arrival(server, end):
+    """Its time began with the response before it, so that its deadline came too early."""
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/a" + CHUNKS + end)
+        assert read_response(caller) == b"200"
+        caller.settimeout(0.2)
+        with pytest.raises(TimeoutError):
+            caller.recv(1)
+        caller.settimeout(5.0)
+        sent_at = steady_s()
+        caller.sendall(KNOWN % (b"/b", 1) + b"z")
+        assert read_response(caller) == b"200"
+    assert server.served == [("/a", b"abcde"), ("/b", b"z")]
+    assert server.arrived_at[1] >= sent_at
+
+
+def test_the_end_of_a_chunked_body_is_awaited(server):
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/a" + CHUNKS)
+        caller.settimeout(0.1)
+        with pytest.raises(TimeoutError):
+            caller.recv(1)
+        caller.settimeout(5.0)
+        assert not server.served
+        caller.sendall(b"\r\n")
+        assert read_response(caller) == b"200"
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_a_chunked_body_that_is_not_wanted_is_no_request(server, end):
+    """It was read as a request, and answered 400 on a connection where none was waiting."""
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/unread" + CHUNKS + end)
+        assert read_response(caller) == b"404"
+        caller.sendall(KNOWN % (b"/b", 1) + b"z")
+        assert read_response(caller) == b"200"
+    assert server.served == [("/b", b"z")]
+
+
+def test_a_chunked_body_over_the_limit_that_is_not_wanted_closes_the_connection(server):
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/unread" + b"200\r\n" + b"x" * 512 + b"\r\n")
+        caller.sendall(b"200\r\n" + b"x" * 512 + b"\r\n")
+        found = read_until_closed(caller)
+        assert found.startswith(b"HTTP/1.1 404")
+        assert found.count(b"HTTP/1.1") == 1
+
+
+@pytest.mark.parametrize("malformed", [b"zz\r\nab\r\n0\r\n\r\n", b"2\r\nabXX0\r\n\r\n"])
+def test_a_malformed_chunked_body_is_not_served(server, malformed):
+    with closing(server.connect()) as caller:
+        caller.sendall(CHUNKED % b"/a" + malformed)
+        read_until_closed(caller)
+    assert not server.served
+
+
+@pytest.mark.parametrize(
+    "part",
+    [CHUNKED % b"/a" + b"5\r\nab", CHUNKED % b"/a" + CHUNKS],
+    ids=["within a chunk", "without an end"],
+)
+def test_a_body_that_its_caller_cut_short_is_not_served(server, part):
+    with closing(server.connect()) as caller:
+        caller.sendall(part)
+        caller.shutdown(socket.SHUT_WR)
+        assert read_until_closed(caller) == b""
+    assert not server.served
