Do not serve a request whose body was cut short by its caller

Seen: a caller that disconnected, or shut down its side, within a body of known length had its request passed on with the bytes that had arrived: an endpoint ran another body than the one that was sent (UNASKED). Cause: cheroot's KnownLengthRFile returns what there is at the end of the stream. Change: such a body is a ConnectionError; the connection is closed without a response, as for a body that does not arrive in time. Result: the new case (a length of 10, 3 bytes sent) was answered 200 before and is not served now; the tests of bodies and of the server pass.

--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -92,11 +92,17 @@
         length = self.headers.get("Content-Length", "")
         if length.isdigit() and int(length) > limit:
             raise BodyTooLongError(f"body of {length} bytes exceeds the limit of {limit}")
-        body = self._read_chunked() if self.raw.chunked_read else self.raw.rfile.read()
+        body = self._read_chunked() if self.raw.chunked_read else self._read_known_length()
         if len(body) > limit:
             raise BodyTooLongError(f"body of {len(body)} bytes exceeds the limit of {limit}")
         return body
 
+    def _read_known_length(self) -> bytes:
+        body = self.raw.rfile.read()
+        if self.raw.rfile.remaining:
+            raise ConnectionError("the caller disconnected before the end of its body")
+        return body
+
     def _read_chunked(self, size: int | None = None) -> bytes:
         """Read a chunked body, or the next bytes of it; at its end also the trailers.
 
--- a/tests/edge/test_request_bodies.py
+++ b/tests/edge/test_request_bodies.py
@@ -144,10 +144,11 @@
 
 @pytest.mark.parametrize(
     "part",
-    [CHUNKED % b"/a" + b"5\r\nab", CHUNKED % b"/a" + CHUNKS],
-    ids=["within a chunk", "without an end"],
+    [KNOWN % (b"/a", 10) + b"abc", CHUNKED % b"/a" + b"5\r\nab", CHUNKED % b"/a" + CHUNKS],
+    ids=["length", "within a chunk", "without an end"],
 )
 def test_a_body_that_its_caller_cut_short_is_not_served(server, part):
+    """A request with a length ran with the part of its body that had arrived (UNASKED)."""
     with closing(server.connect()) as caller:
         caller.sendall(part)
         caller.shutdown(socket.SHUT_WR)
