Do not report a relayed write as not done when a copy of it arrives

Cause: messages between processes are delivered again after a reconnect. A peer that had passed a write on met the copy with a token that was used up, or that its predecessor had issued, and replied that the write was certainly not done. Evidence: found by review and shown there over sockets; the four new cases fail before this change (the write is in the store, the asker gets a refusal). Change: a peer vouches that a write was not done only if it consumes the very token that it issued, in time or late, or if the write has none yet. The log line of a rejected token has the write's key and the token's state. Why it works: a token is consumed once, so whoever meets an unknown one does not know what the first copy did. Result: the tests of relays pass; a write with an expired token is still reported as refused.

--- a/src/threadramp/fleet/relaying.py
+++ b/src/threadramp/fleet/relaying.py
@@ -11,6 +11,7 @@
 
 import secrets
 import threading
+from enum import Enum
 from itertools import chain, zip_longest
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,20 @@
 MAX_RELAY_ATTEMPTS = 4  # a peer that the store refuses as well replies at once
 
 
+class TokenState(Enum):
+    """What a relay knows of the token that a write carries.
+
+    The messages between processes are delivered again after a reconnect. A copy of a write that was
+    passed on has a token that is used up, or that an earlier process at this address issued, so an
+    unknown token does not tell that the write was not done.
+    """
+
+    VALID = "valid"
+    NONE = "none"
+    EXPIRED = "expired"
+    UNKNOWN = "unknown"
+
+
 def relay_through(
     addresses: Iterable[str],
     ask: CallStore,
@@ -82,10 +97,13 @@
 
     def answer(self, ask: CallStore) -> StoreAnswered:
         """Relay a call; reply without an answer if this process cannot reach the store either."""
+        token = self._consume_token(ask) if _needs_token(ask) else TokenState.VALID
         if self.health.is_unreachable:
-            return StoreAnswered(None, not_done=True)
-        if _needs_token(ask) and not self._consume_token(ask):
-            return StoreAnswered(None, self._issue_token(), not_done=True)
+            return StoreAnswered(None, not_done=token is not TokenState.UNKNOWN)
+        if token is not TokenState.VALID:
+            return StoreAnswered(
+                None, self._issue_token(), not_done=token is not TokenState.UNKNOWN
+            )
         try:
             return StoreAnswered(self.store.direct(ask.call).checked())
         except StoreError as error:
@@ -107,15 +125,26 @@
             self.tokens[token] = now + RELAY_TIMEOUT_S
         return token
 
-    def _consume_token(self, ask: CallStore) -> bool:
-        """Return whether a write has a valid token, which is used up by this."""
+    def _consume_token(self, ask: CallStore) -> TokenState:
+        """Return the state of a write's token, which is used up by this."""
+        if not ask.mark:
+            return TokenState.NONE
         with self.lock:
             until = self.tokens.pop(ask.mark, None)
-        if until is not None and self.health.clock.now() <= until:
-            return True
-        if ask.mark:
-            log_state("relay_token_rejected", asker=ask.sender, path=_path(ask.call))
-        return False
+        if until is None:
+            state = TokenState.UNKNOWN
+        else:
+            expired = self.health.clock.now() > until
+            state = TokenState.EXPIRED if expired else TokenState.VALID
+        if state is not TokenState.VALID:
+            log_state(
+                "relay_token_rejected",
+                asker=ask.sender,
+                path=_path(ask.call),
+                key=ask.call.key,
+                token=state.value,
+            )
+        return state
 
 
 def _send_call(
--- a/tests/fleet/test_late_relays.py
+++ b/tests/fleet/test_late_relays.py
@@ -110,6 +110,36 @@
     assert again.mark not in ("", first.mark)
 
 
+@pytest.mark.parametrize("relay_is_new", [False, True], ids=["same relay", "new relay"])
+@pytest.mark.parametrize("unreachable", [False, True], ids=["store there", "store lost"])
+def test_a_write_that_is_delivered_again_is_not_reported_as_not_done(
+    relay, clock, store_address, relay_is_new, unreachable
+) -> None:
+    """After a reconnect the copy was refused, and the asker took the write that was done for
+    refused."""
+
+    def deliver_twice(address: str, ask: CallStore, timeout_s: float) -> StoreAnswered:
+        reply = relay.answer(ask)
+        if not ask.mark:
+            return reply
+        assert reply.answer.status == 200
+        second = StoreRelay(relay.store, StoreHealth(clock)) if relay_is_new else relay
+        if unreachable:
+            second.health.record_failure(clock.now(), OSError("reset"))
+        return second.answer(ask)
+
+    with pytest.raises(StoreUnknownError):
+        relay_through(["g1"], CallStore("g0", "g0:1", WRITE), deliver_twice)
+
+
+def test_a_write_whose_token_has_expired_was_not_done(relay, clock) -> None:
+    """The caller may try another way without risk."""
+    token = relay.answer(CallStore("g0", "g0:1", WRITE, "")).mark
+    clock.at += RELAY_TIMEOUT_S + 0.1
+    late = relay.answer(CallStore("g0", "g0:1", WRITE, token))
+    assert (late.answer, late.not_done) == (None, True)
+
+
 def test_unused_tokens_expire(relay, clock) -> None:
     for _ in range(3):
         relay.answer(CallStore("g0", "g0:1", WRITE, ""))
