Take only statuses that say so for a refusal of the store

Cause: each status below 500 but those of an answer counted as "nothing was done". Change: an explicit list of statuses that say so; all others leave the outcome unknown. The check now covers 202, 301 and 408 too and failed for them before.

--- a/src/threadramp/platform/store_model.py
+++ b/src/threadramp/platform/store_model.py
@@ -9,7 +9,7 @@
 
 ABSENT = 0  # the revision of a key that does not exist
 ANSWERED = (200, 404, 410, 412)  # statuses of calls that the store carried out or judged
-SERVICE_UNAVAILABLE = 503
+NOT_DONE = (400, 401, 403, 405, 413, 429, 503)  # all further statuses leave the outcome unknown
 MAX_ENTRIES = 32  # in one transaction; the store's limit
 
 
@@ -165,16 +165,6 @@
     status: int
     body: bytes
 
-    @property
-    def is_refusal(self) -> bool:
-        """Return whether the store says that it did nothing.
-
-        Of the errors of a server only 503 says so.
-        """
-        if self.status in ANSWERED:
-            return False
-        return self.status < 500 or self.status == SERVICE_UNAVAILABLE
-
     def checked(self) -> RawAnswer:
         """Return this answer if the store carried the call out or judged it.
 
@@ -183,7 +173,7 @@
         """
         if self.status in ANSWERED:
             return self
-        kind = StoreRefusedError if self.is_refusal else StoreUnknownError
+        kind = StoreRefusedError if self.status in NOT_DONE else StoreUnknownError
         raise kind(f"status {self.status}")
 
 
--- a/tests/platform/test_store_outcomes.py
+++ b/tests/platform/test_store_outcomes.py
@@ -157,7 +157,7 @@
     """Any status but those of an answer was taken for the store's word that nothing was done."""
     write = platform_store.calls_by_name["kv-txn"]
     told = {}
-    for status in (500, 502, 504):
+    for status in (202, 301, 408, 500, 502, 504):
 
         def done_and_failed(request, status=status) -> Response:
             write(request)
