Keep a write of a lot under its nonce until its outcome is known

Cause: after two seconds the append was given up and its results were written again under another nonce. The head then carried the nonce of the gateway's own earlier write, which counted as another gateway's. The same held for an end and a change of owner after an append, and for two of them in a row; a hand-over that was done without an answer was never announced to the gateway it names. Change: a write of a head is a HeadChange that is sent unchanged at each attempt and stays with its lot until it is resolved (HeadWriter, OwnedLot.unresolved). All unresolved writes of a lot are conditional on the same revision, so the next answer about the head resolves all of them: the one whose nonce it carries was done, the others never will be. A head that names this process is its own, even if another gateway has written the end over the unanswered write; results that are not known here are read from the store. A refusal after an unanswered attempt stays unknown.

--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -6,8 +6,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+from threadramp.lots.head_change import append_change
 from threadramp.lots.journal import LotMissingError, NotOwnerError
-from threadramp.platform.store_model import StoreError
+from threadramp.platform.store_model import StoreError, StoreUnknownError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 
@@ -15,7 +16,8 @@
     from collections.abc import Callable
 
     from threadramp.fleet.clock import Clock
-    from threadramp.lots.journal import LotJournal
+    from threadramp.lots.head_change import HeadChange
+    from threadramp.lots.head_writer import HeadWriter
     from threadramp.lots.model import Result, StoredHead
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.report.metrics import Metrics
@@ -28,27 +30,33 @@
 class ResultAppender:
     """Writes the results of all owned lots, one write at a time for each lot.
 
+    A write that failed is sent again unchanged, until it is known whether it was done.
+
     :param on_owner_changed: called when another gateway owns a lot
+    :param on_ended: called with the head of a lot that another gateway has ended
     :param newest_version: returns the newest published version of a model, 0 if there is none
     """
 
     def __init__(
         self,
         owned: OwnedLots,
-        journal: LotJournal,
+        writer: HeadWriter,
         clock: Clock,
         on_owner_changed: Callable[[OwnedLot], None],
+        on_ended: Callable[[StoredHead], object],
         metrics: Metrics,
         newest_version: Callable[[str], int],
     ) -> None:
         self.owned = owned
-        self.journal = journal
+        self.writer = writer
         self.clock = clock
         self.on_owner_changed = on_owner_changed
+        self.on_ended = on_ended
         self.metrics = metrics
         self.newest_version = newest_version
         self.pool = ThreadPoolExecutor(WRITE_THREADS, thread_name_prefix="append")
         self.stopped = threading.Event()
+        writer.on_listed = self._record_listed
 
     def start(self) -> None:
         """Start the loop that appends results."""
@@ -56,54 +64,71 @@
 
     def _run(self) -> None:
         while not self.stopped.wait(POLL_INTERVAL_S):
-            now = self.clock.now()
-            for lot in self.owned.open():
-                with self.owned.lock:
-                    expired = lot.tracker.give_up_overdue(now)
-                    chunk = lot.tracker.next_chunk(now)
-                if expired:
-                    log_state("samples_expired", lot=lot.lot_id, samples=expired)
-                if chunk:
-                    self.pool.submit(self._append, lot, chunk)
-
-    def _append(self, lot: OwnedLot, chunk: tuple[Result, ...]) -> None:
+            self.run_once()
+
+    def run_once(self) -> None:
+        """Begin to write the results that are due."""
+        now = self.clock.now()
+        for lot in self.owned.open():
+            with self.owned.lock:
+                expired = lot.tracker.give_up_overdue(now)
+                chunk = lot.tracker.next_chunk(now)
+                change = append_change(lot.stored, chunk) if chunk else None
+            if expired:
+                log_state("samples_expired", lot=lot.lot_id, samples=expired)
+            if change is not None:
+                self.pool.submit(self._append, lot, change)
+
+    def _append(self, lot: OwnedLot, change: HeadChange) -> None:
         started = self.clock.now()
         try:
-            stored = self.journal.append(lot.stored, chunk)
-            self.metrics.record_latency("append", self.clock.now() - started)
+            stored = self.writer.write(lot, change)
         except (NotOwnerError, LotMissingError) as error:
             log_state("lot_owner_changed", lot=lot.lot_id, error=str(error))
             self.on_owner_changed(lot)
         except StoreError as error:
-            log_state("append_failed", lot=lot.lot_id, results=len(chunk), error=str(error))
-            self.stopped.wait(RETRY_PAUSE_S)
-            with self.owned.lock:
-                lot.tracker.append_failed()
+            is_unknown = isinstance(error, StoreUnknownError)
+            log_state(
+                "append_failed",
+                lot=lot.lot_id,
+                results=len(change.results),
+                may_be_done=is_unknown,
+                error=str(error),
+            )
+            self._repeat(lot, change)
         except Exception as error:  # the thread pool would discard it
             log_state("append_error", lot=lot.lot_id, error=repr(error))
-            with self.owned.lock:
-                lot.tracker.append_failed()
+            self._repeat(lot, change)
         else:
-            self._record_listed(lot, stored, chunk, started)
+            self.metrics.record_latency("append", self.clock.now() - started)
+            if stored.head.ended:
+                self.on_ended(stored)
 
-    def _record_listed(
-        self, lot: OwnedLot, stored: StoredHead, chunk: tuple[Result, ...], started: float
-    ) -> None:
+    def _repeat(self, lot: OwnedLot, change: HeadChange) -> None:
+        """Send a failed write again after a pause, unless its outcome is known by then.
+
+        A write that was not done is replaced by one with the results of that time.
+        """
+        self.stopped.wait(RETRY_PAUSE_S)
         with self.owned.lock:
-            lot.ownership_confirmed_at = started
-            lot.stored = stored
-            lot.tracker.appended(chunk)
-            self.owned.notify_readers()
-        for result in chunk:
+            is_unresolved = change.nonce in lot.unresolved
+            if not is_unresolved and lot.stored.revision == change.before.revision:
+                lot.tracker.append_failed()
+        is_owned = self.owned.get(lot.lot_id) is lot and not lot.tracker.ended
+        if is_unresolved and is_owned and not self.stopped.is_set():
+            self.pool.submit(self._append, lot, change)
+
+    def _record_listed(self, lot: OwnedLot, results: tuple[Result, ...]) -> None:
+        for result in results:
             self.metrics.count("listed", result.state.value)
-        behind = self._versions_behind(lot, chunk)
+        behind = self._versions_behind(lot, results)
         log_state(
             "listed",
             lot=lot.lot_id,
-            samples=[result.sample for result in chunk],
+            samples=[result.sample for result in results],
             behind=behind,
-            positions=stored.head.listed,
-            revision=stored.revision,
+            positions=lot.stored.head.listed,
+            revision=lot.stored.revision,
         )
 
     def _versions_behind(self, lot: OwnedLot, chunk: tuple[Result, ...]) -> list[int]:
--- a/src/threadramp/lots/journal.py
+++ b/src/threadramp/lots/journal.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from threadramp.lots.checkpoints import TEXT_PREFIX
+from threadramp.lots.head_change import append_change, head_change, new_nonce
 from threadramp.lots.model import (
-    LotHead,
     StoredHead,
     StoredLot,
     decode_head,
@@ -35,7 +34,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from threadramp.lots.model import Lot, Result
+    from threadramp.lots.head_change import HeadChange
+    from threadramp.lots.model import Lot, LotHead, Result
     from threadramp.platform.store import StoreClient
     from threadramp.platform.store_model import Item
 
@@ -53,12 +53,13 @@
 class NotOwnerError(Exception):
     """Another gateway owns the lot now, or has changed its head.
 
-    :param head: the head that the store has
+    :param stored: the head that the store has
     """
 
-    def __init__(self, head: LotHead) -> None:
-        self.head = head
-        super().__init__(f"the lot is owned by {head.owner} now")
+    def __init__(self, stored: StoredHead) -> None:
+        self.stored = stored
+        self.head = stored.head
+        super().__init__(f"the lot is owned by {stored.head.owner} now")
 
 
 class LotJournal:
@@ -78,7 +79,7 @@
         """
         data = encode(lot)
         parts = [data[start : start + PART_BYTES] for start in range(0, len(data), PART_BYTES)]
-        head = msgspec.structs.replace(head, parts=len(parts), nonce=_new_nonce())
+        head = msgspec.structs.replace(head, parts=len(parts), nonce=new_nonce())
         puts = [Put(_part_key(lot.id, number), part) for number, part in enumerate(parts)]
         writes = RetriedWrites(self.store, retry_for_s, retry_refused=True)
         self._store_parts(lot.id, writes, puts[1:])
@@ -104,12 +105,7 @@
         :raises NotOwnerError: if another gateway owns the lot now
         :raises StoreError: if it is unknown whether the results are stored
         """
-        head = stored.head
-        put = Put(_chunk_key(stored.lot_id, head.chunks), encode(tuple(results)))
-        new_head = msgspec.structs.replace(
-            head, chunks=head.chunks + 1, listed=head.listed + len(results), nonce=_new_nonce()
-        )
-        return self._update_head(stored, new_head, (put,))
+        return self.commit(append_change(stored, results))
 
     def update(self, stored: StoredHead, **fields: object) -> StoredHead:
         """Change fields of the head, such as its owner or that the lot has ended.
@@ -117,9 +113,32 @@
         :raises NotOwnerError: if the head has changed meanwhile
         :raises StoreError: if it is unknown whether the change is stored
         """
-        return self._update_head(
-            stored, msgspec.structs.replace(stored.head, nonce=_new_nonce(), **fields), ()
-        )
+        return self.commit(head_change(stored, **fields))
+
+    def commit(self, change: HeadChange) -> StoredHead:
+        """Store a change, or recognise it if an earlier attempt stored it.
+
+        :raises NotOwnerError: if the head has changed meanwhile, by another write
+        :raises LotMissingError: if the store no longer has the lot
+        :raises StoreRefusedError: if this attempt was not done
+        :raises StoreUnknownError: if it may have been done, or may still be done
+        """
+        lot_id = change.before.lot_id
+        key = HEAD_PREFIX + lot_id
+        puts = [Put(key, encode(change.head))]
+        if change.results:
+            puts.insert(
+                0, Put(_chunk_key(lot_id, change.before.head.chunks), encode(change.results))
+            )
+        transaction = Transaction({key: change.before.revision}, tuple(puts))
+        writes = RetriedWrites(self.store, RETRY_FOR_S, retry_refused=False)
+        answer = writes.commit(key, transaction, change.nonce)
+        if isinstance(answer, Committed):
+            return StoredHead(lot_id, change.head, answer.revision)
+        current = answer.current.get(key)
+        if current is None:
+            raise LotMissingError(lot_id)
+        raise NotOwnerError(_decode_stored(current))
 
     def read_head(self, lot_id: str) -> StoredHead | None:
         """Read a lot's head; none if the store has no such lot.
@@ -203,18 +222,6 @@
                 return key not in answer.current  # removed before, or by another box
         return True
 
-    def _update_head(self, stored: StoredHead, head: LotHead, puts: tuple[Put, ...]) -> StoredHead:
-        key = HEAD_PREFIX + stored.lot_id
-        transaction = Transaction({key: stored.revision}, (*puts, Put(key, encode(head))))
-        writes = RetriedWrites(self.store, RETRY_FOR_S, retry_refused=False)
-        answer = writes.commit(key, transaction, head.nonce)
-        if isinstance(answer, Committed):
-            return StoredHead(stored.lot_id, head, answer.revision)
-        current = answer.current.get(key)
-        if current is None:
-            raise LotMissingError(stored.lot_id)
-        raise NotOwnerError(decode_head(current.value))
-
     def _read_value(self, key: str) -> bytes:
         item = self.store.get(key)
         if item is None:
@@ -234,8 +241,4 @@
     return f"{CHUNK_PREFIX}{lot_id}/{number}"
 
 
-def _new_nonce() -> str:
-    return secrets.token_hex(8)
-
-
 __all__ = ["HEAD_PREFIX", "LotJournal", "LotMissingError", "NotOwnerError"]
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from threadramp.core.lot_tracker import LotTracker
+    from threadramp.lots.head_change import HeadChange
     from threadramp.lots.model import Result, StoredHead
 
 MAX_PAGE_CHARACTERS = 600_000  # a page of results may have 1 MB
@@ -19,12 +20,14 @@
 class OwnedLot:
     """One owned lot with its last known state in the store.
 
-    :param stored: its head; replaced with each write
+    :param stored: its newest known head; changed by ``record`` only
     :param partial_texts_requested: whether sidecars were asked for partial text of its samples
     :param had_other_owner: whether another box ran it before, which may not know that it is no
         longer the owner
     :param ownership_confirmed_at: time at which the store last accepted a conditional write of
         ours, so that nobody else can have owned the lot before
+    :param unresolved: writes of this process that may have been done or may be done later, by
+        nonce; all of them are conditional on the revision of ``stored``, so at most one is done
     """
 
     tracker: LotTracker
@@ -32,12 +35,26 @@
     partial_texts_requested: bool = False
     had_other_owner: bool = False
     ownership_confirmed_at: float = float("-inf")
+    unresolved: dict[str, HeadChange] = field(default_factory=dict)
 
     @property
     def lot_id(self) -> str:
         """Return the lot's id."""
         return self.stored.lot_id
 
+    def find_unresolved(self, matches: Callable[[HeadChange], bool]) -> HeadChange | None:
+        """Return an unresolved write that is to be sent again unchanged, none if there is none."""
+        return next((one for one in self.unresolved.values() if matches(one)), None)
+
+    def record(self, stored: StoredHead, results: Iterable[Result]) -> None:
+        """Record a newer head; with it the outcome of each unresolved write is known.
+
+        :param results: stored since the previous head
+        """
+        self.unresolved = {}
+        self.stored = stored
+        self.tracker.appended(results)
+
 
 @dataclass(frozen=True)
 class Page:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_tracker import LotRules, LotTracker
+from threadramp.lots.head_change import head_change
+from threadramp.lots.head_writer import HeadWriter, is_owned_by
 from threadramp.lots.journal import LotMissingError, NotOwnerError
 from threadramp.lots.model import LotHead, StoredLot
 from threadramp.lots.owned import OwnedLot
 from threadramp.lots.partial_texts import PartialTexts
 from threadramp.lots.recent_ends import RecentEnds
-from threadramp.platform.store_model import StoreError
+from threadramp.platform.store_model import StoreError, StoreRefusedError
 from threadramp.policy.routing import rendezvous
 from threadramp.policy.sample_length import LengthEstimator
 from threadramp.report.log import log_state
@@ -26,6 +28,7 @@
     from threadramp.fleet.model import Route
     from threadramp.fleet.peers import Peers
     from threadramp.lots.checkpoints import Checkpoints
+    from threadramp.lots.head_change import HeadChange
     from threadramp.lots.journal import LotJournal
     from threadramp.lots.model import Lot, SavedText, StoredHead
     from threadramp.lots.owned import OwnedLots
@@ -71,6 +74,7 @@
         self.stopped = threading.Event()
         self.leaving = False
         self.recent_ends = RecentEnds()
+        self.writer = HeadWriter(owned, journal, peers.member, clock)
 
     def submit(self, lot: Lot, route: Route, retry_for_s: float) -> None:
         """Store a lot and start work on it; does nothing if the store already has the lot.
@@ -93,22 +97,7 @@
 
         :raises StoreError: if it is unknown whether the end is stored
         """
-        owned = self.owned.get(lot_id)
-        if owned is not None:
-            had_ended = owned.stored.head.ended
-            stored = self._store_end(owned.stored)
-            self._stop_work(owned, stored)
-            if owned.had_other_owner and not had_ended:
-                self.notify_end(stored)
-            return True
-        stored = self.journal.read_head(lot_id)
-        if stored is None:
-            return False
-        ended = self._store_end(stored)
-        self.apply_end(ended)  # this gateway may have taken it over meanwhile
-        if ended.revision != stored.revision:  # else it had ended, and others were notified then
-            self.notify_end(ended)
-        return True
+        return self._end(lot_id)
 
     def apply_end(self, stored: StoredHead) -> bool:
         """Stop work on a lot whose end is stored; false if the lot does not run here.
@@ -122,6 +111,8 @@
             return False
         if not owned.tracker.ended:
             self._stop_work(owned, stored)
+        if stored.head.listed > len(owned.tracker.listed):
+            self.owned.remove(stored.lot_id)  # readers find all results in the store
         return True
 
     def release(self, owned: OwnedLot) -> None:
@@ -148,10 +139,11 @@
             return
         me = self.peers.member
         before = stored.head.owner
-        if (stored.head.owner, stored.head.incarnation) != (me.name, me.incarnation):
-            stored = self.journal.update(stored, owner=me.name, incarnation=me.incarnation)
+        if not is_owned_by(stored.head, me):
+            stored = self._write_take_over(stored)
         partial_texts = self.checkpoints.load(stored.lot_id)
-        self._resume(self.journal.load_from_head(stored), before, before != me.name, partial_texts)
+        stored_lot = self.journal.load_from_head(stored)
+        self._resume(stored_lot, before, before != me.name, partial_texts)
 
     def hand_over(self) -> None:
         """Transfer all open lots to other gateways; returns once all are transferred.
@@ -170,6 +162,16 @@
                     unresponsive.add(successor)
             self.stopped.wait(HAND_OVER_RETRY_S)
 
+    def _write_take_over(self, stored: StoredHead) -> StoredHead:
+        """Make this process the owner of an orphaned lot; return the new head."""
+        me = self.peers.member
+        try:
+            return self.journal.update(stored, owner=me.name, incarnation=me.incarnation)
+        except NotOwnerError as error:
+            if not is_owned_by(error.head, me) or error.head.ended:
+                raise
+            return error.stored  # an earlier take-over that was not answered
+
     def _new_head(self, lot: Lot, route: Route) -> LotHead:
         """Return the head of a lot that is submitted here now."""
         return LotHead(
@@ -196,25 +198,43 @@
         the owner that the store names might not look for it.
         """
         try:
-            with self.owned.lock:
-                stored = owned.stored
-            stored = self.journal.update(
-                stored, owner=successor.name, incarnation=successor.incarnation
-            )
-        except (StoreError, NotOwnerError, LotMissingError) as error:
+            stored = self._write_successor(owned, successor)
+        except (NotOwnerError, LotMissingError) as error:
+            log_state("lot_owner_changed", lot=owned.lot_id, error=str(error), seen="handing over")
+            self.release(owned)
+            return True
+        except StoreError as error:
             log_state("hand_over_failed", lot=owned.lot_id, error=str(error))
             return True
-        stored_lot = StoredLot(stored, owned.tracker.lot, tuple(owned.tracker.listed))
+        if stored.head.ended:
+            self.apply_end(stored)
+            return True
+        if not is_owned_by(stored.head, successor):
+            return True  # an earlier write of this process was done instead; see the next attempt
+        with self.owned.lock:
+            stored_lot = StoredLot(owned.stored, owned.tracker.lot, tuple(owned.tracker.listed))
         ask = Adopt(*self.peers.sender_fields, stored_lot)
         if self.peers.ask(successor.address, ask, HAND_OVER_TIMEOUT_S) is None:
             log_state("successor_unresponsive", lot=owned.lot_id, to=successor.name)
-            with self.owned.lock:
-                owned.stored = stored
             return False
         self.release(owned)
         log_state("lot_handed_over", lot=owned.lot_id, to=successor.name)
         return True
 
+    def _write_successor(self, owned: OwnedLot, successor: Member) -> StoredHead:
+        """Write the next owner of a lot; return its newest head.
+
+        A change of owner of unknown outcome is sent again first, whomever it names.
+        """
+        with self.owned.lock:
+            stored = owned.stored
+            if is_owned_by(stored.head, successor):
+                return stored
+            change = owned.find_unresolved(
+                lambda one: one.head.owner != stored.head.owner
+            ) or head_change(stored, owner=successor.name, incarnation=successor.incarnation)
+        return self.writer.write(owned, change)
+
     def _start(self, lot: Lot, stored: StoredHead) -> None:
         """Start work on a lot that has just been stored."""
         rules = rules_for(stored.head, self.clock.now())
@@ -234,6 +254,50 @@
             reused=reused,
         )
 
+    def _end(self, lot_id: str) -> bool:
+        """End a lot, whoever owns it; false if the store has no such lot."""
+        owned = self.owned.get(lot_id)
+        try:
+            return self._end_owned(owned) if owned is not None else self._end_stored(lot_id)
+        except LotMissingError:
+            return False
+
+    def _end_owned(self, owned: OwnedLot) -> bool:
+        """End a lot that runs here, and that another gateway may have taken over unnoticed."""
+        stored = owned.stored
+        had_ended = stored.head.ended
+        try:
+            for _ in range(MAX_END_ATTEMPTS):
+                if stored.head.ended:
+                    break
+                stored = self.writer.write(owned, self._end_change(owned))
+        except NotOwnerError:
+            return self._end_stored(owned.lot_id)
+        if not stored.head.ended:
+            raise _changed_too_often(owned.lot_id)
+        self._stop_work(owned, stored)
+        is_shared = owned.had_other_owner or not is_owned_by(stored.head, self.peers.member)
+        if is_shared and not had_ended:
+            self.notify_end(stored)
+        return True
+
+    def _end_change(self, owned: OwnedLot) -> HeadChange:
+        """Return the write of a lot's end; an unresolved one is sent again unchanged."""
+        with self.owned.lock:
+            unresolved = owned.find_unresolved(lambda one: one.head.ended)
+            return unresolved or head_change(owned.stored, ended=True)
+
+    def _end_stored(self, lot_id: str) -> bool:
+        """End a lot from what the store has of it; false if the store has no such lot."""
+        stored = self.journal.read_head(lot_id)
+        if stored is None:
+            return False
+        ended = self._store_end(stored)
+        self.apply_end(ended)  # this gateway may have taken it over meanwhile
+        if ended.revision != stored.revision:  # else it had ended, and others were notified then
+            self.notify_end(ended)
+        return True
+
     def _store_end(self, stored: StoredHead) -> StoredHead:
         """Write the end, retrying while another owner changes the head."""
         for _ in range(MAX_END_ATTEMPTS):
@@ -241,19 +305,15 @@
                 return stored
             try:
                 return self.journal.update(stored, ended=True)
-            except NotOwnerError:
-                found = self.journal.read_head(stored.lot_id)
-                if found is None:
-                    raise LotMissingError(stored.lot_id) from None
-                stored = found
-        raise StoreError(
-            f"the head of {stored.lot_id} changed at each of {MAX_END_ATTEMPTS} attempts to end it"
-        )
+            except NotOwnerError as error:
+                stored = error.stored
+        raise _changed_too_often(stored.lot_id)
 
     def _stop_work(self, owned: OwnedLot, stored: StoredHead) -> None:
         """Stop work on a lot whose end is stored."""
         with self.owned.lock:
-            owned.stored = stored
+            if stored.revision > owned.stored.revision:
+                owned.record(stored, ())
             self.partial_texts.add(owned.tracker)
             running = owned.tracker.end()
             listed = len(owned.tracker.listed)
@@ -313,6 +373,12 @@
         return replace(rules, give_up_at=rules.give_up_at + MAX_CLOCK_SKEW_S)
 
 
+def _changed_too_often(lot_id: str) -> StoreRefusedError:
+    return StoreRefusedError(
+        f"the head of {lot_id} changed at each of {MAX_END_ATTEMPTS} attempts to end it"
+    )
+
+
 def rules_for(head: LotHead, start: float) -> LotRules:
     """Return the rules that a lot's head asks for.
 
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+from threadramp.lots.journal import NotOwnerError
 from threadramp.lots.remote_lots import LotUnknownError, RemoteLots
 from threadramp.platform.store_model import StoreError
 from threadramp.report.log import log_state
@@ -99,8 +100,7 @@
         stored = self._head_if_listed_beyond(lot_id, after)
         if stored is None:
             return page
-        if (stored.head.owner, stored.head.incarnation) != self._myself():
-            self._release(lot_id, stored)
+        if not self._record_head(lot_id, stored):
             return None
         return self.owned.page(lot_id, after, lambda: 0.0)
 
@@ -137,16 +137,25 @@
                 self.head_checks.popitem(last=False)
         return stored if stored.head.listed > after else None
 
-    def _release(self, lot_id: str, stored: StoredHead) -> None:
+    def _record_head(self, lot_id: str, stored: StoredHead) -> bool:
+        """Record a head that lists more than is known here; false if another gateway owns the lot.
+
+        :raises StoreError: if the store did not answer about the results
+        """
         owned = self.owned.get(lot_id)
-        if owned is not None:
+        if owned is None:
+            return False
+        try:
+            self.owner.writer.record(owned, stored)
+        except NotOwnerError:
             log_state(
                 "lot_owner_changed", lot=lot_id, owner=stored.head.owner, seen="while reading"
             )
             self.owner.release(owned)
-
-    def _myself(self) -> tuple[str, str]:
-        return (self.peers.member.name, self.peers.member.incarnation)
+            return False
+        if stored.head.ended:
+            self.owner.apply_end(stored)
+        return True
 
 
 __all__ = ["LotReader"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -349,9 +349,10 @@
         self.reader = LotReader(owned, self.owner, journal, self.peers, clock)
         self.appending = ResultAppender(
             owned,
-            journal,
+            self.owner.writer,
             clock,
             self.owner.release,
+            self.owner.apply_end,
             self.metrics,
             lambda model: self.fleet_view.snapshot.newest_version(model),
         )
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -9,6 +9,8 @@
 from threadramp.fleet.fleet_view import FleetView, Member
 from threadramp.fleet.peers import Peers
 from threadramp.fleet.store_health import StoreHealth
+from threadramp.lots.head_change import append_change
+from threadramp.lots.head_writer import HeadWriter
 from threadramp.lots.journal import LotJournal
 from threadramp.lots.model import LotHead, Result, ResultState
 from threadramp.lots.owned import OwnedLot, OwnedLots
@@ -29,8 +31,9 @@
 class Owner:
     """Releases lots as the real owner does."""
 
-    def __init__(self, owned: OwnedLots) -> None:
+    def __init__(self, owned: OwnedLots, writer: HeadWriter) -> None:
         self.owned = owned
+        self.writer = writer
 
     def release(self, lot: OwnedLot) -> None:
         self.owned.remove(lot.lot_id)
@@ -60,7 +63,9 @@
         self.client = Client()
         peers = Peers(MEMBERS[0], picture, self.client, StoreHealth(clock), clock)
         self.owned = OwnedLots()
-        self.reader = LotReader(self.owned, Owner(self.owned), self.journal, peers, clock)
+        writer = HeadWriter(self.owned, self.journal, MEMBERS[0], clock)
+        self.owner = Owner(self.owned, writer)
+        self.reader = LotReader(self.owned, self.owner, self.journal, peers, clock)
 
     def append(self, name: str) -> None:
         self.stored = self.journal.append(self.stored, [result(name)])
@@ -189,3 +194,15 @@
     platform_store.faults_changed()
     page = gateway.reader.page_for_peer(ReadLot("g2", "g2:1", "lot", 1, 0.0))
     assert (page.total, page.sure) == (0, False)
+
+
+def test_an_own_write_that_was_not_answered_is_listed_to_readers(gateway):
+    gateway.append("a")
+    gateway.own()
+    lot = gateway.owned.get("lot")
+    change = append_change(lot.stored, (result("b"),))
+    lot.unresolved[change.nonce] = change
+    gateway.journal.commit(change)
+    gateway.clock.at += OWNERSHIP_CHECK_S + 0.1
+    assert gateway.names(1) == ["b"]
+    assert gateway.owned.get("lot") is lot
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -250,3 +250,41 @@
     # once each, before the processes were killed
     assert sorted(started_from_scratch) == ["lot1-s0", "lot1-s1"]
     assert all(run["after"] >= 25 for run in runs if run["after"])
+
+
+class OutageAfterWrite:
+    """Takes the store away right after a write was done, before it is answered.
+
+    :param is_last: told the keys of each write that was done; true for the one to leave unanswered
+    """
+
+    def __init__(self, fleet, is_last) -> None:
+        self.store = fleet.store
+        self.is_last = is_last
+        self.commit = self.store._commit
+        self.store._commit = self._commit
+
+    def _commit(self, asked):
+        answer = self.commit(asked)
+        if answer.status == 200 and self.is_last([put["key"] for put in asked.get("puts", [])]):
+            self.store._commit = self.commit
+            self.store.faults.update(lose_answers=1, outage=True)
+        return answer
+
+    def end(self) -> None:
+        self.store.faults["outage"] = False
+
+
+def test_a_gateway_keeps_its_lot_if_an_append_was_not_answered_during_an_outage(fleet):
+    """It took its own write for another gateway's and dropped the lot: review/2."""
+    first, second = fleet.gateways
+    for engine in fleet.engines:
+        engine.faults.update(events=10, gap_s=0.05)
+    outage = OutageAfterWrite(fleet, lambda keys: "lot-chunk/lot1/0" in keys)
+    assert fleet.hand_in(first, "lot1", samples=30) == 202
+    wait_for(lambda: first.lines("append_failed"), "the gateway gives an append up")
+    outage.end()
+    results = fleet.whole(second, "lot1")
+    assert len({row["id"] for row in results}) == len(results) == 30
+    assert first.lines("lot_owner_changed") == []
+    assert second.lines("lot_adopted") == []
