Take up a lot whose head names a live gateway that does not run it

The others leave such a lot alone, and only six gateways look through the heads, each ten seconds and for lots of their own. Change: the gateway whose hand-in or take-over ended unknown reads the head with pauses of 0.3 to 2 s until it is known, for 20 s (UnresolvedLots). A gateway that reads a lot, is told by the named owner that it does not run it, and finds the same owner in the store, tells that owner (TakeUp), at most once a second; so too for an earlier process of that box. The owner reads the head itself before it takes the lot up, so a late notice revives no lot that has ended.

--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -14,7 +14,8 @@
 from threadramp.lots.owned import OwnedLot
 from threadramp.lots.partial_texts import PartialTexts
 from threadramp.lots.recent_ends import RecentEnds
-from threadramp.platform.store_model import StoreError, StoreRefusedError
+from threadramp.lots.unresolved_lots import UnresolvedLots
+from threadramp.platform.store_model import StoreError, StoreRefusedError, StoreUnknownError
 from threadramp.policy.routing import rendezvous
 from threadramp.policy.sample_length import LengthEstimator
 from threadramp.report.log import log_state
@@ -75,6 +76,11 @@
         self.leaving = False
         self.recent_ends = RecentEnds()
         self.writer = HeadWriter(owned, journal, peers.member, clock)
+        self.unresolved_owners = UnresolvedLots("owner", self._take_up_if_named, clock)
+
+    def start(self) -> None:
+        """Start resolving writes of unknown outcome."""
+        self.unresolved_owners.start()
 
     def submit(self, lot: Lot, route: Route, retry_for_s: float) -> None:
         """Store a lot and start work on it; does nothing if the store already has the lot.
@@ -86,9 +92,16 @@
         if self.owned.get(lot.id) is not None:
             return
         head = self._new_head(lot, route)
-        stored = self.journal.create(lot, head, retry_for_s)
+        try:
+            stored = self.journal.create(lot, head, retry_for_s)
+        except StoreUnknownError:
+            self.unresolved_owners.add(lot.id)  # the lot may be stored, or be stored later
+            raise
         if stored is None:
-            log_state("lot_already_stored", lot=lot.id)
+            is_unresolved = lot.id in self.unresolved_owners
+            log_state("lot_already_stored", lot=lot.id, may_name_this_gateway=is_unresolved)
+            if is_unresolved:
+                self.unresolved_owners.add(lot.id)
             return
         self._start(lot, stored)
 
@@ -99,6 +112,14 @@
         """
         return self._end(lot_id)
 
+    def take_up_if_named(self, lot_id: str) -> None:
+        """Take a lot up in the background if its head names this process, which does not run it.
+
+        A reader reported that; the head may have been written without this process knowing it.
+        """
+        if self.owned.get(lot_id) is None:
+            self.unresolved_owners.add(lot_id, 0.0)
+
     def apply_end(self, stored: StoredHead) -> bool:
         """Stop work on a lot whose end is stored; false if the lot does not run here.
 
@@ -128,9 +149,10 @@
             # The previous owner has released the lot, so it does not count as another owner.
             self._resume(stored_lot, "a gateway that stops", False, {})
 
-    def take_over(self, stored: StoredHead) -> None:
+    def take_over(self, stored: StoredHead, may_run_elsewhere: bool = False) -> None:
         """Take over an orphaned lot, from what the store has of it.
 
+        :param may_run_elsewhere: whether another box may run it though the head names this one
         :raises NotOwnerError: if another gateway has taken it over meanwhile
         :raises LotMissingError: if the store no longer has the lot
         :raises StoreError: if it is unknown whether the change of owner is stored
@@ -143,7 +165,8 @@
             stored = self._write_take_over(stored)
         partial_texts = self.checkpoints.load(stored.lot_id)
         stored_lot = self.journal.load_from_head(stored)
-        self._resume(stored_lot, before, before != me.name, partial_texts)
+        had_other_owner = may_run_elsewhere or before != me.name
+        self._resume(stored_lot, before, had_other_owner, partial_texts)
 
     def hand_over(self) -> None:
         """Transfer all open lots to other gateways; returns once all are transferred.
@@ -171,6 +194,36 @@
             if not is_owned_by(error.head, me) or error.head.ended:
                 raise
             return error.stored  # an earlier take-over that was not answered
+        except StoreUnknownError:
+            self.unresolved_owners.add(stored.lot_id)
+            raise
+
+    def _take_up_if_named(self, lot_id: str) -> bool:
+        """Take a lot up if its head names this process; false if the store has no such lot (yet).
+
+        :raises StoreError: if the store did not answer
+        """
+        if self.owned.get(lot_id) is not None or self.leaving:
+            return True
+        stored = self.journal.read_head(lot_id)
+        if stored is None:
+            return False
+        # The head may also name an earlier process of this box, by a write that was done late.
+        takes_up = stored.head.owner == self.peers.member.name and not stored.head.ended
+        log_state(
+            "lot_owner_checked",
+            lot=lot_id,
+            revision=stored.revision,
+            owner=stored.head.owner,
+            ended=stored.head.ended,
+            takes_up=takes_up,
+        )
+        if takes_up:
+            try:
+                self.take_over(stored, may_run_elsewhere=True)
+            except (NotOwnerError, LotMissingError) as error:
+                log_state("lot_take_over_failed", lot=lot_id, error=str(error))
+        return True
 
     def _new_head(self, lot: Lot, route: Route) -> LotHead:
         """Return the head of a lot that is submitted here now."""
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -36,7 +36,9 @@
         self.journal = journal
         self.peers = peers
         self.clock = clock
-        self.remote_lots = RemoteLots(journal, peers, owned)
+        self.remote_lots = RemoteLots(
+            journal, peers, owned, lambda lot_id: self.owner.take_up_if_named(lot_id)
+        )
         self.head_checks: OrderedDict[str, tuple[float, int]] = OrderedDict()
         self.lock = threading.Lock()
 
--- a/src/threadramp/lots/remote_lots.py
+++ b/src/threadramp/lots/remote_lots.py
@@ -10,9 +10,19 @@
 from threadramp.lots.head_lookup import HeadLookup
 from threadramp.lots.owned import Page, first_page
 from threadramp.report.log import log_state
-from threadramp.wire.fleet import EndLot, LotEnded, LotPage, ReadBody, ReadLot, SampleBody
+from threadramp.wire.fleet import (
+    EndLot,
+    LotEnded,
+    LotPage,
+    ReadBody,
+    ReadLot,
+    SampleBody,
+    TakeUp,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from threadramp.fleet.fleet_view import Member
     from threadramp.fleet.peers import Peers
     from threadramp.lots.journal import LotJournal
@@ -23,6 +33,8 @@
 OWNER_MARGIN_S = 0.8  # added to the time that the reader is willing to wait
 MAX_CACHED_LOTS = 64
 END_TIMEOUT_S = 3.0
+TAKE_UP_TIMEOUT_S = 0.3
+TAKE_UP_INTERVAL_S = 1.0  # between two reports of a lot to its owner; trainers read more often
 
 
 class LotUnknownError(Exception):
@@ -34,17 +46,27 @@
     """What was read of a lot that another gateway owns; results at a position never change.
 
     :param lot: the lot as submitted, none until it was needed
+    :param denied_by: gateway that said at the last read that it does not own the lot, or is unsure
+    :param reported_at: time at which its owner was last told to take it up
     """
 
     stored: StoredHead
     results: list[Result] = field(default_factory=list)
     lot: Lot | None = None
+    denied_by: str = ""
+    reported_at: float = float("-inf")
 
 
 class RemoteLots:
-    """Reads and ends the lots that other gateways own."""
+    """Reads and ends the lots that other gateways own.
+
+    :param take_up: called with a lot whose head names this process, which does not run it
+    """
 
-    def __init__(self, journal: LotJournal, peers: Peers, owned: OwnedLots) -> None:
+    def __init__(
+        self, journal: LotJournal, peers: Peers, owned: OwnedLots, take_up: Callable[[str], None]
+    ) -> None:
+        self.take_up = take_up
         self.journal = journal
         self.peers = peers
         self.owned = owned
@@ -136,12 +158,16 @@
         return None if member.name == self.peers.member.name else member
 
     def _from_owner(self, cached: CachedLot, after: int, wait_s: float) -> Page | None:
+        cached.denied_by = ""
         member = self._live_owner(cached)
         if member is None:
             return None
         ask = ReadLot(*self.peers.sender_fields, cached.stored.lot_id, after, wait_s)
         reply = self.peers.ask(member.address, ask, wait_s + OWNER_MARGIN_S)
-        if not isinstance(reply, LotPage) or not reply.total:
+        if not isinstance(reply, LotPage):
+            return None
+        if not reply.total:
+            cached.denied_by = member.name
             return None
         if not reply.sure and not reply.results and after < reply.total:
             return None
@@ -176,7 +202,33 @@
             listed=stored.head.listed,
             revision=stored.revision,
         )
+        self._report_idle(cached)
         return Page(stored.head.total, stored.head.ended, first_page(cached.results[after:]))
 
+    def _report_idle(self, cached: CachedLot) -> None:
+        """Tell the owner that a lot's head names to take it up if it does not run it.
+
+        A write that was done without an answer may have made a live gateway the owner without its
+        knowledge. The other gateways leave such a lot alone.
+        """
+        head = cached.stored.head
+        now = self.peers.clock.now()
+        is_open = not head.ended and head.listed < head.total
+        if not is_open or now - cached.reported_at < TAKE_UP_INTERVAL_S:
+            return
+        if head.owner == self.peers.member.name:
+            cached.reported_at = now
+            self.take_up(cached.stored.lot_id)
+            return
+        member = self.peers.fleet_view.snapshot.members.get(head.owner)
+        if member is None:
+            return  # gateways that scan the lots of one that has left take it over
+        if member.incarnation == head.incarnation and member.name != cached.denied_by:
+            return
+        cached.reported_at = now
+        log_state("lot_owner_idle", lot=cached.stored.lot_id, owner=member.name)
+        ask = TakeUp(*self.peers.sender_fields, cached.stored.lot_id)
+        self.peers.ask(member.address, ask, TAKE_UP_TIMEOUT_S)
+
 
 __all__ = ["LotUnknownError", "RemoteLots"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -95,6 +95,7 @@
             watcher.start()
         self.peers.start()
         self.audit.start()
+        self.owner.start()
         self.appending.start()
         self.checkpoints.start()
         self.runners.start()
--- a/src/threadramp/serve/peer_requests.py
+++ b/src/threadramp/serve/peer_requests.py
@@ -30,6 +30,7 @@
     ReadLot,
     ReadUsage,
     Submit,
+    TakeUp,
     UsageLeft,
 )
 
@@ -82,6 +83,7 @@
             EndLot: self._end_lot,
             EndKept: self._end_stored_lot,
             Adopt: self._adopt,
+            TakeUp: self._take_up,
             Inspect: self.inspect_handler.handle,
         }
         if store_relay is not None:
@@ -112,6 +114,10 @@
         self.owner.adopt(request.kept)
         return Done()
 
+    def _take_up(self, request: TakeUp) -> Done:
+        self.owner.take_up_if_named(request.lot)
+        return Done()
+
     def _end_lot(self, request: EndLot) -> LotEnded:
         if self.owner.owned.get(request.lot) is None:
             return LotEnded(False, False)
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -210,6 +210,12 @@
     kept: StoredHead
 
 
+class TakeUp(Ask, frozen=True):
+    """Notice that the head of a lot names the receiver, which does not seem to run it."""
+
+    lot: str
+
+
 class Adopt(Ask, frozen=True):
     """Hand a lot over to the receiver, as it is stored."""
 
@@ -355,6 +361,7 @@
     | EndLot
     | EndKept
     | Adopt
+    | TakeUp
 )
 AnyReply = (
     Status
@@ -410,6 +417,7 @@
     "Status",
     "StoreAnswered",
     "Submit",
+    "TakeUp",
     "Updates",
     "UsageCounts",
     "UsageLeft",
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -18,7 +18,7 @@
 from threadramp.lots.remote_lots import LotUnknownError
 from threadramp.platform.store import StoreClient
 from threadramp.platform.store_model import Item, Listing, StoreError
-from threadramp.wire.fleet import LotPage, ReadLot
+from threadramp.wire.fleet import LotPage, ReadLot, TakeUp
 
 HEAD = LotHead("g1", "1", 0.0, 7.5, 40.0, 3, False, 3, 0, 0, 0, False, "")
 MEMBERS = [Member(f"g{n}", "gateway", "1", f"g{n}:1", "a", "") for n in range(3)]
@@ -34,6 +34,10 @@
     def __init__(self, owned: OwnedLots, writer: HeadWriter) -> None:
         self.owned = owned
         self.writer = writer
+        self.taken_up: list[str] = []
+
+    def take_up_if_named(self, lot_id: str) -> None:
+        self.taken_up.append(lot_id)
 
     def release(self, lot: OwnedLot) -> None:
         self.owned.remove(lot.lot_id)
@@ -44,8 +48,10 @@
 
     def __init__(self) -> None:
         self.replies: dict[str, object] = {}
+        self.asked: list[tuple[str, object]] = []
 
     def ask(self, address, ask, timeout_s):
+        self.asked.append((address, ask))
         return self.replies.get(address)
 
 
@@ -78,6 +84,10 @@
             self.tracker.appended([one])
         self.owned.add(OwnedLot(self.tracker, self.stored))
 
+    def reports(self) -> list[str]:
+        """Return the addresses that were told to take the lot up."""
+        return [at for at, ask in self.client.asked if isinstance(ask, TakeUp)]
+
     def names(self, after: int = 0) -> list[str]:
         return [one.sample for one in self.reader.results("lot", after, 0.0).results]
 
@@ -196,6 +206,56 @@
     assert (page.total, page.sure) == (0, False)
 
 
+NOT_OWNED = LotPage(0, False, ())
+
+
+def test_a_live_owner_that_does_not_run_its_lot_is_told_at_most_once_a_second(gateway):
+    """A lot lay at no engine until one of six gateways scanned the heads again: review/2."""
+    gateway.client.replies["g1:1"] = NOT_OWNED
+    for _ in range(9):
+        assert gateway.names() == []
+        gateway.clock.at += 0.25
+    assert gateway.reports() == ["g1:1"] * 3
+
+
+def test_an_owner_that_runs_its_lot_is_told_nothing(gateway, platform_store):
+    gateway.client.replies["g1:1"] = LotPage(3, False, (), True)
+    for _ in range(4):
+        assert gateway.names() == []
+        gateway.clock.at += 1.0
+    assert gateway.reports() == []
+    assert platform_store.counts["reads"] == 1  # of the head, by the first read
+
+
+@pytest.mark.parametrize("reply", [None, LotPage(3, False, ())], ids=["silent", "unsure"])
+def test_an_owner_that_does_not_deny_to_run_its_lot_is_told_nothing(gateway, reply):
+    gateway.client.replies["g1:1"] = reply
+    assert gateway.names() == []
+    assert gateway.reports() == []
+
+
+def test_the_next_process_of_a_lots_owner_is_told(gateway):
+    """A late write may name the previous process after its successor scanned the heads."""
+    gateway.stored = gateway.journal.update(gateway.stored, incarnation="0")
+    assert gateway.names() == []
+    assert gateway.reports() == ["g1:1"]
+
+
+def test_a_lot_that_names_the_reading_gateway_itself_is_taken_up(gateway):
+    gateway.stored = gateway.journal.update(gateway.stored, owner="g0")
+    assert gateway.names() == []
+    assert gateway.names() == []
+    assert gateway.owner.taken_up == ["lot"]
+
+
+@pytest.mark.parametrize("fields", [{"ended": True}, {"listed": 3}], ids=["ended", "complete"])
+def test_nobody_is_told_of_a_lot_that_needs_no_work(gateway, fields):
+    gateway.stored = gateway.journal.update(gateway.stored, **fields)
+    gateway.client.replies["g1:1"] = NOT_OWNED
+    gateway.reader.results("lot", 3, 0.0)
+    assert gateway.reports() == []
+
+
 def test_an_own_write_that_was_not_answered_is_listed_to_readers(gateway):
     gateway.append("a")
     gateway.own()
--- a/tests/lots/test_unresolved_writes.py
+++ b/tests/lots/test_unresolved_writes.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import itertools
+from types import SimpleNamespace
 
 import pytest
 
 from tests.core.test_lot_tracker import make_book, make_sample
 from tests.stores import MemoryStore
 from threadramp.fleet.fleet_view import Member
+from threadramp.fleet.model import PoolShare, Route, RouteKind
 from threadramp.lots.appending import ResultAppender
 from threadramp.lots.checkpoints import Checkpoints
 from threadramp.lots.head_change import append_change
@@ -16,12 +18,16 @@
 from threadramp.lots.model import LotHead, Result, ResultState
 from threadramp.lots.owned import OwnedLot, OwnedLots
 from threadramp.lots.owner import LotOwner
+from threadramp.lots.unresolved_lots import LATE_WRITE_S, UnresolvedLots
 from threadramp.platform.store_model import Committed, StoreRefusedError, StoreUnknownError
 from threadramp.report.metrics import Metrics
 from threadramp.wire.fleet import Adopt, Done
 
 NAMES = "abcd"
 MEMBERS = {name: Member(name, "gateway", "1", f"{name}:1", "a", "") for name in ("g0", "g1", "g2")}
+ROUTE = Route(
+    "r", "host", "/p/", RouteKind.SAMPLES, (PoolShare("pool", 1.0),), 2.0, 1.0, 3, give_up_s=40.0
+)
 FAULTS = ("lost", "dropped", "late", "refused")
 
 
@@ -342,3 +348,86 @@
     store.end_delay()
     gateway.owner.take_over(orphan)
     assert gateway.owned.get("lot") is not None
+
+
+@pytest.mark.parametrize("fault", ["lost", "late"])
+def test_a_lot_whose_creation_ended_unknown_is_run_once_it_is_found(gateway, clock, fault):
+    lot = make_book(*[make_sample(name, "g") for name in NAMES]).lot
+    gateway.store.plan = [fault]
+    with pytest.raises(StoreUnknownError):
+        gateway.owner.submit(lot, ROUTE, 0.0)
+    gateway.owner.unresolved_owners.run_once()
+    clock.at += 3.0
+    gateway.store.end_delay()
+    gateway.owner.unresolved_owners.run_once()
+    assert gateway.owned.get("lot") is not None
+    assert "lot" not in gateway.owner.unresolved_owners
+
+
+def test_a_lot_whose_creation_ended_unknown_runs_once_if_it_was_created_elsewhere(
+    gateway, store, clock
+):
+    lot = make_book(*[make_sample(name, "g") for name in NAMES]).lot
+    store.plan = ["late"]
+    with pytest.raises(StoreUnknownError):
+        gateway.owner.submit(lot, ROUTE, 0.0)
+    other = Gateway("g1", store, clock)
+    other.owner.submit(lot, ROUTE, 0.0)
+    assert not any(store.end_delay())
+    gateway.owner.unresolved_owners.run_once()
+    assert gateway.owned.get("lot") is None
+    assert "lot" not in gateway.owner.unresolved_owners
+
+
+def test_a_lot_that_names_an_earlier_process_of_the_box_is_taken_up_when_reported(
+    gateway, store, clock
+):
+    member = MEMBERS["g0"]
+    lot = gateway.own()
+    gateway.owned.remove("lot")
+    gateway.journal.update(lot.stored, incarnation="0")
+    gateway.owner.take_up_if_named("lot")
+    gateway.owner.unresolved_owners.run_once()
+    assert gateway.owned.get("lot").stored.head.incarnation == member.incarnation
+
+
+def test_a_report_about_a_lot_of_another_gateway_changes_nothing(gateway, store, clock):
+    Gateway("g1", store, clock).own()
+    gateway.owner.take_up_if_named("lot")
+    gateway.owner.unresolved_owners.run_once()
+    assert gateway.owned.get("lot") is None
+    assert "lot" not in gateway.owner.unresolved_owners
+    assert gateway.journal.read_head("lot").head.owner == "g1"
+
+
+def test_an_unresolved_lot_is_checked_with_increasing_pauses_and_given_up(clock):
+    checks = []
+    lots = UnresolvedLots("test", lambda lot_id: checks.append(clock.at), clock)
+    lots.add("lot")
+    for _ in range(int(2 * LATE_WRITE_S / 0.1)):
+        lots.run_once()
+        clock.at += 0.1
+    assert "lot" not in lots
+    assert len(checks) <= 15
+    assert checks[-1] - checks[0] >= LATE_WRITE_S
+    assert max(later - one for one, later in itertools.pairwise(checks)) <= 2.2
+
+
+def test_a_store_that_does_not_answer_does_not_end_the_checks(clock):
+    answers = SimpleNamespace(is_away=True)
+
+    def check(lot_id):
+        if answers.is_away:
+            raise StoreRefusedError("away")
+        return True
+
+    lots = UnresolvedLots("test", check, clock)
+    lots.add("lot")
+    for _ in range(25):
+        lots.run_once()
+        clock.at += 1.0
+    assert "lot" in lots
+    answers.is_away = False
+    clock.at += 3.0
+    lots.run_once()
+    assert "lot" not in lots
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -288,3 +288,17 @@
     assert len({row["id"] for row in results}) == len(results) == 30
     assert first.lines("lot_owner_changed") == []
     assert second.lines("lot_adopted") == []
+
+
+def test_a_lot_whose_hand_in_ended_unknown_runs_soon_after_the_outage(fleet):
+    """Its head named a live gateway that did not run it, until the next scan of the heads."""
+    first, second = fleet.gateways
+    outage = OutageAfterWrite(fleet, lambda keys: "lot/lot1" in keys)
+    answer = first.call(
+        "POST", "/lots/lot1", body=fleet.lot("lot1"), X_Attempt_Id="lot1", X_Deadline_Ms="2000"
+    )
+    assert answer.status == 504
+    outage.end()
+    wait_for(lambda: any(one.runs for one in fleet.engines), "a sample runs", 4.0)
+    assert len(fleet.whole(second, "lot1")) == 6
+    assert second.lines("lot_adopted") == []
