Answer an end of unknown outcome with 504 and write it until it is known

Callers saw DELETE of a lot answered 503, which promises that it has not been done and never will be, though the end was stored or was stored later; if it was not, items ran on until the trainer asked again. Cause: each error of the store became 503, the owner told its peer only "not stored", and nobody went on after an end without an answer. Change: the end is refused only if neither the lot's owner nor the asked gateway may have stored it (LotEnded.refused, EndOutcome); otherwise the answer is 504 (lot_end_unknown) and the asked gateway writes the end until it is known, then notifies the others. A read that fails before the end is sent, and reads of lots, are still answered 503; a refused end is not written later. Result: the new test over real processes fails before (503 instead of 504) and passes; a store that refuses is told as 503 before and after. Tests of ends that were lost, dropped or late, and of five pairs of outcomes at owner and asked gateway, pass.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -281,8 +281,17 @@
             log_state("lot_not_found", lot=call.lot, call=call.kind.value)
             request.respond(404)
         except StoreError as error:
+            if call.kind is LotCallKind.END and not isinstance(error, StoreRefusedError):
+                self._answer_unknown_end(request, call, error)
+                return
             self._refuse(request, 503, STORE_RETRY_S, f"{call.kind.value} {call.lot}: {error}")
 
+    def _answer_unknown_end(self, request: CallerRequest, call: LotCall, error: StoreError) -> None:
+        """Answer the end of a lot that may be stored: 503 would promise that it never is."""
+        log_state("lot_end_unknown", lot=call.lot, status=504, error=str(error))
+        self.metrics.count("lot", "end_unknown")
+        request.respond(504, close=self.stopping)
+
     def _results(self, request: CallerRequest, call: LotCall) -> None:
         wait = min(MAX_WAIT_S, wait_s(request.headers))
         page = self.reader.results(call.lot, call.after, wait)
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -77,10 +78,12 @@
         self.recent_ends = RecentEnds()
         self.writer = HeadWriter(owned, journal, peers.member, clock)
         self.unresolved_owners = UnresolvedLots("owner", self._take_up_if_named, clock)
+        self.unresolved_ends = UnresolvedLots("end", self._repeat_end, clock, math.inf)
 
     def start(self) -> None:
         """Start resolving writes of unknown outcome."""
         self.unresolved_owners.start()
+        self.unresolved_ends.start()
 
     def submit(self, lot: Lot, route: Route, retry_for_s: float) -> None:
         """Store a lot and start work on it; does nothing if the store already has the lot.
@@ -108,9 +111,16 @@
     def end(self, lot_id: str) -> bool:
         """End a lot, whoever owns it; false if the store has no such lot.
 
-        :raises StoreError: if it is unknown whether the end is stored
+        An end that may have been stored is written again in the background until it is.
+
+        :raises StoreRefusedError: if the end is not stored
+        :raises StoreUnknownError: if it may be stored
         """
-        return self._end(lot_id)
+        try:
+            return self._end(lot_id)
+        except StoreUnknownError:
+            self.unresolved_ends.add(lot_id)
+            raise
 
     def take_up_if_named(self, lot_id: str) -> None:
         """Take a lot up in the background if its head names this process, which does not run it.
@@ -225,6 +235,15 @@
                 log_state("lot_take_over_failed", lot=lot_id, error=str(error))
         return True
 
+    def _repeat_end(self, lot_id: str) -> bool:
+        """Write an end of unknown outcome again, and notify all gateways once it is stored.
+
+        :raises StoreError: if that is still unknown
+        """
+        is_stored = self._end(lot_id)
+        log_state("unresolved_end_known", lot=lot_id, stored=is_stored)
+        return True
+
     def _new_head(self, lot: Lot, route: Route) -> LotHead:
         """Return the head of a lot that is submitted here now."""
         return LotHead(
@@ -318,7 +337,7 @@
     def _end_owned(self, owned: OwnedLot) -> bool:
         """End a lot that runs here, and that another gateway may have taken over unnoticed."""
         stored = owned.stored
-        had_ended = stored.head.ended
+        had_ended = stored.head.ended and owned.lot_id not in self.unresolved_ends
         try:
             for _ in range(MAX_END_ATTEMPTS):
                 if stored.head.ended:
@@ -342,12 +361,16 @@
 
     def _end_stored(self, lot_id: str) -> bool:
         """End a lot from what the store has of it; false if the store has no such lot."""
-        stored = self.journal.read_head(lot_id)
+        try:
+            stored = self.journal.read_head(lot_id)
+        except StoreUnknownError as error:
+            raise StoreRefusedError(f"the end was not sent: {error}") from error
         if stored is None:
             return False
         ended = self._store_end(stored)
         self.apply_end(ended)  # this gateway may have taken it over meanwhile
-        if ended.revision != stored.revision:  # else it had ended, and others were notified then
+        # If it had ended before, others were notified then, unless that was not answered.
+        if ended.revision != stored.revision or lot_id in self.unresolved_ends:
             self.notify_end(ended)
         return True
 
--- a/src/threadramp/lots/reading.py
+++ b/src/threadramp/lots/reading.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.journal import NotOwnerError
-from threadramp.lots.remote_lots import LotUnknownError, RemoteLots
-from threadramp.platform.store_model import StoreError
+from threadramp.lots.remote_lots import EndOutcome, LotUnknownError, RemoteLots
+from threadramp.platform.store_model import StoreError, StoreRefusedError, StoreUnknownError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import LotPage, SampleBody
 
@@ -67,11 +67,22 @@
         """End a lot.
 
         :raises LotUnknownError: if there is no such lot
-        :raises StoreError: if it is unknown whether the end is stored
+        :raises StoreRefusedError: if the end is not stored
+        :raises StoreUnknownError: if it may be stored
         """
-        if self.owned.get(lot_id) is None and self.remote_lots.end(lot_id):
+        at_owner = EndOutcome.NOT_STORED
+        if self.owned.get(lot_id) is None:
+            at_owner = self.remote_lots.end(lot_id)
+        if at_owner is EndOutcome.STORED:
             return
-        if not self.owner.end(lot_id):
+        try:
+            is_found = self.owner.end(lot_id)
+        except StoreRefusedError as error:
+            if at_owner is EndOutcome.UNKNOWN:
+                self.owner.unresolved_ends.add(lot_id)
+                raise StoreUnknownError(f"the owner did not answer; here: {error}") from error
+            raise
+        if not is_found:
             raise LotUnknownError(lot_id)
 
     def page_for_peer(self, ask: ReadLot) -> LotPage:
--- a/src/threadramp/lots/remote_lots.py
+++ b/src/threadramp/lots/remote_lots.py
@@ -5,10 +5,12 @@
 import threading
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from threadramp.lots.head_lookup import HeadLookup
 from threadramp.lots.owned import Page, first_page
+from threadramp.platform.store_model import StoreRefusedError, StoreUnknownError
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
     EndLot,
@@ -28,7 +30,7 @@
     from threadramp.lots.journal import LotJournal
     from threadramp.lots.model import Lot, Result, StoredHead
     from threadramp.lots.owned import OwnedLots
-    from threadramp.wire.fleet import FindLot, LotFound
+    from threadramp.wire.fleet import AnyReply, FindLot, LotFound
 
 OWNER_MARGIN_S = 0.8  # added to the time that the reader is willing to wait
 MAX_CACHED_LOTS = 64
@@ -41,6 +43,14 @@
     """The store itself has no such lot."""
 
 
+class EndOutcome(Enum):
+    """What came of asking the owner of a lot to end it."""
+
+    STORED = "stored"
+    NOT_STORED = "not stored"
+    UNKNOWN = "unknown"
+
+
 @dataclass
 class CachedLot:
     """What was read of a lot that another gateway owns; results at a position never change.
@@ -101,18 +111,23 @@
         bodies = {one.id: one.body for one in cached.lot.samples}
         return bodies.get(sample)
 
-    def end(self, lot_id: str) -> bool:
-        """Ask the owner to end a lot; true if it confirms that the end is stored.
+    def end(self, lot_id: str) -> EndOutcome:
+        """Ask the owner to end a lot.
 
         :raises LotUnknownError: if there is no such lot
-        :raises StoreError: if the owner can't be read from the store
+        :raises StoreRefusedError: if the owner can't be read from the store
         """
-        member = self._live_owner(self._cached_lot(lot_id))
+        try:
+            member = self._live_owner(self._cached_lot(lot_id))
+        except StoreUnknownError as error:
+            raise StoreRefusedError(f"the end was not sent: {error}") from error
         if member is None:
-            return False
+            return EndOutcome.NOT_STORED
         ask = EndLot(*self.peers.sender_fields, lot_id)
         reply = self.peers.ask(member.address, ask, END_TIMEOUT_S)
-        return isinstance(reply, LotEnded) and reply.kept
+        outcome = _end_outcome(reply)
+        log_state("lot_end_asked", lot=lot_id, owner=member.name, outcome=outcome.value)
+        return outcome
 
     def find_for_peer(self, ask: FindLot) -> LotFound:
         """Answer a head lookup of a gateway in this data centre, and cache what was read.
@@ -231,4 +246,13 @@
         self.peers.ask(member.address, ask, TAKE_UP_TIMEOUT_S)
 
 
-__all__ = ["LotUnknownError", "RemoteLots"]
+def _end_outcome(reply: AnyReply | None) -> EndOutcome:
+    if not isinstance(reply, LotEnded):
+        return EndOutcome.UNKNOWN
+    if reply.kept:
+        return EndOutcome.STORED
+    is_certain = not reply.owned or reply.refused
+    return EndOutcome.NOT_STORED if is_certain else EndOutcome.UNKNOWN
+
+
+__all__ = ["EndOutcome", "LotUnknownError", "RemoteLots"]
--- a/src/threadramp/serve/peer_requests.py
+++ b/src/threadramp/serve/peer_requests.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from threadramp.lots.journal import LotMissingError
-from threadramp.platform.store_model import StoreError
+from threadramp.platform.store_model import StoreError, StoreRefusedError
 from threadramp.report.inspect_handler import InspectHandler
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
@@ -123,9 +122,16 @@
             return LotEnded(False, False)
         try:
             return LotEnded(True, self.owner.end(request.lot))
-        except (StoreError, LotMissingError) as error:
-            log_state("lot_end_not_stored", lot=request.lot, asker=request.sender, error=str(error))
-            return LotEnded(True, False)
+        except StoreError as error:
+            is_refused = isinstance(error, StoreRefusedError)
+            log_state(
+                "lot_end_not_stored",
+                lot=request.lot,
+                asker=request.sender,
+                may_be_done=not is_refused,
+                error=str(error),
+            )
+            return LotEnded(True, False, is_refused)
 
 
 __all__ = ["PeerRequestHandler"]
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -311,10 +311,13 @@
     """Whether the end of a lot is stored.
 
     :param owned: whether this gateway owned the lot
+    :param refused: whether the end is certainly not stored; false from a sender of a version that
+        does not say so
     """
 
     owned: bool
     kept: bool
+    refused: bool = False
 
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/lots/test_reading.py
+++ b/tests/lots/test_reading.py
@@ -17,8 +17,14 @@
 from threadramp.lots.reading import OWNERSHIP_CHECK_S, LotReader
 from threadramp.lots.remote_lots import LotUnknownError
 from threadramp.platform.store import StoreClient
-from threadramp.platform.store_model import Item, Listing, StoreError
-from threadramp.wire.fleet import LotPage, ReadLot, TakeUp
+from threadramp.platform.store_model import (
+    Item,
+    Listing,
+    StoreError,
+    StoreRefusedError,
+    StoreUnknownError,
+)
+from threadramp.wire.fleet import LotEnded, LotPage, ReadLot, TakeUp
 
 HEAD = LotHead("g1", "1", 0.0, 7.5, 40.0, 3, False, 3, 0, 0, 0, False, "")
 MEMBERS = [Member(f"g{n}", "gateway", "1", f"g{n}:1", "a", "") for n in range(3)]
@@ -35,10 +41,17 @@
         self.owned = owned
         self.writer = writer
         self.taken_up: list[str] = []
+        self.unresolved_ends: set[str] = set()
+        self.end_error: StoreError | None = None
 
     def take_up_if_named(self, lot_id: str) -> None:
         self.taken_up.append(lot_id)
 
+    def end(self, lot_id: str) -> bool:
+        if self.end_error is not None:
+            raise self.end_error
+        return True
+
     def release(self, lot: OwnedLot) -> None:
         self.owned.remove(lot.lot_id)
 
@@ -266,3 +279,31 @@
     gateway.clock.at += OWNERSHIP_CHECK_S + 0.1
     assert gateway.names(1) == ["b"]
     assert gateway.owned.get("lot") is lot
+
+
+@pytest.mark.parametrize(
+    ("reply", "error", "expected"),
+    [
+        (None, StoreRefusedError("503"), StoreUnknownError),
+        (LotEnded(True, False), StoreRefusedError("503"), StoreUnknownError),
+        (LotEnded(True, False, True), StoreRefusedError("503"), StoreRefusedError),
+        (LotEnded(False, False), StoreRefusedError("503"), StoreRefusedError),
+        (LotEnded(True, False, True), StoreUnknownError("late"), StoreUnknownError),
+    ],
+    ids=["silent", "unsure", "refused", "not owned", "unknown here"],
+)
+def test_an_end_is_refused_only_if_neither_the_owner_nor_we_may_have_stored_it(
+    gateway, reply, error, expected
+):
+    gateway.client.replies["g1:1"] = reply
+    gateway.owner.end_error = error
+    with pytest.raises(expected):
+        gateway.reader.end("lot")
+    is_repeated = expected is StoreUnknownError and isinstance(error, StoreRefusedError)
+    assert gateway.owner.unresolved_ends == ({"lot"} if is_repeated else set())
+
+
+def test_an_end_whose_owner_could_not_be_read_was_not_sent(gateway, platform_store):
+    platform_store.faults["outage"] = True
+    with pytest.raises(StoreRefusedError):
+        gateway.reader.end("lot")
--- a/tests/lots/test_unresolved_writes.py
+++ b/tests/lots/test_unresolved_writes.py
@@ -262,6 +262,52 @@
     assert gateway.stored_names() == names
 
 
+@pytest.mark.parametrize("fault", ["lost", "dropped", "late"])
+def test_an_end_of_unknown_outcome_is_written_until_it_is_known(gateway, clock, fault):
+    """It was told as refused, and the items of the lot ran on."""
+    lot = gateway.own()
+    gateway.store.plan = [fault]
+    with pytest.raises(StoreUnknownError):
+        gateway.owner.end("lot")
+    gateway.store.end_delay()
+    assert "lot" in gateway.owner.unresolved_ends
+    gateway.owner.unresolved_ends.run_once()
+    assert "lot" not in gateway.owner.unresolved_ends
+    assert gateway.journal.read_head("lot").head.ended
+    assert lot.tracker.ended
+
+
+@pytest.mark.parametrize("fault", ["lost", "dropped"])
+def test_an_end_of_unknown_outcome_is_notified_to_the_gateway_that_runs_the_lot(
+    gateway, store, clock, fault
+):
+    Gateway("g1", store, clock).own()
+    store.plan = [fault]
+    with pytest.raises(StoreUnknownError):
+        gateway.owner.end("lot")
+    gateway.owner.unresolved_ends.run_once()
+    assert [one.head.ended for one in gateway.notified] == [True]
+
+
+def test_an_end_that_was_refused_is_not_written_later(gateway):
+    gateway.own()
+    gateway.store.plan = ["refused"]
+    with pytest.raises(StoreRefusedError):
+        gateway.owner.end("lot")
+    assert "lot" not in gateway.owner.unresolved_ends
+
+
+def test_an_end_whose_lot_could_not_be_read_was_not_sent(gateway, store, clock):
+    Gateway("g1", store, clock).own()
+
+    def get(key):
+        raise StoreUnknownError("no answer")
+
+    store.get = get
+    with pytest.raises(StoreRefusedError):
+        gateway.owner.end("lot")
+
+
 def test_an_append_after_an_end_of_unknown_outcome_learns_of_the_end(gateway):
     lot = gateway.own()
     gateway.store.plan = ["lost"]
--- a/tests/serve/test_lots.py
+++ b/tests/serve/test_lots.py
@@ -302,3 +302,31 @@
     wait_for(lambda: any(one.runs for one in fleet.engines), "a sample runs", 4.0)
     assert len(fleet.whole(second, "lot1")) == 6
     assert second.lines("lot_adopted") == []
+
+
+def test_an_end_that_was_not_answered_is_reported_as_unknown_and_takes_effect(fleet):
+    """It was answered 503, which promises that the lot does not end."""
+    first = fleet.gateways[0]
+    for engine in fleet.engines:
+        engine.faults.update(events=400, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1", samples=30) == 202
+    wait_for(lambda: any(engine.runs for engine in fleet.engines), "samples began")
+    outage = OutageAfterWrite(fleet, lambda keys: "lot/lot1" in keys)
+    assert first.call("DELETE", "/threadramp/lots/lot1").status == 504
+    outage.end()
+    wait_for(lambda: first.lines("lot_ended"), "the lot ends", 4.0)
+
+
+def test_an_end_that_the_store_refused_is_reported_as_not_done(fleet):
+    first = fleet.gateways[0]
+    for engine in fleet.engines:
+        engine.faults.update(events=400, gap_s=0.05)
+    assert fleet.hand_in(first, "lot1") == 202
+    fleet.store.faults["calls_per_s"] = 0.001
+    fleet.store.faults_changed()
+    answer = first.call("DELETE", "/threadramp/lots/lot1")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    fleet.store.faults["calls_per_s"] = 0
+    fleet.store.faults_changed()
+    assert first.call("DELETE", "/threadramp/lots/lot1").status == 200
