Do not take a conflict about an absent lot for a stored one

Callers would see: a lot answered 202 that nobody has. Cause: a hand-in whose write conflicts counted as stored before, also where the answer shows no such lot; that answer tells nothing ("I do not know" taken for an answer). Found by review, read and not seen in a run of the real programs. Change: such a conflict leaves the outcome unknown, so the answer is 504. Result: the new test fails before (no error) and passes.

--- a/src/threadramp/lots/retried_writes.py
+++ b/src/threadramp/lots/retried_writes.py
@@ -12,7 +12,7 @@
 from threadramp.fleet.clock import steady_s
 from threadramp.lots.model import decode_head
 from threadramp.platform.call_attempts import CallAttempts
-from threadramp.platform.store_model import Committed, StoreError
+from threadramp.platform.store_model import ABSENT, Committed, StoreError, StoreUnknownError
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -49,6 +49,8 @@
         if isinstance(answer, Committed):
             return answer
         current = answer.current.get(key)
+        if current is None and transaction.expected.get(key) == ABSENT:
+            raise StoreUnknownError(f"the store has no {key} and yet refuses to create it")
         if current is not None and decode_head(current.value).nonce == nonce:
             log_state("write_confirmed", key=key, revision=current.revision)
             return Committed(current.revision)
--- a/tests/lots/test_journal.py
+++ b/tests/lots/test_journal.py
@@ -153,6 +153,15 @@
     assert journal.read_head("lot") is not None
 
 
+def test_a_conflict_without_the_lot_that_it_is_about_is_unknown(journal, platform_store):
+    """The lot was taken for stored already, and its trainer told so, though nobody had it."""
+    platform_store.calls_by_name["kv-txn"] = lambda request: Response.from_value(
+        {"requests": []}, 412
+    )
+    with pytest.raises(StoreUnknownError):
+        journal.create(make_lot(), HEAD, retry_for_s=0.3)
+
+
 def test_a_submission_waits_for_an_unreachable_store(journal, platform_store):
     """It was refused at once, though the outage ended long before the trainer's timeout."""
     platform_store.faults["outage"] = True
