Log the lots of the samples that are sent to a sidecar

Cause: items come back in later lots under the same ids, so the record of the incident cannot tell whether an item of a refused lot ran for that lot or for an earlier one that was accepted (a hypothesis that the review added).

--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -335,7 +335,13 @@
                     lot.tracker.accepted(sample, name, taken[sample])
             for lot, sample in refused:
                 lot.tracker.return_to_queue(sample, name, retry_at)
-        log_state("samples_sent", sidecar=name, taken=sorted(taken), refused=len(refused))
+        log_state(
+            "samples_sent",
+            sidecar=name,
+            lots=sorted({lot.lot_id for lot, _ in batch}),
+            taken=sorted(taken),
+            refused=len(refused),
+        )
 
     def _assign(self, lot: OwnedLot, sample: str, runner: str, gap_s: float) -> RunOrder:
         """Assign a sample to a sidecar and return the order to send."""
