Do not pass on a promise of not having run that no endpoint gave

Seen: an endpoint, or a proxy in front of one, that answered 408, 429 or 503 without the header that says "not run" after it had run a request had its status passed on; callers repeat a request that may run once after these (REFUSED). Cause: any failure with a complete body went back unchanged; 408 and 429 counted as a success of the endpoint. Change: such a response counts as a failure of an endpoint where the request may have run: a request that may be repeated is tried elsewhere, any other is told 502. Calls and streams alike; 404 and 500 go back unchanged as before.

--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -186,7 +186,7 @@
         if head.signature:  # else a reverse proxy may have sent it for a crashed endpoint
             self.admission.record_response(endpoint.incarnation)
         unsigned = 200 <= head.status < 300 and not head.signature
-        if unsigned or head.status >= 500:
+        if unsigned or head.status >= 500 or head.promises_too_much:
             return self._handle_failed_response(endpoint, response, unsigned)
         now = self.now()
         latency_s = now - self.history.sent_at[endpoint.incarnation]
@@ -202,7 +202,8 @@
         if unsigned:
             self.record_exchange_error(endpoint, ExchangeError(True, "no signature"), ran=True)
             return None
-        self.history.last_error_response = response
+        if not response.head.promises_too_much:
+            self.history.last_error_response = response
         error = ExchangeError(True, f"status {response.head.status}")
         self.record_failure(
             endpoint, error, True, self.access.choice.record_server_error(endpoint, self.now())
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -172,11 +172,12 @@
             self.admission.record_response(exchange.endpoint.incarnation)
         if 200 <= head.status < 300 and not head.signature:
             raise StreamBrokenError(exchange.endpoint.instance, "no signature")
-        if head.status >= 500:
+        if head.status >= 500 or head.promises_too_much:
             pause = self.access.choice.record_server_error(exchange.endpoint, self.now())
             reason = ExchangeError(True, f"status {head.status}")
             self.record_failure(exchange.endpoint, reason, True, pause)
-            self.history.last_error_response = complete_response
+            if not head.promises_too_much:
+                self.history.last_error_response = complete_response
             return None
         if self.stream.started:
             raise StreamBrokenError(exchange.endpoint.instance, f"status {head.status}")
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -32,6 +32,7 @@
 LAST_RANK = 9  # the least urgent that endpoints know
 OTHER_INSTANCE_STATUS = 421
 REJECTED_STATUSES = (421, 429, 503)
+NOT_RUN_STATUSES = (408, 421, 429, 503)  # with these, callers are promised that nothing has run
 
 _ONE_CONNECTION = frozenset(
     (
@@ -91,6 +92,11 @@
     version: int
     leaving: bool
 
+    @property
+    def promises_too_much(self) -> bool:
+        """Return whether callers would take its status for a promise that it does not give."""
+        return self.status in NOT_RUN_STATUSES and not self.not_run
+
 
 def request_id(headers: Mapping[str, str]) -> str:
     """Return the id of a caller's request, empty if it has none."""
--- a/tests/edge/test_long_bodies.py
+++ b/tests/edge/test_long_bodies.py
@@ -268,7 +268,9 @@
         job = Job(name, "POST", "/", headers, body, route, until, request.socket)
         outcome = self.streams.run(job, request, closes=False)
         self.outcomes.append(outcome.ending)
-        if outcome.ending not in (Ending.STREAMED, Ending.CUT):
+        if outcome.ending is Ending.ANSWERED:
+            request.respond(outcome.response.head.status)
+        elif outcome.ending not in (Ending.STREAMED, Ending.CUT):
             request.respond(503 if outcome.ending is Ending.NOT_RUN else 502)
 
     def stream(self, body: bytes) -> tuple[int, bytes]:
