Bound the bytes and the time of responses of endpoints

Callers of an endpoint that sent bytes without end got no answer while the bytes came, neither by their deadline nor by the route's timeout. A read timeout bounds only the pause between two pieces, so a few bytes each 50 ms held a thread of the gateway, the slot of a sample or the loop that asks for reports. Fast bytes were held until the process was killed; a stated length was allocated at once, and each tiny chunk as an object of its own.

Each part of a response (head, body, an event) now has a total size and a deadline where the socket is read, in wire/response_limits.py. What exceeds a limit is no broken connection, so that no crash is suspected; the connection is reset, and the request may have run. Repeatable calls leave half of their time to another attempt while a head or a body without a length arrives; a stream's stall time runs from its last event instead of its last byte.

--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -21,6 +21,8 @@
     from threadramp.edge.server import CallerRequest
     from threadramp.runner.events import Event
 
+DEADLINE_SLACK_S = 0.05  # for the last event of a stream
+
 
 class StreamBrokenError(Exception):
     """A stream that was interrupted before its end.
@@ -79,18 +81,20 @@
     ) -> None:
         """Relay complete events until the end of the stream.
 
-        :param read_timeout_s: returns the seconds to wait for the next bytes of the endpoint
+        :param read_timeout_s: returns the seconds to wait for the next event of the endpoint
         :raises StreamBrokenError: if the stream is interrupted
         :raises CallerDisconnectedError: if the caller disconnected
         """
         reader = EventReader()
         instance = exchange.endpoint.instance
         try:
-            exchange.connection.sock.settimeout(read_timeout_s())
+            exchange.start_event(read_timeout_s())
             for data in iter_body(response):
-                for event in reader.feed(data):
+                events = reader.feed(data)
+                for event in events:
                     self._relay_event(event, instance)
-                exchange.connection.sock.settimeout(read_timeout_s())
+                if events:
+                    exchange.start_event(read_timeout_s())
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             raise StreamBrokenError(instance, repr(error), is_connection_error(error)) from error
         if not reader.is_between_events:
@@ -114,6 +118,8 @@
             raise StreamBrokenError(
                 instance, f"event {event.number} follows event {self.last_event}"
             )
+        if self.now() > self.job.deadline + DEADLINE_SLACK_S:
+            raise StreamBrokenError(instance, "events after the deadline")
         try:
             self.request.write(event.raw)
         except OSError as error:
--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -8,22 +8,30 @@
 import socket
 from collections import OrderedDict, deque
 from contextlib import suppress
-from http.client import HTTPResponse, RemoteDisconnected
+from http.client import RemoteDisconnected
 from typing import TYPE_CHECKING
 
 from urllib3 import HTTPHeaderDict
 from urllib3 import HTTPResponse as BodyResponse
-from urllib3.connection import HTTPConnection
 
 from threadramp.edge.delivery import acked_bytes, is_delivered, was_closed_before
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.headers import ends_in_head, holds_head, named_id
+from threadramp.wire.response_limits import (
+    BoundedBuffer,
+    BoundedConnection,
+    BoundedResponse,
+    EndlessResponseError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from http.client import HTTPResponse
 
     from urllib3 import BaseHTTPResponse
 
+    from threadramp.wire.response_limits import BoundedReader
+
 MAX_REMEMBERED_IDS = 256  # per connection; duplicate responses came within seconds
 SURPLUS_SAMPLE_BYTES = 400  # enough to find the request id in surplus bytes
 STATUS_LINE = b"HTTP/1."
@@ -31,7 +39,7 @@
 HEAD_SAMPLE_BYTES = 4096  # enough to find the request id in a response
 
 
-class EndpointConnection(HTTPConnection):
+class EndpointConnection(BoundedConnection):
     """One connection, for all requests that it carries.
 
     :param timeout_s: seconds to connect
@@ -43,6 +51,7 @@
         self.uses = 0
         self.request_ids: OrderedDict[str, None] = OrderedDict()
         self.reader: _ResponseReader | None = None
+        self.response: BoundedResponse | None = None  # the last one
         self.method = ""
         self.request_id = ""
         self.unsent: deque[memoryview] = deque()  # of the current request
@@ -215,13 +224,14 @@
 
     def _response(
         self, sock: socket.socket, debuglevel: int, method: str | None, read_ahead: bytes
-    ) -> HTTPResponse:
-        response = _Response(sock, debuglevel, method, self.record_end_of_stream)
+    ) -> BoundedResponse:
+        response = _Response(sock, debuglevel, method, *self.deadlines(), self.record_end_of_stream)
         raw = response.fp.detach()
         self.reader = _ResponseReader(
-            _PrependedReader(read_ahead, raw) if read_ahead else raw, sock
+            _PrependedReader(read_ahead, raw) if read_ahead else raw, response.reader
         )
         response.fp = self.reader
+        self.response = response
         return response
 
     def read_surplus(self) -> bytes:
@@ -247,7 +257,7 @@
         return is_reused and not STATUS_LINE.startswith(surplus_sample[: len(STATUS_LINE)])
 
 
-class _Response(HTTPResponse):
+class _Response(BoundedResponse):
     """Reads one response.
 
     :param on_end_of_stream: called, while the socket is open, if there is none
@@ -258,9 +268,11 @@
         sock: socket.socket,
         debuglevel: int,
         method: str | None,
+        head_deadline: float,
+        body_deadline: float,
         on_end_of_stream: Callable[[], None],
     ) -> None:
-        super().__init__(sock, debuglevel, method)
+        super().__init__(sock, debuglevel, method, head_deadline, body_deadline)
         self.on_end_of_stream = on_end_of_stream
 
     def begin(self) -> None:
@@ -294,15 +306,15 @@
         super().close()
 
 
-class _ResponseReader(io.BufferedReader):
+class _ResponseReader(BoundedBuffer):
     """Reads one response; at its end it checks for more bytes without waiting.
 
     http.client reads ahead and discards the surplus together with the reader.
     """
 
-    def __init__(self, raw: io.RawIOBase, sock: socket.socket) -> None:
-        super().__init__(raw)
-        self.sock = sock
+    def __init__(self, raw: io.RawIOBase, bounded: BoundedReader) -> None:
+        super().__init__(raw, bounded)
+        self.sock = bounded.sock
         self.read_ahead = b""
 
     @property
@@ -322,7 +334,7 @@
         try:
             self.sock.setblocking(False)
             return self.peek(1)
-        except (OSError, ValueError):  # it is closed already
+        except (OSError, ValueError, EndlessResponseError):  # it is closed already, or has to be
             return b""
         finally:
             with suppress(OSError):
--- a/src/threadramp/edge/endpoint_probe.py
+++ b/src/threadramp/edge/endpoint_probe.py
@@ -12,13 +12,17 @@
 
 import socket
 from enum import Enum
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.engine import REPORT_PATH, read_report
+from threadramp.wire.response_limits import (
+    BoundedConnection,
+    BoundedResponse,
+    EndlessResponseError,
+)
 
 # A reachable box responds within one round trip; an unreachable one does not respond at all.
 PROBE_TIMEOUT_S = 0.1
@@ -90,9 +94,9 @@
     request = f"GET {REPORT_PATH} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n"
     try:
         connection.sendall(request.encode())
-        response = HTTPResponse(connection)
+        response = BoundedResponse(connection, head_deadline=steady_s() + wait_s)
         response.begin()
-    except TimeoutError:  # busy or unreachable
+    except (TimeoutError, EndlessResponseError):  # busy, unreachable, or alive and in trouble
         return EndpointState.LISTENS
     except (OSError, HTTPException):
         return EndpointState.BREAKS
@@ -106,12 +110,12 @@
     It is 0 if the endpoint reports no start time, and none if it does not respond.
     """
     host, _, port = address.partition(":")
-    connection = HTTPConnection(host, int(port), timeout=timeout_s)
+    connection = BoundedConnection(host, int(port), timeout=timeout_s)
     try:
         connection.request("GET", REPORT_PATH, headers={"Host": address}, preload_content=False)
         response = connection.getresponse()
         body = response.read(decode_content=False)
-    except (OSError, HTTPError, ValueError):
+    except (OSError, HTTPError, HTTPException, ValueError):
         return None
     finally:
         connection.close()
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -15,6 +15,7 @@
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.headers import REQUEST_ID, read_answer, sent_id
 from threadramp.report.log import log_state
+from threadramp.wire.response_limits import EndlessResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -29,6 +30,7 @@
 MIN_FINAL_STATUS = 200  # lower ones are interim responses
 MAX_DUPLICATES = 4  # responses that may be skipped before the own one
 DUPLICATE_READ_TIMEOUT_S = 0.1  # for the body of such a response, after its head
+DUPLICATE_BODY_S = 0.5  # for that body as a whole
 CHUNK_BYTES = 65_536  # read at once from a streamed body
 NO_USER_AGENT = {"User-Agent": SKIP_HEADER}
 # For bytes that are not HTTP, urllib3 raises errors that are not connection errors.
@@ -175,6 +177,8 @@
             timed_out = isinstance(error, TimeoutError)
             stale, broken = self._is_stale(error), is_connection_error(error)
             unresponsive, sent = self.reused and timed_out, self.connection.may_have_arrived
+            if isinstance(error, EndlessResponseError):
+                timed_out = error.too_slow
             raise ExchangeError(
                 sent, repr(error), stale, unresponsive, broken, timed_out=timed_out
             ) from error
@@ -210,7 +214,7 @@
             return False
         sock.settimeout(DUPLICATE_READ_TIMEOUT_S)
         try:
-            self.read_body(response)
+            self.read_body(response, DUPLICATE_BODY_S)
         except ExchangeError:
             self.log("answer_not_own", named=named_id, status=response.status, skipped=False)
             raise
@@ -219,10 +223,10 @@
         return True
 
     def _read_next_head(self, timeout_s: float) -> BaseHTTPResponse:
+        self.connection.timeout = timeout_s  # urllib3 applies it to the socket
         if self.duplicates:
             self.connection.sock.settimeout(timeout_s)
             return self.connection.next_response()
-        self.connection.timeout = timeout_s  # urllib3 applies it to the socket
         return self.connection.getresponse()
 
     def _is_stale(self, error: Exception) -> bool:
@@ -232,16 +236,21 @@
     def read(self, timeout_s: float) -> EndpointResponse:
         """Read the complete response.
 
+        :param timeout_s: for the head, and again for the body
+
         :raises ExchangeError: if it is not complete
         """
-        return self.read_body(self.read_head(timeout_s))
+        return self.read_body(self.read_head(timeout_s), timeout_s)
 
-    def read_body(self, response: BaseHTTPResponse) -> EndpointResponse:
+    def read_body(self, response: BaseHTTPResponse, timeout_s: float) -> EndpointResponse:
         """Read the body of a response whose head was read.
 
+        :param timeout_s: for all of it
+
         :raises ExchangeError: if it is not complete
         """
         try:
+            self.connection.response.start_body(steady_s() + timeout_s)
             body = response.read(decode_content=False)
         except READ_ERRORS as error:
             self.close()
@@ -252,6 +261,11 @@
             raise ExchangeError(True, "the body contains bytes of another response")
         return _endpoint_response(response, body)
 
+    def start_event(self, timeout_s: float) -> None:
+        """Apply a deadline to the next event of a stream, as a whole and for each read."""
+        self.connection.response.start_event(steady_s() + timeout_s)
+        self.connection.sock.settimeout(timeout_s)
+
     def is_own(self, head: AnswerHead) -> bool:
         """Return whether a response belongs to this request.
 
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -21,7 +21,9 @@
     from threadramp.fleet.model import Endpoint
 
 CALLER_POLL_S = 0.1  # how often to check whether the caller is still connected
-READ_TIMEOUT_S = 2.0  # upper bound for reading a response that has begun to arrive
+READ_TIMEOUT_S = 2.0  # upper bound for reading a head that has begun to arrive
+READ_SHARE_OF_TIME_LEFT = 0.5
+MIN_READ_S = 0.05
 
 
 class Forwarder(EndpointAccess):
@@ -148,9 +150,8 @@
         return self._read_response(exchange)
 
     def _read_response(self, exchange: Exchange) -> Outcome | None:
-        left = max(0.05, min(READ_TIMEOUT_S, self.job.deadline - self.now()))
         try:
-            response = exchange.read_head(left)
+            response = exchange.read_head(min(READ_TIMEOUT_S, self._read_limit_s()))
             if exchange.skip_duplicate(response):
                 return None
         except ExchangeError as error:
@@ -160,6 +161,20 @@
         self.record_closed(exchange)
         return self._read_own_body(exchange, response)
 
+    def _read_limit_s(self, has_length: bool = False) -> float:
+        """Return the seconds for the rest of a response that has begun to arrive.
+
+        What may never end leaves half of the time to another attempt, if there can be one.
+
+        :param has_length: whether it is a body whose head states its length
+        """
+        left = self.job.deadline - RESPONSE_MARGIN_S - self.now()
+        route = self.job.route
+        attempts_left = route.max_attempts - len(self.history.possibly_ran) - 1
+        if not has_length and route.may_repeat and attempts_left > 0:
+            left *= READ_SHARE_OF_TIME_LEFT
+        return max(MIN_READ_S, left)
+
     def _read_own_body(self, exchange: Exchange, response: BaseHTTPResponse) -> Outcome | None:
         """Read the body of a response whose head was read, if it belongs to this job."""
         endpoint = exchange.endpoint
@@ -167,7 +182,8 @@
             head = read_answer(response.status, response.headers)
             if not self.is_own(exchange, head):  # a duplicate may lack the rest of its body
                 return None
-            complete_response = exchange.read_body(response)
+            has_length = response.length_remaining is not None
+            complete_response = exchange.read_body(response, self._read_limit_s(has_length))
         except ExchangeError as error:
             self.record_exchange_error(endpoint, error, ran=True)
             return None
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -167,7 +167,7 @@
         self, exchange: Exchange, response: BaseHTTPResponse, head: AnswerHead
     ) -> Outcome | None:
         """Handle a response that is not a stream: an error, or a fault of the endpoint."""
-        complete_response = exchange.read_body(response)
+        complete_response = exchange.read_body(response, self._read_timeout_s())
         if head.signature:  # else a reverse proxy may have sent it for a crashed endpoint
             self.admission.record_response(exchange.endpoint.incarnation)
         if 200 <= head.status < 300 and not head.signature:
@@ -184,7 +184,7 @@
         return Outcome(Ending.ANSWERED, complete_response)
 
     def _read_timeout_s(self) -> float:
-        """Return the seconds to wait for the next bytes of the endpoint."""
+        """Return the seconds to wait for the next event of the endpoint."""
         left = self.job.deadline - self.now()
         if self._can_resume_elsewhere():
             left = min(left, STALL_TIMEOUT_S)
--- a/src/threadramp/runner/events.py
+++ b/src/threadramp/runner/events.py
@@ -7,6 +7,7 @@
 
 from threadramp.platform.headers import version_line, whole_number
 
+MAX_END_BYTES = 4
 _END = re.compile(rb"(\r?\n\r?\n)")
 
 
@@ -29,11 +30,16 @@
     """Buffers bytes and returns complete events."""
 
     def __init__(self) -> None:
-        self.pending = b""
+        self.pending = bytearray()
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that are complete now."""
-        *parts, self.pending = _END.split(self.pending + data)
+        searched = max(0, len(self.pending) - MAX_END_BYTES)
+        self.pending += data
+        if not _END.search(self.pending, searched):  # else a long event takes quadratic time
+            return []
+        *parts, rest = _END.split(bytes(self.pending))
+        self.pending = bytearray(rest)
         blocks = zip(parts[::2], parts[1::2], strict=True)
         return [_parse_event(block, end) for block, end in blocks if block.strip()]
 
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -35,7 +35,7 @@
 # The response head arrives with the first token, and an engine gets no more samples than it has
 # slots: 1,599 of 1,599 heads arrived within 0.3 s on a day of high load.
 HEAD_TIMEOUT_S = 0.3
-STREAM_IDLE_TIMEOUT_S = 5.0  # an idle stream is cut after this; a load of weights takes 0.9 s
+STREAM_IDLE_TIMEOUT_S = 5.0  # a stream without an event is cut; a load of weights takes 0.9 s
 
 
 class SampleRun:
@@ -175,14 +175,16 @@
 
     def _read_stream(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
         reader = EventReader()
-        exchange.connection.sock.settimeout(STREAM_IDLE_TIMEOUT_S)
+        exchange.start_event(STREAM_IDLE_TIMEOUT_S)
         self.last_event_at = self.clock.now()
         try:
             for data in iter_body(response):
-                for event in reader.feed(data):
-                    if not self._add_event(event):
-                        exchange.close()
-                        return
+                events = reader.feed(data)
+                if not all(self._add_event(event) for event in events):
+                    exchange.close()
+                    return
+                if events:
+                    exchange.start_event(STREAM_IDLE_TIMEOUT_S)
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             exchange.close()
             self._finish(self._outcome_of_break(is_connection_error(error)), repr(error))
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -69,6 +69,7 @@
 from threadramp.serve.process import ROLES, Process, run_in_background
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.packing import Packing
+from threadramp.wire.response_limits import process_limits
 from threadramp.wire.sync import SyncClient, SyncServer
 
 HTTP_THREADS = 40  # a reader of results may occupy one for a second
@@ -169,6 +170,7 @@
             settings.name, "gateway", self.incarnation, address, settings.data_centre, ""
         )
         self.metrics = Metrics("threadramp")
+        process_limits.configure(settings.memory_mb, self.metrics.count)
         self.fleet_view = FleetView()
         self.fleet_view.decode_cache.on_unreadable = lambda kind: self.metrics.count(
             "unreadable", kind
--- a/src/threadramp/serve/sidecar.py
+++ b/src/threadramp/serve/sidecar.py
@@ -27,6 +27,7 @@
 from threadramp.serve.process import ROLES, Process, run_in_background
 from threadramp.wire.fleet import decode_ask, decode_reply
 from threadramp.wire.packing import Packing
+from threadramp.wire.response_limits import process_limits
 from threadramp.wire.sync import SyncClient, SyncServer
 
 if TYPE_CHECKING:
@@ -55,6 +56,7 @@
             settings.endpoint,
         )
         self.metrics = Metrics("threadramp")
+        process_limits.configure(settings.memory_mb, self.metrics.count)
         health = StoreHealth(
             clock, silence_limit_s=math.inf
         )  # infinite: in large fleets renewals are 9 s apart
