Bound the bytes and the time of the store's answers

A store, or an interface for duties, that sent bytes without end held a call as long as they came: the read timeout of urllib3 applies to each read, and a whole body was held whatever its size.

The connections of store_lines.py, duty_calls.py and boxes.py use the limits of wire/response_limits.py: a call's timeout bounds its head as a whole, a body has 0.5 s more, and its size counts against the process's share for responses. Such a call ends in StoreUnknownError, or KeptLineError on a kept connection, never in StoreRefusedError; a duty call is unknown.

--- a/src/threadramp/platform/boxes.py
+++ b/src/threadramp/platform/boxes.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import msgspec
-from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
+from threadramp.wire.response_limits import BoundedPool, bounded_pool_manager
+
 TIMEOUT_S = 2.0
 
 
@@ -24,7 +25,7 @@
 
     def __init__(self, base: str) -> None:
         self.base = base.rstrip("/")
-        self.pool = PoolManager(retries=False)
+        self.pool = bounded_pool_manager(BoundedPool, retries=False)
 
     def leaving(self) -> frozenset[str] | None:
         """Return the addresses of leaving boxes, or none if the list did not answer."""
--- a/src/threadramp/platform/duty_calls.py
+++ b/src/threadramp/platform/duty_calls.py
@@ -14,10 +14,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from threadramp.wire.late_bytes import TooLateError, body_in_time, drop_what_is_late
+from threadramp.wire.response_limits import BoundedConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -106,7 +106,7 @@
     def _call(
         self, path: str, number: int, row: dict[str, object], may_send: Callable[[], bool]
     ) -> DutyAnswer:
-        connection = HTTPConnection(self.host, self.port, timeout=CONNECT_S)
+        connection = BoundedConnection(self.host, self.port, timeout=CONNECT_S)
         with closing(connection):
             try:
                 connection.connect()
@@ -126,7 +126,7 @@
 
     def _send(
         self,
-        connection: HTTPConnection,
+        connection: BoundedConnection,
         path: str,
         number: int,
         body: bytes,
--- a/src/threadramp/platform/store_lines.py
+++ b/src/threadramp/platform/store_lines.py
@@ -14,8 +14,7 @@
 from http.client import HTTPException
 from typing import TYPE_CHECKING
 
-from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.connection import HTTPConnection
+from urllib3 import Timeout
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 from urllib3.util.wait import wait_for_read
 
@@ -27,6 +26,7 @@
     StoreUnknownError,
 )
 from threadramp.report.log import log_state
+from threadramp.wire.response_limits import BoundedConnection, BoundedPool
 
 if TYPE_CHECKING:
     from threadramp.platform.store_model import Call
@@ -42,7 +42,7 @@
     :param has_answered: whether a call was answered on one of them
     """
 
-    pool: HTTPConnectionPool
+    pool: BoundedPool
     has_answered: bool = False
 
 
@@ -104,7 +104,7 @@
             return True
 
     def _new(self) -> _Kept:
-        return _Kept(HTTPConnectionPool(self.host, self.port, maxsize=POOL_SIZE, retries=False))
+        return _Kept(BoundedPool(self.host, self.port, maxsize=POOL_SIZE, retries=False))
 
 
 class WatchLine:
@@ -116,7 +116,7 @@
     def __init__(self, host: str, port: int) -> None:
         self.host = host
         self.port = port
-        self.connection: HTTPConnection | None = None
+        self.connection: BoundedConnection | None = None
         self.lock = threading.Lock()
 
     def send(self, call: Call) -> RawAnswer:
@@ -154,17 +154,17 @@
             with suppress(OSError):  # it is closed already
                 connection.sock.shutdown(socket.SHUT_RDWR)
 
-    def _taken(self) -> HTTPConnection:
+    def _taken(self) -> BoundedConnection:
         with self.lock:
             if self.connection is None:
-                self.connection = HTTPConnection(self.host, self.port)
+                self.connection = BoundedConnection(self.host, self.port)
             return self.connection
 
-    def _was_given_up(self, connection: HTTPConnection) -> bool:
+    def _was_given_up(self, connection: BoundedConnection) -> bool:
         with self.lock:
             return self.connection is not connection
 
-    def _failure(self, connection: HTTPConnection, text: str) -> StoreUnknownError:
+    def _failure(self, connection: BoundedConnection, text: str) -> StoreUnknownError:
         """Close a connection that brought no answer; return what became of its call."""
         was_given_up = self._was_given_up(connection)
         if not was_given_up:
@@ -173,7 +173,7 @@
         return GivenUpError(text) if was_given_up else StoreUnknownError(text)
 
 
-def _has_surplus(connection: HTTPConnection) -> bool:
+def _has_surplus(connection: BoundedConnection) -> bool:
     """Return whether bytes lie on a connection that is at rest; they answer no call to come."""
     if connection.sock is None or not wait_for_read(connection.sock, 0.0):
         return False  # a socket with a time-out would wait below, and no watch stand meanwhile
