Bound heads, bodies and lines on the own interface

A sidecar's call to a plain endpoint, a gateway's call to a sidecar and a client's call to a gateway were bounded by a read timeout for each read only, so that a head, a body or a line of a stream without end was held until the process ran out of memory. They use the connections of wire/response_limits.py; a line of a stream has at most 1 MiB, one with the whole text of a sample 16 MiB. The time of a stream is still bounded for each read only. A trainer's or caller's client bounds heads and lines, not whole bodies, as a step's answer may be long.

Evidence: tests/wire/test_response_limits.py reads a line without end until the limit and closes; tests/client, tests/gateway and tests/sidecar pass as before.

--- a/src/threadramp/client/http.py
+++ b/src/threadramp/client/http.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import HTTPError
 
 from threadramp.client.errors import RequestRefusedError, UnreachableError
@@ -15,6 +15,7 @@
 from threadramp.report.log import log_state
 from threadramp.wire.headers import REQUEST_ID
 from threadramp.wire.outcomes import Refusal
+from threadramp.wire.response_limits import StreamPool, bounded_pool_manager
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -50,7 +51,7 @@
         self.gateways = [gateway.rstrip("/") for gateway in gateways]
         self.token = token
         self.turns = itertools.count()
-        self.http = PoolManager(maxsize=16, retries=False)
+        self.http = bounded_pool_manager(StreamPool, maxsize=16, retries=False)
 
     def next_gateway(self) -> str:
         """Return the gateway whose turn it is."""
--- a/src/threadramp/client/trainer.py
+++ b/src/threadramp/client/trainer.py
@@ -32,6 +32,7 @@
 
 RETRY_PAUSE_S = 0.2
 LINE_TIMEOUT_S = 30.0
+MAX_SAMPLE_BYTES = 16_777_216  # of a line with the whole text of a sample
 FINAL_REASONS = (Reason.ALREADY_DELIVERED, Reason.BAD_REQUEST, Reason.NOT_FOUND)
 
 _line = msgspec.json.Decoder(ProgressLine | SampleLine | WithdrawLine | EndLine | ErrorLine)
@@ -140,7 +141,7 @@
         )
         samples: dict[str, SampleLine] = {}
         try:
-            for raw in response_lines(response):
+            for raw in response_lines(response, MAX_SAMPLE_BYTES):
                 line = _line.decode(raw)
                 if isinstance(line, SampleLine):
                     samples[line.id] = line
--- a/src/threadramp/gateway/sender.py
+++ b/src/threadramp/gateway/sender.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from urllib3 import PoolManager, Timeout
+from urllib3 import Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -19,6 +19,7 @@
 from threadramp.report.log import log_state
 from threadramp.wire import headers
 from threadramp.wire.outcomes import Outcome, Refusal
+from threadramp.wire.response_limits import BoundedPool, bounded_pool_manager
 from threadramp.wire.seal import digest
 
 if TYPE_CHECKING:
@@ -63,7 +64,9 @@
 
     def __init__(self, token: str, connections: int) -> None:
         self.token = token
-        self.pool = PoolManager(num_pools=512, maxsize=connections, retries=False)
+        self.pool = bounded_pool_manager(
+            BoundedPool, num_pools=512, maxsize=connections, retries=False
+        )
 
     def send(self, call: Outgoing) -> EndpointResponse | Stream | Refusal | Failure:
         """Send a call and return its answer, the sidecar's refusal, or how it failed."""
--- a/src/threadramp/sidecar/engine.py
+++ b/src/threadramp/sidecar/engine.py
@@ -8,8 +8,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from urllib3 import HTTPConnectionPool, Timeout
-from urllib3.connection import HTTPConnection
+from urllib3 import Timeout
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
@@ -24,6 +23,7 @@
 from threadramp.wire.headers import REQUEST_ID
 from threadramp.wire.late_bytes import TooLateError, body_in_time, drop_what_is_late
 from threadramp.wire.lines import response_lines
+from threadramp.wire.response_limits import BoundedConnection, BoundedPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -227,7 +227,7 @@
 
         :raises TooLateError: if it may not be sent any more
         """
-        connection = HTTPConnection(self.host, self.port, timeout=CONNECT_TIMEOUT_S)
+        connection = BoundedConnection(self.host, self.port, timeout=CONNECT_TIMEOUT_S)
         headers = {"Content-Type": "application/json", "Content-Length": str(len(body))} | CLOSE
         with closing(connection):
             connection.connect()
@@ -239,13 +239,13 @@
             response = connection.getresponse()
             return response.status, response.data
 
-    def _connection(self) -> HTTPConnectionPool:
+    def _connection(self) -> BoundedPool:
         """Return the place of one connection, which is closed with it."""
-        return HTTPConnectionPool(self.host, self.port, retries=False)
+        return BoundedPool(self.host, self.port, retries=False)
 
     def _request(
         self,
-        line: HTTPConnectionPool,
+        line: BoundedPool,
         method: str,
         path: str,
         headers: dict[str, str],
--- a/src/threadramp/wire/lines.py
+++ b/src/threadramp/wire/lines.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from threadramp.wire.response_limits import MAX_EVENT_BYTES, EndlessResponseError, Part
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -12,11 +14,18 @@
 BLOCK_BYTES = 65_536
 
 
-def response_lines(response: BaseHTTPResponse) -> Iterator[bytes]:
-    """Yield each complete line without its line ending; an incomplete last line is dropped."""
+def response_lines(
+    response: BaseHTTPResponse, max_line_bytes: int = MAX_EVENT_BYTES
+) -> Iterator[bytes]:
+    """Yield each complete line without its line ending; an incomplete last line is dropped.
+
+    :raises EndlessResponseError: if a line is too long
+    """
     rest = b""
     for block in response.stream(BLOCK_BYTES):
         *lines, rest = (rest + block).split(b"\n")
+        if len(rest) > max_line_bytes:
+            raise EndlessResponseError(Part.EVENT, False, len(rest))
         yield from (line.rstrip(b"\r") for line in lines)
 
 
--- a/tests/wire/test_response_limits.py
+++ b/tests/wire/test_response_limits.py
@@ -5,12 +5,13 @@
 import tracemalloc
 
 import pytest
-from urllib3.exceptions import ReadTimeoutError
+from urllib3.exceptions import HTTPError, ReadTimeoutError
 
 from tests.endless import BODIES, NOT_STREAMS, assert_was_stopped, result_within
 from tests.stuttering import LATE, Stutterer, response
 from threadramp.platform.standins.endless import Endless, EndlessServer
 from threadramp.policy.response_buffers import ResponseBuffers
+from threadramp.wire.lines import response_lines
 from threadramp.wire.response_limits import (
     BoundedConnection,
     EndlessResponseError,
@@ -116,3 +117,14 @@
     assert read_response(server.address, 5.0) == body
     assert buffers.held == 0
     server.close()
+
+
+def test_a_line_of_a_stream_is_bounded(endless):
+    server = endless(Endless.CHUNKED_EVENT)
+    host, _, port = server.address.partition(":")
+    connection = BoundedConnection(host, int(port), timeout=5.0)
+    connection.request("GET", "/", preload_content=False)
+    with pytest.raises(HTTPError):
+        list(response_lines(connection.getresponse()))
+    connection.close()
+    assert_was_stopped(server)
