Relay streams on connections that are to be closed

A caller whose stream came with Connection: close, or ended with its connection, saw it cut before its first event, and a sample's run was cut in the same way. http.client drops the connection's reference to its socket as soon as such a head is read; the relay set a timeout on that reference, and the AttributeError counted as a broken stream. For the same reason a caller's disconnect did not interrupt such a read, and closing the exchange did not reset the connection.

An exchange now takes the socket from the response where the connection has none, and closes the response as well.

Evidence: tests/edge/test_endless_responses.py, a whole stream with Connection: close and one that ends with its connection: both cut before, relayed with the change; the cases of an event without end on such a connection kept none of the two whole events before, and both with it.

--- a/src/threadramp/edge/disconnect_watcher.py
+++ b/src/threadramp/edge/disconnect_watcher.py
@@ -78,7 +78,7 @@
 def _unblock_reader(exchange: Exchange) -> None:
     """Interrupt the thread that reads an exchange."""
     try:
-        exchange.connection.sock.shutdown(socket.SHUT_RDWR)
+        exchange.socket.shutdown(socket.SHUT_RDWR)
     except (OSError, AttributeError):  # it is closed already
         return
 
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -92,6 +92,12 @@
         """Return whether bytes of a response are buffered, which polling the socket misses."""
         return bool(self.duplicates and self.connection.read_ahead)
 
+    @property
+    def socket(self) -> socket.socket | None:
+        """Return the socket, also of a response that ends with its connection."""
+        sock, response = self.connection.sock, self.connection.response
+        return sock if sock is not None or response is None else response.sock
+
     def fileno(self) -> int:
         """Return the file descriptor of the socket."""
         return self.connection.sock.fileno()
@@ -264,7 +270,7 @@
     def start_event(self, timeout_s: float) -> None:
         """Apply a deadline to the next event of a stream, as a whole and for each read."""
         self.connection.response.start_event(steady_s() + timeout_s)
-        self.connection.sock.settimeout(timeout_s)
+        self.socket.settimeout(timeout_s)
 
     def is_own(self, head: AnswerHead) -> bool:
         """Return whether a response belongs to this request.
@@ -295,11 +301,13 @@
         when the link recovers, up to ten seconds later, and run although its lot had ended or its
         caller had disconnected.
         """
-        sock = self.connection.sock
+        sock, response = self.socket, self.connection.response
         if sock is not None:
             with suppress(OSError):  # it is closed already
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
         self.connection.close()
+        if response is not None:  # it keeps the socket open where it ends with its connection
+            response.close()
 
 
 def is_connection_error(error: BaseException) -> bool:
--- a/tests/edge/test_endless_responses.py
+++ b/tests/edge/test_endless_responses.py
@@ -142,6 +142,17 @@
     assert_was_stopped(server)
 
 
+def test_a_stream_that_ends_with_its_connection_is_relayed(gateway, endless):
+    """It was cut before its first event: the connection had already lost its socket."""
+    gateway.time_s = TIME_S
+    gateway.route["resumable"] = False
+    server = endless(Endless.EVENT, slow=True, events=3)
+    gateway.serve = lambda engine: server.address
+    gateway.add()
+    response = gateway.open().getresponse()
+    assert response.read(len(events(1, 3))) == events(1, 3)
+
+
 @pytest.mark.parametrize("kind", HEADS)
 @pytest.mark.parametrize("slow", [False, True], ids=["fast", "slow"])
 def test_a_probe_ends_in_time_and_shows_no_crash(endless, kind, slow):
@@ -172,3 +183,26 @@
     assert outcome.ending is Ending.ANSWERED
     assert outcome.response.body == LARGE_BODY
     server.close()
+
+
+def _closing_stream(number: int, request: bytes) -> bytes:
+    body = b"".join(b"%x\r\n%s\r\n" % (len(one), one) for one in (events(1, 1), events(2, 2)))
+    head = response(
+        b"",
+        Connection="close",
+        Content_Type="text/event-stream",
+        Transfer_Encoding="chunked",
+        X_Attempt_Id=header_of(request, "X-Attempt-Id"),
+        X_Server_Stamp="s",
+    )
+    return head.replace(b"Content-Length: 0\r\n", b"") + body + b"0\r\n\r\n"
+
+
+def test_a_whole_stream_on_a_connection_to_be_closed_is_relayed(gateway):
+    server = Stutterer(_closing_stream, LATE)
+    gateway.route["resumable"] = False
+    gateway.serve = lambda engine: server.address
+    gateway.add()
+    assert result_within(gateway.time_s, gateway.read)[1] == events(1, 2)
+    assert gateway.outcomes[0].ending is Ending.STREAMED
+    server.close()
--- a/tests/endless.py
+++ b/tests/endless.py
@@ -13,8 +13,8 @@
 T = TypeVar("T")
 
 HEADS = [Endless.STATUS_LINE, Endless.HEADER_LINE, Endless.HEADER_LINES, Endless.INTERIM]
-EVENTS = [Endless.CHUNKED_EVENT]
-BODIES = [kind for kind in Endless if kind not in (*HEADS, *EVENTS, Endless.EVENT)]
+EVENTS = [Endless.EVENT, Endless.CHUNKED_EVENT]
+BODIES = [kind for kind in Endless if kind not in (*HEADS, *EVENTS)]
 NOT_STREAMS = [*HEADS, *BODIES]
 # One of each way in which a response is read; all kinds are played on calls.
 SOME = [Endless.HEADER_LINES, Endless.INTERIM, Endless.BODY, Endless.CHUNKS, Endless.TRAILERS]
