Give each machine's way to the store a port that no other process can get

A closed proxy port was an ephemeral one of 127.0.0.1, so that another run's listener could get it and machines wrote to a foreign store.

--- a/tests/serve/machine_store.py
+++ b/tests/serve/machine_store.py
@@ -19,6 +19,7 @@
     from threadramp.standins.server import Request
 
 WRITE = "kv-txn"
+PORT = 7790  # of each machine; while it is closed no other process may get it
 LATE_S = 0.9  # after which a late write is done
 SILENCE_S = 1.5  # longer than a call to the store waits for its response
 
@@ -102,7 +103,7 @@
 def serve_to_machine(box: Box, store: PlatformStore, serve: Callable[..., Any]) -> MachineStore:
     """Give a machine whose process has not started yet a store of its own."""
     standin = MachineStore(box, store)
-    standin.proxy = MachineProxy(serve(standin))
+    standin.proxy = MachineProxy(serve(standin), (box.ip, PORT))
     box.settings["provider"]["address"] = standin.proxy.address
     box.write()
     return standin
--- a/tests/serve/partitionable_proxy.py
+++ b/tests/serve/partitionable_proxy.py
@@ -23,8 +23,8 @@
 class PartitionableProxy(TcpProxy):
     """A proxy that can partition some connections, each in one or both directions."""
 
-    def __init__(self, target: str) -> None:
-        super().__init__(target)
+    def __init__(self, target: str, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
+        super().__init__(target, listen)
         self.changed = threading.Condition()
         self.random = Random()
         self.new_share = 0.0
--- a/tests/serve/tcp_proxy.py
+++ b/tests/serve/tcp_proxy.py
@@ -25,9 +25,11 @@
 
     A blackholed connection drops everything that is sent on it, and neither peer is told when the
     other one closes.
+
+    :param listen: address at which it listens, by default at a free port
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, listen: tuple[str, int] = ("127.0.0.1", 0)) -> None:
         host, _, port = target.partition(":")
         self.target = (host, int(port))
         self.is_open = True
@@ -38,7 +40,7 @@
         self.released = threading.Event()
         self.hold_pattern = b""
         self.is_holding = False
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server(listen)
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
--- a/tests/serve/test_refused_lots.py
+++ b/tests/serve/test_refused_lots.py
@@ -13,11 +13,12 @@
 import signal
 import threading
 import time
+from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from functools import partial
-from itertools import combinations, product
+from itertools import combinations, count, product
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -98,6 +99,7 @@
         self.stores = stores
         self.scripts: dict[str, Script] = {}
         self.on_head: Callable[[str], None] = lambda lot: None
+        self.writers: dict[str, set[str]] = defaultdict(set)  # machines that wrote a lot's head
         self.killed: list[Box] = []
         self.paused: list[Box] = []
         self.timers: list[threading.Timer] = []
@@ -114,6 +116,7 @@
         if script is not None:
             script.act(machine)
         if f"lot/{_lot_of(keys)}" in keys and fate is Fate.PASS:
+            self.writers[_lot_of(keys)].add(machine)
             self.on_head(_lot_of(keys))
 
     def box(self, name: str) -> Box:
@@ -156,12 +159,18 @@
         self.killed.clear()
 
     def wait_until_calm(self, name: str) -> None:
-        """Wait until every gateway accepts a lot, so that each has a connection that is kept."""
+        """Wait until every gateway writes a lot itself, so that it has a kept connection."""
         self.fleet.wait_until_ready()
         for gateway in self.fleet.gateways:
-            wait_for(lambda box=gateway: not has_lost_store(box), f"{gateway.name} has the store")
-            lot = f"calm-{name}-{gateway.name}"
-            wait_for(lambda box=gateway, lot=lot: self.fleet.hand_in(box, lot) == 202, lot)
+            lots = (f"calm-{name}-{gateway.name}-{number}" for number in count())
+            wait_for(
+                lambda box=gateway, lots=lots: self._writes(box, next(lots)),
+                f"{gateway.name} writes a lot",
+            )
+
+    def _writes(self, gateway: Box, lot: str) -> bool:
+        """Submit a lot; return whether this gateway wrote it without a peer."""
+        return self.fleet.hand_in(gateway, lot) == 202 and gateway.name in self.writers[lot]
 
     def runs_of(self, lot: str) -> list[str]:
         """Return the ids of the items and reward calls of a lot that ran."""
@@ -188,16 +197,6 @@
         }
 
 
-def has_lost_store(box: Box) -> bool:
-    """Return whether the store is out of reach for a process, by its log."""
-    changes = [
-        row["message_type"]
-        for row in box.lines()
-        if row.get("message_type") in ("threadramp:store_lost", "threadramp:store_regained")
-    ]
-    return changes[-1:] == ["threadramp:store_lost"]
-
-
 def _lot_of(keys: list[str]) -> str:
     """Return the lot that a write is about, empty if it is about none."""
     key = next((key for key in keys if key.startswith(("lot/", PARTS_PREFIX))), "")
@@ -408,10 +407,14 @@
     The store rejects the calls of half of the machines and refuses connections of the others.
     """
     ways = ("rejected", "refused")
+    losses = {box.name: len(box.lines("store_lost")) for box in machines.fleet.gateways}
     for store in machines.stores.values():
         turn_away(store, ways[store.machine in ("front-1", "side-1")])
     for gateway in machines.fleet.gateways:
-        wait_for(lambda box=gateway: has_lost_store(box), f"{gateway.name} has lost the store")
+        wait_for(
+            lambda box=gateway: len(box.lines("store_lost")) > losses[box.name],
+            f"{gateway.name} has lost the store",
+        )
     body = machines.fleet.lot("plainly", SAMPLES)
     calls = {
         gateway.name: partial(attempt, gateway, "plainly", body, LONG_WAIT_S)
--- a/tests/serve/trainer.py
+++ b/tests/serve/trainer.py
@@ -20,6 +20,7 @@
 REFUSALS = frozenset((408, 421, 429, 503))  # each promises that nothing of the lot runs
 CONNECT_TIMEOUT_S = 1.0
 MIN_ATTEMPT_S = 0.2  # with less time left no attempt is made
+MIN_PAUSE_S = 0.05  # between two attempts
 CHUNK_BYTES = 16_384
 
 
@@ -81,7 +82,7 @@
         if attempts[-1].status == 202:
             break
         left_s = max(0.0, deadline - time.monotonic())
-        time.sleep(min(attempts[-1].retry_after_s, left_s / 3))
+        time.sleep(min(max(MIN_PAUSE_S, attempts[-1].retry_after_s), left_s / 3))
     return attempts
 
 
