Expect a peer to say that a refused call was not done

Cause: two tests of relayed calls compared the whole reply of a peer that could not reach the store, or was refused by it, which now says `not_done`. Change: they expect that word, so they are stricter than before: a reply that left the outcome open would fail them.

--- a/tests/serve/test_peer_requests.py
+++ b/tests/serve/test_peer_requests.py
@@ -30,10 +30,10 @@
     """The response 503 of a store that refused this box was relayed as if it were final."""
     platform_store.faults["calls_per_s"] = 0.001
     platform_store.faults_changed()
-    assert handler.handle(CALL_REQUEST) == StoreAnswered(None)
+    assert handler.handle(CALL_REQUEST) == StoreAnswered(None, not_done=True)
 
 
 def test_a_gateway_that_cannot_reach_the_store_says_so_at_once(handler, clock):
     handler.store_relay.health.record_failure(clock.now(), ValueError("unreachable"))
-    assert handler.handle(CALL_REQUEST) == StoreAnswered(None)
+    assert handler.handle(CALL_REQUEST) == StoreAnswered(None, not_done=True)
     assert handler.store_relay.store.calls == 0
