Count a slow reader that two threads end at once only once

Operators saw one more `slow_reader_disconnected` than readers that were cut off, and test_past_the_bound_the_slowest_is_disconnected failed once at load 18 (3 whole answers + 5 ended of 6 callers). Cause: the thread of a new slow reader and the sender's thread choose whom to end from the same list; both counted and logged before one of them ended the reader. Change: only the thread that ends it counts and logs it. Result: the new test, in which two threads choose at once, fails before (2 for 1) and passes; the file passes.

--- a/src/threadramp/edge/slow_readers.py
+++ b/src/threadramp/edge/slow_readers.py
@@ -113,6 +113,9 @@
         readers = [one.reader for _, one in found.values()]
         for reader in readers_to_end(readers, self.max_bytes, self.max_silence_s(), now):
             key, one = found[id(reader)]
+            if not self._finish(key, one, False):
+                continue  # another thread has ended it meanwhile
+            self.ended_count += 1
             log_state(
                 "slow_reader_disconnected",
                 unread=reader.left,
@@ -121,16 +124,16 @@
                 silent_s=round(now - reader.progress_at, 2),
                 slow_readers=len(readers),
             )
-            self.ended_count += 1
-            self._finish(key, one, False)
 
-    def _finish(self, descriptor: int, one: _Unsent, complete: bool) -> None:
+    def _finish(self, descriptor: int, one: _Unsent, complete: bool) -> bool:
+        """End a reader; false if that was done before."""
         with self.lock:
             if self.unsent.get(descriptor) is not one:
-                return
+                return False
             del self.unsent[descriptor]
         one.rest = memoryview(b"")
         one.on_end(complete)
+        return True
 
 
 def send_now(sock: socket.socket, data: memoryview) -> int:
--- a/tests/edge/test_slow_readers.py
+++ b/tests/edge/test_slow_readers.py
@@ -6,13 +6,16 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
+from threadramp.edge import slow_readers
 from threadramp.edge.server import CallerRequest, EdgeServer
 from threadramp.fleet.model import CallerLimits
+from threadramp.policy.reader_buffers import SlowReader
 
 THREADS = 4
 LARGE = 1_000_000  # the largest answer: a page of results
@@ -129,6 +132,31 @@
     assert complete >= 2
 
 
+def test_a_reader_that_two_threads_end_at_once_is_counted_once(monkeypatch):
+    """Past the bound, a reader that one thread had just ended was counted and logged again."""
+    end_readers = slow_readers.readers_to_end
+    both_chose = threading.Barrier(2)
+
+    def choose(*arguments):
+        chosen = list(end_readers(*arguments))
+        both_chose.wait(5.0)
+        return chosen
+
+    monkeypatch.setattr(slow_readers, "readers_to_end", choose)
+    monkeypatch.setattr(slow_readers, "start_loop", lambda *arguments: None)
+    readers = slow_readers.SlowReaders(1, lambda: 60.0)
+    ours, theirs = socket.socketpair()
+    reader = SlowReader(LARGE, LARGE, 0.0, 0.0)
+    readers.unsent[ours.fileno()] = slow_readers._Unsent(
+        ours, memoryview(b"x"), reader, lambda complete: None
+    )
+    with ThreadPoolExecutor(2) as threads:
+        list(threads.map(lambda _: readers._end_some(), range(2)))
+    assert (readers.ended_count, readers.count) == (1, 0)
+    ours.close()
+    theirs.close()
+
+
 def test_a_reader_that_stops_reading_is_disconnected_after_the_idle_time(server):
     server.set_limits(CallerLimits(idle_s=0.5))
     ask_once = ask(server.server.bind_addr)
