Note a request as served before it is answered in the test of pauses

Cause: the server of the test wrote down what it served after its answer, so the test could read the file before the last line: '46x0.4x1' was answered 200 and not noted, once, at load 17. The checks are as they were; noting first is stricter, since a request that is served and not answered is noted as well.

--- a/tests/edge/test_head_refusals.py
+++ b/tests/edge/test_head_refusals.py
@@ -31,8 +31,8 @@
 
 def answer(request):
     body = request.read_body(100)
-    request.respond(200, body=b"ok")
     served.write((request.path[1:] + "\\n").encode())
+    request.respond(200, body=b"ok")
 
 served = open(sys.argv[1], "ab", buffering=0)
 edge = EdgeServer("127.0.0.1:0", answer, 16, CallerLimits(header_s=0.3, idle_s=5.0))
