--- a/tests/lots/test_unresolved_writes.py
+++ b/tests/lots/test_unresolved_writes.py
@@ -199,7 +199,7 @@
     return change
 
 
-@pytest.mark.parametrize("faults", itertools.product(FAULTS, repeat=2), ids="-".join)
+@pytest.mark.parametrize("faults", list(itertools.product(FAULTS, repeat=2)), ids="-".join)
 def test_an_append_of_unknown_outcome_is_listed_once_by_the_gateway_that_wrote_it(gateway, faults):
     """The write was repeated under another nonce, and its own head taken for a stranger's."""
     lot = gateway.own()
@@ -223,7 +223,7 @@
     assert gateway.owned.get("lot") is lot
 
 
-@pytest.mark.parametrize("faults", itertools.product(FAULTS, repeat=2), ids="-".join)
+@pytest.mark.parametrize("faults", list(itertools.product(FAULTS, repeat=2)), ids="-".join)
 def test_the_appender_repeats_a_write_until_its_outcome_is_known(gateway, faults):
     lot = gateway.own()
     lot.tracker.append_open = True
