Choose the engines for samples by their routes

After a version that moved the route, 56 of 96 ran at the old service.

Cause: which engines may run a sample was decided by the lot's model alone, in five places: the sidecars and hosts that a gateway asks (RunnerMembers, serves_any), the placement, the search for partial text, moves and urgent loads. The route was asked once, at the hand-in, for the lot's limits.

Change: SampleRoutes finds the route of each sample by the host of its lot and its own path, in the configuration in force; all five places ask it. The pool of an engine is that of the entry at its address. A group of samples goes to the pool that the weights of a split route assign to it (weighted rendezvous hashing), to another pool of the route only if no engine of the first can run it at all; samples move within their pool. Routes are indexed by host, with the longest prefix first.

Tests that call the changed constructors get routes; their checks are unchanged.

--- a/src/threadramp/duties/demand.py
+++ b/src/threadramp/duties/demand.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
     from threadramp.lots.owned import OwnedLots
+    from threadramp.lots.sample_routes import SampleRoutes
     from threadramp.policy.endpoint_choice import EndpointSelector
 
 Open = dict[str, dict[str, float]]  # by pool and data centre
@@ -18,7 +19,14 @@
 class DemandCounter:
     """Counts open requests of callers, and samples that run or wait."""
 
-    def __init__(self, fleet_view: FleetView, choice: EndpointSelector, owned: OwnedLots) -> None:
+    def __init__(
+        self,
+        fleet_view: FleetView,
+        choice: EndpointSelector,
+        owned: OwnedLots,
+        routes: SampleRoutes,
+    ) -> None:
+        self.routes = routes
         self.fleet_view = fleet_view
         self.choice = choice
         self.owned = owned
@@ -44,16 +52,18 @@
     def _add_samples(self, found: dict[str, Counter[str]], snapshot: FleetSnapshot) -> None:
         """Add the samples of owned lots, spread over the pool's data centres."""
         for lot in self.owned.open():
-            route = snapshot.configuration.route_for(lot.tracker.lot.host, lot.tracker.lot.path)
-            pool = route.shares[0].pool if route is not None else ""
-            if pool not in found:
-                continue
+            routes = self.routes.of(lot.tracker.lot)
             with self.owned.lock:
                 states = list(lot.tracker.states.values())
-            wanted = sum(state.phase in (Phase.RUNNING, Phase.WAITING) for state in states)
-            data_centres = {one.data_centre for one in snapshot.in_pool(pool)}
-            for data_centre in data_centres:
-                found[pool][data_centre] += wanted / len(data_centres)
+            wanted = Counter(
+                routes.pools_of(state.sample.id)[:1]
+                for state in states
+                if state.phase in (Phase.RUNNING, Phase.WAITING)
+            )
+            for pool in found:
+                data_centres = {one.data_centre for one in snapshot.in_pool(pool)}
+                for data_centre in data_centres if wanted[(pool,)] else ():
+                    found[pool][data_centre] += wanted[(pool,)] / len(data_centres)
 
 
 __all__ = ["DemandCounter", "Open"]
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -24,6 +24,7 @@
         targets_revision=snapshot.targets_revision,
         listed=sidecar.role == HOST_ROLE or sidecar.name in snapshot.members,
         sidecars=len(snapshot.by_role.get("sidecar", ())),
+        configuration_revision=snapshot.configuration_revision,
     )
     endpoint = snapshot.at_address(sidecar.endpoint)
     if endpoint is None or snapshot.configuration is None:
@@ -47,6 +48,12 @@
     return not models.isdisjoint(share.shifts)
 
 
+def is_in_pools(sidecar: Member, pools: Set[str], snapshot: FleetSnapshot) -> bool:
+    """Return whether a sidecar's engine belongs to one of these pools."""
+    pool = snapshot.pool_at(sidecar.endpoint)
+    return not pool or pool in pools  # as above, it may be registered in a moment
+
+
 def _with_endpoint(facts: Facts, endpoint: Endpoint, snapshot: FleetSnapshot, now: float) -> Facts:
     """Add the sidecar's endpoint and its position in its pool."""
     pool = snapshot.pool(endpoint.pool)
@@ -55,6 +62,7 @@
     return msgspec.structs.replace(
         facts,
         instance=endpoint.instance,
+        pool=endpoint.pool,
         born=endpoint.born,
         leaving=endpoint.leaving,
         share=share,
@@ -73,4 +81,4 @@
     return ColdFacts(per_s, left_s, snapshot.configuration.serves_calls(endpoint.pool))
 
 
-__all__ = ["facts_for", "serves_any"]
+__all__ = ["facts_for", "is_in_pools", "serves_any"]
--- a/src/threadramp/fleet/fleet_view.py
+++ b/src/threadramp/fleet/fleet_view.py
@@ -86,6 +86,8 @@
     """One consistent state of the fleet; immutable and replaced as a whole.
 
     :param cold_until: time until which an endpoint is cold, by instance id
+    :param configuration_revision: the store's revision at which the operator wrote the
+        configuration
     """
 
     configuration: Configuration | None = None
@@ -96,6 +98,7 @@
     retire_requests: tuple[RetireRequest, ...] = ()
     endpoints_revision: int = 0
     cold_until: dict[str, float] = field(default_factory=dict)
+    configuration_revision: int = 0
 
     def newest_version(self, model: str) -> int:
         """Return the newest published version of a model, 0 if there is none."""
@@ -122,6 +125,11 @@
         """Return the endpoint at an address, none if no entry has that address."""
         return self.by_address.get(address)
 
+    def pool_at(self, address: str) -> str:
+        """Return the pool of the endpoint at an address, empty if no entry has that address."""
+        endpoint = self.by_address.get(address)
+        return endpoint.pool if endpoint is not None else ""
+
     @cached_property
     def by_address(self) -> dict[str, Endpoint]:
         """Return the endpoints by address; computed once for each snapshot."""
@@ -199,7 +207,7 @@
     def _build(self) -> FleetSnapshot:
         operator = self.operator.snapshot()
         self.decode_cache.retain_only(OPERATOR_PREFIX, operator)
-        configuration = self._configuration(operator.get(CONFIGURATION_KEY))
+        configuration, revision = self._configuration(operator.get(CONFIGURATION_KEY))
         targets = self._documents_under(WEIGHTS_PREFIX, operator, _read_target)
         endpoints = self._endpoints(configuration)
         return FleetSnapshot(
@@ -213,6 +221,7 @@
             ),
             endpoints_revision=self.endpoints.revision,
             cold_until=self._cold_until(endpoints),
+            configuration_revision=revision,
         )
 
     def _cold_until(self, endpoints: dict[str, Endpoint]) -> dict[str, float]:
@@ -248,13 +257,17 @@
         ]
         return [row for row in rows if row is not None]
 
-    def _configuration(self, item: Item | None) -> Configuration | None:
+    def _configuration(self, item: Item | None) -> tuple[Configuration | None, int]:
+        """Return the configuration in force and its revision; the last one if it is unreadable."""
+        before = self.snapshot
         found = None
         if item is not None:
             found = self.decode_cache.decode_or_last(
                 "configuration", item, self._read_configuration
             )
-        return found if found is not None else self.snapshot.configuration
+        if found is None or found is before.configuration:
+            return before.configuration, before.configuration_revision
+        return found, item.revision
 
     def _read_configuration(self, item: Item) -> Configuration:
         return read_configuration(item.value, self.snapshot.configuration)
--- a/src/threadramp/fleet/model.py
+++ b/src/threadramp/fleet/model.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -58,6 +59,16 @@
     one_version: bool = False
     public: bool = False
 
+    @cached_property
+    def open_shares(self) -> tuple[PoolShare, ...]:
+        """Return the shares that receive requests: those with a weight, all if none has one."""
+        return tuple(share for share in self.shares if share.weight > 0) or self.shares
+
+    @cached_property
+    def pools(self) -> frozenset[str]:
+        """Return the names of the pools that its requests may be sent to."""
+        return frozenset(share.pool for share in self.open_shares)
+
     @property
     def may_repeat(self) -> bool:
         """Return whether a request may run more than once."""
@@ -123,13 +134,16 @@
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route of the host whose prefix is the longest match for the path."""
-        best: Route | None = None
-        for route in self.routes:
-            if route.host != host or not path.startswith(route.prefix):
-                continue
-            if best is None or len(route.prefix) > len(best.prefix):
-                best = route
-        return best
+        by_prefix = self._routes_by_host.get(host, {})
+        return next((route for prefix, route in by_prefix.items() if path.startswith(prefix)), None)
+
+    @cached_property
+    def _routes_by_host(self) -> dict[str, dict[str, Route]]:
+        """Return the routes by host and prefix, those with the longest prefixes first."""
+        found: dict[str, dict[str, Route]] = {}
+        for route in sorted(self.routes, key=lambda one: -len(one.prefix)):
+            found.setdefault(route.host, {}).setdefault(route.prefix, route)
+        return found
 
     def serves_calls(self, pool: str) -> bool:
         """Return whether any route sends calls to a pool, not only samples."""
--- a/src/threadramp/fleet/peers.py
+++ b/src/threadramp/fleet/peers.py
@@ -5,7 +5,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.fleet.facts import facts_for, serves_any
+from threadramp.fleet.facts import facts_for, is_in_pools, serves_any
 from threadramp.fleet.fleet_view import Member
 from threadramp.fleet.mirror_sync import MAX_REVISION, MirrorSync
 from threadramp.fleet.recent_members import RecentMembers
@@ -142,10 +142,14 @@
         self.sidecar_history.record(self.fleet_view.snapshot.sidecars(), now)
         return self.sidecar_history.current(self.last_reply_at, now)
 
-    def sidecars_for(self, models: Set[str]) -> list[Member]:
-        """Return the sidecars whose engines are used for samples of these models."""
+    def sidecars_for(self, models: Set[str], pools: Set[str]) -> list[Member]:
+        """Return the sidecars in these pools whose engines are used for samples of these models."""
         snapshot = self.fleet_view.snapshot
-        return [one for one in self.sidecars() if serves_any(one, models, snapshot)]
+        return [
+            one
+            for one in self.sidecars()
+            if is_in_pools(one, pools, snapshot) and serves_any(one, models, snapshot)
+        ]
 
     def reload_members(self) -> None:
         """Reload the member list from the store.
--- a/src/threadramp/fleet/runner_members.py
+++ b/src/threadramp/fleet/runner_members.py
@@ -33,18 +33,21 @@
         self.without_sidecar_since: dict[str, float] = {}
         self.by_engine: dict[str, str] = {}
 
-    def members(self, models: Set[str], unresponsive: Collection[str]) -> list[Member]:
+    def members(
+        self, models: Set[str], pools: Set[str], unresponsive: Collection[str]
+    ) -> list[Member]:
         """Return the processes to ask for samples of these models.
 
         Unresponsive sidecars are included, so that their return is noticed.
 
+        :param pools: pools that the samples may be sent to
         :param unresponsive: names of unresponsive sidecars and hosts
         """
         snapshot = self.peers.fleet_view.snapshot
-        sidecars = self.peers.sidecars_for(models)
+        sidecars = self.peers.sidecars_for(models, pools)
         found = {one.endpoint: one for one in sidecars if one.name not in unresponsive}
         hosts = self._hosts(
-            snapshot, models, found, {one.endpoint for one in sidecars}, unresponsive
+            snapshot, models, pools, found, {one.endpoint for one in sidecars}, unresponsive
         )
         self._log_changes(found | hosts)
         return [*sidecars, *hosts.values()]
@@ -53,6 +56,7 @@
         self,
         snapshot: FleetSnapshot,
         models: Set[str],
+        pools: Set[str],
         covered: Collection[str],
         listed: Collection[str],
         unresponsive: Collection[str],
@@ -80,7 +84,7 @@
                 log_state("engine_without_host", engine=engine.address)
                 continue
             hosted = hosted_member(host, engine.address)
-            if serves_any(hosted, models, snapshot):
+            if engine.pool in pools and serves_any(hosted, models, snapshot):
                 hosts[engine.address] = hosted
         return hosts
 
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -10,9 +10,15 @@
 from threadramp.fleet.runner_members import RunnerMembers
 from threadramp.lots.runner_updates import RunnerUpdates
 from threadramp.lots.sample_moves import SampleMoves
+from threadramp.lots.sample_routes import SampleRoutes
 from threadramp.lots.urgent_loads import UrgentLoads
 from threadramp.policy.sample_order import SampleOrder, WaitingSample
-from threadramp.policy.sample_placement import RunnerView, choose_runner, median_gap_ms
+from threadramp.policy.sample_placement import (
+    RunnerView,
+    choose_runner,
+    median_gap_ms,
+    views_in_pools,
+)
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
 from threadramp.wire.fleet import (
@@ -72,8 +78,9 @@
         self.views: dict[str, RunnerView] = {}
         self.collectors: set[str] = set()
         self.eligible: frozenset[str] = frozenset()
-        self.moves = SampleMoves(owned, clock, self._take_back)
-        self.urgent_loads = UrgentLoads(owned, peers, clock)
+        self.routes = SampleRoutes(peers.fleet_view)
+        self.moves = SampleMoves(owned, clock, self._take_back, self.routes)
+        self.urgent_loads = UrgentLoads(owned, peers, clock, self.routes)
         self.lock = threading.Lock()
         self.stopped = threading.Event()
 
@@ -103,8 +110,13 @@
 
     def _refresh_views(self) -> None:
         """Keep one view and one collector for each sidecar that may run samples of owned lots."""
-        models = {lot.tracker.lot.model for lot in self.owned.open()}
-        members = {one.name: one for one in self.members.members(models, self._unresponsive())}
+        lots = [lot.tracker.lot for lot in self.owned.open()]
+        self.routes.retain(lots)
+        models = {lot.model for lot in lots}
+        pools = self.routes.pools_of_all(lots)
+        found = self.members.members(models, pools, self._unresponsive())
+        members = {one.name: one for one in found}
+        snapshot = self.peers.fleet_view.snapshot
         with self.lock:
             self.eligible = frozenset(members)
             for name in self.views.keys() - members.keys() - self.collectors:
@@ -115,6 +127,7 @@
                     self.views[name] = RunnerView(member, first_asked_at=self.clock.now())
                 else:
                     view.member = member
+                self.views[name].pool = snapshot.pool_at(member.endpoint)
                 self._start_collector(name)
 
     def _unresponsive(self) -> list[str]:
@@ -222,6 +235,7 @@
                 name
                 for name in reply.samples
                 if lot.tracker.states[name].phase is Phase.WAITING
+                and self.routes.allows(lot.tracker.lot, name, view.member.endpoint)
                 and self.crash_guard.may_run_anywhere(lot, name)
             ]
         if samples:
@@ -249,15 +263,16 @@
         now = self.clock.now()
         views = list(self._eligible_views().values())
         batches: dict[str, list[tuple[OwnedLot, str]]] = {}
-        without_runner: set[tuple[str, int, int]] = set()
+        without_runner: set[tuple[str, int, int, tuple[str, ...]]] = set()
         for one in self._waiting(views, now):
             lot, name = one.lot, one.sample
             request = lot.tracker.lot
             queued = self.order.queued(one.latest_start, now)
-            needs = (request.model, request.min_version, queued)
-            if needs in without_runner:
+            pools = self.routes.of(request).pools_of(name)
+            needs = (request.model, request.min_version, queued, pools)
+            if not pools or needs in without_runner:
                 continue
-            view = self._choose_runner(one, views, now, queued)
+            view = self._choose_runner(one, pools, views, now, queued)
             if view is None:
                 without_runner.add(needs)
             if view is None or not self.crash_guard.admit(lot, name, view.member.name, now):
@@ -267,12 +282,21 @@
         return batches
 
     def _choose_runner(
-        self, one: WaitingSample, views: list[RunnerView], now: float, queued: int
+        self,
+        one: WaitingSample,
+        pools: tuple[str, ...],
+        views: list[RunnerView],
+        now: float,
+        queued: int,
     ) -> RunnerView | None:
-        """Return the sidecar for a sample, if possible one without another isolated suspect."""
+        """Return the sidecar for a sample, if possible one without another isolated suspect.
+
+        :param pools: the pools that the sample may use
+        """
         request = one.lot.tracker.lot
-        allowed = self.crash_guard.allowed_runners(one.lot, one.sample, views, now)
-        for choices in (allowed,) if allowed is views else (allowed, views):
+        routed = views_in_pools(views, pools, request.model, request.min_version, now)
+        allowed = self.crash_guard.allowed_runners(one.lot, one.sample, routed, now)
+        for choices in (allowed,) if allowed is routed else (allowed, routed):
             view = choose_runner(
                 choices,
                 request.model,
@@ -349,6 +373,8 @@
         state = tracker.states[sample]
         tracker.assign(sample, runner)
         return RunOrder(
+            pool=self.views[runner].pool,
+            configuration_revision=self.routes.of(tracker.lot).revision,
             sample=state.sample,
             host=tracker.lot.host,
             min_version=tracker.lot.min_version,
--- a/src/threadramp/lots/sample_moves.py
+++ b/src/threadramp/lots/sample_moves.py
@@ -13,12 +13,15 @@
 
     from threadramp.fleet.clock import Clock
     from threadramp.lots.owned import OwnedLot, OwnedLots
+    from threadramp.lots.sample_routes import SampleRoutes
     from threadramp.policy.sample_placement import RunnerView
 
 
 class SampleMoves:
     """Takes samples back from their sidecars, so that they wait for a faster one.
 
+    Samples move within the pool that the weights of their route assign to them.
+
     :param drop: tells a sidecar to drop samples, and collects their last events
     """
 
@@ -27,10 +30,12 @@
         owned: OwnedLots,
         clock: Clock,
         drop: Callable[[RunnerView, dict[str, int]], None],
+        routes: SampleRoutes,
     ) -> None:
         self.owned = owned
         self.clock = clock
         self.drop = drop
+        self.routes = routes
 
     def run_once(self, views: Mapping[str, RunnerView]) -> None:
         """Take back samples that other engines would finish sooner.
@@ -38,10 +43,17 @@
         :param views: of sidecars, by name
         """
         with self.owned.lock:
-            running = [one for lot in self.owned.open() for one in _running(lot, views)]
+            running = [
+                (self.routes.of(lot.tracker.lot).pools_of(one.sample), one)
+                for lot in self.owned.open()
+                for one in _running(lot, views)
+            ]
         moved: dict[tuple[str, str], list[str]] = {}
-        for one in samples_to_move(running, list(views.values()), self.clock.now()):
-            moved.setdefault((one.lot, one.runner), []).append(one.sample)
+        for pools in {pools for pools, _ in running}:
+            samples = [one for their_pools, one in running if their_pools == pools]
+            in_pools = [view for view in views.values() if view.pool in pools[:1]]
+            for one in samples_to_move(samples, in_pools, self.clock.now()):
+                moved.setdefault((one.lot, one.runner), []).append(one.sample)
         for (lot_id, runner), samples in moved.items():
             lot = self.owned.get(lot_id)
             if lot is not None:
--- a/src/threadramp/lots/urgent_loads.py
+++ b/src/threadramp/lots/urgent_loads.py
@@ -14,6 +14,7 @@
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.peers import Peers
     from threadramp.lots.owned import OwnedLots
+    from threadramp.lots.sample_routes import SampleRoutes
     from threadramp.policy.sample_placement import RunnerView
 
 REPEAT_INTERVAL_S = 0.4  # an engine that was asked reports loading within 0.2 s
@@ -23,10 +24,11 @@
 class UrgentLoads:
     """Asks sidecars to load the newest weights before it is their turn."""
 
-    def __init__(self, owned: OwnedLots, peers: Peers, clock: Clock) -> None:
+    def __init__(self, owned: OwnedLots, peers: Peers, clock: Clock, routes: SampleRoutes) -> None:
         self.owned = owned
         self.peers = peers
         self.clock = clock
+        self.routes = routes
         self.requested_at = 0.0
 
     def run_once(self, views: Sequence[RunnerView]) -> None:
@@ -36,8 +38,10 @@
             return
         asks = [
             (view.member, HurryLoad(*self.peers.sender_fields, model, view.member.endpoint))
-            for model, min_version in self._waiting(now)
-            for view in engines_for_urgent_load(views, model, min_version, now)
+            for model, min_version, pools in self._waiting(now)
+            for view in engines_for_urgent_load(
+                [view for view in views if view.pool in pools], model, min_version, now
+            )
         ]
         if not asks:
             return
@@ -45,15 +49,11 @@
         log_state("urgent_loads_requested", sidecars={one.name: ask.model for one, ask in asks})
         self.peers.ask_members(asks, ASK_TIMEOUT_S)
 
-    def _waiting(self, now: float) -> list[tuple[str, int]]:
-        """Return model and oldest allowed version for each lot with waiting samples."""
+    def _waiting(self, now: float) -> list[tuple[str, int, frozenset[str]]]:
+        """Return model, oldest allowed version and pools for each lot with waiting samples."""
         with self.owned.lock:
-            trackers = [lot.tracker for lot in self.owned.open()]
-            return [
-                (tracker.lot.model, tracker.lot.min_version)
-                for tracker in trackers
-                if tracker.waiting(now)
-            ]
+            lots = [lot.tracker.lot for lot in self.owned.open() if lot.tracker.waiting(now)]
+        return [(lot.model, lot.min_version, self.routes.of(lot).pools) for lot in lots]
 
 
 __all__ = ["UrgentLoads"]
--- a/src/threadramp/policy/endpoint_choice.py
+++ b/src/threadramp/policy/endpoint_choice.py
@@ -67,7 +67,7 @@
 
     def choose_pool(self, route: Route) -> str:
         """Return the pool for one request, chosen at random by the weights of the route."""
-        shares = [share for share in route.shares if share.weight > 0] or list(route.shares)
+        shares = route.open_shares
         if len(shares) == 1:
             return shares[0].pool
         weights = [max(share.weight, 0.0) for share in shares]
--- a/src/threadramp/policy/routing.py
+++ b/src/threadramp/policy/routing.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from math import inf, log
 from typing import TYPE_CHECKING
 
 from threadramp.config.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
     from random import Random
 
     from threadramp.core.membership import Member
@@ -66,6 +67,24 @@
     return sorted(names, key=weight, reverse=True)
 
 
+def weighted_rendezvous(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Return names in the order of their rendezvous hashes with ``key``.
+
+    Over many keys each name comes first for a part of them that is proportional to its weight, and
+    a change of one weight moves no keys between the other names.
+
+    :param weights: by name; all of them count alike if none is positive
+    """
+    is_weighted = any(weight > 0 for weight in weights.values())
+
+    def score(name: str) -> tuple[float, str]:
+        weight = weights[name] if is_weighted else 1.0
+        draw = 1.0 - hash_fraction(f"{key}\0{name}")  # above 0
+        return (-log(draw) / weight if weight > 0 else inf, name)
+
+    return sorted(weights, key=score)
+
+
 def hash_fraction(name: str) -> float:
     """Return a number from 0 to 1 from the hash of a name, evenly distributed over many names."""
     return int.from_bytes(blake2b(name.encode(), digest_size=4).digest()) / 2**32
@@ -79,4 +98,12 @@
     return max(outstanding, reported) / max(1, report.slots)
 
 
-__all__ = ["ROUTINGS", "RoundRobin", "Routing", "TwoChoice", "hash_fraction", "rendezvous"]
+__all__ = [
+    "ROUTINGS",
+    "RoundRobin",
+    "Routing",
+    "TwoChoice",
+    "hash_fraction",
+    "rendezvous",
+    "weighted_rendezvous",
+]
--- a/src/threadramp/policy/sample_placement.py
+++ b/src/threadramp/policy/sample_placement.py
@@ -26,6 +26,7 @@
     :param assigned: number of samples there, including those just sent
     :param last_answer_at: time of its last answer
     :param first_asked_at: time of the first request to it
+    :param pool: pool of its engine, empty if no entry has the engine's address
     """
 
     member: Member
@@ -33,6 +34,7 @@
     assigned: int = 0
     last_answer_at: float = 0.0
     first_asked_at: float = 0.0
+    pool: str = ""
 
     def is_ready(self, now: float) -> bool:
         """Return whether it answered recently and accepts samples."""
@@ -50,6 +52,24 @@
         return max(0, self.status.slots + queued - self.assigned) if self.is_ready(now) else 0
 
 
+def views_in_pools(
+    views: Sequence[RunnerView], pools: Sequence[str], model: str, min_version: int, now: float
+) -> list[RunnerView]:
+    """Return the sidecars that a sample may use, by the pools of its route.
+
+    They are those of the first pool, to which the weights of the route assign the sample. Only if
+    no engine there can run it at all, the other pools of the route replace it.
+
+    :param pools: the pools that the sample may use, the one to prefer first
+    """
+    preferred = [view for view in views if view.pool in pools[:1]]
+    if any(
+        view.is_ready(now) and has_fresh_weights(view, model, min_version) for view in preferred
+    ):
+        return preferred
+    return [view for view in views if view.pool in pools]
+
+
 def median_gap_ms(views: Sequence[RunnerView]) -> float:
     """Return the median gap between events over all sidecars, 0 if none reports one."""
     gaps = [view.status.gap_ms for view in views if view.status and view.status.gap_ms]
@@ -108,4 +128,4 @@
     return int(log(view.status.gap_ms / fastest, SPEED_STEP))
 
 
-__all__ = ["RunnerView", "choose_runner", "has_fresh_weights", "median_gap_ms"]
+__all__ = ["RunnerView", "choose_runner", "has_fresh_weights", "median_gap_ms", "views_in_pools"]
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -324,8 +324,6 @@
         streams = StreamForwarder(forwarder, self.caller_watch)
         self.fleet_view.endpoints.listeners.append(forwarder.drop_unlisted)
         owned = OwnedLots()
-        if self.usage_counting is not None:
-            self.usage_counting.open = DemandCounter(self.fleet_view, forwarder.choice, owned).open
         journal = LotJournal(store)
         scoring = Scoring(owned, self.fleet_view, forwarder, clock)
         self.runners = SampleDispatcher(
@@ -336,6 +334,10 @@
             SampleCrashGuard(self.crash_guard, owned),
             ORDERS[self.service_settings.lots.order](),
         )
+        if self.usage_counting is not None:
+            self.usage_counting.open = DemandCounter(
+                self.fleet_view, forwarder.choice, owned, self.runners.routes
+            ).open
         self.checkpoints = Checkpoints(owned, store, self.incarnation)
         self.end_notices = EndNotices(self.peers, clock)
         self.owner = LotOwner(
--- a/src/threadramp/wire/runner.py
+++ b/src/threadramp/wire/runner.py
@@ -36,6 +36,8 @@
     :param sidecars: number of sidecars in the member list
     :param born: start time of that instance, 0 if it is not reported
     :param cold: none for a pool whose cold endpoints bear any rate
+    :param pool: pool of that endpoint, empty if it is not listed
+    :param configuration_revision: revision of the sender's configuration, 0 if it has none
     """
 
     endpoints_revision: int = 0
@@ -50,6 +52,8 @@
     share: LoadSchedule = LoadSchedule({})
     born: int = 0
     cold: ColdFacts | None = None
+    pool: str = ""
+    configuration_revision: int = 0
 
     @property
     def start(self) -> Incarnation:
@@ -92,6 +96,9 @@
     :param model: model that produces the sample
     :param organisation: organisation of the lot
     :param expected_s: expected seconds that it runs, 0 if lots go by their due times alone
+    :param pool: pool whose engine may run it, empty from a sender that does not say
+    :param configuration_revision: revision of the configuration by which the sender chose that
+        pool, 0 from a sender that does not say
     """
 
     sample: Sample
@@ -107,6 +114,8 @@
     model: str = ""
     organisation: str | None = None
     expected_s: float = 0.0
+    pool: str = ""
+    configuration_revision: int = 0
 
 
 class RunUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/lots/test_items_after_crashes.py
+++ b/tests/lots/test_items_after_crashes.py
@@ -12,6 +12,7 @@
 import pytest
 
 from tests.core.test_lot_tracker import make_book, make_sample
+from tests.lots.routed import POOL, routed_view
 from threadramp.core.lot_tracker import LotRules, Phase, RunOutcome
 from threadramp.edge import crash_guard
 from threadramp.edge.crash_guard import CrashGuard
@@ -44,7 +45,7 @@
     data_centre = "a"
 
     def __init__(self, status) -> None:
-        self.fleet_view = FleetView()
+        self.fleet_view = routed_view()
         self.status = status
 
     def facts_for(self, member: Member) -> Facts:
@@ -82,7 +83,9 @@
             DueOrder(),
         )
         self.dispatcher.views = {
-            name: RunnerView(Member(name, "sidecar", "1", f"{name}:1", "a", f"{name}:80"))
+            name: RunnerView(
+                Member(name, "sidecar", "1", f"{name}:1", "a", f"{name}:80"), pool=POOL
+            )
             for name in RUNNERS
         }
         self.dispatcher.eligible = frozenset(RUNNERS)
--- a/tests/policy/test_moves.py
+++ b/tests/policy/test_moves.py
@@ -14,7 +14,7 @@
 def view(name: str, gap: float = 38.0, taken: int = 0, version: int = 3, loading: str = ""):
     member = Member(name, "sidecar", "1", f"{name}:1", "a", f"{name}:80")
     status = RunnerStatus("1", "i", True, 12, taken, {"m": version}, gap, loading)
-    return RunnerView(member, status, taken, last_answer_at=NOW)
+    return RunnerView(member, status, taken, last_answer_at=NOW, pool="engines")
 
 
 def sample(name: str, left: float, runner: str = "slow", here: int = 20, min_version: int = 1):
--- a/tests/policy/test_sample_placement.py
+++ b/tests/policy/test_sample_placement.py
@@ -5,7 +5,7 @@
 from msgspec.structs import replace
 
 from threadramp.fleet.fleet_view import Member
-from threadramp.policy.sample_placement import RunnerView, choose_runner
+from threadramp.policy.sample_placement import RunnerView, choose_runner, views_in_pools
 from threadramp.wire.runner import ANY_MODEL, RunnerStatus
 
 NOW = 50.0
@@ -60,3 +60,22 @@
     assert chosen([full, slower], queued=2) == "b"
     assert chosen([full], queued=2) == "a"
     assert chosen([full]) is None
+
+
+def in_pools(*pools: str, **versions: int) -> list[str]:
+    views = [view(name, version=version) for name, version in versions.items()]
+    for one in views:
+        one.pool = one.member.name[0]
+    return [one.member.name for one in views_in_pools(views, pools, "m", 3, NOW)]
+
+
+def test_a_sample_uses_the_pool_that_the_weights_assign_to_it():
+    assert in_pools("a", "b", a1=3, a2=2, b1=3, c1=3) == ["a1", "a2"]
+
+
+def test_another_pool_of_the_route_replaces_one_whose_engines_can_not_run_the_sample():
+    assert in_pools("a", "b", a1=2, b1=3, c1=3) == ["a1", "b1"]
+
+
+def test_a_sample_without_a_route_may_use_no_engine():
+    assert in_pools(a1=3) == []
