Start no queued sample by an older configuration

Cause: the engine was chosen when a sample was sent to a sidecar, and its wait there, a rejection by the engine, a stalled connection or a new instance at the address came after that choice.

Change: an order names its pool and the revision of the configuration that chose it. A sidecar keeps the newest revision that any gateway reported to it; a sample that an older one placed does not start until its gateway confirms it with a poll, which also names the samples that go elsewhere now: those return to the gateway unless the engine has begun them. So a configuration that was seen is not followed by an older one's decision, also while gateways know different versions. A change ends the polls that wait, so that a confirmation takes one round trip. An order by an older configuration is refused, and a sample is not sent to an instance of another pool. Orders that name no revision, of gateways of an earlier version, start as before.

--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -33,7 +33,7 @@
 from threadramp.wire.runner import RunOrder
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.peers import Peers
@@ -184,7 +184,10 @@
             return False
         facts = self.peers.facts_for(view.member)
         engine = view.member.endpoint
-        ask = Collect(*self.peers.sender_fields, facts, known_events, COLLECT_WAIT_S, engine)
+        rerouted = self._rerouted(lots, known_events, engine)
+        ask = Collect(
+            *self.peers.sender_fields, facts, known_events, COLLECT_WAIT_S, engine, rerouted
+        )
         reply = self.peers.ask(view.member.address, ask, COLLECT_WAIT_S + RESPONSE_MARGIN_S)
         if not isinstance(reply, Updates):
             self._handle_no_reply(view, lots)
@@ -193,6 +196,17 @@
         self.updates.apply_updates(view, lots, reply)
         return True
 
+    def _rerouted(
+        self, lots: list[OwnedLot], samples: Collection[str], engine: str
+    ) -> tuple[str, ...]:
+        """Return the samples at an engine that the configuration sends to other engines now."""
+        return tuple(
+            name
+            for lot in lots
+            for name in samples
+            if name in lot.tracker.states and not self.routes.allows(lot.tracker.lot, name, engine)
+        )
+
     def _handle_no_reply(self, view: RunnerView, lots: list[OwnedLot]) -> None:
         """Count an unresponsive sidecar as lost once its samples must have stopped."""
         now = self.clock.now()
--- a/src/threadramp/runner/engine.py
+++ b/src/threadramp/runner/engine.py
@@ -142,7 +142,7 @@
         """Store the facts that a gateway sent, except for what is older than the stored facts.
 
         The published versions are compared by the revision of the targets, everything else by the
-        revision of the list of endpoints.
+        revision of the list of endpoints. Of the configuration only the newest revision is kept.
         """
         with self.lock:
             stored = self.facts
@@ -157,6 +157,9 @@
                 slots=listed.slots or stored.slots,
                 targets=published.targets,
                 targets_revision=published.targets_revision,
+                configuration_revision=max(
+                    facts.configuration_revision, stored.configuration_revision
+                ),
             )
         self.send_limit.update(self.facts, self.clock.now())
         self._check_incarnation()
--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -31,6 +31,8 @@
     :param last_progress_at: time at which it was started or its last event arrived
     :param generation: incremented at each start, so that a thread of an earlier start has no effect
     :param incarnation: incarnation of the engine to which it was last sent
+    :param routed_at: revision of the newest configuration by which its gateway sends it here, 0 if
+        the gateway does not say
     """
 
     order: RunOrder
@@ -50,6 +52,7 @@
     last_progress_at: float = 0.0
     generation: int = 0
     incarnation: Incarnation = Incarnation("")
+    routed_at: int = 0
 
     @property
     def is_open(self) -> bool:
@@ -65,6 +68,10 @@
         """Return whether it is waiting and may be started now."""
         return self.is_open and not self.started and self.not_before <= now
 
+    def is_routed(self, revision: int) -> bool:
+        """Return whether its gateway sends it here by a configuration of at least a revision."""
+        return not self.routed_at or self.routed_at >= revision
+
     @property
     def event_count(self) -> int:
         """Return the number of events so far, including those before this run."""
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -10,7 +10,7 @@
 from threadramp.wire.runner import is_changing
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Iterable
 
     from threadramp.runner.send_limit import SendLimit
     from threadramp.wire.runner import RunOrder, RunUpdate
@@ -38,6 +38,8 @@
     """All sample runs of a sidecar; the methods are thread-safe.
 
     :param send_limit: how many samples a second may start, none without a limit
+    :ivar configuration_revision: of the newest configuration known here; a sample that an older one
+        sent here does not start until its gateway confirms it by this one
     """
 
     def __init__(self, now: Callable[[], float], send_limit: SendLimit | None = None) -> None:
@@ -47,6 +49,7 @@
         self.slots = 0
         self.accepting = False
         self.loading_model = ""
+        self.configuration_revision = 0
         self.changed = threading.Condition(threading.RLock())
 
     @property
@@ -102,6 +105,11 @@
             run.versions.append(version)
             return True
 
+    def is_routed(self, run: Run) -> bool:
+        """Return whether a run's gateway sends it here by the newest known configuration."""
+        with self.changed:
+            return run.is_routed(self.configuration_revision)
+
     def finish(self, run: Run, generation: int, outcome: RunOutcome) -> bool:
         """End a run with an outcome; false if it has already ended or was restarted."""
         with self.changed:
@@ -203,14 +211,35 @@
                 found[name] = len(run.events)
         return found
 
+    def record_routes(self, have: Iterable[str], rerouted: Collection[str], revision: int) -> None:
+        """Record by which configuration a gateway still sends its samples here.
+
+        Rerouted samples that have not started are cut, so that the gateway sends them elsewhere. A
+        sample that the engine has begun may finish.
+
+        :param rerouted: samples that the gateway's configuration sends to other engines
+        :param revision: of that configuration
+        """
+        with self.changed:
+            for name in have:
+                run = self.runs.get(name)
+                if run is None or not run.is_open:
+                    continue
+                if name not in rerouted:
+                    run.routed_at = max(run.routed_at, revision)
+                elif not run.started:
+                    self._cut(run)
+            self.changed.notify_all()
+
     def collect(
-        self, have: dict[str, int], wait_s: float, readiness: Callable[[], tuple[bool, str]]
+        self, have: dict[str, int], wait_s: float, readiness: Callable[[], tuple[bool, str, int]]
     ) -> tuple[list[RunUpdate], list[str]]:
         """Wait until a sample ends or the time is over; return updates and unknown samples.
 
         :param have: number of events that the gateway has, by sample
-        :param readiness: returns whether the engine accepts samples, and the model whose weights
-            are being loaded; a change of its result ends the wait as well
+        :param readiness: returns whether the engine accepts samples, the model whose weights are
+            being loaded, and the newest configuration's revision; a change of its result ends the
+            wait as well
         """
         until = self.now() + wait_s
         before = readiness()
@@ -254,7 +283,11 @@
 
     def _is_startable(self, run: Run, now: float) -> bool:
         """Return whether a run may be started and the engine would not reject it."""
-        return run.is_startable(now) and not is_changing(self.loading_model, run.order.model)
+        return (
+            run.is_startable(now)
+            and run.is_routed(self.configuration_revision)
+            and not is_changing(self.loading_model, run.order.model)
+        )
 
     def _may_send(self, now: float) -> bool:
         return self.send_limit is None or self.send_limit.has_room(now)
@@ -270,7 +303,9 @@
             _call_all([self._cut(run)])
         self.runs.pop(name, None)
         now = self.now()
-        self.runs[name] = Run(order, order.after, order.new_lineage, now, now + order.due)
+        run = Run(order, order.after, order.new_lineage, now, now + order.due)
+        run.routed_at = order.configuration_revision
+        self.runs[name] = run
         return True
 
     def _resume(self, run: Run, order: RunOrder) -> bool:
@@ -279,6 +314,7 @@
         if needs_start and not self._has_room(order):
             return False
         run.order = order
+        run.routed_at = order.configuration_revision
         run.wanted = True
         run.last_polled_at = self.now()
         run.due_at = run.last_polled_at + order.due
@@ -291,6 +327,7 @@
 
     def _has_room(self, order: RunOrder) -> bool:
         accepts = self.accepting and not is_changing(self.loading_model, order.model)
+        accepts = accepts and not 0 < order.configuration_revision < self.configuration_revision
         return accepts and (self.taken < self.slots + MAX_QUEUED or self._displace(order))
 
     def _displace(self, order: RunOrder) -> bool:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -30,6 +30,7 @@
     from threadramp.runner.events import Event
     from threadramp.runner.run import Run
     from threadramp.runner.runs import RunTable
+    from threadramp.wire.runner import RunOrder
 
 CONNECT_TIMEOUT_S = 0.5
 # The response head arrives with the first token, and an engine gets no more samples than it has
@@ -121,9 +122,11 @@
     def _send(self, exchange: Exchange) -> bool:
         """Send the sample, to be resumed after the events that are already here.
 
-        :returns: false if a cold engine must not receive it yet
+        :returns: false if a cold engine must not receive it yet, or this engine not any more
         """
         order = self.run.order
+        if not self._is_routed_here(order):
+            return False
         left_s = max(1.0, order.give_up_in_s)
         headers = sample_headers(
             (*order.sample.headers, ("Host", order.host)),
@@ -142,6 +145,25 @@
         exchange.send("POST", order.sample.path, headers, order.sample.body, timeout_s=timeout_s)
         return True
 
+    def _is_routed_here(self, order: RunOrder) -> bool:
+        """Return whether the engine is still one that the sample's route allows.
+
+        Another pool may reuse the address of an engine that is gone.
+        """
+        pool = self.engine.facts.pool
+        is_routed = order.pool in ("", pool) and self.table.is_routed(self.run)
+        if not is_routed:
+            log_state(
+                "sample_rerouted",
+                sample=order.sample.id,
+                instance=self.incarnation.instance,
+                pool=pool,
+                chosen_pool=order.pool,
+                routed_at=self.run.routed_at,
+                configuration_revision=self.table.configuration_revision,
+            )
+        return is_routed
+
     def _handle_not_begun(self, status: int) -> None:
         """Requeue the sample; if the engine was replaced, mark this incarnation as superseded."""
         if status == OTHER_INSTANCE_STATUS:
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -141,6 +141,8 @@
             accepted = self.table.submit(ask.orders)
             return Accepted(self.status(), accepted)
         if isinstance(ask, Collect):
+            revision = ask.facts.configuration_revision
+            self.table.record_routes(ask.have, ask.rerouted, revision)
             updates, unknown = self.table.collect(ask.have, ask.wait_s, self._readiness)
             return Updates(self.status(), tuple(updates), tuple(unknown))
         if isinstance(ask, Drop):
@@ -158,17 +160,23 @@
     def _is_ready(self) -> bool:
         return self.engine.is_ready and not self.leaving
 
-    def _readiness(self) -> tuple[bool, str]:
-        """Return the state whose changes are reported to polling gateways at once."""
-        return (self._is_ready(), self.engine.loading_model)
+    def _readiness(self) -> tuple[bool, str, int]:
+        """Return the state whose changes end the polls of gateways at once.
+
+        After a change of the configuration they confirm or take back the samples that wait here.
+        """
+        revision = self.engine.facts.configuration_revision
+        return (self._is_ready(), self.engine.loading_model, revision)
 
     def _refresh_table(self) -> None:
         with self.table.changed:
             self.table.slots = self.engine.facts.slots
             readiness = self._readiness()
-            if readiness != (self.table.accepting, self.table.loading_model):
-                self.table.accepting, self.table.loading_model = readiness
-                self.table.changed.notify_all()
+            table = self.table
+            before = (table.accepting, table.loading_model, table.configuration_revision)
+            if readiness != before:
+                table.accepting, table.loading_model, table.configuration_revision = readiness
+                table.changed.notify_all()
 
     def _engine_loop(self) -> None:
         while not self.stopped.is_set():
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -97,12 +97,14 @@
     """Long poll for updates of samples.
 
     :param have: events that the asker has, by sample
+    :param rerouted: those of them that the asker's configuration sends to other engines
     """
 
     facts: Facts
     have: dict[str, int]
     wait_s: float
     engine: str = ""
+    rerouted: tuple[str, ...] = ()
 
 
 class Drop(Ask, frozen=True):
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -248,3 +248,48 @@
     begin(table, order("a"), order("b"))
     table.submit((order("c", due=20.0), order("d", due=20.0)))
     assert table.submit((order("e", due=1.0),)) == {}
+
+
+class TestRoutes:
+    """Samples that wait here while the configuration changes."""
+
+    # Guards against queued samples that begin at the old service after a change.
+    def test_a_queued_sample_waits_until_its_gateway_confirms_it_by_the_newest_configuration(
+        self, table
+    ):
+        table.submit((order("a", configuration_revision=5),))
+        table.configuration_revision = 9  # as another gateway reported
+        assert table.next_start() is None
+        table.record_routes({"a": 0}, (), 5)  # its own gateway does not know the change yet
+        assert table.next_start() is None
+        table.record_routes({"a": 0}, (), 9)
+        assert table.next_start().order.sample.id == "a"
+
+    # Guards against a sample that is never sent elsewhere, although its route has moved.
+    def test_a_rerouted_sample_is_returned_unless_the_engine_has_begun_it(self, table):
+        table.slots = 1
+        table.submit(tuple(order(name, configuration_revision=5) for name in "ab"))
+        begun = table.next_start()
+        table.record_routes({"a": 0, "b": 0}, ("a", "b"), 9)
+        updates, _ = collect_updates(table, a=0, b=0)
+        assert begun.is_open
+        returned = {one.sample: one.outcome for one in updates}
+        assert returned == {({"a", "b"} - {begun.order.sample.id}).pop(): "cut"}
+
+    # Guards against a gateway that overrides a newer configuration by an older one.
+    def test_an_order_by_an_older_configuration_is_refused(self, table):
+        table.configuration_revision = 9
+        orders = (order("a", configuration_revision=5), order("b", configuration_revision=9))
+        assert list(table.submit(orders)) == ["b"]
+
+    def test_an_order_that_names_no_configuration_starts(self, table):
+        table.configuration_revision = 9
+        assert len(begin(table, order("a"))) == 1
+
+    # Guards against a begun sample that restarts at the old service after its connection stalled.
+    def test_a_stalled_sample_does_not_restart_by_an_older_configuration(self, table, clock):
+        begin(table, order("a", configuration_revision=5))
+        clock.at += 2 * STALL_TIMEOUT_S
+        table.configuration_revision = 9
+        assert table.restart_stalled() == ["a"]
+        assert table.next_start() is None
--- a/tests/runner/test_sample_run.py
+++ b/tests/runner/test_sample_run.py
@@ -4,6 +4,7 @@
 
 import threading
 
+import msgspec
 import pytest
 
 from tests.edge.scripted_endpoint import LONG_BODY, Connection, ScriptedEndpoint
@@ -110,3 +111,15 @@
     made.close()
     assert (run.outcome, run.events) == (RunOutcome.COMPLETE, ["one"])
     assert made.runs == ["long"]
+
+
+# Guards against a queued sample that runs at an engine of another pool, which reuses the address.
+def test_a_sample_is_not_sent_to_an_engine_of_another_pool(engine, own_engine, table):
+    own_engine.update_facts(msgspec.structs.replace(facts(), endpoints_revision=99, pool="others"))
+    sample = Sample("a", "/p", (("X-Model", "m"),), b"q", 100, "g", None, 10)
+    table.submit((order("a", sample=sample, pool="engines"),))
+    started = table.next_start()
+    SampleRun(own_engine, table, started, Clock(), Metrics("t")).execute()
+    assert engine.runs == []
+    assert started.is_open
+    assert not started.started
--- a/tests/serve/test_routes_of_samples.py
+++ b/tests/serve/test_routes_of_samples.py
@@ -103,6 +103,19 @@
     assert fleet.runs_at(NEW) == []
 
 
+@pytest.mark.parametrize("weights", [{NEW: 1.0}, {OLD: 0.0, NEW: 1.0}], ids=["moved", "weights"])
+def test_no_sample_begins_at_the_old_service_after_a_change_amid_its_lot(fleet, weights):
+    """Samples that wait in the queues of sidecars too are sent to the new service."""
+    hand_in(fleet)
+    # Late samples are queued at the sidecars; by then the slots are taken a second time.
+    wait_for(lambda: len(fleet.runs_at(OLD)) >= 24, "the slots are taken again")
+    time.sleep(0.3)
+    acknowledged_at = fleet.route_lots(7, lots=weights)
+    assert set(finish(fleet).values()) == {"succeeded"}
+    assert fleet.runs_at(OLD, since=acknowledged_at + APPLY_S) == []
+    assert len(fleet.runs_at(NEW)) >= 4
+
+
 def test_a_longer_prefix_moves_only_the_samples_below_it(fleet):
     assert fleet.hand_in(fleet.gateways[0], "first", samples=2) == 202
     fleet.route_lots(7, lots={OLD: 1.0}, lots_1={NEW: 1.0})
@@ -114,9 +127,31 @@
     assert fleet.runs_at(NEW) == ["lot1-s1"]
 
 
+def test_a_route_that_moves_there_and_back_within_a_second_stays(fleet):
+    hand_in(fleet)
+    fleet.route_lots(7, lots={NEW: 1.0})
+    time.sleep(0.5)
+    acknowledged_at = fleet.route_lots(12, lots={OLD: 1.0})
+    assert set(finish(fleet).values()) == {"succeeded"}
+    assert fleet.runs_at(NEW, since=acknowledged_at + APPLY_S) == []
+
+
 def test_a_split_route_uses_both_services(fleet):
     fleet.route_lots(7, lots={OLD: 0.5, NEW: 0.5})
     time.sleep(APPLY_S)
     assert fleet.hand_in(fleet.gateways[0], "lot1", samples=SAMPLES) == 202
     finish(fleet)
     assert min(len(fleet.runs_at(OLD)), len(fleet.runs_at(NEW))) >= SAMPLES // 6
+
+
+def test_no_queued_sample_begins_at_another_service_that_reuses_the_address(fleet):
+    """Engines crash, and engines of another service register at their addresses."""
+    hand_in(fleet)
+    addresses = [box.settings["app"] for box in fleet.sidecars]
+    for engine, address in zip(fleet.engines, addresses, strict=True):
+        fleet.remove(f"servers/{engine.instance}")
+        engine.instance = engine.instance.replace("i-e", "i-x")
+        fleet.register(engine.instance, NEW, address)
+    time.sleep(EVENTS * GAP_S + APPLY_S)
+    runs = [run for engine in fleet.engines for run in engine.runs]
+    assert [run["id"] for run in runs if run["headers"]["x-expect-instance"][:3] == "i-x"] == []
