Give up samples whose route was dropped

Once samples follow their routes, they would wait until queueTtlS for a route that is gone.

Change: the waiting samples of a dropped route are listed as dead once the route has been gone for configApplyMs; those that an engine has begun may finish. Not sooner, because an operator may replace a route by two versions in a row, and a gateway that sees only the first for a moment must not end lots for it. A result is final, so a route that comes back later finds only lots that were accepted since.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -285,6 +285,13 @@
             self._stage(self.states[name], ResultState.DEAD, "", now)
         return late
 
+    def give_up_waiting(self, samples: Iterable[str], now: float) -> list[str]:
+        """Give up those of these samples that are waiting, and return them."""
+        given_up = [name for name in samples if self.states[name].phase is Phase.WAITING]
+        for name in given_up:
+            self._stage(self.states[name], ResultState.DEAD, "", now)
+        return given_up
+
     def next_chunk(self, now: float) -> tuple[Result, ...]:
         """Return the results to append now, none while an append is open or not due yet."""
         if self.append_open or self.ended:
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -11,6 +11,7 @@
 from threadramp.lots.runner_updates import RunnerUpdates
 from threadramp.lots.sample_moves import SampleMoves
 from threadramp.lots.sample_routes import SampleRoutes
+from threadramp.lots.unrouted_samples import UnroutedSamples
 from threadramp.lots.urgent_loads import UrgentLoads
 from threadramp.policy.sample_order import SampleOrder, WaitingSample
 from threadramp.policy.sample_placement import (
@@ -57,6 +58,7 @@
     :param on_text_complete: called with a lot and a sample whose text is complete
     :param crash_guard: decides which samples are held back after engine crashes
     :param order: decides which waiting sample goes first
+    :param config_apply_s: seconds after which a new configuration is in force everywhere
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         on_text_complete: Callable[[OwnedLot, str], None],
         crash_guard: SampleCrashGuard,
         order: SampleOrder,
+        config_apply_s: float,
     ) -> None:
         self.crash_guard = crash_guard
         self.order = order
@@ -79,6 +82,7 @@
         self.collectors: set[str] = set()
         self.eligible: frozenset[str] = frozenset()
         self.routes = SampleRoutes(peers.fleet_view)
+        self.unrouted = UnroutedSamples(owned, self.routes, clock, config_apply_s)
         self.moves = SampleMoves(owned, clock, self._take_back, self.routes)
         self.urgent_loads = UrgentLoads(owned, peers, clock, self.routes)
         self.lock = threading.Lock()
@@ -104,6 +108,7 @@
                 continue
             self._refresh_views()
             self._find_partial_texts()
+            self.unrouted.run_once()
             self.moves.run_once(self._eligible_views())
             self._send_waiting()
             self.urgent_loads.run_once(list(self._eligible_views().values()))
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -27,6 +27,7 @@
     """Time bounds of this deployment.
 
     :param drain_s: a leaving endpoint gets no new work after this many seconds
+    :param config_apply_s: a new configuration is in force everywhere after this many seconds
     :param contact_s: after a disturbance of its connections, a box is held to the bounds again
     :param grace_s: seconds between the request to stop and the end of the process
     :param status_s: seconds for which the results of a lot stay readable
@@ -51,6 +52,7 @@
     usage_late_s: float = 10.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    config_apply_s: float = 2.0
 
 
 @dataclass(frozen=True)
@@ -202,6 +204,7 @@
         return Bounds(
             drain_s=self._number(table, "drainMs", 2000, "bounds.") / 1000,
             contact_s=self._number(table, "contactMs", 3000, "bounds.") / 1000,
+            config_apply_s=self._number(table, "configApplyMs", 2000, "bounds.") / 1000,
             grace_s=self._number(table, "graceS", 8, "bounds."),
             status_s=self._number(table, "statusS", 120, "bounds."),
             holders_apart_s=self._number(table, "leaseTtlMs", 3000, "bounds.") / 1000,
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -333,6 +333,7 @@
             scoring.begin,
             SampleCrashGuard(self.crash_guard, owned),
             ORDERS[self.service_settings.lots.order](),
+            self.settings.bounds.config_apply_s,
         )
         if self.usage_counting is not None:
             self.usage_counting.open = DemandCounter(
--- a/tests/lots/test_items_after_crashes.py
+++ b/tests/lots/test_items_after_crashes.py
@@ -81,6 +81,7 @@
             lambda lot, sample: None,
             SampleCrashGuard(self.guard, self.owned),
             DueOrder(),
+            config_apply_s=2.0,
         )
         self.dispatcher.views = {
             name: RunnerView(
--- a/tests/serve/test_routes_of_samples.py
+++ b/tests/serve/test_routes_of_samples.py
@@ -144,6 +144,27 @@
     assert min(len(fleet.runs_at(OLD)), len(fleet.runs_at(NEW))) >= SAMPLES // 6
 
 
+def test_samples_whose_route_is_dropped_are_given_up_and_begin_nowhere(fleet):
+    """Those that an engine has begun end as usual."""
+    hand_in(fleet)
+    acknowledged_at = fleet.route_lots(7, other={OLD: 1.0})
+    states = finish(fleet)
+    listed_s = time.time() - acknowledged_at
+    begun = set(fleet.runs_at(OLD))
+    assert {one for one, state in states.items() if state == "succeeded"} == begun
+    assert fleet.runs_at(OLD, since=acknowledged_at + APPLY_S) == []
+    assert fleet.runs_at(NEW) == []
+    assert listed_s < max(GONE_S, APPLY_S + EVENTS * GAP_S + 1.0)
+
+
+def test_samples_whose_route_is_soon_brought_back_run(fleet):
+    hand_in(fleet)
+    fleet.route_lots(7, other={OLD: 1.0})
+    time.sleep(0.8)
+    fleet.route_lots(9, lots={OLD: 1.0})
+    assert set(finish(fleet).values()) == {"succeeded"}
+
+
 def test_no_queued_sample_begins_at_another_service_that_reuses_the_address(fleet):
     """Engines crash, and engines of another service register at their addresses."""
     hand_in(fleet)
