Send later attempts of a call by the configuration in force

Cause: a call or stream kept the pool that was chosen on its arrival for all of its attempts, so a retry, a hedged attempt or a resumed stream went to the old service after its route had moved.

Change: AttemptLoop.endpoints asks the route again if the configuration has changed since. A call whose route was dropped keeps its pool, as it arrived while the route was in force.

Evidence: test_an_attempt_after_a_change_goes_to_the_new_pool_of_the_route fails without the change.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -105,6 +105,7 @@
         self.now = access.clock.now
         self.history = AttemptHistory()
         self.pool = access.choice.choose_pool(job.route)
+        self.configuration = access.fleet_view.snapshot.configuration
         self.admission = CrashAdmission(access.guard, job)
         self.place: Place | None = None
 
@@ -191,10 +192,32 @@
 
     def _choose_endpoint(self, taken: Set[Incarnation]) -> Endpoint | None:
         """Return an endpoint that was not tried yet and is not in ``taken``."""
-        endpoints = self.access.fleet_view.snapshot.in_pool(self.pool)
+        endpoints = self.endpoints()
         excluded = self.history.excluded | taken | self.access.blocked(endpoints)
         return self.access.choice.choose(endpoints, excluded, self.now(), self.target_s)
 
+    def endpoints(self) -> list[Endpoint]:
+        """Return the endpoints that the job may be sent to by the configuration in force.
+
+        If its route no longer names the pool that was chosen, another one is chosen. A job whose
+        route was dropped keeps its pool: it arrived while the route was in force.
+        """
+        snapshot = self.access.fleet_view.snapshot
+        if snapshot.configuration is not None and snapshot.configuration is not self.configuration:
+            self.configuration = snapshot.configuration
+            path = self.job.target.partition("?")[0]
+            route = snapshot.configuration.route_for(self.job.route.host, path)
+            if route is not None and self.pool not in route.pools:
+                before, self.pool = self.pool, self.access.choice.choose_pool(route)
+                log_state(
+                    "request_rerouted",
+                    request=self.job.request_id,
+                    pool=self.pool,
+                    before=before,
+                    version=snapshot.configuration.version,
+                )
+        return snapshot.in_pool(self.pool)
+
     def _stop_after_crashes(self) -> Outcome | None:
         """Return the outcome if too many endpoints crashed; none if the job may continue."""
         assessment = self.assess()
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -119,7 +119,7 @@
         """Return the endpoint for a hedged attempt, none if there is none."""
         history = self.history
         used = history.possibly_ran | {slow.endpoint.incarnation}
-        pool = self.access.fleet_view.snapshot.in_pool(self.pool)
+        pool = self.endpoints()
         chosen = None
         if len(used) < self.job.route.max_attempts:
             used |= history.rejected | self.access.blocked(pool)
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -107,7 +107,7 @@
         route = self.job.route
         if not self.stream.started or not route.may_repeat or self.return_count >= MAX_RETURNS:
             return []
-        pool = self.access.fleet_view.snapshot.in_pool(self.pool)
+        pool = self.endpoints()
         ran = self.history.possibly_ran
         if len(ran) < route.max_attempts and len(pool) > len(ran):
             return []
@@ -192,10 +192,7 @@
 
     def _can_resume_elsewhere(self) -> bool:
         route = self.job.route
-        others = (
-            len(self.access.fleet_view.snapshot.in_pool(self.pool))
-            > len(self.history.possibly_ran) + 1
-        )
+        others = len(self.endpoints()) > len(self.history.possibly_ran) + 1
         return (
             route.may_repeat and others and len(self.history.possibly_ran) + 1 < route.max_attempts
         )
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -14,7 +14,7 @@
 from threadramp.edge.job import Ending, Job
 from threadramp.fleet.clock import Clock, steady_s
 from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
-from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
+from threadramp.fleet.model import Configuration, Endpoint, PoolShare, Route, RouteKind
 from threadramp.platform.standins.endpoint import PlatformEngine
 from threadramp.policy.endpoint_choice import EndpointSelector
 from threadramp.policy.retries import RetryBudget
@@ -274,3 +274,26 @@
     assert pool.run(target_s=0.2).ending is ending
     assert len(chosen) == attempt_number
     assert pool.runs == attempt_number - 1
+
+
+# Guards against a hedged attempt at the old service, after its route was moved.
+def test_an_attempt_after_a_change_goes_to_the_new_pool_of_the_route(pool):
+    for _ in range(2):
+        pool.add(hold_s=3.0)
+    moved = pool.add()
+    pool.endpoints["i-2"] = replace(pool.endpoints["i-2"], pool="new")
+
+    def use(name: str, version: int) -> None:
+        shares = (PoolShare(name, 1.0),)
+        route = Route("r", "h", "/", RouteKind.REPEATABLE, shares, 2.0, 0.4, 3)
+        pool.fleet_view.snapshot = FleetSnapshot(
+            configuration=Configuration(version, (route,)), endpoints=dict(pool.endpoints)
+        )
+
+    use("p", 3)
+    change = threading.Timer(0.05, use, ("new", 7))
+    change.start()
+    outcome = pool.run(target_s=0.4)
+    change.join()
+    assert outcome.ending is Ending.ANSWERED
+    assert (len(moved.runs), pool.runs) == (1, 2)
