Move, split and drop the route of lots in the soak

Configurations of the soak changed keys only. Now they also move the route of lots to a second service, split it, take the weight of one service away, drop it and bring it back, up to twice within a second, beside all other faults; a third service serves the same model and is never named.

--- a/tests/serve/fleet.py
+++ b/tests/serve/fleet.py
@@ -187,6 +187,8 @@
         self.engines = [PlatformEngine({"instance": f"i-e{n}"}) for n in range(engines)]
         self.callee = PlatformEngine({"instance": "i-c0"})
         self.boxes: list[Box] = []
+        self.lot_route: dict = {}  # fields of the route for lots that replace the defaults
+        self.more_engine_pools: list[str] = []  # that serve the same model
         self.gateways = [self._box(folder, "gateway", f"front-{n}") for n in range(gateways)]
         self.sidecars = []
         for number, engine in enumerate(self.engines):
@@ -277,14 +279,18 @@
         lots = {
             "name": "lots", "hostname": HOST, "pathPrefix": "/lots/", "kind": "rollout",
             "timeoutMs": 10000, "targetLatencyMs": 400, "runTargetMs": 7500, "queueTtlS": 40,
-            "backend": "engines", "maxAttempts": 3,
+            "backend": "engines", "maxAttempts": 3, **self.lot_route,
         }  # fmt: skip
         engine = {"slots": 6, "models": [{"name": "m"}]}
         engines = {"name": "engines", "engine": engine, **(engine_pool or {})}
         table = {
             "version": version,
             "routes": [{**calls, **route}, lots],
-            "backends": [engines, {"name": "calls", **(pool or {})}],
+            "backends": [
+                engines,
+                {"name": "calls", **(pool or {})},
+                *({"name": name, "engine": engine} for name in self.more_engine_pools),
+            ],
             "limits": {"maxBodyBytes": 2_000_000, **(limits or {})},
         }
         if organisations is not None:
--- a/tests/serve/rotating_keys.py
+++ b/tests/serve/rotating_keys.py
@@ -30,12 +30,12 @@
         self.versions = itertools.count(4)
         self.keys: list[str] = []
         self.sent: dict[str, str] = {}
-        self._rotate()
+        self.rotate()
 
     def rotate_until(self, stopped: threading.Event) -> None:
         """Replace the rotating key by a new one at intervals, until the event is set."""
         while not stopped.wait(ROTATION_INTERVAL_S):
-            self._rotate()
+            self.rotate()
 
     def header(self, request: str) -> dict[str, str]:
         """Return the header of a call and record its key.
@@ -57,7 +57,8 @@
         found = [*self._wrong_statuses(), *self._wrong_organisations(), *self._forwarded_keys()]
         return [*found, *self._missing_windows()]
 
-    def _rotate(self) -> None:
+    def rotate(self) -> None:
+        """Put a configuration with a new key in force."""
         version = next(self.versions)
         self.keys.append(f"rival-key-{version:08d}-turns")
         names = {STABLE: (STABLE_KEY,), ROTATING: (self.keys[-1],)}
--- a/tests/serve/soak.py
+++ b/tests/serve/soak.py
@@ -34,6 +34,7 @@
     TAKEOVER_FAULTS,
 )
 from tests.serve.machine_store import serve_to_machine
+from tests.serve.moving_routes import MovingRoutes
 from tests.serve.order_watch import OrderWatch
 from tests.serve.paired_faults import PAIR_DURATIONS_S, PAIRED_FAULTS
 from tests.serve.partitionable_proxy import PartitionableProxy
@@ -96,6 +97,7 @@
             box.settings["bounds"]["leaseTtlMs"] = int(self.min_alternation_s * 1000)
             if self.random.random() < CLOCK_OFFSET_SHARE:
                 self._offset_clock(box, folder)
+        self.routes = MovingRoutes(self.fleet, serve, seed)
         self.store_interceptor = StoreInterceptor(self.fleet.store)
         self.keys = RotatingKeys(self.fleet)
         for gateway in self.fleet.gateways:
@@ -104,7 +106,7 @@
             box.name: serve_to_machine(box, self.fleet.store, serve) for box in self.fleet.boxes
         }
         self.store_proxies = [store.proxy for store in self.machine_stores.values()]
-        for engine in self.fleet.engines:
+        for engine in (*self.fleet.engines, *self.routes.engines):
             engine.faults.update(events=EVENTS, gap_s=EVENT_INTERVAL_S, marked=True)
         self.resumed_at: dict[str, list[float]] = defaultdict(list)
         self.orders = OrderWatch(
@@ -145,6 +147,7 @@
             self._call_in_bursts,
             self._publish_versions,
             lambda: self.keys.rotate_until(self.stopped),
+            lambda: self.routes.change_until(self.stopped),
             *self._fault_loops(deadline),
         ]
         threads = [
@@ -156,6 +159,7 @@
         self.stopped.set()
         for thread in [*threads, *self.submissions]:
             thread.join()
+        self.keys.rotate()  # the route of lots is the usual one again
         self.healed_at = time.monotonic()
         self._publish_final_versions()
         found = find_violations(self)  # also adds to self.violations
@@ -182,6 +186,7 @@
             f" kinds of duplicate responses {self.duplicates_drawn},"
             f" duplicate responses {duplicates},"
             f" orders by holder and fencing token {arrived},"
+            f" changes of the route of lots {self.routes.drawn},"
             f" clock offsets {self.clock_offsets}, accepted lots {len(self.accepted)},"
             f" answered calls {self.answered},"
             f" attempts {self._statuses()}"
--- a/tests/serve/soak_checks.py
+++ b/tests/serve/soak_checks.py
@@ -46,6 +46,7 @@
         *soak.orders.check(),
         *_crashing_requests(soak),
         *soak.keys.find_violations(),
+        *soak.routes.find_violations(),
         *soak.fleet.cloud.broken(soak.min_alternation_s),
     ]
 
@@ -83,7 +84,7 @@
         name = row["id"]
         if row["state"] != "succeeded":
             continue
-        events = events_for(soak.fleet.engines, name)
+        events = events_for([*soak.fleet.engines, *soak.routes.engines], name)
         for error in text_errors(row["text"], row["versions"], events, EVENTS):
             yield f"{name}: {error}"
         if min(row["versions"]) < min_version or row["score"] != "sig-" + name.replace("-s", "-r"):
@@ -133,7 +134,7 @@
 
 def _ran(soak: Soak) -> set[str]:
     """Return the ids of all samples and calls that engines and endpoints ran."""
-    standins = [*soak.fleet.engines, soak.fleet.callee]
+    standins = [*soak.fleet.engines, *soak.routes.engines, soak.fleet.callee]
     return {run["id"] for standin in standins for run in list(standin.runs)} | soak.pool.ran
 
 
