--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -384,6 +384,8 @@
             lots=sorted({lot.lot_id for lot, _ in batch}),
             taken=sorted(taken),
             refused=len(refused),
+            pool=self.views[name].pool,
+            configuration_revision=self.peers.fleet_view.snapshot.configuration_revision,
         )
 
     def _assign(self, lot: OwnedLot, sample: str, runner: str, gap_s: float) -> RunOrder:
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -211,7 +211,9 @@
                 found[name] = len(run.events)
         return found
 
-    def record_routes(self, have: Iterable[str], rerouted: Collection[str], revision: int) -> None:
+    def record_routes(
+        self, have: Iterable[str], rerouted: Collection[str], revision: int
+    ) -> list[str]:
         """Record by which configuration a gateway still sends its samples here.
 
         Rerouted samples that have not started are cut, so that the gateway sends them elsewhere. A
@@ -219,7 +221,9 @@
 
         :param rerouted: samples that the gateway's configuration sends to other engines
         :param revision: of that configuration
+        :returns: the samples that were cut
         """
+        cut = []
         with self.changed:
             for name in have:
                 run = self.runs.get(name)
@@ -229,7 +233,9 @@
                     run.routed_at = max(run.routed_at, revision)
                 elif not run.started:
                     self._cut(run)
+                    cut.append(name)
             self.changed.notify_all()
+        return cut
 
     def collect(
         self, have: dict[str, int], wait_s: float, readiness: Callable[[], tuple[bool, str, int]]
--- a/src/threadramp/runner/sidecar.py
+++ b/src/threadramp/runner/sidecar.py
@@ -141,8 +141,7 @@
             accepted = self.table.submit(ask.orders)
             return Accepted(self.status(), accepted)
         if isinstance(ask, Collect):
-            revision = ask.facts.configuration_revision
-            self.table.record_routes(ask.have, ask.rerouted, revision)
+            self._record_routes(ask)
             updates, unknown = self.table.collect(ask.have, ask.wait_s, self._readiness)
             return Updates(self.status(), tuple(updates), tuple(unknown))
         if isinstance(ask, Drop):
@@ -157,6 +156,12 @@
             return self.inspect_handler.handle(ask)
         return Status(self.status()) if isinstance(ask, (Beat, HurryLoad)) else Done()
 
+    def _record_routes(self, ask: Collect) -> None:
+        revision = ask.facts.configuration_revision
+        cut = self.table.record_routes(ask.have, ask.rerouted, revision)
+        if cut:
+            log_state("samples_rerouted", samples=cut, configuration_revision=revision)
+
     def _is_ready(self) -> bool:
         return self.engine.is_ready and not self.leaving
 
