Name in an order the configuration that allows its engine

Found by reading the diff. An order took the pool from the sidecar's view and the revision from the configuration at that moment, so a change between the choice and the order labelled an older decision with the newer revision, and the sidecar started it. Also, a sidecar whose view was dropped while its reply was awaited raised KeyError in the thread that records which samples it accepted, so that these stayed assigned and were collected by nobody.

Change: the pool is looked up and the route asked once more when the order is made; samples that are not allowed there any more stay in the queue.

--- a/src/threadramp/duties/demand.py
+++ b/src/threadramp/duties/demand.py
@@ -56,14 +56,14 @@
             with self.owned.lock:
                 states = list(lot.tracker.states.values())
             wanted = Counter(
-                routes.pools_of(state.sample.id)[:1]
+                next(iter(routes.pools_of(state.sample.id)), "")
                 for state in states
                 if state.phase in (Phase.RUNNING, Phase.WAITING)
             )
-            for pool in found:
+            for pool in found.keys() & wanted.keys():
                 data_centres = {one.data_centre for one in snapshot.in_pool(pool)}
-                for data_centre in data_centres if wanted[(pool,)] else ():
-                    found[pool][data_centre] += wanted[(pool,)] / len(data_centres)
+                for data_centre in data_centres:
+                    found[pool][data_centre] += wanted[pool] / len(data_centres)
 
 
 __all__ = ["DemandCounter", "Open"]
--- a/src/threadramp/fleet/facts.py
+++ b/src/threadramp/fleet/facts.py
@@ -49,9 +49,9 @@
 
 
 def is_in_pools(sidecar: Member, pools: Set[str], snapshot: FleetSnapshot) -> bool:
-    """Return whether a sidecar's engine belongs to one of these pools."""
+    """Return whether a sidecar's engine belongs to one of these pools, or is not listed yet."""
     pool = snapshot.pool_at(sidecar.endpoint)
-    return not pool or pool in pools  # as above, it may be registered in a moment
+    return not pool or pool in pools
 
 
 def _with_endpoint(facts: Facts, endpoint: Endpoint, snapshot: FleetSnapshot, now: float) -> Facts:
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -348,11 +348,23 @@
         return self.order.sorted(rows)
 
     def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
-        """Send samples to one sidecar and record which it accepted."""
+        """Send samples to one sidecar and record which it accepted.
+
+        Those that the configuration has sent to other engines since they were chosen are left out.
+        """
         name = view.member.name
-        gap_s = median_gap_ms(list(self._eligible_views().values())) / 1000
+        pool = self.peers.fleet_view.snapshot.pool_at(view.member.endpoint)
         with self.owned.lock:
-            orders = tuple(self._assign(lot, sample, name, gap_s) for lot, sample in batch)
+            routes = {sample: self.routes.of(lot.tracker.lot) for lot, sample in batch}
+            batch = [
+                (lot, sample) for lot, sample in batch if pool in routes[sample].pools_of(sample)
+            ]
+            orders = tuple(
+                self._assign(lot, sample, name, pool, routes[sample].revision)
+                for lot, sample in batch
+            )
+        if not orders:
+            return
         facts = self.peers.facts_for(view.member)
         ask = Submit(*self.peers.sender_fields, facts, orders, view.member.endpoint)
         reply = self.peers.ask(view.member.address, ask, ASK_TIMEOUT_S)
@@ -363,12 +375,17 @@
             self.updates.record_status(view, reply.status)
             taken = reply.samples
             pause = REFUSED_RETRY_S
-        self._record_submitted(name, batch, taken, now + pause)
+        self._record_submitted(name, batch, orders, taken, now + pause)
         for lot in {id(lot): lot for lot, _ in batch if lot.tracker.ended}.values():
             self.drop(lot, let_finish=False)  # it ended while they were being sent
 
     def _record_submitted(
-        self, name: str, batch: list[tuple[OwnedLot, str]], taken: dict[str, str], retry_at: float
+        self,
+        name: str,
+        batch: list[tuple[OwnedLot, str]],
+        orders: tuple[RunOrder, ...],
+        taken: dict[str, str],
+        retry_at: float,
     ) -> None:
         """Record which samples a sidecar accepted; the others wait until ``retry_at``."""
         refused = [(lot, sample) for lot, sample in batch if sample not in taken]
@@ -384,18 +401,23 @@
             lots=sorted({lot.lot_id for lot, _ in batch}),
             taken=sorted(taken),
             refused=len(refused),
-            pool=self.views[name].pool,
-            configuration_revision=self.peers.fleet_view.snapshot.configuration_revision,
+            pool=orders[0].pool,
+            configuration_revision=orders[0].configuration_revision,
         )
 
-    def _assign(self, lot: OwnedLot, sample: str, runner: str, gap_s: float) -> RunOrder:
-        """Assign a sample to a sidecar and return the order to send."""
+    def _assign(
+        self, lot: OwnedLot, sample: str, runner: str, pool: str, configuration_revision: int
+    ) -> RunOrder:
+        """Assign a sample to a sidecar and return the order to send.
+
+        :param pool: pool of the sidecar's engine
+        :param configuration_revision: of the configuration that allows that pool
+        """
         tracker = lot.tracker
+        gap_s = median_gap_ms(list(self._eligible_views().values())) / 1000
         state = tracker.states[sample]
         tracker.assign(sample, runner)
         return RunOrder(
-            pool=self.views[runner].pool,
-            configuration_revision=self.routes.of(tracker.lot).revision,
             sample=state.sample,
             host=tracker.lot.host,
             min_version=tracker.lot.min_version,
@@ -409,6 +431,8 @@
             model=tracker.lot.model,
             organisation=tracker.lot.organisation,
             expected_s=self.order.expected_s(tracker.events_left(state) * gap_s),
+            pool=pool,
+            configuration_revision=configuration_revision,
         )
 
     def _take_back(self, view: RunnerView, known_events: dict[str, int]) -> None:
--- a/tests/lots/test_items_after_crashes.py
+++ b/tests/lots/test_items_after_crashes.py
@@ -45,7 +45,7 @@
     data_centre = "a"
 
     def __init__(self, status) -> None:
-        self.fleet_view = routed_view()
+        self.fleet_view = routed_view([f"{name}:80" for name in RUNNERS])
         self.status = status
 
     def facts_for(self, member: Member) -> Facts:
