Bound stored and sent text in bytes

Cause: three limits counted characters: chunks of results, checkpoints, and pages of results. A chunk of 390,000 characters of three bytes has 1.17 MB; the store takes 1 MB, so the append was refused and repeated unchanged.

Change: all three count the bytes of the text in UTF-8. ASCII text is divided as before.

Evidence: the three tests, of a chunk, a page and a checkpoint, fail on the code before.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from threadramp.lots.model import Result, ResultState
+from threadramp.lots.model import Result, ResultState, text_bytes
 from threadramp.policy.listing_policy import LISTINGS, PendingResults
 from threadramp.policy.sample_length import LengthEstimator
 
@@ -21,7 +21,7 @@
     from threadramp.lots.model import Lot, Sample
     from threadramp.policy.listing_policy import ListingPolicy
 
-MAX_CHUNK_CHARACTERS = 400_000  # keeps a stored value below a megabyte
+MAX_CHUNK_BYTES = 400_000  # keeps a stored value below a megabyte
 
 
 class Phase(Enum):
@@ -375,8 +375,8 @@
 def _first_chunk(results: list[Result]) -> tuple[Result, ...]:
     size = 0
     for position, result in enumerate(results):
-        size += len(result.text)
-        if size > MAX_CHUNK_CHARACTERS and position:
+        size += text_bytes(result.text)
+        if size > MAX_CHUNK_BYTES and position:
             return tuple(results[:position])
     return tuple(results)
 
--- a/src/threadramp/lots/checkpoints.py
+++ b/src/threadramp/lots/checkpoints.py
@@ -10,7 +10,7 @@
 import threading
 from typing import TYPE_CHECKING
 
-from threadramp.lots.model import SavedText, decode_texts, encode
+from threadramp.lots.model import SavedText, decode_texts, encode, text_bytes
 from threadramp.platform.store_model import MAX_ENTRIES, Put, StoreError, Transaction
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -26,7 +26,7 @@
 SAVE_INTERVAL_S = 1.5  # between two records of a lot; each is a billed call
 MIN_EVENTS = 25  # a shorter sample is generated again within a second
 MIN_NEW_EVENTS = 15  # fewer new events do not justify a record
-MAX_RECORD_CHARACTERS = 500_000  # a value may have 1 MB
+MAX_RECORD_BYTES = 500_000  # a value may have 1 MB
 
 
 class Checkpoints:
@@ -118,8 +118,8 @@
             if len(state.events) - base < MIN_NEW_EVENTS:
                 continue
             record = _record(state, base)
-            size += sum(map(len, record.events))
-            if size > MAX_RECORD_CHARACTERS and records:
+            size += sum(map(text_bytes, record.events))
+            if size > MAX_RECORD_BYTES and records:
                 break
             saved[name] = (state.events, len(state.events))
             records.append(record)
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -142,6 +142,11 @@
     results: tuple[Result, ...]
 
 
+def text_bytes(text: str) -> int:
+    """Return the size of a text as it is stored and sent, in bytes."""
+    return len(text) if text.isascii() else len(text.encode())
+
+
 def encode(value: msgspec.Struct | tuple) -> bytes:
     """Encode a value for the store or a peer."""
     return msgspec.msgpack.encode(value)
@@ -168,4 +173,5 @@
     "decode_results",
     "decode_texts",
     "encode",
+    "text_bytes",
 ]
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from threadramp.lots.model import text_bytes
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -13,7 +15,7 @@
     from threadramp.lots.head_change import HeadChange
     from threadramp.lots.model import Result, StoredHead
 
-MAX_PAGE_CHARACTERS = 600_000  # a page of results may have 1 MB
+MAX_PAGE_BYTES = 600_000  # a page of results may have 1 MB
 
 
 @dataclass
@@ -138,8 +140,8 @@
     page: list[Result] = []
     size = 0
     for result in results:
-        size += len(result.text)
-        if page and size > MAX_PAGE_CHARACTERS:
+        size += text_bytes(result.text)
+        if page and size > MAX_PAGE_BYTES:
             break
         page.append(result)
     return tuple(page)
--- a/tests/core/test_lot_tracker.py
+++ b/tests/core/test_lot_tracker.py
@@ -5,7 +5,9 @@
 import pytest
 
 from threadramp.core.lot_tracker import LotRules, LotTracker, Phase, RunOutcome
-from threadramp.lots.model import Lot, ResultState, Reward, Sample
+from threadramp.lots.model import Lot, Result, ResultState, Reward, Sample, encode
+from threadramp.lots.owned import first_page
+from threadramp.platform.trainer_calls import results_body
 
 REWARD = Reward("reward", "scores.example", "/score/", b"x")
 
@@ -143,3 +145,30 @@
     assert not book.score_failed("a", 1.0, 2)
     assert book.score_failed("a", 1.0, 2)
     assert book.states["a"].result.state is ResultState.DEAD
+
+
+LONG_TEXT = "\u6f22" * 100_000  # 300,000 bytes
+MAX_VALUE_BYTES = 1_048_576  # of the users' store; a page of results may have as many
+
+
+def long_results() -> list[Result]:
+    return [Result(name, ResultState.SUCCEEDED, LONG_TEXT, (1,), "") for name in "abcdef"]
+
+
+# Guards against a chunk that the store refuses for its size, so that no result is ever listed.
+def test_a_chunk_of_text_that_is_not_ascii_fits_into_a_value_of_the_store():
+    book = make_book(*(make_sample(name, "g", reward=None) for name in "abcdef"))
+    for name in "abcdef":
+        start(book, name, "s1")
+        book.add_events(name, "s1", 0, [LONG_TEXT], [1], "L1")
+        book.run_ended(name, "s1", RunOutcome.COMPLETE, 1.0)
+    chunk = book.next_chunk(9.0)
+    assert chunk
+    assert len(encode(chunk)) <= MAX_VALUE_BYTES
+
+
+# Guards against a page that is larger than trainers accept.
+def test_a_page_of_text_that_is_not_ascii_has_a_megabyte_at_most():
+    page = first_page(long_results())
+    assert page
+    assert len(results_body(6, 0, page)) <= MAX_VALUE_BYTES
--- a/tests/lots/test_checkpoints.py
+++ b/tests/lots/test_checkpoints.py
@@ -6,10 +6,11 @@
 
 from tests.core.test_lot_tracker import make_book, make_sample, start
 from threadramp.lots.checkpoints import Checkpoints, join_records
-from threadramp.lots.model import LotHead, SavedText, StoredHead
+from threadramp.lots.model import LotHead, SavedText, StoredHead, encode
 from threadramp.lots.owned import OwnedLot, OwnedLots
 from threadramp.platform.store import StoreClient
 
+MAX_VALUE_BYTES = 1_048_576  # of the users' store
 HEAD = LotHead("g1", "inc", 0.0, 7.5, 40.0, 3, False, 2, 1, 0, 0, False, "n")
 
 
@@ -100,3 +101,15 @@
     assert [len(text.events) for text in join_records([record(0, 3), record(3, 2)])] == [5]
     assert join_records([record(0, 3), record(4, 2)]) == []
     assert [len(text.events) for text in join_records([record(4, 2), record(0, 1)])] == [1]
+
+
+# Guards against a checkpoint that the store refuses for its size, so that nothing is ever saved.
+def test_a_record_of_text_that_is_not_ascii_fits_into_a_value_of_the_store(store):
+    tracker = make_book(*(make_sample(name, "g") for name in "abcd"))
+    for name in "abcd":
+        start(tracker, name, "s1")
+        tracker.add_events(name, "s1", 0, ["\u6f22" * 5_000] * 25, [1] * 25, "L1")
+    lot = OwnedLot(tracker, StoredHead("lot", HEAD, 1))
+    records = checkpoints(store, lot)._new_records(lot)
+    assert records
+    assert len(encode(tuple(records))) <= MAX_VALUE_BYTES
