--- a/tests/serve/test_deploy.py
+++ b/tests/serve/test_deploy.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import importlib.util
 import re
+import signal
+import sys
 import tomllib
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -52,3 +56,25 @@
     wait_for(lambda: box.lines("start"), "started")
     assert box.stop() < 4.0
     assert box.process.returncode == 0
+
+
+# Guards against a SIGHUP within the first 0.3 s, while modules are loaded, that ends the process.
+def test_a_sighup_before_the_role_is_loaded_is_ignored(monkeypatch):
+    spec = importlib.util.spec_from_file_location("start", ROOT / "deploy" / "start.py")
+    start = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(start)
+    handlers = []
+
+    def load(name: str) -> SimpleNamespace:
+        handlers.append(signal.getsignal(signal.SIGHUP))
+        return SimpleNamespace(serve=lambda role: 0)
+
+    monkeypatch.setattr(start, "import_module", load)
+    monkeypatch.setattr(sys, "argv", ["start.py", "gateway"])
+    monkeypatch.setattr(sys, "path", list(sys.path))
+    before = signal.getsignal(signal.SIGHUP)
+    try:
+        assert start.main() == 0
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert handlers[0] is signal.SIG_IGN
