--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -25,6 +25,7 @@
     from threadramp.edge.endpoint_connection import EndpointConnection
     from threadramp.fleet.model import Endpoint
     from threadramp.platform.headers import AnswerHead
+    from threadramp.wire.response_limits import Framing
 
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: discards undelivered data
 MIN_FINAL_STATUS = 200  # lower ones are interim responses
@@ -98,6 +99,11 @@
         sock, response = self.connection.sock, self.connection.response
         return sock if sock is not None or response is None else response.sock
 
+    @property
+    def framing(self) -> Framing:
+        """Return what tells the end of the response whose head was read."""
+        return self.connection.response.framing
+
     def fileno(self) -> int:
         """Return the file descriptor of the socket."""
         return self.connection.sock.fileno()
--- a/src/threadramp/lots/runner_updates.py
+++ b/src/threadramp/lots/runner_updates.py
@@ -109,6 +109,8 @@
             sidecar=name,
             outcome=update.outcome,
             events=len(tracker.states[update.sample].events),
+            events_before=tracker.states[update.sample].events_before,
+            instance=update.start.instance,
             phase=phase and phase.value,
         )
         return phase
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -57,6 +57,8 @@
         self.incarnation = engine.incarnation
         self.version = 0
         self.last_event_at = 0.0
+        self.resumed_after = run.event_count
+        self.framing = ""
 
     def execute(self) -> None:
         """Run the sample to its end, or requeue it if the engine did not begin it."""
@@ -117,6 +119,7 @@
             self._finish(_outcome_of_status(head.status), f"status {head.status}")
             return
         self.version = head.version
+        self.framing = exchange.framing.value
         self._read_stream(exchange, response)
 
     def _send(self, exchange: Exchange) -> bool:
@@ -216,7 +219,7 @@
             self._finish(self._outcome_of_break(True), "the stream ended within an event")
             return
         self.engine.release_connection(exchange, streamed_response(response))
-        self._finish(RunOutcome.COMPLETE, "")
+        self._finish(RunOutcome.COMPLETE, "end of the response")
 
     def _add_event(self, event: Event) -> bool:
         """Add one event to the run; false if the run is over."""
@@ -243,6 +246,7 @@
         if not self.table.finish(self.run, self.generation, outcome):
             return
         self.metrics.count("sample_ended", outcome.value)
+        self.metrics.count("sample_response", self.framing or "no head")
         self.metrics.record_latency("sample", self.clock.now() - self.started_at)
         log_state(
             "sample_ended",
@@ -250,6 +254,8 @@
             outcome=outcome.value,
             events=self.run.event_count,
             instance=self.incarnation.instance,
+            resumed_after=self.resumed_after,
+            framing=self.framing,
             reason=reason,
         )
 
--- a/src/threadramp/wire/response_limits.py
+++ b/src/threadramp/wire/response_limits.py
@@ -47,6 +47,17 @@
     EVENT = "event"
 
 
+class Framing(Enum):
+    """What tells the end of a response's body (RFC 9112, section 6.3); the value is logged.
+
+    ``CLOSE``: the end of its connection, which an early end cannot be told from.
+    """
+
+    CHUNKED = "chunked"
+    LENGTH = "length"
+    CLOSE = "close"
+
+
 class EndlessResponseError(HTTPError):
     """A response exceeded its size or its deadline; its connection must be closed.
 
@@ -203,6 +214,7 @@
     """
 
     is_stream = False  # whether any body is read piece by piece
+    framing = Framing.LENGTH  # known once the head is read
 
     def __init__(
         self,
@@ -227,6 +239,7 @@
             if type(error) is not HTTPException:  # which only a number of lines raises
                 raise
             raise self.reader.error(False, self.reader.bytes_read) from error
+        self.framing = self._framing()
         if self.is_stream or self.get_content_type() == STREAM_TYPE:
             self.reader.start_part(Part.EVENT, math.inf, math.inf)
             return
@@ -234,6 +247,11 @@
         if self.length is not None:
             self._check_size(self.length)
 
+    def _framing(self) -> Framing:
+        if self.chunked:
+            return Framing.CHUNKED
+        return Framing.CLOSE if self.length is None else Framing.LENGTH
+
     def start_body(self, deadline: float) -> None:
         """Apply the limits of a body that is held as a whole."""
         max_bytes = FRAMING_FACTOR * self.reader.buffers.max_response_bytes
@@ -323,6 +341,7 @@
     "BoundedReader",
     "BoundedResponse",
     "EndlessResponseError",
+    "Framing",
     "Part",
     "StreamPool",
     "bounded_pool_manager",
