Refuse responses whose connection ends within the head

Trainers were given texts without their end, and callers a 200 with an empty body: http.client takes the end of the connection for the empty line behind the headers. A head that has lost Content-Length or Transfer-Encoding then belongs to an empty response whose end is the end of the connection.

The first digits of a chunk's size counted as the size ("00" of "0004": the last chunk), now they are an error.

BoundedBuffer reads each line of a head, so it is the one place that knows whether the line was ended. IncompleteHeadError is a connection error, so that crashes are looked for as after any break; unlike before, a head that was begun and reset is no stale connection, whose request would be sent again without being counted as run.

All HTTP responses that are read through BoundedConnection share this.

--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -226,6 +226,7 @@
         self, sock: socket.socket, debuglevel: int, method: str | None, read_ahead: bytes
     ) -> BoundedResponse:
         response = _Response(sock, debuglevel, method, *self.deadlines(), self.record_end_of_stream)
+        response.reader.bytes_read = len(read_ahead)
         raw = response.fp.detach()
         self.reader = _ResponseReader(
             _PrependedReader(read_ahead, raw) if read_ahead else raw, response.reader
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -15,7 +15,7 @@
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.headers import REQUEST_ID, read_answer, sent_id
 from threadramp.report.log import log_state
-from threadramp.wire.response_limits import EndlessResponseError
+from threadramp.wire.response_limits import EndlessResponseError, IncompleteHeadError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -243,7 +243,8 @@
 
     def _is_stale(self, error: Exception) -> bool:
         """Return whether a reused connection broke before any byte of a response."""
-        return self.reused and isinstance(error, (ConnectionError, ProtocolError))
+        is_begun = isinstance(error, IncompleteHeadError)
+        return self.reused and is_connection_error(error) and not is_begun
 
     def read(self, timeout_s: float) -> EndpointResponse:
         """Read the complete response.
--- a/src/threadramp/wire/response_limits.py
+++ b/src/threadramp/wire/response_limits.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import TYPE_CHECKING
 
 from urllib3 import HTTPConnectionPool, PoolManager
@@ -36,6 +36,7 @@
 PIECE_BYTES = 65_536  # read at once from a chunked body
 # A read whose timeout ends hardly later than the deadline keeps it: each change is a system call.
 SHORTENED_SHARE = 0.9
+LINE_END_BYTES = 40  # of an incomplete line, for the error's message
 MIN_READ_S = 0.01  # for the first bytes of each part
 
 
@@ -74,6 +75,13 @@
         super().__init__(f"{self.kind}: {size} bytes")
 
 
+class IncompleteHeadError(ConnectionError):
+    """The connection ended within the head of a response, whose meaning is unknown then.
+
+    Without its last lines a head may lack the length of the body or the rest of a value.
+    """
+
+
 @dataclass
 class ProcessLimits:
     """What all responses to this process share.
@@ -191,20 +199,42 @@
 class BoundedBuffer(io.BufferedReader):
     """Buffers what a bounded reader reads; a line that is too long is no connection error.
 
+    http.client takes the end of the connection for the end of a line, and of a head.
+
     :param raw: reads the bounded reader, or is the same
     """
 
     def __init__(self, raw: io.RawIOBase, bounded: BoundedReader) -> None:
         super().__init__(raw)
         self.bounded = bounded
+        self.has_line = False
 
     def readline(self, size: int | None = -1) -> bytes:
-        """Read a line of a head, of the framing of chunks or of their trailers."""
-        line = super().readline(size)
+        """Read a line of a head, of the framing of chunks or of their trailers.
+
+        :raises IncompleteHeadError: if the connection ends within a head
+        :raises IncompleteRead: if it ends within another line
+        """
+        try:
+            line = super().readline(size)
+        except ConnectionError as error:
+            if self._is_within_head(b""):
+                raise IncompleteHeadError(repr(error)) from error
+            raise
         if len(line) > MAX_LINE_BYTES:
             raise self.bounded.error(False, len(line))
+        if not line.endswith(b"\n"):
+            if self._is_within_head(line):
+                raise IncompleteHeadError(f"the connection ended after {line[-LINE_END_BYTES:]!r}")
+            if line:
+                raise IncompleteRead(line)
+        self.has_line = True
         return line
 
+    def _is_within_head(self, line: bytes) -> bool:
+        has_begun = self.has_line or bool(line) or self.bounded.bytes_read > 0
+        return self.bounded.part is Part.HEAD and has_begun
+
 
 class BoundedResponse(HTTPResponse):
     """http.client's response, read within the limits.
@@ -342,6 +372,7 @@
     "BoundedResponse",
     "EndlessResponseError",
     "Framing",
+    "IncompleteHeadError",
     "Part",
     "StreamPool",
     "bounded_pool_manager",
