Refuse a response whose framing is invalid

What was seen: a response with `Content-Length: -10`, `ten`, an empty value or `5, 5` counted as one without a length, which ends with its connection: a cut body looked complete, and a whole one on a kept connection was waited for until the timeout. `+10` and `1_0` were read as numbers. `gzip, chunked`, `identity` beside `chunked`, and `chunked` with a blank behind it gave the frames of the chunks as the body.

Cause: http.client ignores a length that int() does not read and any transfer coding but the exact word, and urllib3 reads both differently.

RFC 9112, section 6.3, makes such framing an unrecoverable error, save a repeated length. Both are now read once more behind http.client: an error of its own, no connection error, so that nothing is taken for a crash. A health check takes the endpoint for alive. With both headers, the chunks tell the end, as before.

--- a/src/threadramp/edge/endpoint_probe.py
+++ b/src/threadramp/edge/endpoint_probe.py
@@ -18,11 +18,7 @@
 
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.engine import REPORT_PATH, read_report
-from threadramp.wire.response_limits import (
-    BoundedConnection,
-    BoundedResponse,
-    EndlessResponseError,
-)
+from threadramp.wire.response_limits import BoundedConnection, BoundedResponse
 
 # A reachable box responds within one round trip; an unreachable one does not respond at all.
 PROBE_TIMEOUT_S = 0.1
@@ -96,7 +92,7 @@
         connection.sendall(request.encode())
         response = BoundedResponse(connection, head_deadline=steady_s() + wait_s)
         response.begin()
-    except (TimeoutError, EndlessResponseError):  # busy, unreachable, or alive and in trouble
+    except (TimeoutError, HTTPError):  # busy, unreachable, or alive and in trouble
         return EndpointState.LISTENS
     except (OSError, HTTPException):
         return EndpointState.BREAKS
--- a/src/threadramp/wire/response_limits.py
+++ b/src/threadramp/wire/response_limits.py
@@ -31,6 +31,7 @@
 MAX_EVENT_BYTES = 1_048_576  # and the largest line of a stream
 FRAMING_FACTOR = 2  # bytes of a chunked body for each byte of its content
 STREAM_TYPE = "text/event-stream"
+BODYLESS = (204, 304)  # final statuses without a body, whatever the head states
 # Beyond the timeout of a call, for a body whose head arrived just in time.
 BODY_EXTRA_S = 0.5
 PIECE_BYTES = 65_536  # read at once from a chunked body
@@ -82,6 +83,13 @@
     """
 
 
+class InvalidFramingError(HTTPError):
+    """The head of a response does not tell for certain where its body ends.
+
+    RFC 9112, section 6.3: it must not be used, nor its connection.
+    """
+
+
 @dataclass
 class ProcessLimits:
     """What all responses to this process share.
@@ -269,6 +277,7 @@
             if type(error) is not HTTPException:  # which only a number of lines raises
                 raise
             raise self.reader.error(False, self.reader.bytes_read) from error
+        self._check_framing()
         self.framing = self._framing()
         if self.is_stream or self.get_content_type() == STREAM_TYPE:
             self.reader.start_part(Part.EVENT, math.inf, math.inf)
@@ -277,6 +286,28 @@
         if self.length is not None:
             self._check_size(self.length)
 
+    def _check_framing(self) -> None:
+        """Read again the values that http.client misreads or ignores as invalid.
+
+        An ignored length leaves a body that ends with its connection, cut or not.
+
+        :raises InvalidFramingError: if the end of the body is not certain
+        """
+        if self._method == "HEAD" or self.status in BODYLESS:
+            return
+        codings = _elements(self.headers.get_all("Transfer-Encoding", []))
+        lengths = set(_elements(self.headers.get_all("Content-Length", [])))
+        if codings:
+            if codings != ["chunked"]:
+                raise InvalidFramingError(f"transfer codings {codings}")
+            self.chunked, self.chunk_left, self.length = True, None, None
+        elif lengths:
+            if len(lengths) > 1 or not all(map(_is_length, lengths)):
+                raise InvalidFramingError(f"lengths {sorted(lengths)}")
+            self.length = int(lengths.pop())
+        if self.chunked or self.length is not None:
+            self.will_close = self._check_close()
+
     def _framing(self) -> Framing:
         if self.chunked:
             return Framing.CHUNKED
@@ -314,6 +345,14 @@
             raise self.reader.error(False, size)
 
 
+def _elements(values: list[str]) -> list[str]:
+    return [one.strip().lower() for value in values for one in value.split(",")]
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdigit()
+
+
 class BoundedConnection(HTTPConnection):
     """urllib3's connection, whose read timeout bounds the wait for the whole head as well.
 
@@ -373,6 +412,7 @@
     "EndlessResponseError",
     "Framing",
     "IncompleteHeadError",
+    "InvalidFramingError",
     "Part",
     "StreamPool",
     "bounded_pool_manager",
