Confirm the end of a sample's response without a length

Trainers got results listed as succeeded with the first events of a text only. A response that is neither chunked nor has a Content-Length ends with its connection, and a regular close at the end of an event was taken for the end of the text. The kernel closes the connections of a killed engine in the same way, and so does a proxy that gives up an engine.

Such an end is now unconfirmed. The sidecar asks the same engine to go on behind the last event (Last-Event-Id), on a new connection. A response with a length or chunks that ends properly confirms the text; more events are added to it; a further response without a length counts, and the third end in a row behind the same event completes the text, since a crash or a cut may end one or two right behind their heads. The count is kept with the run, so a request that the engine rejected (503, 421) continues it. All other outcomes are those of any run. No request is sent for a run that is over, restarted, routed elsewhere, of an ended lot or of a gateway that stopped polling, nor to an engine that takes no new requests; cold engines keep their limit. A refused connection after such an end counts as the engine's crash. A sample whose lot ended between its start and its request is not sent either. Chunked responses and those with a length cost no request more.

A whole text without a length takes two requests more, or one if the engine frames it, and makes no event twice.

sample_end_unconfirmed is logged and counted for each such end, and the reason in sample_ended tells how the end was confirmed.

--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -29,6 +29,8 @@
     :param not_before: time before which it is not started again
     :param rejections: number of times in a row that the engine did not begin it
     :param last_progress_at: time at which it was started or its last event arrived
+    :param unconfirmed_ends: number of responses in a row that ended with their connection, without
+        another event, behind the last event; see ``Framing.CLOSE``
     :param generation: incremented at each start, so that a thread of an earlier start has no effect
     :param incarnation: incarnation of the engine to which it was last sent
     :param routed_at: revision of the newest configuration by which its gateway sends it here, 0 if
@@ -50,6 +52,7 @@
     not_before: float = 0.0
     rejections: int = 0
     last_progress_at: float = 0.0
+    unconfirmed_ends: int = 0
     generation: int = 0
     incarnation: Incarnation = Incarnation("")
     routed_at: int = 0
--- a/src/threadramp/runner/runs.py
+++ b/src/threadramp/runner/runs.py
@@ -84,9 +84,7 @@
                 return None
             if len(running) >= self.slots and not self._make_room(running):
                 return None
-            chosen = min(
-                waiting, key=lambda run: (run.latest_start, -run.order.sample.expected_tokens)
-            )
+            chosen = min(waiting, key=_start_order)
             if self.send_limit is not None:
                 self.send_limit.take(now)
             chosen.started = True
@@ -100,6 +98,7 @@
             if run.generation != generation or not run.is_open:
                 return False
             run.rejections = 0
+            run.unconfirmed_ends = 0
             run.last_progress_at = self.now()
             run.events.append(text)
             run.versions.append(version)
@@ -110,6 +109,29 @@
         with self.changed:
             return run.is_routed(self.configuration_revision)
 
+    def add_unconfirmed_end(self, run: Run, generation: int) -> int:
+        """Record that a response ended with its connection, which may be an early end.
+
+        :returns: number of such ends behind the last event, 0 if the run has ended or was restarted
+        """
+        with self.changed:
+            if run.generation != generation or not run.is_open:
+                return 0
+            run.cancel = None
+            run.last_progress_at = self.now()
+            run.unconfirmed_ends += 1
+            return run.unconfirmed_ends
+
+    def may_ask_again(self, run: Run) -> bool:
+        """Return whether the engine may be asked to go on with a run once more.
+
+        Neither after the end of the run's lot, nor if the engine takes no new requests, nor if the
+        gateway may have sent the sample to another sidecar meanwhile.
+        """
+        with self.changed:
+            is_polled = run.last_polled_at >= self.now() - GATEWAY_TIMEOUT_S
+            return run.wanted and self.accepting and is_polled
+
     def finish(self, run: Run, generation: int, outcome: RunOutcome) -> bool:
         """End a run with an outcome; false if it has already ended or was restarted."""
         with self.changed:
@@ -328,6 +350,7 @@
             run.outcome = RunOutcome.NONE
             run.started = False
             run.cancel = None
+            run.unconfirmed_ends = 0
             run.generation += 1  # the previous thread may yet report the end caused by the cut
         return True
 
@@ -377,6 +400,14 @@
                 del self.runs[name]
 
 
+def _start_order(run: Run) -> tuple[bool, float, int]:
+    """Return the sort key by which waiting runs start.
+
+    A text that may only lack the confirmation of its end goes first: it holds no slot for long.
+    """
+    return not run.unconfirmed_ends, run.latest_start, -run.order.sample.expected_tokens
+
+
 def _call_all(cancels: list[Callable[[], None] | None]) -> None:
     """Call the functions that close the connections of runs."""
     for cancel in cancels:
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -19,6 +19,7 @@
 from threadramp.report.log import log_state
 from threadramp.runner.crash_detection import has_crashed
 from threadramp.runner.events import EventReader
+from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
@@ -36,6 +37,9 @@
 # The response head arrives with the first token, and an engine gets no more samples than it has
 # slots: 1,599 of 1,599 heads arrived within 0.3 s on a day of high load.
 HEAD_TIMEOUT_S = 0.3
+# Responses without events in a row, besides the first end behind the last event, after which a text
+# without a length counts as complete: a crash or a cut may end one right behind its head.
+CONFIRMING_ENDS = 2
 STREAM_IDLE_TIMEOUT_S = 5.0  # a stream without an event is cut; a load of weights takes 0.9 s
 
 
@@ -59,13 +63,17 @@
         self.last_event_at = 0.0
         self.resumed_after = run.event_count
         self.framing = ""
+        self.must_confirm_end = False
 
     def execute(self) -> None:
         """Run the sample to its end, or requeue it if the engine did not begin it."""
         try:
             self._execute_with_retry()
+            while self.must_confirm_end:
+                self._confirm_end()
         except ExchangeError as error:
-            self._finish(self._outcome_of_break(error.broken), str(error))
+            ended = self.must_confirm_end and error.refused  # the end came with the engine's
+            self._finish(self._outcome_of_break(error.broken or ended), str(error))
         except Exception as error:  # otherwise the sample would never end
             self._finish(RunOutcome.CUT, repr(error))
 
@@ -82,18 +90,27 @@
             self.engine.close_idle_connections()  # the others are closed by now as well
             self._execute()
 
+    def _confirm_end(self) -> None:
+        """Ask the engine to go on behind the last event, on a new connection."""
+        if not self.table.may_ask_again(self.run):
+            self.must_confirm_end = False
+            self._finish(RunOutcome.CUT, "end of the connection, not confirmed")
+            return
+        self._execute(on_new=True)
+
     def _is_over(self) -> bool:
         """Return whether another thread has ended or restarted the run."""
         with self.table.changed:
             return self.run.generation != self.generation or not self.run.is_open
 
-    def _execute(self) -> None:
+    def _execute(self, on_new: bool = False) -> None:
         endpoint = self.engine.endpoint()
         request_id = unscoped_id(self.run.order.sample.id)
         now = self.clock.now()
         exchange = self.engine.connections.acquire(
-            endpoint, now, CONNECT_TIMEOUT_S, request_id=request_id
+            endpoint, now, CONNECT_TIMEOUT_S, force_new=on_new, request_id=request_id
         )
+        self.must_confirm_end = False
         if not self._register_cancel(exchange):
             exchange.close()
             return
@@ -125,10 +142,11 @@
     def _send(self, exchange: Exchange) -> bool:
         """Send the sample, to be resumed after the events that are already here.
 
-        :returns: false if a cold engine must not receive it yet, or this engine not any more
+        :returns: false if its lot has ended, if a cold engine must not receive it yet, or this
+            engine not any more
         """
         order = self.run.order
-        if not self._is_routed_here(order):
+        if not self.run.wanted or not self._is_routed_here(order):
             return False
         left_s = max(1.0, order.give_up_in_s)
         headers = sample_headers(
@@ -218,8 +236,35 @@
             exchange.close()
             self._finish(self._outcome_of_break(True), "the stream ended within an event")
             return
+        if exchange.framing is Framing.CLOSE:
+            exchange.close()
+            self._add_unconfirmed_end()
+            return
         self.engine.release_connection(exchange, streamed_response(response))
-        self._finish(RunOutcome.COMPLETE, "end of the response")
+        confirms = " to a request that confirms an earlier end" if self.run.unconfirmed_ends else ""
+        self._finish(RunOutcome.COMPLETE, f"end of the response{confirms}")
+
+    def _add_unconfirmed_end(self) -> None:
+        """Record the end of a response that ended with its connection.
+
+        A killed engine's connections end in the same way, as do those that a proxy closes. Only an
+        engine that has nothing to add when it is asked to go on shows that the text is whole.
+        """
+        ends = self.table.add_unconfirmed_end(self.run, self.generation)
+        if not ends:
+            return
+        log_state(
+            "sample_end_unconfirmed",
+            sample=self.run.order.sample.id,
+            instance=self.incarnation.instance,
+            events=self.run.event_count,
+            ends=ends,
+        )
+        self.metrics.count("sample_end_unconfirmed", str(ends))
+        if ends > CONFIRMING_ENDS:
+            self._finish(RunOutcome.COMPLETE, f"{ends} ends of connections behind the last event")
+            return
+        self.must_confirm_end = True
 
     def _add_event(self, event: Event) -> bool:
         """Add one event to the run; false if the run is over."""
