End a sample's stream at the head of another response

An engine that answers twice sends the second copy behind the first, on the same connection. Where the first has no length, the copy was read as events of it: each run ended as cut ("event 0 after n") with all events there, at every engine again, and no lot was whole within 30 s. Where the first copy ended within an event, the head of the second became the event's rest ("s 3HTTP/1.1 200 Answer", or an empty event): the gateway resumed behind that event and listed the text. The latter also met chunked responses and those with a length whose event was longer than a head.

EventReader now finds the other head. Between two events of a stream without a length it ends the stream there, unconfirmed, so the end is confirmed as any other; the bytes behind it are not used. Within an event, whatever the framing, the event is dropped and the run cut, to be resumed behind the event before. No field of an event begins with the protocol's name, and an event that quotes a head has the names of its fields before each line, so a quote is kept.

--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -18,7 +18,7 @@
 from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
 from threadramp.report.log import log_state
 from threadramp.runner.crash_detection import has_crashed
-from threadramp.runner.events import EventReader
+from threadramp.runner.events import EventReader, OtherResponse
 from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
@@ -217,7 +217,8 @@
             return True
 
     def _read_stream(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
-        reader = EventReader()
+        is_unframed = exchange.framing is Framing.CLOSE
+        reader = EventReader(stops_at_response=is_unframed)
         exchange.start_event(STREAM_IDLE_TIMEOUT_S)
         self.last_event_at = self.clock.now()
         try:
@@ -226,17 +227,24 @@
                 if not all(self._add_event(event) for event in events):
                     exchange.close()
                     return
+                if reader.other_response is not OtherResponse.NONE:
+                    break
                 if events:
                     exchange.start_event(STREAM_IDLE_TIMEOUT_S)
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             exchange.close()
             self._finish(self._outcome_of_break(is_connection_error(error)), repr(error))
             return
+        if reader.other_response is OtherResponse.WITHIN_EVENT:
+            exchange.close()
+            self.metrics.count("answer_mixed", "within an event")
+            self._finish(RunOutcome.CUT, "another response within an event")
+            return
         if not reader.is_between_events:
             exchange.close()
             self._finish(self._outcome_of_break(True), "the stream ended within an event")
             return
-        if exchange.framing is Framing.CLOSE:
+        if is_unframed:
             exchange.close()
             self._add_unconfirmed_end()
             return
