Demand the whole text of a sample that counts as complete

test_a_sample_accepts_its_own_text_or_none accepted any beginning of the text, also of a run that counts as complete, so it could not fail on a text that is too short. A complete run now has to have all events; a cut one still any beginning, as it is resumed.

Evidence, with cut runs counted as complete on purpose: 14 of its 30 cases fail, none before.

--- a/tests/runner/test_sample_run.py
+++ b/tests/runner/test_sample_run.py
@@ -60,6 +60,7 @@
         run = run_one(name)
         assert run.outcome in FINISHED
         assert run.events == own_text(name)[: len(run.events)]
+        assert run.outcome is RunOutcome.CUT or run.events == own_text(name)
 
 
 def test_a_resubmitted_sample_does_not_accept_its_previous_text(proxy, table, run_one):
