Reuse kept text only for the request it was generated for

Trainers saw a result whose text began with events of another request if a later lot used the id of a sample that was unfinished when its lot ended: a gateway kept such text by the sample's id alone. The sidecar's own check did not help, since a text that comes with the order is resumed at any engine.

The events are copied, under the lock of the lots: a reply in flight extended the kept lists after the end, and a lot that began meanwhile could take events and versions of different lengths.

--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -117,6 +117,7 @@
     :param base: number of events before these
     :param versions: of the weights, one for each of ``events``
     :param lineage: names the chain that the events belong to
+    :param inputs: digest of the request that they were generated for, empty if it was not recorded
     """
 
     sample: str
@@ -124,6 +125,7 @@
     events: tuple[str, ...]
     versions: tuple[int, ...]
     lineage: str
+    inputs: bytes = b""
 
 
 class StoredHead(msgspec.Struct, frozen=True, array_like=True):
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -312,7 +312,8 @@
         rules = rules_for(stored.head, self.clock.now())
         tracker = LotTracker(lot, rules, lengths=self._lengths_of(lot), listing=self.listing)
         owned = OwnedLot(tracker, stored)
-        reused = self.partial_texts.apply_to(owned.tracker)
+        with self.owned.lock:
+            reused = self.partial_texts.apply_to(owned.tracker)
         self.owned.add(owned)
         log_state(
             "lot_taken",
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -20,6 +20,7 @@
 VERSIONS = "X-Weight-Versions"  # misleading: a single number
 RESUME_AFTER = "Last-Event-Id"
 LENGTH_GUESS = "X-Length-Hint"
+PIN = "X-Pin-Ms"
 PRIORITY = "X-Request-Priority"
 ORGANISATION = "X-Tenant"
 CREDENTIALS = "Authorization"
@@ -59,6 +60,10 @@
 )
 _IDENTITY = frozenset((CREDENTIALS.lower(), ORGANISATION.lower()))
 _SET_BY_US = frozenset(name.lower() for name in (TIME_LEFT, EXPECT_INSTANCE, PRIORITY))
+# Of one attempt, or about memory and order at an engine; they don't change what it generates.
+_NOT_OF_PROMPT = frozenset(
+    name.lower() for name in (REQUEST_ID, RESUME_AFTER, LENGTH_GUESS, PIN, "Host")
+)
 
 
 @dataclass(frozen=True)
@@ -244,6 +249,23 @@
     return headers
 
 
+def prompt_headers(
+    given: Iterable[tuple[str, str]], organisation: str | None
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a sample on which its text depends, in an order of their own.
+
+    An unknown header counts as one of them.
+
+    :param organisation: whose lot it is, as in ``to_endpoint``
+    """
+    pairs = list(given)
+    if organisation is not None:
+        pairs = _without_identity(pairs)
+    lowered = [(name.lower(), value) for name, value in pairs]
+    dropped = _ONE_CONNECTION | _SET_BY_US | _NOT_OF_PROMPT
+    return tuple(sorted(pair for pair in lowered if pair[0] not in dropped))
+
+
 def reward_headers(call_id: str, host: str) -> tuple[tuple[str, str], ...]:
     """Return the headers of a call that scores a sample."""
     return (("Host", host), (REQUEST_ID, call_id))
@@ -354,6 +376,7 @@
     "length_guess",
     "named_id",
     "order_headers",
+    "prompt_headers",
     "read_answer",
     "request_id",
     "resume_after",
