Record in each checkpoint which request its text is of

A gateway that takes a lot over resumes the text that the store has under the ids of the lot and the sample. These records are written without a condition, so one of unknown outcome may be done after its lot was removed, and a lot that gets the same id later would continue it. Such ids are rare; the check is one digest a record.

SavedText has the digest of TextInputs as a last field: processes of the version before ignore it, and their records, which lack it, go by the ids as they did. Records of two requests are not joined.

--- a/src/threadramp/lots/checkpoints.py
+++ b/src/threadramp/lots/checkpoints.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from threadramp.lots.model import SavedText, decode_texts, encode, text_bytes
+from threadramp.lots.text_inputs import TextInputs
 from threadramp.platform.store_model import MAX_ENTRIES, Put, StoreError, Transaction
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -19,6 +20,7 @@
     from collections.abc import Iterable
 
     from threadramp.core.lot_tracker import SampleState
+    from threadramp.lots.model import Lot
     from threadramp.lots.owned import OwnedLot, OwnedLots
     from threadramp.platform.store import StoreClient
 
@@ -117,7 +119,7 @@
                 base = 0
             if len(state.events) - base < MIN_NEW_EVENTS:
                 continue
-            record = _record(state, base)
+            record = _record(lot.tracker.lot, state, base)
             size += sum(map(text_bytes, record.events))
             if size > MAX_RECORD_BYTES and records:
                 break
@@ -133,26 +135,32 @@
         held = texts.get(record.sample)
         if record.base == 0:
             texts[record.sample] = record
-        elif held is not None and len(held.events) == record.base:
+        elif held is not None and _continues(held, record):
             texts[record.sample] = SavedText(
                 sample=record.sample,
                 base=0,
                 events=held.events + record.events,
                 versions=held.versions + record.versions,
                 lineage=record.lineage,
+                inputs=record.inputs,
             )
         else:
             texts.pop(record.sample, None)  # a record in between is missing
     return list(texts.values())
 
 
-def _record(state: SampleState, base: int) -> SavedText:
+def _continues(held: SavedText, record: SavedText) -> bool:
+    return len(held.events) == record.base and held.inputs == record.inputs
+
+
+def _record(lot: Lot, state: SampleState, base: int) -> SavedText:
     return SavedText(
         sample=state.sample.id,
         base=base,
         events=tuple(state.events[base:]),
         versions=tuple(state.versions[base:]),
         lineage=state.lineage,
+        inputs=TextInputs.of(lot, state.sample).digest,
     )
 
 
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -15,6 +15,7 @@
 from threadramp.lots.owned import OwnedLot
 from threadramp.lots.partial_texts import PartialTexts
 from threadramp.lots.recent_ends import RecentEnds
+from threadramp.lots.text_inputs import belongs_to
 from threadramp.lots.unresolved_lots import UnresolvedLots
 from threadramp.platform.store_model import StoreError, StoreRefusedError, StoreUnknownError
 from threadramp.policy.routing import rendezvous
@@ -418,7 +419,9 @@
         reused = [
             name
             for name, text in partial_texts.items()
-            if tracker.prefill(name, text.events, text.versions, text.lineage)
+            if name in tracker.states
+            and belongs_to(text, stored_lot.lot, tracker.states[name].sample)
+            and tracker.prefill(name, text.events, text.versions, text.lineage)
         ]
         if not self.owned.add(OwnedLot(tracker, stored, had_other_owner=had_other_owner)):
             return
--- a/tests/lots/test_checkpoints.py
+++ b/tests/lots/test_checkpoints.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from msgspec import Struct, msgpack
+from msgspec.structs import replace
 
 from tests.core.test_lot_tracker import make_book, make_sample, start
 from threadramp.lots.checkpoints import Checkpoints, join_records
-from threadramp.lots.model import LotHead, SavedText, StoredHead, encode
+from threadramp.lots.model import LotHead, SavedText, StoredHead, decode_texts, encode
 from threadramp.lots.owned import OwnedLot, OwnedLots
+from threadramp.lots.text_inputs import belongs_to
 from threadramp.platform.store import StoreClient
 
 MAX_VALUE_BYTES = 1_048_576  # of the users' store
@@ -113,3 +116,42 @@
     records = checkpoints(store, lot)._new_records(lot)
     assert records
     assert len(encode(tuple(records))) <= MAX_VALUE_BYTES
+
+
+# Guards against a text of two requests: the record of an earlier lot with the same id was written
+# after that lot was removed.
+def test_records_of_two_requests_are_not_joined():
+    def record(base: int, inputs: bytes) -> SavedText:
+        return SavedText("a", base, ("x",) * 3, (1,) * 3, "L", inputs)
+
+    assert join_records([record(0, b"one"), record(3, b"other")]) == []
+    (text,) = join_records([record(0, b"one"), record(3, b"one")])
+    assert (len(text.events), text.inputs) == (6, b"one")
+
+
+# Guards against joined text that lacks what it was generated for and then belongs to any request.
+def test_saved_text_names_the_request_it_was_generated_for(store, lot):
+    made = checkpoints(store, lot)
+    grow(lot, 30)
+    made.save(lot)
+    grow(lot, 60)
+    made.save(lot)
+    text = made.load("lot")["a"]
+    sample = lot.tracker.states["a"].sample
+    assert belongs_to(text, lot.tracker.lot, sample)
+    assert not belongs_to(text, lot.tracker.lot, replace(sample, body=b"another prompt"))
+
+
+# Guards against a release during which the records of one version are unreadable for the other.
+def test_records_without_a_request_are_read_and_others_are_read_without_it():
+    class OlderText(Struct, frozen=True, array_like=True):
+        sample: str
+        base: int
+        events: tuple[str, ...]
+        versions: tuple[int, ...]
+        lineage: str
+
+    older = OlderText("a", 0, ("x",), (1,), "L")
+    newer = SavedText("a", 0, ("x",), (1,), "L", b"inputs")
+    assert decode_texts(encode((older,))) == (SavedText("a", 0, ("x",), (1,), "L"),)
+    assert msgpack.decode(encode((newer,)), type=tuple[OlderText, ...]) == (older,)
--- a/tests/lots/test_owner.py
+++ b/tests/lots/test_owner.py
@@ -4,6 +4,7 @@
 
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from tests.stores import MemoryStore
@@ -16,11 +17,13 @@
     scanners_for,
     successor_of,
 )
-from threadramp.lots.checkpoints import Checkpoints
+from threadramp.lots.checkpoints import TEXT_PREFIX, Checkpoints
 from threadramp.lots.journal import LotJournal
-from threadramp.lots.model import Lot, LotHead, Sample, StoredHead
+from threadramp.lots.model import Lot, LotHead, Sample, SavedText, StoredHead, encode
 from threadramp.lots.owned import OwnedLots
 from threadramp.lots.owner import LotOwner
+from threadramp.lots.text_inputs import TextInputs
+from threadramp.platform.store_model import Put, Transaction
 
 
 def stored(owner: str, lot_id: str = "lot") -> StoredHead:
@@ -137,3 +140,26 @@
     taken = successor.owned.get("lot").tracker
     assert taken.rules.give_up_at > submitted_at + GIVE_UP_S
     assert taken.rules.give_up_at < submitted_at + GIVE_UP_S + 15.0  # nor long after
+
+
+def saved_text(owner: LotOwner, sample: Sample, lot: Lot) -> Put:
+    inputs = TextInputs.of(lot, sample).digest
+    record = SavedText("a", 0, ("one", "two"), (1, 1), "L1", inputs)
+    return Put(f"{TEXT_PREFIX}lot/{owner.checkpoints.incarnation}/0000", encode((record,)))
+
+
+# Guards against a takeover that continues the text of an earlier lot with the same ids.
+@pytest.mark.parametrize(("body", "events"), [(b"prompt", ["one", "two"]), (b"another", [])])
+def test_a_takeover_resumes_saved_text_of_its_request_only(clock, body, events):
+    store = MemoryStore()
+    first = owner_at("g1", store, clock)
+    successor = owner_at("g2", store, clock)
+    sample = Sample("a", "/p", (), b"prompt", 1, "g", None, 0)
+    lot = Lot("lot", "host", "/p/", 0, "m", 1, 1, (sample,))
+    shares = (PoolShare("pool", 1.0),)
+    route = Route("r", "host", "/p/", RouteKind.SAMPLES, shares, 2.0, 1.0, 3, give_up_s=GIVE_UP_S)
+    first.submit(lot, route, retry_for_s=1.0)
+    generated_for = msgspec.structs.replace(sample, body=body)
+    store.transact(Transaction(puts=(saved_text(first, generated_for, lot),)), repeatable=True)
+    successor.take_over(successor.journal.read_head("lot"))
+    assert successor.owned.get("lot").tracker.states["a"].events == events
