Confirm the end of a caller's stream that ended with its connection

Behind a stream that was cut within an event, a copy of the response was relayed as the rest of that event. A caller that closed its sending side while such a stream ran got a complete stream too, as the disconnect watcher shuts the endpoint's connection down and the relay then reads a regular end.

Cause: CallerStream.relay took the absence of an error for the end.

Now a stream that may be resumed is asked for again after its last event, first where it ended, on a new connection, with the head of the first response and within max_attempts endpoints. A framed response is proof; one closed with more events is asked for again, and two in a row without an event are taken as the end. An endpoint that is full is asked again until the deadline. The head of another response between two events ends the stream there; a copy with later events cuts it where it cannot be asked for again. Framed streams cost nothing more.

Considered: the check of the start alone for streams that may be resumed. It costs no slot, but a proxy that turns a reset into a close, or an endpoint that ends early and lives on, passes it.

A regular early close between two events by an endpoint that lives on still looks complete where a stream may not be resumed.

--- a/src/threadramp/edge/attempt_loop.py
+++ b/src/threadramp/edge/attempt_loop.py
@@ -12,13 +12,14 @@
 from threadramp.edge.crash_guard import CrashGuard
 from threadramp.edge.exchange import ExchangeError
 from threadramp.edge.job import Ending, Outcome, is_disconnected
+from threadramp.edge.start_check import CHECK_TIMEOUT_S, StartState, check_start
 from threadramp.platform.headers import sent_id, to_endpoint
 from threadramp.policy.crash_tracker import Assessment, CrashTracker, SuspicionLevel
 from threadramp.policy.idle_connections import max_idle_connections
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Set
+    from collections.abc import Callable, Iterable, Set
 
     from threadramp.duties.collecting import UsageCounter
     from threadramp.edge.call_queue import CallQueues, Place
@@ -44,7 +45,10 @@
 
 
 class EndpointAccess:
-    """Everything needed to reach endpoints; shared by all threads of a process."""
+    """Everything needed to reach endpoints; shared by all threads of a process.
+
+    :param check_start: returns whether an endpoint still runs, asked within a number of seconds
+    """
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         usage_counter: UsageCounter | None = None,
         cold_gate: ColdGate | None = None,
         call_queues: CallQueues | None = None,
+        check_start: Callable[[Endpoint, float], StartState] = check_start,
     ) -> None:
         self.fleet_view = fleet_view
         self.connection_pool = connection_pool
@@ -66,6 +71,7 @@
         self.usage_counter = usage_counter
         self.cold_gate = cold_gate
         self.call_queues = call_queues
+        self.check_start = check_start
         self.guard = guard or CrashGuard(CrashTracker(), clock, fleet_view)
 
     def drop_unlisted(self) -> None:
@@ -314,6 +320,25 @@
         self.record_exchange_error(exchange.endpoint, error, ran=True)
         return False
 
+    def check_close(self, endpoint: Endpoint, **more: object) -> StartState:
+        """Check an endpoint that ended a response by a close, and log what it shows.
+
+        Called after the close, so the same start shows that the close was not by a crash.
+
+        :param more: fields of the log line
+        """
+        timeout_s = min(CHECK_TIMEOUT_S, self.job.deadline - self.now())
+        state = self.access.check_start(endpoint, timeout_s)
+        self.access.connection_pool.count("close_check", state.value)
+        log_state(
+            "response_closed",
+            request=self.job.request_id,
+            instance=endpoint.instance,
+            endpoint=state.value,
+            **more,
+        )
+        return state
+
     def record_rejection(self, endpoint: Endpoint, status: int) -> None:
         """Record that an endpoint reported that it did not run the job."""
         self.retract_start(endpoint)
@@ -427,4 +452,4 @@
         return None
 
 
-__all__ = ["RESPONSE_MARGIN_S", "AttemptLoop", "EndpointAccess"]
+__all__ = ["REJECTION_PAUSE_S", "RESPONSE_MARGIN_S", "AttemptLoop", "EndpointAccess"]
--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from urllib3.exceptions import HTTPError
 
 from threadramp.edge.exchange import is_connection_error, iter_body
-from threadramp.platform.headers import resume_after, to_caller
+from threadramp.platform.headers import holds_head, resume_after, to_caller
 from threadramp.report.log import log_state
 from threadramp.runner.events import EventReader
+from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +25,19 @@
     from threadramp.runner.events import Event
 
 DEADLINE_SLACK_S = 0.05  # for the last event of a stream
+COPY_TIMEOUT_S = 0.5  # for another response behind a stream
+STATUS_LINE = b"HTTP/1."
+
+
+class StreamEnd(Enum):
+    """What ended a stream between two events; the values are logged.
+
+    Only ``FRAMED``, its last chunk or its length, shows that it is complete.
+    """
+
+    FRAMED = "framed"
+    CLOSED = "closed"
+    OTHER_RESPONSE = "followed by another response"
 
 
 class StreamBrokenError(Exception):
@@ -78,7 +94,7 @@
 
     def relay(
         self, exchange: Exchange, response: BaseHTTPResponse, read_timeout_s: Callable[[], float]
-    ) -> None:
+    ) -> StreamEnd:
         """Relay complete events until the end of the stream.
 
         :param read_timeout_s: returns the seconds to wait for the next event of the endpoint
@@ -91,14 +107,46 @@
             exchange.start_event(read_timeout_s())
             for data in iter_body(response):
                 events = reader.feed(data)
-                for event in events:
+                for index, event in enumerate(events):
+                    if self._begins_response(exchange, event.raw):
+                        return self._end_before_copy(exchange, response, reader, events[index:])
                     self._relay_event(event, instance)
                 if events:
                     exchange.start_event(read_timeout_s())
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             raise StreamBrokenError(instance, repr(error), is_connection_error(error)) from error
+        if self._begins_response(exchange, bytes(reader.pending)):
+            return StreamEnd.OTHER_RESPONSE
         if not reader.is_between_events:
             raise StreamBrokenError(instance, "the stream ended within an event", broken=True)
+        return StreamEnd.CLOSED if exchange.framing is Framing.CLOSE else StreamEnd.FRAMED
+
+    def _begins_response(self, exchange: Exchange, data: bytes) -> bool:
+        """Return whether another response follows a stream that ends with its connection."""
+        return exchange.framing is Framing.CLOSE and data.startswith(STATUS_LINE)
+
+    def _end_before_copy(
+        self,
+        exchange: Exchange,
+        response: BaseHTTPResponse,
+        reader: EventReader,
+        events: list[Event],
+    ) -> StreamEnd:
+        """End the stream before another response, of which nothing goes to the caller.
+
+        :raises StreamBrokenError: if it is a copy that goes on behind the last event
+        """
+        if self.job.route.may_repeat:
+            return StreamEnd.OTHER_RESPONSE  # the stream is asked for again
+        exchange.start_event(COPY_TIMEOUT_S)
+        with suppress(OSError, HTTPError, ValueError, AttributeError):
+            for data in iter_body(response):
+                events += reader.feed(data)
+        if any(event.number > self.last_event for event in events):
+            raise StreamBrokenError(
+                exchange.endpoint.instance, "a copy of the response is longer", broken=True
+            )
+        return StreamEnd.OTHER_RESPONSE
 
     def abort(self, ending: Ending) -> None:
         """Cut the caller's connection, so that the stream cannot look complete."""
@@ -113,6 +161,8 @@
         :raises StreamBrokenError: if it is not the next event
         :raises CallerDisconnectedError: if the caller disconnected
         """
+        if STATUS_LINE in event.raw and holds_head(event.raw):
+            raise StreamBrokenError(instance, "an event contains another response", broken=True)
         follows = event.number == self.last_event + 1
         if not follows and (self.job.route.may_repeat or event.number <= self.last_event):
             raise StreamBrokenError(
@@ -128,4 +178,4 @@
         self.first_event_at = self.first_event_at or self.now()
 
 
-__all__ = ["CallerDisconnectedError", "CallerStream", "StreamBrokenError"]
+__all__ = ["CallerDisconnectedError", "CallerStream", "StreamBrokenError", "StreamEnd"]
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -3,6 +3,10 @@
 An interrupted stream is resumed at another endpoint after the last event that the caller received,
 if its route allows that. Else the caller's connection is cut, so that the stream cannot look
 complete.
+
+A stream that ended with its connection may lack its last events. It is asked for again after its
+last event, where that is possible, until a response shows that there are no more; the caller waits
+for the end of its response alone. Other streams count as complete if their endpoint lives on.
 """
 
 from __future__ import annotations
@@ -10,14 +14,16 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from threadramp.edge.attempt_loop import AttemptLoop, EndpointAccess
+from threadramp.edge.attempt_loop import REJECTION_PAUSE_S, AttemptLoop, EndpointAccess
 from threadramp.edge.caller_stream import (
     CallerDisconnectedError,
     CallerStream,
     StreamBrokenError,
+    StreamEnd,
 )
 from threadramp.edge.exchange import ExchangeError, streamed_response
 from threadramp.edge.job import Ending, Outcome
+from threadramp.edge.start_check import StartState
 from threadramp.platform.headers import read_answer, stream_headers
 from threadramp.report.log import log_state
 
@@ -34,6 +40,7 @@
 STALL_TIMEOUT_S = 1.2  # loading weights pauses streams for 0.9 s; callers give up after 2 s
 MIN_READ_TIMEOUT_S = 0.05
 MAX_RETURNS = 3  # times that a stream is resumed at an endpoint where it was interrupted
+MAX_EMPTY_ENDS = 2  # responses in a row without an event, each ended by a close
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
@@ -65,6 +72,9 @@
         self.request = request
         self.stream = CallerStream(job, request, closes, self.now)
         self.return_count = 0
+        self.empty_ends = 0
+        self.is_unconfirmed = False  # whether all events may have been relayed
+        self.confirm_at: Endpoint | None = None  # to ask first whether there are more
 
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
         """Return the headers that start or resume the stream."""
@@ -91,10 +101,19 @@
             self.record_closed(exchange)
 
     def start_attempt(self) -> Outcome | None:
-        """Send to one more endpoint, or again to one where the stream was interrupted."""
+        """Send to one more endpoint, or again to one where the stream was interrupted or ended."""
+        if self.is_unconfirmed and self.watcher.has_disconnected(self.request.socket):
+            return self._end_disconnected()
+        if self._ask_where_it_ended():
+            return None
         again = self._endpoints_to_return_to()
         if not again:
+            if self.is_unconfirmed:  # its end waits for a slot until the deadline
+                self.history.rejection_rounds = 0
             return super().start_attempt()
+        if self.is_unconfirmed and all(one.incarnation in self.history.rejected for one in again):
+            self.history.rejected.clear()
+            return self._pause(REJECTION_PAUSE_S)
         self.return_count += 1
         chosen = self.access.choice.choose(again, self.history.rejected, self.now())
         if chosen is None:
@@ -102,6 +121,20 @@
         self.send(chosen)
         return None
 
+    def _ask_where_it_ended(self) -> bool:
+        """Ask the endpoint where the stream ended for more events; false if it is not listed."""
+        asked, self.confirm_at = self.confirm_at, None
+        if asked is None:
+            return False
+        listed = [one for one in self.endpoints() if one.incarnation == asked.incarnation]
+        chosen = self.access.choice.choose(listed, self.access.blocked(listed), self.now())
+        if chosen is None:
+            return False
+        # The end of a connection that was idle would say nothing, and a copy of the response that
+        # came before may follow on one that carried it.
+        self.send(chosen, force_new=True)
+        return True
+
     def _endpoints_to_return_to(self) -> list[Endpoint]:
         """Return the endpoints where it was interrupted, if no others may be tried."""
         route = self.job.route
@@ -131,6 +164,19 @@
         self.record_exchange_error(exchange.endpoint, error, ran=error.sent)
         return None
 
+    def record_exchange_error(self, endpoint: Endpoint, error: ExchangeError, ran: bool) -> None:
+        """Record that an endpoint gave no valid response.
+
+        One that refuses to be asked for the rest of a stream crashed while it served it.
+        """
+        if (
+            self.is_unconfirmed
+            and error.refused
+            and endpoint.incarnation in self.history.possibly_ran
+        ):
+            error, ran = ExchangeError(True, str(error), broken=True), True
+        super().record_exchange_error(endpoint, error, ran)
+
     def _end_disconnected(self) -> Outcome:
         log_state(
             "caller_disconnected", request=self.job.request_id, events=self.stream.event_count
@@ -146,17 +192,75 @@
         if head.not_run:
             exchange.close()
             self.record_rejection(exchange.endpoint, head.status)
+            self.return_count = max(0, self.return_count - 1)  # it was not resumed there
             return None
         if response.status != 200 or not head.signature or not _is_stream(response):
             return self._handle_other_response(exchange, response, head)
         self.record_start(exchange.endpoint, self.now())
         self.stream.start(response)
-        self.stream.relay(exchange, response, self._read_timeout_s)
+        before = self.stream.last_event
+        end = self.stream.relay(exchange, response, self._read_timeout_s)
+        if not self._is_complete(exchange, end, self.stream.last_event > before):
+            return None
         self.admission.record_response(exchange.endpoint.incarnation)
         self.access.release_connection(exchange, streamed_response(response))
         self.access.choice.record_success(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
 
+    def _is_complete(self, exchange: Exchange, end: StreamEnd, had_events: bool) -> bool:
+        """Return whether the stream is complete; if not, it has to be asked for again.
+
+        :param had_events: whether the response that ended had any
+        :raises CallerDisconnectedError: if the connection was closed here for that
+        :raises StreamBrokenError: if its endpoint crashed and it cannot be asked for again
+        """
+        endpoint = exchange.endpoint
+        is_complete = end is StreamEnd.FRAMED
+        if not is_complete:
+            if self.watcher.has_disconnected(self.request.socket):
+                raise CallerDisconnectedError
+            if self._may_ask_again(endpoint):
+                self.empty_ends = 0 if had_events else self.empty_ends + 1
+                is_complete = self.empty_ends >= MAX_EMPTY_ENDS
+            else:
+                state = self.check_close(endpoint, events=self.stream.event_count)
+                if state is not StartState.SAME:
+                    exchange.close()
+                    raise StreamBrokenError(endpoint.instance, f"closed: {state.value}", True)
+                is_complete = True
+        log_state(
+            "stream_response_ended",
+            request=self.job.request_id,
+            instance=endpoint.instance,
+            framing=exchange.framing.value,
+            end=end.value,
+            events=self.stream.event_count,
+            confirmed=is_complete,
+        )
+        if end is StreamEnd.OTHER_RESPONSE:
+            exchange.close()  # the rest of that response is still to come
+        label = f"{end.value}, {'complete' if is_complete else 'asked again'}"
+        self.access.connection_pool.count("stream_end", label)
+        if not is_complete:
+            exchange.close()
+            self.history.possibly_ran.add(endpoint.incarnation)
+            self.history.may_have_run = True
+            self.is_unconfirmed, self.confirm_at = True, endpoint
+        return is_complete
+
+    def _may_ask_again(self, endpoint: Endpoint) -> bool:
+        """Return whether a stream that this endpoint ended may be asked for again anywhere.
+
+        An endpoint that is leaving gets no new request.
+        """
+        route = self.job.route
+        ran = self.history.possibly_ran | {endpoint.incarnation}
+        may_try_another = len(ran) < route.max_attempts
+        return route.may_repeat and any(
+            not one.leaving and (may_try_another or one.incarnation in ran)
+            for one in self.endpoints()
+        )
+
     def _send_rest(self, exchange: Exchange) -> None:
         """Send the rest of a long body, until a response arrives."""
         while exchange.is_sending and exchange.send_more(self._read_timeout_s()):
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -13,6 +13,7 @@
 TIME_LEFT = "X-Deadline-Ms"  # misleading: milliseconds left, not a time of day
 SIGNATURE = "X-Server-Stamp"  # misleading: signs the body; no time in it
 EXPECT_INSTANCE = "X-Expect-Instance"
+INSTANCE = "X-Instance-Id"
 LOAD = "X-Instance-Load"
 NOT_RUN = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
@@ -364,6 +365,8 @@
 
 
 __all__ = [
+    "EXPECT_INSTANCE",
+    "INSTANCE",
     "OTHER_INSTANCE_STATUS",
     "REJECTED_STATUSES",
     "RETRY_AFTER",
