Check that an endpoint lives on after a whole response without a length

Behind such a response, a copy that was cut within its head became part of the body on a new connection.

Cause: the connection of a killed process is closed regularly, and a regular close ends such a body. contains_other_response looked for a head that is cut only where more bytes followed or the connection was reused.

Now the forwarder asks for the endpoint's report right after the close. The same start shows that the close was not by a crash, and the response is served. Otherwise the exchange counts as interrupted: repeatable requests go on elsewhere, others end as unknown. A silent endpoint counts as alive here, unlike for streams: a plain service may let the check wait for a slot, and one that ended refuses or breaks the connection. An error page that fails the check is not kept, but it counts as no crash: a proxy may have made it. Rejections and responses without a body by their status or method need no check, framed ones neither.

Cost: one connection and one report for each close-delimited response.

Weighed for repeatable requests: another run proves nothing, since two runs need not give the same bytes, and costs more. That other connections to the endpoint are still open costs nothing, but the kernel closes those of a killed process one after another and a proxy keeps its own open. So they are checked in the same way.

--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -22,6 +22,7 @@
     BoundedConnection,
     BoundedResponse,
     EndlessResponseError,
+    Framing,
 )
 
 if TYPE_CHECKING:
@@ -243,8 +244,9 @@
         return self.reader.surplus_sample
 
     def contains_other_response(self, body: bytes) -> bool:
-        """Return whether bytes of another response got into a body of known length.
+        """Return whether bytes of another response got into a body.
 
+        Behind a response that ends with its connection, all bytes become part of its body.
         A duplicate response to an earlier request, or to this one if the first copy was truncated,
         fills up the length too early. Then the body contains a response head, or the bytes behind
         it do not begin a response; these bytes may not have arrived yet.
@@ -253,7 +255,8 @@
         if STATUS_LINE in body and holds_head(body):
             return True
         is_reused = self.uses > 1
-        if (surplus_sample or is_reused) and ends_in_head(body):
+        may_hold_more = surplus_sample or is_reused or self.response.framing is Framing.CLOSE
+        if may_hold_more and ends_in_head(body):
             return True
         return is_reused and not STATUS_LINE.startswith(surplus_sample[: len(STATUS_LINE)])
 
--- a/src/threadramp/edge/forward.py
+++ b/src/threadramp/edge/forward.py
@@ -8,10 +8,12 @@
 from threadramp.edge.attempt_loop import RESPONSE_MARGIN_S, AttemptLoop, EndpointAccess
 from threadramp.edge.exchange import ExchangeError
 from threadramp.edge.job import Ending, Outcome
+from threadramp.edge.start_check import SERVER_ERROR, StartState
 from threadramp.platform.headers import read_answer
 from threadramp.policy.crash_tracker import SuspicionLevel
 from threadramp.policy.endpoint_choice import HEDGE_AFTER_SHARE
 from threadramp.report.log import log_state
+from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
     from urllib3 import BaseHTTPResponse
@@ -187,11 +189,28 @@
         except ExchangeError as error:
             self.record_exchange_error(endpoint, error, ran=True)
             return None
+        if exchange.framing is Framing.CLOSE and not self._is_whole(exchange, complete_response):
+            error = ExchangeError(True, "closed by a crash", broken=head.status < SERVER_ERROR)
+            self.record_exchange_error(endpoint, error, ran=True)
+            return None
         if not exchange.reused:
             self._close_idle_of_slow()
         self.access.release_connection(exchange, complete_response)
         return self._evaluate(endpoint, complete_response)
 
+    def _is_whole(self, exchange: Exchange, response: EndpointResponse) -> bool:
+        """Return whether a response that ended with its connection may be passed on.
+
+        A rejection counts by its head. A silent endpoint lives: a plain service may let the check
+        wait for a slot, as a request.
+        """
+        if response.head.not_run:
+            return True
+        state = self.check_close(
+            exchange.endpoint, status=response.head.status, bytes=len(response.body)
+        )
+        return state in (StartState.SAME, StartState.SILENT)
+
     def _evaluate(self, endpoint: Endpoint, response: EndpointResponse) -> Outcome | None:
         head = response.head
         if head.not_run:
