Keep a reset that a failed send reported

What callers saw: a response without a length that an endpoint reset while a body was being sent to it looked complete.

Cause: the kernel reports a reset to one call. If that was a write, EndpointConnection keeps the connection when bytes of a response wait, and the read behind them returns a regular end. The endpoint lives on, so the check of its start passes.

Now the connection remembers that a write reported the reset, and neither a body nor a stream without a length is complete then. A broken pipe is no such case: the regular end had come before the reset.

Evidence: an endpoint that sends a head and "part" and resets, before the request is written: complete with "part" before, an interrupted exchange now; with a length or chunks interrupted before and now.

--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -115,6 +115,8 @@
                     exchange.start_event(read_timeout_s())
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             raise StreamBrokenError(instance, repr(error), is_connection_error(error)) from error
+        if exchange.is_end_lost:
+            raise StreamBrokenError(instance, "the connection was reset", broken=True)
         if self._begins_response(exchange, bytes(reader.pending)):
             return StreamEnd.OTHER_RESPONSE
         if not reader.is_between_events:
--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -62,6 +62,7 @@
         self.accepted_bytes = 0  # of the current request, by the kernel
         self.acked_before = 0  # before the current request
         self.closed_before_request = False
+        self.was_reset = False  # while the current request was sent
 
     @property
     def is_sending(self) -> bool:
@@ -98,6 +99,7 @@
         self.accepted_bytes = 0
         self.acked_before = 0 if self.sock is None else acked_bytes(self.sock)
         self.closed_before_request = False
+        self.was_reset = False
         if not request_id:
             return
         self.request_ids[request_id] = None
@@ -157,7 +159,11 @@
                 self.unsent.appendleft(piece[count:])
 
     def _handle_broken(self, error: ConnectionError) -> None:
-        """Keep the connection if a response says why the rest could not be sent."""
+        """Keep the connection if a response says why the rest could not be sent.
+
+        The kernel reports a reset once: behind the bytes that wait, a regular end follows here.
+        """
+        self.was_reset = isinstance(error, ConnectionResetError)
         with suppress(OSError):
             if self._peek():
                 self.can_send_rest = False
--- a/tests/edge/test_close_delimited_bodies.py
+++ b/tests/edge/test_close_delimited_bodies.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+import time
 from random import Random
 
 import pytest
 
 from tests.edge.closing_engine import ClosingEngine, Ending
 from threadramp.edge.connection_pool import ConnectionPool
+from threadramp.edge.exchange import ExchangeError
 from threadramp.edge.forward import Forwarder
 from threadramp.edge.job import Ending as OutcomeKind
 from threadramp.edge.job import Job, Outcome
 from threadramp.fleet.clock import Clock, steady_s
 from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
-from threadramp.fleet.model import PoolShare, Route, RouteKind
+from threadramp.fleet.model import Endpoint, PoolShare, Route, RouteKind
 from threadramp.policy.endpoint_choice import EndpointSelector
 from threadramp.policy.retries import RetryBudget
 from threadramp.wire.response_limits import Framing
 
 BODY = b"a whole body of some bytes"
 CUTS = [0, 1, 13, len(BODY) - 1, len(BODY)]
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: reset at close
+RESET_S = 0.05  # until a reset on the loopback has arrived
 
 
 @pytest.fixture
@@ -105,3 +111,22 @@
     engine = ClosingEngine(1, Framing.CLOSE, (Ending(cut, copies=copies),), BODY)
     outcome = call(engine)
     assert outcome.response is None or BODY.startswith(outcome.response.body)
+
+
+@pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"])
+def test_a_reset_that_a_failed_send_reported_still_cuts_the_response(framing):
+    """The kernel reports a reset once, so the next read showed a regular end."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        endpoint = Endpoint("i-1", "p", f"{host}:{port}", "a", 6)
+        exchange = ConnectionPool().acquire(endpoint, 0.0, 1.0)
+        peer, _ = listener.accept()
+        head = f"HTTP/1.1 200 OK\r\nX-Attempt-Id: r\r\nX-Server-Stamp: s\r\n{framing}\r\n"
+        peer.sendall(head.encode() + b"part")
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        peer.close()
+        time.sleep(RESET_S)
+        with pytest.raises(ExchangeError) as failure:
+            exchange.send("POST", "/", {"Host": "h", "X-Attempt-Id": "r"}, b"x", defers_rest=True)
+            exchange.read_body(exchange.read_head(1.0), 1.0)
+        assert failure.value.broken
