Reset the connection of a stream that is cut for a caller with HTTP/1.0

Cause: CallerRequest.abort leaves out the last chunk, and cheroot shuts the connection down before it closes it.

Now abort marks the connection where no chunks are sent, and it is reset without a regular end before. Streams to callers with HTTP/1.1 are always chunked, also with "Connection: close"; they end without the last chunk.

--- a/src/threadramp/edge/caller_server.py
+++ b/src/threadramp/edge/caller_server.py
@@ -9,12 +9,14 @@
 
 import socket
 import threading
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cheroot.makefile import MakeFile, StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
 
 from threadramp.edge.connection_pool import is_readable
+from threadramp.edge.exchange import RESET_AT_CLOSE
 from threadramp.fleet.clock import steady_s
 from threadramp.fleet.model import CallerLimits
 from threadramp.report.log import log_state
@@ -137,6 +139,7 @@
         self.arrived_at = 0.0
         self.unsent_lock = threading.Lock()
         self.has_unsent = False
+        self.resets = False  # instead of a regular close
         self.is_broken = False  # whether the rest of an answer could not be sent
         self.keeps_open: bool | None = None  # what to do once everything is sent, none if not known
 
@@ -160,6 +163,14 @@
         if not self.defer(False):
             super().close()
 
+    def _close_kernel_socket(self) -> None:
+        """End the connection, as cheroot does; a reset must not follow a regular end."""
+        if not self.resets:
+            super()._close_kernel_socket()
+            return
+        with suppress(OSError):  # the caller has disconnected
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
     def _rest_ended(self, complete: bool) -> None:
         with self.unsent_lock:
             self.has_unsent = False
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -181,7 +181,11 @@
         self.raw.write(data)
 
     def abort(self) -> None:
-        """Close the connection in the middle of a response, without the final chunk."""
+        """Close the connection in the middle of a response, without the final chunk.
+
+        A body that is not chunked, as for a caller with HTTP/1.0, would end with a regular close.
+        """
+        self.raw.conn.resets = not self.raw.chunked_write
         self.raw.chunked_write = False
         self.raw.close_connection = True
 
--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -203,3 +203,28 @@
     assert engine.after == [0]
     assert gateway.outcomes[0].ending is OutcomeKind.CUT
     assert engine.checks == 0
+
+
+@pytest.mark.parametrize("framing", list(Framing))
+def test_a_cut_stream_of_a_caller_with_http_1_0_ends_with_a_reset(gateway, serve_engines, framing):
+    """Such a caller gets no chunks, so a regular close would look like the end of the stream."""
+    gateway.route["resumable"] = False
+    cut = framed_size(framing, events(1, 1))
+    cut -= len(b"0\r\n\r\n") if framing is Framing.CHUNKED else 0
+    serve_engines(ClosingEngine(1, framing, (Ending(cut, crashes=True),)))
+    with socket.create_connection(gateway.address, timeout=10) as caller:
+        caller.sendall(b"POST /a HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: req\r\n\r\n")
+        with pytest.raises(ConnectionResetError):
+            while caller.recv(65_536):
+                pass
+    assert gateway.outcomes[0].ending is OutcomeKind.CUT
+
+
+def test_a_whole_stream_of_a_caller_with_http_1_0_ends_with_a_close(gateway, serve_engines):
+    serve_engines(ClosingEngine(1, Framing.CHUNKED))
+    received = b""
+    with socket.create_connection(gateway.address, timeout=10) as caller:
+        caller.sendall(b"POST /a HTTP/1.0\r\nHost: h\r\nX-Attempt-Id: req\r\n\r\n")
+        while data := caller.recv(65_536):
+            received += data
+    assert received.endswith(b"\r\n\r\n" + TEXT)
