Keep the counted start of a stream whose rest its endpoint rejects

What was wrong: a stream that was interrupted at an endpoint, and that the same endpoint rejected when it was asked for the rest, was no longer counted in the usage of its organisation, although it had run.

Cause: a rejection retracts the last start that was counted at its endpoint. Starts of streams are counted at their head, so none may be retracted once its response was read; it is forgotten there now.

--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -99,6 +99,8 @@
             return self._handle_break(exchange, error)
         finally:
             self.record_closed(exchange)
+            # A later rejection there says nothing of this run.
+            self.history.started_at.pop(exchange.endpoint.incarnation, None)
 
     def start_attempt(self) -> Outcome | None:
         """Send to one more endpoint, or again to one where the stream was interrupted or ended."""
--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -228,3 +228,30 @@
         while data := caller.recv(65_536):
             received += data
     assert received.endswith(b"\r\n\r\n" + TEXT)
+
+
+class StartCounter:
+    """Counts starts as the usage of an organisation does."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def count_sent(self, organisation: str, at: float) -> None:
+        self.count += 1
+
+    def uncount(self, organisation: str, at: float) -> None:
+        self.count -= 1
+
+
+@pytest.mark.parametrize("framing", list(Framing))
+def test_a_rejection_does_not_retract_an_earlier_start_at_the_same_endpoint(
+    gateway, serve_engines, framing
+):
+    """Else an organisation's usage lacks a stream whose rest its endpoint rejected at first."""
+    gateway.route["attempts"] = 1
+    counter = gateway.streams.access.usage_counter = StartCounter()
+    ending = Ending(framed_size(framing, events(1, 1)) - 1, resets=True)
+    engine = ClosingEngine(1, framing, (ending,), rejections=1)
+    serve_engines(engine)
+    read(gateway)
+    assert counter.count == len(engine.after)
