Find another response behind a stream in one place

Samples and callers' streams looked for the head of another response in two ways; EventReader does it for both now and keeps the bytes from that head on, so that a stream that can't be asked for again still learns of a longer copy.

Two of 83 tests of callers' streams failed where the two ways met: the reader called the head a part of an event.

--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -9,9 +9,9 @@
 from urllib3.exceptions import HTTPError
 
 from threadramp.edge.exchange import is_connection_error, iter_body
-from threadramp.platform.headers import holds_head, resume_after, to_caller
+from threadramp.platform.headers import resume_after, to_caller
 from threadramp.report.log import log_state
-from threadramp.runner.events import EventReader
+from threadramp.runner.events import EventReader, OtherResponse
 from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 
 DEADLINE_SLACK_S = 0.05  # for the last event of a stream
 COPY_TIMEOUT_S = 0.5  # for another response behind a stream
-STATUS_LINE = b"HTTP/1."
+HEAD_END = b"\r\n\r\n"
 
 
 class StreamEnd(Enum):
@@ -101,41 +101,37 @@
         :raises StreamBrokenError: if the stream is interrupted
         :raises CallerDisconnectedError: if the caller disconnected
         """
-        reader = EventReader()
+        ends_by_close = exchange.framing is Framing.CLOSE
+        reader = EventReader(stops_at_response=ends_by_close)
         instance = exchange.endpoint.instance
         try:
             exchange.start_event(read_timeout_s())
             for data in iter_body(response):
                 events = reader.feed(data)
-                for index, event in enumerate(events):
-                    if self._begins_response(exchange, event.raw):
-                        return self._end_before_copy(exchange, response, reader, events[index:])
+                for event in events:
                     self._relay_event(event, instance)
+                if reader.other_response is not OtherResponse.NONE:
+                    break
                 if events:
                     exchange.start_event(read_timeout_s())
         except (OSError, HTTPError, ValueError, AttributeError) as error:
             raise StreamBrokenError(instance, repr(error), is_connection_error(error)) from error
+        if reader.other_response is OtherResponse.BETWEEN_EVENTS:
+            return self._end_before_copy(exchange, response, reader.rest)
+        if reader.other_response is OtherResponse.WITHIN_EVENT:
+            raise StreamBrokenError(instance, "an event contains another response", broken=True)
         if exchange.is_end_lost:
             raise StreamBrokenError(instance, "the connection was reset", broken=True)
-        if self._begins_response(exchange, bytes(reader.pending)):
-            return StreamEnd.OTHER_RESPONSE
         if not reader.is_between_events:
             raise StreamBrokenError(instance, "the stream ended within an event", broken=True)
-        return StreamEnd.CLOSED if exchange.framing is Framing.CLOSE else StreamEnd.FRAMED
-
-    def _begins_response(self, exchange: Exchange, data: bytes) -> bool:
-        """Return whether another response follows a stream that ends with its connection."""
-        return exchange.framing is Framing.CLOSE and data.startswith(STATUS_LINE)
+        return StreamEnd.CLOSED if ends_by_close else StreamEnd.FRAMED
 
     def _end_before_copy(
-        self,
-        exchange: Exchange,
-        response: BaseHTTPResponse,
-        reader: EventReader,
-        events: list[Event],
+        self, exchange: Exchange, response: BaseHTTPResponse, copy: bytes
     ) -> StreamEnd:
         """End the stream before another response, of which nothing goes to the caller.
 
+        :param copy: the bytes of the other response so far
         :raises StreamBrokenError: if it is a copy that goes on behind the last event
         """
         if self.job.route.may_repeat:
@@ -143,7 +139,8 @@
         exchange.start_event(COPY_TIMEOUT_S)
         with suppress(OSError, HTTPError, ValueError, AttributeError):
             for data in iter_body(response):
-                events += reader.feed(data)
+                copy += data
+        events = EventReader().feed(copy.partition(HEAD_END)[2])
         if any(event.number > self.last_event for event in events):
             raise StreamBrokenError(
                 exchange.endpoint.instance, "a copy of the response is longer", broken=True
@@ -163,8 +160,6 @@
         :raises StreamBrokenError: if it is not the next event
         :raises CallerDisconnectedError: if the caller disconnected
         """
-        if STATUS_LINE in event.raw and holds_head(event.raw):
-            raise StreamBrokenError(instance, "an event contains another response", broken=True)
         follows = event.number == self.last_event + 1
         if not follows and (self.job.route.may_repeat or event.number <= self.last_event):
             raise StreamBrokenError(
--- a/src/threadramp/runner/events.py
+++ b/src/threadramp/runner/events.py
@@ -45,12 +45,14 @@
     :param stops_at_response: whether the stream ends at the head of another response between two
         events; one within an event ends any stream
     :ivar other_response: where such a head was found; neither it nor what follows is returned
+    :ivar rest: the bytes from such a head on, if it was between two events
     """
 
     def __init__(self, stops_at_response: bool = False) -> None:
         self.pending = bytearray()
         self.stops_at_response = stops_at_response
         self.other_response = OtherResponse.NONE
+        self.rest = b""
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that are complete now."""
@@ -60,6 +62,7 @@
         if self.other_response is OtherResponse.NONE and self._begins_response(self.pending):
             self.other_response = OtherResponse.BETWEEN_EVENTS
         if self.other_response is not OtherResponse.NONE:
+            self.rest = bytes(self.pending)
             self.pending.clear()
         return events
 
@@ -71,11 +74,12 @@
         *parts, rest = _END.split(bytes(self.pending))
         self.pending = bytearray(rest)
         events = []
-        for block, end in zip(parts[::2], parts[1::2], strict=True):
+        for index, (block, end) in enumerate(zip(parts[::2], parts[1::2], strict=True)):
             if not block.strip():
                 continue
             self.other_response = self._other_response_in(block + end)
             if self.other_response is not OtherResponse.NONE:
+                self.pending = bytearray(b"".join([*parts[2 * index :], rest]))
                 break
             events.append(_parse_event(block, end))
         return events
