Shut down only the connection that a cancelled run still uses

A run is cancelled from another thread: the function that shuts its connection down is taken under the table's lock and called after it. Meanwhile the run may have read its response, returned the connection to the pool, and the next sample may be using it. That sample's response then ended early, and its reader sees a regular end, not an error.

A run now leaves its connection before it returns it; a shutdown afterwards does nothing, and one before it cuts the run, whichever thread came first.

Evidence: test_a_run_that_returned_its_connection_does_not_cancel_the_next_one, in which the late call comes amid the next response: 4 of 4 framings failed (the next sample was cut), now they pass.

--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import threading
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from urllib3.exceptions import HTTPError
@@ -43,6 +45,33 @@
 STREAM_IDLE_TIMEOUT_S = 5.0  # a stream without an event is cut; a load of weights takes 0.9 s
 
 
+class ConnectionShutdown:
+    """Shuts down the connection of a run from another thread, until the run has left it.
+
+    Without the latter, a delayed call would end the response to the next sample on the connection.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock: socket.socket | None = sock
+        self.is_shut_down = False
+        self.lock = threading.Lock()
+
+    def shut_down(self) -> None:
+        """Shut down the connection; its reader sees a regular end."""
+        with self.lock:
+            if self.sock is None:
+                return
+            self.is_shut_down = True
+            with suppress(OSError):  # already closed
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+    def leave(self) -> bool:
+        """Record that the run is done with the connection; false if it was shut down before."""
+        with self.lock:
+            self.sock = None
+            return not self.is_shut_down
+
+
 class SampleRun:
     """One run of one sample."""
 
@@ -64,6 +93,7 @@
         self.resumed_after = run.event_count
         self.framing = ""
         self.must_confirm_end = False
+        self.shutdown: ConnectionShutdown | None = None
 
     def execute(self) -> None:
         """Run the sample to its end, or requeue it if the engine did not begin it."""
@@ -201,19 +231,13 @@
 
     def _register_cancel(self, exchange: Exchange) -> bool:
         """Register a function that closes the connection; false if the run is already over."""
-        sock = exchange.connection.sock
-
-        def cancel() -> None:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError:  # already closed
-                return
-
+        shutdown = ConnectionShutdown(exchange.connection.sock)
         with self.table.changed:
             if self._is_over():
                 return False
-            self.run.cancel = cancel
+            self.run.cancel = shutdown.shut_down
             self.run.incarnation = self.incarnation
+            self.shutdown = shutdown
             return True
 
     def _read_stream(self, exchange: Exchange, response: BaseHTTPResponse) -> None:
@@ -244,6 +268,10 @@
             exchange.close()
             self._finish(self._outcome_of_break(True), "the stream ended within an event")
             return
+        if not self.shutdown.leave():
+            exchange.close()
+            self._finish(RunOutcome.CUT, "the connection was shut down here")
+            return
         if is_unframed:
             exchange.close()
             self._add_unconfirmed_end()
--- a/tests/runner/cutting_engine.py
+++ b/tests/runner/cutting_engine.py
@@ -58,6 +58,7 @@
     :param keeps_open: whether it stays open instead
     :param status: another one than 200 has no events
     :param behind: turns the bytes of the response into others that follow on the same connection
+    :param amid: called before those
     """
 
     frame: Frame
@@ -66,6 +67,7 @@
     keeps_open: bool = False
     status: int = 200
     behind: Callable[[bytes], bytes] = lambda whole: b""
+    amid: Callable[[], None] | None = None
 
 
 def text_of(name: str) -> list[str]:
@@ -165,7 +167,12 @@
         if plan.status == 200:
             self.made.update(range(after + 1, EVENTS + 1))
         cut = plan.cut if plan.cut is not None and plan.cut < len(whole) else None
-        sock.sendall(whole[:cut] + plan.behind(whole))
+        if plan.amid is None:
+            sock.sendall(whole[:cut] + plan.behind(whole))
+        else:
+            sock.sendall(whole[:cut])
+            plan.amid()
+            sock.sendall(plan.behind(whole))
         self.before_end(number)
         if plan.resets:
             time.sleep(DELIVERY_S)
--- a/tests/runner/test_cut_responses.py
+++ b/tests/runner/test_cut_responses.py
@@ -215,3 +215,28 @@
     run_to_end(client_of(cutting), table, run)
     assert (run.outcome, run.events) == (RunOutcome.COMPLETE, text_of("s")[2:])
     assert cutting.requests == [2, 2, 2, 4, 4]
+
+
+# Guards against a text that ends since another run's connection was shut down: a cancelled run had
+# returned its connection, and the next sample was already using it.
+@FRAMES
+def test_a_run_that_returned_its_connection_does_not_cancel_the_next_one(engine_of, frame):
+    cancels = []
+    half = event_ends("long", 0)[1] if frame is Frame.NONE else 200
+
+    def plan(number: int, after: int) -> Plan:
+        if number != 1:
+            return Plan(Frame.CHUNKED)
+        return Plan(frame, half, amid=cancels[0], behind=lambda whole: whole[half:])
+
+    cutting = engine_of(plan)
+    engine, table = client_of(cutting), new_table()
+    first = submit(table, "a")
+    cutting.before_end = lambda number: cancels.append(first.cancel)
+    start(engine, table, first)
+    cutting.before_end = lambda number: None
+    second = submit(table, "long")
+    start(engine, table, second)
+    assert (first.outcome, second.outcome) == (RunOutcome.COMPLETE, RunOutcome.COMPLETE)
+    assert second.events == text_of("long")
+    assert cutting.connections == (1 if frame.is_framed else 2)
