Match the answer to an order with the assignment it belongs to

A text could join two runs that resume after the same event. A gateway that counted a sidecar as lost while an order was on its way, and then assigned the sample there again, took the answer to the first order for one to the second: it collected events of the first run, then the second order replaced that run, and its answer put the second run's name on the first one's events. The text went on with a run that was to resume after an earlier event. This needs a sidecar that is silent for 1.6 s and back within the 0.7 s of an open order, as when a process is paused.

assign() numbers each assignment; accepted() and return_to_queue() with the number of an earlier one do nothing. An order is also made only for samples that still wait: one that was listed or given up between the choice of its sidecar and the order was run, and listed, again.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -62,12 +62,14 @@
         they may belong to an earlier run there
     :param not_before: time before which it is not assigned again
     :param last_runner: sidecar that it was assigned to last
+    :param assignment: number of times that it was assigned
     """
 
     sample: Sample
     phase: Phase = Phase.WAITING
     runner: str = ""
     last_runner: str = ""
+    assignment: int = 0
     events: list[str] = field(default_factory=list)
     events_before: int = 0
     versions: list[int] = field(default_factory=list)
@@ -150,6 +152,10 @@
         found.sort(key=lambda state: -self.events_left(state))
         return found
 
+    def is_waiting(self, sample: str) -> bool:
+        """Return whether a sample can be assigned to a sidecar."""
+        return self.states[sample].phase is Phase.WAITING
+
     def events_left(self, state: SampleState) -> float:
         """Return the expected number of remaining events of a sample."""
         expected = state.sample.expected_tokens or state.sample.tokens
@@ -163,28 +169,41 @@
             if state.phase is Phase.RUNNING and state.runner == runner and state.confirmed
         }
 
-    def assign(self, sample: str, runner: str) -> None:
-        """Record that a sidecar is asked to run a sample."""
+    def assign(self, sample: str, runner: str) -> int:
+        """Record that a sidecar is asked to run a sample; returns the number of this assignment."""
         state = self.states[sample]
+        state.assignment += 1
         state.phase = Phase.RUNNING
         state.runner = runner
         state.last_runner = runner
         state.confirmed = False
         state.events_before = len(state.events)
+        return state.assignment
 
-    def accepted(self, sample: str, runner: str, lineage: str) -> bool:
-        """Record that a sidecar runs a sample, and which chain of events it resumes."""
-        state = self.states.get(sample)
-        if state is None or state.phase is not Phase.RUNNING or state.runner != runner:
+    def accepted(
+        self, sample: str, runner: str, lineage: str, assignment: int | None = None
+    ) -> bool:
+        """Record that a sidecar runs a sample, and which chain of events it resumes.
+
+        :param assignment: the one that the sidecar accepted, none for the latest. The answer to an
+            earlier one names a run that resumes another number of events.
+        """
+        state = self._running_state(sample, runner, assignment)
+        if state is None:
             return False
         state.confirmed = True
         state.lineage = lineage
         return True
 
-    def return_to_queue(self, sample: str, runner: str, not_before: float) -> bool:
-        """Record that a sidecar no longer runs a sample; the sample's events are kept."""
-        state = self.states.get(sample)
-        if state is None or state.phase is not Phase.RUNNING or state.runner != runner:
+    def return_to_queue(
+        self, sample: str, runner: str, not_before: float, assignment: int | None = None
+    ) -> bool:
+        """Record that a sidecar no longer runs a sample; the sample's events are kept.
+
+        :param assignment: the one that failed, none for the latest
+        """
+        state = self._running_state(sample, runner, assignment)
+        if state is None:
             return False
         state.phase = Phase.WAITING
         state.runner = ""
@@ -322,6 +341,15 @@
         self.ended = True
         return [name for name, state in self.states.items() if state.phase is Phase.RUNNING]
 
+    def _running_state(
+        self, sample: str, runner: str, assignment: int | None
+    ) -> SampleState | None:
+        """Return a sample that is assigned to a sidecar, none if it is not by that assignment."""
+        state = self.states.get(sample)
+        if state is None or state.phase is not Phase.RUNNING or state.runner != runner:
+            return None
+        return state if assignment in (None, state.assignment) else None
+
     def _append_is_due(self, staged: list[SampleState], now: float) -> bool:
         ready = {group for group in self.groups if self._group_is_ready(group)}
         unlisted = PendingResults(
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -4,6 +4,7 @@
 
 import secrets
 import threading
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from threadramp.core.lot_tracker import Phase
@@ -52,6 +53,18 @@
 FIND_TIMEOUT_S = 0.4
 
 
+@dataclass(frozen=True)
+class SentSample:
+    """A sample in an order on its way to a sidecar.
+
+    :param assignment: number of the assignment of its tracker
+    """
+
+    lot: OwnedLot
+    sample: str
+    assignment: int
+
+
 class SampleDispatcher:
     """Sends samples to sidecars and collects their text.
 
@@ -350,19 +363,24 @@
     def _submit(self, view: RunnerView, batch: list[tuple[OwnedLot, str]]) -> None:
         """Send samples to one sidecar and record which it accepted.
 
-        Those that the configuration has sent to other engines since they were chosen are left out.
+        Those that no longer wait, or that the configuration has sent to other engines since they
+        were chosen, are left out.
         """
         name = view.member.name
         pool = self.peers.fleet_view.snapshot.pool_at(view.member.endpoint)
         with self.owned.lock:
             routes = {sample: self.routes.of(lot.tracker.lot) for lot, sample in batch}
             batch = [
-                (lot, sample) for lot, sample in batch if pool in routes[sample].pools_of(sample)
+                (lot, sample)
+                for lot, sample in batch
+                if lot.tracker.is_waiting(sample) and pool in routes[sample].pools_of(sample)
             ]
             orders = tuple(
-                self._assign(lot, sample, name, pool, routes[sample].revision)
-                for lot, sample in batch
+                self._order(lot, sample, pool, routes[sample].revision) for lot, sample in batch
             )
+            sent = [
+                SentSample(lot, sample, lot.tracker.assign(sample, name)) for lot, sample in batch
+            ]
         if not orders:
             return
         facts = self.peers.facts_for(view.member)
@@ -375,48 +393,47 @@
             self.updates.record_status(view, reply.status)
             taken = reply.samples
             pause = REFUSED_RETRY_S
-        self._record_submitted(name, batch, orders, taken, now + pause)
+        self._record_submitted(name, sent, orders, taken, now + pause)
         for lot in {id(lot): lot for lot, _ in batch if lot.tracker.ended}.values():
             self.drop(lot, let_finish=False)  # it ended while they were being sent
 
     def _record_submitted(
         self,
         name: str,
-        batch: list[tuple[OwnedLot, str]],
+        sent: list[SentSample],
         orders: tuple[RunOrder, ...],
         taken: dict[str, str],
         retry_at: float,
     ) -> None:
         """Record which samples a sidecar accepted; the others wait until ``retry_at``."""
-        refused = [(lot, sample) for lot, sample in batch if sample not in taken]
+        refused = [one for one in sent if one.sample not in taken]
         with self.owned.lock:
-            for lot, sample in batch:
-                if sample in taken:
-                    lot.tracker.accepted(sample, name, taken[sample])
-            for lot, sample in refused:
-                lot.tracker.return_to_queue(sample, name, retry_at)
+            for one in sent:
+                if one.sample in taken:
+                    one.lot.tracker.accepted(one.sample, name, taken[one.sample], one.assignment)
+            for one in refused:
+                one.lot.tracker.return_to_queue(one.sample, name, retry_at, one.assignment)
         log_state(
             "samples_sent",
             sidecar=name,
-            lots=sorted({lot.lot_id for lot, _ in batch}),
+            lots=sorted({one.lot.lot_id for one in sent}),
             taken=sorted(taken),
             refused=len(refused),
             pool=orders[0].pool,
             configuration_revision=orders[0].configuration_revision,
         )
 
-    def _assign(
-        self, lot: OwnedLot, sample: str, runner: str, pool: str, configuration_revision: int
+    def _order(
+        self, lot: OwnedLot, sample: str, pool: str, configuration_revision: int
     ) -> RunOrder:
-        """Assign a sample to a sidecar and return the order to send.
+        """Return the order to run a sample.
 
-        :param pool: pool of the sidecar's engine
+        :param pool: pool of the engine that is to run it
         :param configuration_revision: of the configuration that allows that pool
         """
         tracker = lot.tracker
         gap_s = median_gap_ms(list(self._eligible_views().values())) / 1000
         state = tracker.states[sample]
-        tracker.assign(sample, runner)
         return RunOrder(
             sample=state.sample,
             host=tracker.lot.host,
--- a/tests/core/test_lot_tracker.py
+++ b/tests/core/test_lot_tracker.py
@@ -172,3 +172,19 @@
     page = first_page(long_results())
     assert page
     assert len(results_body(6, 0, page)) <= MAX_VALUE_BYTES
+
+
+# Guards against a text that joins two runs: a sidecar was counted as lost while an order was on its
+# way, got the sample again, and the answers to both orders came.
+def test_the_answer_to_an_earlier_assignment_is_ignored(book):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["1"], [1], "L1")
+    book.lose_runner("s1", 1.0)
+    first = book.assign("a", "s1")
+    book.lose_runner("s1", 1.0)
+    second = book.assign("a", "s1")
+    assert not book.accepted("a", "s1", "L2", first)
+    assert not book.add_events("a", "s1", 1, ["2 of the first"], [1], "L2")
+    assert not book.return_to_queue("a", "s1", 1.0, first)
+    assert book.accepted("a", "s1", "L3", second)
+    assert book.add_events("a", "s1", 1, ["2 of the second"], [1], "L3")
