Compare the events of a complete run with those that its text has

The gateway took a run's word that a text is complete without a look at how many events it has of it, and took events that a late reply repeats for the known ones. No case is known in which either was wrong: a chain of events belongs to one run of one sidecar process, which only appends. But nothing would have told, and a text is final once it is listed.

The last update of a run already implies its number of events (those before the update and those in it), so no message changes and processes of two versions understand each other. A complete text with another number is restarted (log line events_missing), and so is one whose known events differ from repeated ones (events_refused, now with the number of events known). An update without a version for each event is refused.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -152,6 +152,11 @@
         found.sort(key=lambda state: -self.events_left(state))
         return found
 
+    def is_running_at(self, sample: str, runner: str) -> bool:
+        """Return whether a sidecar has confirmed to run a sample."""
+        state = self._running_state(sample, runner, None)
+        return state is not None and state.confirmed
+
     def is_waiting(self, sample: str) -> bool:
         """Return whether a sample can be assigned to a sidecar."""
         return self.states[sample].phase is Phase.WAITING
@@ -231,13 +236,18 @@
     ) -> bool:
         """Add events of a run; false if they do not continue the known events of that run.
 
+        If they differ from known ones, one of the two is wrong, and the sample is restarted.
+
         :param base: number of events before the first of these
         """
-        state = self.states.get(sample)
-        if state is None or state.phase is not Phase.RUNNING or not state.confirmed:
+        state = self._running_state(sample, runner, None)
+        if state is None or not state.confirmed:
             return False
         known = len(state.events)
-        if state.runner != runner or state.lineage != lineage or base > known:
+        if state.lineage != lineage or base > known or len(events) != len(versions):
+            return False
+        if list(events[: known - base]) != state.events[base : base + len(events)]:
+            self._restart(state, state.not_before)
             return False
         state.events.extend(events[known - base :])
         state.versions.extend(versions[known - base :])
@@ -258,13 +268,26 @@
         state.lineage = lineage
         return True
 
-    def run_ended(self, sample: str, runner: str, outcome: RunOutcome, now: float) -> Phase | None:
-        """Record how a run ended; return the sample's new phase, none if the run is not current."""
-        state = self.states.get(sample)
-        if state is None or state.phase is not Phase.RUNNING or state.runner != runner:
+    def run_ended(
+        self,
+        sample: str,
+        runner: str,
+        outcome: RunOutcome,
+        now: float,
+        event_count: int | None = None,
+    ) -> Phase | None:
+        """Record how a run ended; return the sample's new phase, none if the run is not current.
+
+        :param event_count: events of the whole text according to the sidecar. A complete text with
+            another number is restarted.
+        """
+        state = self._running_state(sample, runner, None)
+        if state is None:
             return None
         state.runner = ""
-        if outcome is RunOutcome.COMPLETE:
+        if outcome is RunOutcome.COMPLETE and event_count not in (None, len(state.events)):
+            self._restart(state, now)
+        elif outcome is RunOutcome.COMPLETE:
             self.lengths.add_sample(state.sample.expected_tokens, len(state.events))
             self._text_complete(state, now)
         elif outcome is RunOutcome.IMPOSSIBLE:  # a single such outcome is final
--- a/src/threadramp/lots/runner_updates.py
+++ b/src/threadramp/lots/runner_updates.py
@@ -88,28 +88,47 @@
         """Apply the update of one sample; returns its phase if its run ended."""
         name = view.member.name
         tracker = lot.tracker
+        is_current = tracker.is_running_at(update.sample, name)
+        state = tracker.states[update.sample]
+        known = len(state.events)
         added = tracker.add_events(
             update.sample, name, update.base, update.events, update.versions, update.lineage
         )
         if not added:
-            # another gateway has restarted it there
-            if update.sample in tracker.event_counts_at(name):
-                log_state("events_refused", sample=update.sample, sidecar=name, base=update.base)
+            if is_current:  # another gateway has restarted it there, or known events differ
+                log_state(
+                    "events_refused",
+                    sample=update.sample,
+                    sidecar=name,
+                    base=update.base,
+                    events=len(update.events),
+                    known=known,
+                )
                 tracker.return_to_queue(update.sample, name, now)
             return None
         if not update.outcome:
             return None
         outcome = RunOutcome(update.outcome)
         self.crash_guard.record_outcome(lot, update.sample, outcome, update.start)
-        phase = tracker.run_ended(update.sample, name, outcome, now)
+        event_count = update.base + len(update.events)
+        if outcome is RunOutcome.COMPLETE and event_count != len(state.events):
+            log_state(
+                "events_missing",
+                sample=update.sample,
+                lot=lot.lot_id,
+                sidecar=name,
+                events=len(state.events),
+                events_at_sidecar=event_count,
+            )
+        phase = tracker.run_ended(update.sample, name, outcome, now, event_count)
         log_state(
             "run_ended",
             sample=update.sample,
             lot=lot.lot_id,
             sidecar=name,
             outcome=update.outcome,
-            events=len(tracker.states[update.sample].events),
-            events_before=tracker.states[update.sample].events_before,
+            events=len(state.events),
+            events_before=state.events_before,
             instance=update.start.instance,
             phase=phase and phase.value,
         )
--- a/tests/core/test_lot_tracker.py
+++ b/tests/core/test_lot_tracker.py
@@ -188,3 +188,36 @@
     assert not book.return_to_queue("a", "s1", 1.0, first)
     assert book.accepted("a", "s1", "L3", second)
     assert book.add_events("a", "s1", 1, ["2 of the second"], [1], "L3")
+
+
+# Guards against a text of two chains of events: where a reply repeats events, they were assumed to
+# be the known ones.
+def test_events_that_differ_from_known_ones_restart_the_sample(book):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["1", "2"], [1, 1], "L1")
+    assert not book.add_events("a", "s1", 1, ["another 2", "3"], [1, 1], "L1")
+    state = book.states["a"]
+    assert (state.phase, state.events, state.versions) == (Phase.WAITING, [], [])
+
+
+def test_events_without_a_version_each_are_refused(book):
+    start(book, "a", "s1")
+    assert not book.add_events("a", "s1", 0, ["1", "2"], [1], "L1")
+    assert book.states["a"].events == []
+
+
+# Guards against a result with another number of events than the complete run at its sidecar.
+@pytest.mark.parametrize("event_count", [1, 3])
+def test_a_complete_text_with_another_number_of_events_is_restarted(book, event_count):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["1", "2"], [1, 1], "L1")
+    phase = book.run_ended("a", "s1", RunOutcome.COMPLETE, 1.0, event_count)
+    assert phase is Phase.WAITING
+    assert book.states["a"].events == []
+
+
+def test_an_interrupted_text_keeps_events_beyond_those_of_a_late_reply(book):
+    start(book, "a", "s1")
+    book.add_events("a", "s1", 0, ["1", "2"], [1, 1], "L1")
+    assert book.run_ended("a", "s1", RunOutcome.CUT, 1.0, 1) is Phase.WAITING
+    assert book.states["a"].events == ["1", "2"]
--- a/tests/core/test_text_interleavings.py
+++ b/tests/core/test_text_interleavings.py
@@ -149,7 +149,9 @@
                 one.sample, runner, one.base, one.events, one.versions, one.lineage
             )
             if added and one.outcome:
-                self.tracker.run_ended(one.sample, runner, RunOutcome(one.outcome), 0.0)
+                event_count = one.base + len(one.events)
+                outcome = RunOutcome(one.outcome)
+                self.tracker.run_ended(one.sample, runner, outcome, 0.0, event_count)
             elif not added and NAME in self.tracker.event_counts_at(runner):
                 self.tracker.return_to_queue(NAME, runner, 0.0)
         for sample in unknown:
