--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -49,6 +49,19 @@
     CRASHED = "crashed"
 
 
+class TextSource(Enum):
+    """Where the first events of a text came from.
+
+    ``LOT``: a run of this lot. ``KEPT``: an earlier lot of this gateway. ``CHECKPOINT``: the store.
+    ``SIDECAR``: a run there that began for another lot or owner.
+    """
+
+    LOT = "lot"
+    KEPT = "kept"
+    CHECKPOINT = "checkpoint"
+    SIDECAR = "sidecar"
+
+
 @dataclass
 class SampleState:
     """One sample.
@@ -63,6 +76,8 @@
     :param not_before: time before which it is not assigned again
     :param last_runner: sidecar that it was assigned to last
     :param assignment: number of times that it was assigned
+    :param runs: number of runs that sidecars have confirmed for its text
+    :param source: where the first of its events came from
     """
 
     sample: Sample
@@ -70,6 +85,8 @@
     runner: str = ""
     last_runner: str = ""
     assignment: int = 0
+    runs: int = 0
+    source: TextSource = TextSource.LOT
     events: list[str] = field(default_factory=list)
     events_before: int = 0
     versions: list[int] = field(default_factory=list)
@@ -186,17 +203,26 @@
         return state.assignment
 
     def accepted(
-        self, sample: str, runner: str, lineage: str, assignment: int | None = None
+        self,
+        sample: str,
+        runner: str,
+        lineage: str,
+        assignment: int | None = None,
+        is_new: bool = True,
     ) -> bool:
         """Record that a sidecar runs a sample, and which chain of events it resumes.
 
         :param assignment: the one that the sidecar accepted, none for the latest. The answer to an
             earlier one names a run that resumes another number of events.
+        :param is_new: whether the run began with this order
         """
         state = self._running_state(sample, runner, assignment)
         if state is None:
             return False
+        if not state.events:
+            state.source = TextSource.LOT if is_new else TextSource.SIDECAR
         state.confirmed = True
+        state.runs += 1
         state.lineage = lineage
         return True
 
@@ -254,7 +280,12 @@
         return True
 
     def prefill(
-        self, sample: str, events: Sequence[str], versions: Sequence[int], lineage: str
+        self,
+        sample: str,
+        events: Sequence[str],
+        versions: Sequence[int],
+        lineage: str,
+        source: TextSource = TextSource.KEPT,
     ) -> bool:
         """Start a sample with partial text from an earlier run, if its versions are allowed."""
         state = self.states.get(sample)
@@ -266,6 +297,7 @@
         state.events = list(events)
         state.versions = list(versions)
         state.lineage = lineage
+        state.source = source
         return True
 
     def run_ended(
@@ -402,6 +434,8 @@
         state.events = []
         state.versions = []
         state.lineage = ""
+        state.runs = 0
+        state.source = TextSource.LOT
         state.phase = Phase.WAITING
         state.not_before = now
 
@@ -432,4 +466,4 @@
     return tuple(results)
 
 
-__all__ = ["LotTracker", "LotRules", "Phase", "RunOutcome", "SampleState"]
+__all__ = ["LotTracker", "LotRules", "Phase", "RunOutcome", "SampleState", "TextSource"]
--- a/src/threadramp/lots/appending.py
+++ b/src/threadramp/lots/appending.py
@@ -8,6 +8,7 @@
 
 from threadramp.lots.head_change import append_change
 from threadramp.lots.journal import LotMissingError, NotOwnerError
+from threadramp.lots.model import text_bytes
 from threadramp.platform.store_model import StoreError, StoreUnknownError
 from threadramp.report.guard import start_loop
 from threadramp.report.log import log_state
@@ -121,6 +122,7 @@
     def _record_listed(self, lot: OwnedLot, results: tuple[Result, ...]) -> None:
         for result in results:
             self.metrics.count("listed", result.state.value)
+            _log_result(lot, result)
         behind = self._versions_behind(lot, results)
         log_state(
             "listed",
@@ -140,4 +142,19 @@
         return behind
 
 
+def _log_result(lot: OwnedLot, result: Result) -> None:
+    """Log how the text of a result came about, as far as this gateway made it."""
+    state = lot.tracker.states[result.sample]
+    log_state(
+        "sample_listed",
+        sample=result.sample,
+        lot=lot.lot_id,
+        state=result.state.value,
+        bytes=text_bytes(result.text),
+        events=len(state.events),
+        runs=state.runs,
+        source=state.source.value,
+    )
+
+
 __all__ = ["ResultAppender"]
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -407,10 +407,13 @@
     ) -> None:
         """Record which samples a sidecar accepted; the others wait until ``retry_at``."""
         refused = [one for one in sent if one.sample not in taken]
+        new_lineages = {order.sample.id: order.new_lineage for order in orders}
         with self.owned.lock:
             for one in sent:
                 if one.sample in taken:
-                    one.lot.tracker.accepted(one.sample, name, taken[one.sample], one.assignment)
+                    lineage = taken[one.sample]
+                    is_new = lineage == new_lineages[one.sample]
+                    one.lot.tracker.accepted(one.sample, name, lineage, one.assignment, is_new)
             for one in refused:
                 one.lot.tracker.return_to_queue(one.sample, name, retry_at, one.assignment)
         log_state(
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from threadramp.core.lot_tracker import LotRules, LotTracker
+from threadramp.core.lot_tracker import LotRules, LotTracker, TextSource
 from threadramp.lots.head_change import head_change
 from threadramp.lots.head_writer import HeadWriter, is_owned_by
 from threadramp.lots.journal import LotMissingError, NotOwnerError
@@ -421,7 +421,9 @@
             for name, text in partial_texts.items()
             if name in tracker.states
             and belongs_to(text, stored_lot.lot, tracker.states[name].sample)
-            and tracker.prefill(name, text.events, text.versions, text.lineage)
+            and tracker.prefill(
+                name, text.events, text.versions, text.lineage, TextSource.CHECKPOINT
+            )
         ]
         if not self.owned.add(OwnedLot(tracker, stored, had_other_owner=had_other_owner)):
             return
