Send one sample of an id in a message, and its events to the lot it runs for

Two open lots of one gateway may have samples of the same id: trainers use the ids of groups that were not whole again, and the end of the earlier lot may not be known where the later one is submitted. Sidecars, and the answers of both directions, go by the sample's id alone.

Two such samples in one message got one answer: the later order replaced the earlier one at the sidecar, and both samples took the later run for theirs, so the earlier sample could get the text of another request. _submit() now takes the first of them; the other one waits. And updates went to the last lot with a running sample of that id, at whichever sidecar, so that the earlier lot's sample got no event until the later one ended; they now go to the lot whose sample runs at the sidecar that sent them.

Before: both new tests in tests/lots/test_dispatcher.py failed.

--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -364,16 +364,21 @@
         """Send samples to one sidecar and record which it accepted.
 
         Those that no longer wait, or that the configuration has sent to other engines since they
-        were chosen, are left out.
+        were chosen, are left out. So are those of a second lot with the same id: the answer goes by
+        ids, and the later order replaces the earlier one.
         """
         name = view.member.name
         pool = self.peers.fleet_view.snapshot.pool_at(view.member.endpoint)
         with self.owned.lock:
-            routes = {sample: self.routes.of(lot.tracker.lot) for lot, sample in batch}
+            waiting: dict[str, OwnedLot] = {}
+            for lot, sample in batch:
+                if lot.tracker.is_waiting(sample):
+                    waiting.setdefault(sample, lot)
+            routes = {sample: self.routes.of(lot.tracker.lot) for sample, lot in waiting.items()}
             batch = [
                 (lot, sample)
-                for lot, sample in batch
-                if lot.tracker.is_waiting(sample) and pool in routes[sample].pools_of(sample)
+                for sample, lot in waiting.items()
+                if pool in routes[sample].pools_of(sample)
             ]
             orders = tuple(
                 self._order(lot, sample, pool, routes[sample].revision) for lot, sample in batch
--- a/src/threadramp/lots/runner_updates.py
+++ b/src/threadramp/lots/runner_updates.py
@@ -46,7 +46,7 @@
     def apply_updates(self, view: RunnerView, lots: list[OwnedLot], reply: Updates) -> None:
         """Apply the updates that a sidecar sent, for samples of ``lots`` only."""
         now = self.clock.now()
-        by_sample = self._lots_by_sample(lots)
+        by_sample = self._lots_by_sample(lots, view.member.name)
         for update in reply.updates:
             lot = by_sample.get(update.sample)
             if lot is None:
@@ -134,14 +134,14 @@
         )
         return phase
 
-    def _lots_by_sample(self, lots: list[OwnedLot]) -> dict[str, OwnedLot]:
-        """Return the lot of each running sample."""
+    def _lots_by_sample(self, lots: list[OwnedLot], runner: str) -> dict[str, OwnedLot]:
+        """Return the lot of each sample that runs at a sidecar."""
         with self.owned.lock:
             return {
                 name: lot
                 for lot in lots
                 for name, state in lot.tracker.states.items()
-                if state.phase is Phase.RUNNING
+                if state.phase is Phase.RUNNING and state.runner == runner
             }
 
 
--- a/tests/lots/test_dispatcher.py
+++ b/tests/lots/test_dispatcher.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from tests.core.test_lot_tracker import start
 from tests.lots.test_items_after_crashes import Pool
 from threadramp.core.lot_tracker import Phase, RunOutcome
 from threadramp.lots.model import Result, ResultState
 from threadramp.lots.owned import OwnedLot
-from threadramp.wire.fleet import Updates
+from threadramp.wire.fleet import Accepted, Updates
 from threadramp.wire.runner import RunUpdate
 
 
@@ -47,3 +48,35 @@
     pool.send()
     report(pool, lot, 0, ("one", "two", "three"), RunOutcome.COMPLETE.value)
     assert lot.tracker.states["a"].result.text == "one\ntwo\nthree"
+
+
+# Guards against the text of another request: a trainer that did not wait for the end of a lot used
+# an id again, both samples went to one sidecar in one message, and one answer was taken for both.
+def test_two_samples_with_one_id_are_not_sent_in_one_message(clock, monkeypatch):
+    pool = Pool(clock)
+    lots = [pool.add_lot("earlier"), pool.add_lot("later")]
+    pool.dispatcher.eligible = frozenset({"s0"})
+    messages = []
+
+    def ask(address: str, ask, timeout_s: float) -> Accepted:
+        messages.append([order.sample.id for order in ask.orders])
+        return Accepted(pool.peers.status(address), {order.sample.id: "L1" for order in ask.orders})
+
+    monkeypatch.setattr(pool.peers, "ask", ask)
+    pool.send()
+    assert messages == [["a"]]
+    waiting = [lot.lot_id for lot in lots if lot.tracker.is_waiting("a")]
+    assert len(waiting) == 1
+
+
+# Guards against a sample that gets no event while its id runs elsewhere for another lot.
+def test_events_go_to_the_lot_whose_sample_runs_at_that_sidecar(clock):
+    pool = Pool(clock)
+    earlier, later = pool.add_lot("earlier"), pool.add_lot("later")
+    start(earlier.tracker, "a", "s0")
+    start(later.tracker, "a", "s1")
+    update = RunUpdate("a", 0, ("one",), (3,), "L1", "")
+    reply = Updates(pool.peers.status("s0:1"), (update,), ())
+    pool.dispatcher.updates.apply_updates(pool.dispatcher.views["s0"], [earlier, later], reply)
+    assert earlier.tracker.states["a"].events == ["one"]
+    assert later.tracker.states["a"].events == []
