Score a text that was whole in an earlier lot without another run

A sample whose text was complete, and that waited for its score or to be listed when its lot ended, went to an engine again in the next lot: the engine read the prompt to send nothing behind the last event, and the end of that empty response decided whether the text was complete. One that waited to be listed was not kept at all.

The bound of weight versions holds as for other text.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -78,6 +78,7 @@
     :param assignment: number of times that it was assigned
     :param runs: number of runs that sidecars have confirmed for its text
     :param source: where the first of its events came from
+    :param is_whole: whether the text that it was started with is complete
     """
 
     sample: Sample
@@ -87,6 +88,7 @@
     assignment: int = 0
     runs: int = 0
     source: TextSource = TextSource.LOT
+    is_whole: bool = False
     events: list[str] = field(default_factory=list)
     events_before: int = 0
     versions: list[int] = field(default_factory=list)
@@ -103,6 +105,12 @@
         """Return whether the sample has no result yet."""
         return self.phase in (Phase.WAITING, Phase.RUNNING, Phase.SCORING)
 
+    @property
+    def has_whole_text(self) -> bool:
+        """Return whether its text is complete and not listed yet."""
+        succeeded = self.result is not None and self.result.state is ResultState.SUCCEEDED
+        return self.phase is Phase.SCORING or (self.phase is Phase.STAGED and succeeded)
+
 
 @dataclass(frozen=True)
 class LotRules:
@@ -286,8 +294,12 @@
         versions: Sequence[int],
         lineage: str,
         source: TextSource = TextSource.KEPT,
+        is_whole: bool = False,
     ) -> bool:
-        """Start a sample with partial text from an earlier run, if its versions are allowed."""
+        """Start a sample with text from an earlier run, if its versions are allowed.
+
+        :param is_whole: whether that run was complete; see ``complete_prefilled``
+        """
         state = self.states.get(sample)
         fits = state is not None and state.phase is Phase.WAITING and not state.events
         if not fits or not events or min(versions) < self.lot.min_version:
@@ -298,8 +310,20 @@
         state.versions = list(versions)
         state.lineage = lineage
         state.source = source
+        state.is_whole = is_whole
         return True
 
+    def complete_prefilled(self, now: float) -> list[str]:
+        """Complete the samples that were started with a whole text; return those to be scored."""
+        whole = [
+            state
+            for state in self.states.values()
+            if state.phase is Phase.WAITING and state.is_whole and not self.ended
+        ]
+        for state in whole:
+            self._text_complete(state, now)
+        return [state.sample.id for state in whole if state.phase is Phase.SCORING]
+
     def run_ended(
         self,
         sample: str,
@@ -436,6 +460,7 @@
         state.lineage = ""
         state.runs = 0
         state.source = TextSource.LOT
+        state.is_whole = False
         state.phase = Phase.WAITING
         state.not_before = now
 
--- a/src/threadramp/lots/dispatcher.py
+++ b/src/threadramp/lots/dispatcher.py
@@ -238,6 +238,7 @@
             if lot.partial_texts_requested:
                 continue
             lot.partial_texts_requested = True
+            self._complete_prefilled(lot)
             with self.owned.lock:
                 wanted = tuple(
                     name
@@ -257,6 +258,13 @@
             for view in views:
                 self._submit_found(lot, view, replies.get(view.member.name))
 
+    def _complete_prefilled(self, lot: OwnedLot) -> None:
+        """Score the samples of a new lot whose text was complete in an earlier one."""
+        with self.owned.lock:
+            to_score = lot.tracker.complete_prefilled(self.clock.now())
+        for sample in to_score:
+            self.updates.on_text_complete(lot, sample)
+
     def _submit_found(self, lot: OwnedLot, view: RunnerView, reply: AnyReply | None) -> None:
         """Send samples to the sidecar that has their partial text."""
         if not isinstance(reply, Found):
--- a/tests/core/test_text_interleavings.py
+++ b/tests/core/test_text_interleavings.py
@@ -188,6 +188,7 @@
             self.receive()  # an answer that was being processed when the lot ended
         self.start_lot()
         self.kept.apply_to(self.tracker)
+        self.tracker.complete_prefilled(0.0)
 
     def take_over(self, records: list[SavedText]) -> None:
         """Continue from the records of another owner, some of which may be missing."""
--- a/tests/lots/test_dispatcher.py
+++ b/tests/lots/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.core.test_lot_tracker import start
+from tests.core.test_lot_tracker import make_book, make_sample, start
 from tests.lots.test_items_after_crashes import Pool
 from threadramp.core.lot_tracker import Phase, RunOutcome
 from threadramp.lots.model import Result, ResultState
@@ -80,3 +80,20 @@
     pool.dispatcher.updates.apply_updates(pool.dispatcher.views["s0"], [earlier, later], reply)
     assert earlier.tracker.states["a"].events == ["one"]
     assert later.tracker.states["a"].events == []
+
+
+# Guards against a whole text that waits for ever: it needs no run, and nothing asked for its score.
+def test_a_new_lot_scores_the_text_that_was_whole_before(clock, monkeypatch):
+    pool = Pool(clock)
+    scored = []
+    monkeypatch.setattr(
+        pool.dispatcher.updates, "on_text_complete", lambda lot, sample: scored.append(sample)
+    )
+    monkeypatch.setattr(pool.peers, "ask_members", lambda asks, timeout_s: {}, raising=False)
+    lot = pool.add_lot()
+    lot.tracker = make_book(make_sample("a", "g"))
+    lot.tracker.prefill("a", ["one"], [3], "L1", is_whole=True)
+    pool.dispatcher._find_partial_texts()
+    pool.dispatcher._find_partial_texts()
+    assert scored == ["a"]
+    assert lot.tracker.states["a"].phase is Phase.SCORING
--- a/tests/lots/test_partial_texts.py
+++ b/tests/lots/test_partial_texts.py
@@ -8,8 +8,8 @@
 import pytest
 
 from tests.core.test_lot_tracker import start
-from threadramp.core.lot_tracker import LotRules, LotTracker
-from threadramp.lots.model import Lot, Sample
+from threadramp.core.lot_tracker import LotRules, LotTracker, Phase, RunOutcome
+from threadramp.lots.model import Lot, Reward, Sample
 from threadramp.lots.partial_texts import PartialTexts
 from threadramp.lots.text_inputs import TextInputs
 
@@ -116,3 +116,66 @@
     )
     assert before == after
     assert before.digest != replace(before, organisation="p").digest
+
+
+def end_and_begin_again(ended: LotTracker, **changes: object) -> LotTracker:
+    ended.end()
+    texts = PartialTexts()
+    texts.add(ended)
+    later = tracker_of(**changes)
+    texts.apply_to(later)
+    return later
+
+
+REWARD = Reward("reward", "scores.example", "/score/", b"x")
+
+
+# Guards against a whole text that is sent to an engine again, which reads its prompt to send
+# nothing, and whose answer then decides whether the text is complete.
+@pytest.mark.parametrize("scored", [False, True])
+def test_a_whole_text_of_an_earlier_lot_is_scored_without_another_run(scored):
+    ended = tracker_of(reward=REWARD)
+    run_partly(ended)
+    ended.run_ended("a", "s1", RunOutcome.COMPLETE, 1.0)
+    if scored:
+        ended.scored("a", "signature", 1.1)
+    later = end_and_begin_again(ended, reward=REWARD)
+    assert later.complete_prefilled(2.0) == ["a"]
+    assert later.waiting(2.0) == []
+    assert later.scored("a", "signature", 2.1)
+    assert later.states["a"].result.text == "one\ntwo"
+
+
+def test_a_whole_text_without_a_reward_is_a_result_at_once():
+    ended = tracker_of()
+    run_partly(ended)
+    ended.run_ended("a", "s1", RunOutcome.COMPLETE, 1.0)
+    later = end_and_begin_again(ended)
+    assert later.complete_prefilled(2.0) == []
+    assert later.states["a"].phase is Phase.STAGED
+
+
+# Guards against a cut text that is listed as if it were whole.
+@pytest.mark.parametrize("outcome", [RunOutcome.CUT, RunOutcome.FAILED, RunOutcome.CRASHED])
+def test_a_cut_text_of_an_earlier_lot_is_not_complete(outcome):
+    ended = tracker_of(reward=REWARD)
+    run_partly(ended)
+    ended.run_ended("a", "s1", outcome, 1.0)
+    later = end_and_begin_again(ended, reward=REWARD)
+    assert later.complete_prefilled(2.0) == []
+    assert later.states["a"].phase is Phase.WAITING
+    assert later.states["a"].events == ["one", "two"]
+
+
+# Guards against a text of weights that the later lot does not allow.
+def test_a_whole_text_of_older_weights_is_not_complete():
+    ended = tracker_of(reward=REWARD)
+    run_partly(ended)
+    ended.run_ended("a", "s1", RunOutcome.COMPLETE, 1.0)
+    ended.end()
+    texts = PartialTexts()
+    texts.add(ended)
+    later = tracker_of(msgspec.structs.replace(LOT, min_version=2), reward=REWARD)
+    texts.apply_to(later)
+    assert later.complete_prefilled(2.0) == []
+    assert later.states["a"].events == []
