Take an endpoint with an invalid report for alive when it ends a response

The check of an endpoint's start counted each response that cannot be read as a broken connection, so whole responses without a length would not be served where something else answers the report's path. Only a connection that is closed or reset counts as broken now.

--- a/src/threadramp/edge/start_check.py
+++ b/src/threadramp/edge/start_check.py
@@ -13,6 +13,7 @@
 
 from urllib3.exceptions import HTTPError
 
+from threadramp.edge.exchange import is_connection_error
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.engine import REPORT_PATH, read_report
 from threadramp.platform.headers import (
@@ -22,7 +23,7 @@
     read_answer,
 )
 from threadramp.policy.proxied_crashes import CrashResolution, resolve_crash
-from threadramp.wire.response_limits import BoundedConnection, EndlessResponseError
+from threadramp.wire.response_limits import BoundedConnection
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -38,8 +39,8 @@
 class StartState(Enum):
     """What an endpoint shows right after it closed a connection; the values are logged.
 
-    ``SILENT``: it holds a new connection open without a response. A plain service may let the check
-    wait for a slot.
+    ``SILENT``: it holds a new connection open without a valid response. A plain service may let the
+    check wait for a slot.
     """
 
     SAME = "same"
@@ -79,10 +80,8 @@
         connection.request("GET", REPORT_PATH, headers=headers, preload_content=False)
         response = connection.getresponse()
         body = response.read(decode_content=False)
-    except (TimeoutError, EndlessResponseError):
-        return StartState.SILENT
-    except (OSError, HTTPError, HTTPException, ValueError, AttributeError):
-        return StartState.BREAKS
+    except (OSError, HTTPError, HTTPException, ValueError, AttributeError) as error:
+        return StartState.BREAKS if is_connection_error(error) else StartState.SILENT
     finally:
         connection.close()
     return _read_state(endpoint, response.status, response.headers, body)
