Serve a whole response without a length that is followed by its copy

What callers saw: 502 for a request that may run once, although its endpoint had sent the whole response, twice: behind a response that ends with its connection a copy is part of the body, and such a body was refused as mixed.

Now a body that is followed by the head of a response to the same request and by the same bytes once more is passed on: two equal bodies show that neither was cut. All else with another head in it is refused as before: a copy that is longer or shorter, several copies, and one that names another request or none.

--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -36,6 +36,7 @@
 MAX_REMEMBERED_IDS = 256  # per connection; duplicate responses came within seconds
 SURPLUS_SAMPLE_BYTES = 400  # enough to find the request id in surplus bytes
 STATUS_LINE = b"HTTP/1."
+END_OF_HEAD = b"\r\n\r\n"
 INTERIM_STATUS_LINES = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 HEAD_SAMPLE_BYTES = 4096  # enough to find the request id in a response
 
@@ -266,6 +267,19 @@
             return True
         return is_reused and not STATUS_LINE.startswith(surplus_sample[: len(STATUS_LINE)])
 
+    def body_before_copy(self, body: bytes) -> bytes | None:
+        """Return the body before a whole copy of the response, none if there is no such copy.
+
+        Behind a response that ends with its connection, a copy is part of its body. Two equal
+        bodies show that neither was cut.
+        """
+        own_body, status_line, other = body.partition(STATUS_LINE)
+        head, end, copied_body = other.partition(END_OF_HEAD)
+        is_copy = status_line and end and named_id(head + end) == self.request_id
+        if self.response.framing is not Framing.CLOSE or not self.request_id or not is_copy:
+            return None
+        return own_body if copied_body == own_body else None
+
 
 class _Response(BoundedResponse):
     """Reads one response.
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -277,8 +277,11 @@
             raise ExchangeError(True, "the connection was reset", broken=True)
         if self.connection.contains_other_response(body):
             self.close()
-            self.log("answer_mixed", status=response.status)
-            raise ExchangeError(True, "the body contains bytes of another response")
+            own_body = self.connection.body_before_copy(body)
+            self.log("answer_mixed", status=response.status, is_copy=own_body is not None)
+            if own_body is None:
+                raise ExchangeError(True, "the body contains bytes of another response")
+            body = own_body
         return _endpoint_response(response, body)
 
     def start_event(self, timeout_s: float) -> None:
--- a/tests/edge/test_close_delimited_bodies.py
+++ b/tests/edge/test_close_delimited_bodies.py
@@ -111,6 +111,24 @@
     engine = ClosingEngine(1, Framing.CLOSE, (Ending(cut, copies=copies),), BODY)
     outcome = call(engine)
     assert outcome.response is None or BODY.startswith(outcome.response.body)
+    if copies < 0:
+        assert outcome.response is None or outcome.response.body == BODY
+
+
+@pytest.mark.parametrize("body", [b"", BODY])
+def test_a_body_with_a_whole_copy_behind_it_is_passed_on(call, body):
+    """A request that may run once ended as unknown, although its response was whole."""
+    engine = ClosingEngine(1, Framing.CLOSE, (Ending(copies=-1),), body)
+    outcome = call(engine)
+    assert (outcome.ending, outcome.response.body) == (OutcomeKind.ANSWERED, body)
+    assert engine.after == [0]
+
+
+def test_a_copy_that_names_another_request_is_not_taken_for_one(call):
+    """Else a response to another request that has the same body would confirm this one."""
+    other = b"HTTP/1.1 200 Answer\r\nX-Attempt-Id: r2\r\nX-Server-Stamp: s\r\n\r\n"
+    engine = ClosingEngine(1, Framing.CLOSE, body=BODY + other + BODY)
+    assert call(engine).ending is OutcomeKind.UNKNOWN
 
 
 @pytest.mark.parametrize("framing", ["", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"])
