End a stream that was cut in an error event of its own

Cause: the gateway passed on blocks of bytes and looked for the end mark anywhere in the last 4 KB.

Now it passes on whole events, drops what is left of a cut one, and takes the end mark only as an event of its own. What broke a stream is logged (`stream_broken`).

Evidence: tests/wire/test_cut_responses.py, the case of the gateway's stream, fails without the change.

--- a/src/threadramp/gateway/calls.py
+++ b/src/threadramp/gateway/calls.py
@@ -15,8 +15,10 @@
 from threadramp.gateway.crashing_calls import CallGuard
 from threadramp.gateway.sender import Outgoing, Sender, Stream
 from threadramp.gateway.state import now
+from threadramp.report.log import log_state
 from threadramp.wire import headers
 from threadramp.wire.outcomes import BEHIND, Outcome, Reason, Refusal, RefusedError, bad_request
+from threadramp.wire.response_limits import MAX_EVENT_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,6 +38,7 @@
 RANKS = {"interactive": 0, "internal": 1, "batch": 2}
 END_MARK = b"data: [DONE]"
 ERROR_EVENT = b"event: error"
+EVENT_END = b"\n\n"
 LINE_BLOCK = 4096
 
 
@@ -186,19 +189,27 @@
         )
 
     def _lines(self, stream: Stream, endpoint: str) -> Iterator[bytes]:
-        """Pass a stream on; without its end mark it ends in an error event, never silently."""
-        tail = b""
+        """Pass a stream on by whole events; one without its end mark ends in an error event.
+
+        An event that was cut is dropped, else the error event would be read as its rest.
+        """
+        has_ended = False
+        rest = b""
         try:
             for block in stream.response.stream(LINE_BLOCK):
-                tail = (tail + block)[-LINE_BLOCK:]
-                yield block
-            if END_MARK not in tail and ERROR_EVENT not in tail:
-                yield _broken_event()
-        except Exception:  # noqa: BLE001 - whatever broke the stream, the caller is told
-            yield _broken_event()
+                *events, rest = (rest + block).split(EVENT_END)
+                if len(rest) > MAX_EVENT_BYTES:
+                    break
+                has_ended = has_ended or any(map(_ends_stream, events))
+                if events:
+                    yield EVENT_END.join([*events, b""])
+        except Exception as error:  # noqa: BLE001 - whatever broke the stream, the caller is told
+            log_state("stream_broken", endpoint=endpoint, error=repr(error))
         finally:
             stream.response.close()
             self.state.opened(endpoint, -1)
+        if not has_ended:
+            yield _broken_event()
 
     def _call(self, request: CallerRequest, pool: Pool) -> Call:
         deadline_ms = _number(request, headers.DEADLINE_MS, DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS)
@@ -265,6 +276,10 @@
     return text == "true"
 
 
+def _ends_stream(event: bytes) -> bool:
+    return event == END_MARK or event.startswith(ERROR_EVENT)
+
+
 def _broken_event() -> bytes:
     refusal = Refusal.unknown(Reason.BROKEN_ANSWER, "the stream ended without its end mark", 1)
     return ERROR_EVENT + b"\ndata: " + msgspec.json.encode({"error": refusal}) + b"\n\n"
--- a/tests/wire/test_cut_responses.py
+++ b/tests/wire/test_cut_responses.py
@@ -336,6 +336,13 @@
     "gateway: refusal of a sidecar": Case(
         send_for_refusal, to_json({"error": REFUSAL}), REFUSAL, from_sidecar, "503 Busy"
     ),
+    "gateway: stream of a sidecar": Case(
+        pass_on_stream,
+        STREAM,
+        EVENTS,
+        from_sidecar,
+        extra=STREAM_HEAD,
+    ),
     "client: stream": Case(chat, STREAM, TEXTS, from_gateway, errors=CLIENT, extra=STREAM_HEAD),
     "client: lot": Case(
         receive_lot, LOT_BODY, tuple(SAMPLES), echo, errors=(*CLIENT, msgspec.DecodeError)
