Take a cut report without a length for no report

What would be seen: an endpoint that crashed while it sent its report was taken for alive, and the crash attributed to no request: a report that cannot be read counted as a response without a start time, and with that each later failure to answer as one more.

Cause: the body of a response without a length may be cut without an error; fetch_start_time returned 0 ("reports no start time") where it should return none ("does not respond").

Evidence: tests/wire/test_cut_responses.py, the case of the start time: 0 for 71 ends of a report without the change.

--- a/src/threadramp/edge/endpoint_probe.py
+++ b/src/threadramp/edge/endpoint_probe.py
@@ -18,13 +18,18 @@
 
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.engine import REPORT_PATH, read_report
-from threadramp.wire.response_limits import BoundedConnection, BoundedResponse
+from threadramp.wire.response_limits import (
+    BoundedConnection,
+    BoundedResponse,
+    ends_with_connection,
+)
 
 # A reachable box responds within one round trip; an unreachable one does not respond at all.
 PROBE_TIMEOUT_S = 0.1
 CLOSE_WAIT_S = 0.02  # a reverse proxy without a backend closes at once
 MIN_REPORT_WAIT_S = 0.01  # for the report, however long connecting took
 REPORT_TIMEOUT_S = 0.3  # for the report, which takes no slot
+STATUS_OK = 200
 SERVER_ERROR = 500
 
 
@@ -115,16 +120,20 @@
         return None
     finally:
         connection.close()
-    return _parse_start_time(response.status, body)
+    return _parse_start_time(response.status, body, ends_with_connection(response))
 
 
-def _parse_start_time(status: int, body: bytes) -> int | None:
+def _parse_start_time(status: int, body: bytes, may_be_cut: bool) -> int | None:
+    """Return the start time in a report, 0 for another response, none if there was no whole one.
+
+    :param may_be_cut: whether an early end of the body would not show
+    """
     if status >= SERVER_ERROR:  # from a reverse proxy, for an endpoint that is down
         return None
     try:
-        return read_report(body).born if status == 200 else 0
+        return read_report(body).born if status == STATUS_OK else 0
     except ValueError:
-        return 0
+        return None if may_be_cut else 0
 
 
 __all__ = [
--- a/src/threadramp/wire/response_limits.py
+++ b/src/threadramp/wire/response_limits.py
@@ -26,6 +26,8 @@
     import socket
     from collections.abc import Callable
 
+    from urllib3 import BaseHTTPResponse
+
 MAX_HEAD_BYTES = 131_072  # with all interim responses before it
 MAX_LINE_BYTES = 65_536  # as in http.client, which limits header lines to 100 as well
 MAX_EVENT_BYTES = 1_048_576  # and the largest line of a stream
@@ -395,6 +397,11 @@
     ConnectionCls = _StreamConnection
 
 
+def ends_with_connection(response: BaseHTTPResponse) -> bool:
+    """Return whether only the end of its connection tells where the body of a response ends."""
+    return not response.chunked and response.length_remaining is None
+
+
 def bounded_pool_manager(pool: type[HTTPConnectionPool], **options: object) -> PoolManager:
     """Return urllib3's manager of such pools."""
     manager = PoolManager(**options)
@@ -416,5 +423,6 @@
     "Part",
     "StreamPool",
     "bounded_pool_manager",
+    "ends_with_connection",
     "process_limits",
 ]
--- a/tests/wire/test_cut_responses.py
+++ b/tests/wire/test_cut_responses.py
@@ -27,7 +27,7 @@
 from threadramp.core.lot_tracker import LotRules, LotTracker, Phase
 from threadramp.core.served_versions import Order
 from threadramp.edge.connection_pool import ConnectionPool
-from threadramp.edge.endpoint_probe import EndpointState, probe_endpoint
+from threadramp.edge.endpoint_probe import EndpointState, fetch_start_time, probe_endpoint
 from threadramp.edge.forward import Forwarder
 from threadramp.fleet.clock import Clock
 from threadramp.fleet.fleet_view import FleetSnapshot, FleetView
@@ -356,6 +356,7 @@
     "runner: order to an engine": Case(
         send_order, b"{}", OrderOutcome.TAKEN, status="202 Taken", failures=ORDER_FAILURES
     ),
+    "edge: start time of an endpoint": Case(fetch_start_time, to_json(REPORT), 12345),
     "edge: probe of an endpoint": Case(
         probe_endpoint, to_json(REPORT), EndpointState.LISTENS, failures=(EndpointState.BREAKS,)
     ),
