Keep a reset that a failed send was told of

What would be seen: an endpoint, sidecar or store that answers before it has read a long request, without a length, and then breaks the connection by a reset: the part of the answer counted as the whole.

Cause: the kernel reports a reset once. The send takes it; urllib3 drops the error of the send and reads what has arrived, and our own connection to endpoints keeps the connection for an early response, then the end of the stream looks regular.

A connection now remembers that a send was reset, and its responses raise the reset where they would end. A broken pipe is no such sign: there, the regular end came first. Responses that state their end are read as before.

--- a/src/threadramp/edge/caller_stream.py
+++ b/src/threadramp/edge/caller_stream.py
@@ -120,8 +120,6 @@
             return self._end_before_copy(exchange, response, reader.rest)
         if reader.other_response is OtherResponse.WITHIN_EVENT:
             raise StreamBrokenError(instance, "an event contains another response", broken=True)
-        if exchange.is_end_lost:
-            raise StreamBrokenError(instance, "the connection was reset", broken=True)
         if not reader.is_between_events:
             raise StreamBrokenError(instance, "the stream ended within an event", broken=True)
         return StreamEnd.CLOSED if ends_by_close else StreamEnd.FRAMED
--- a/src/threadramp/edge/endpoint_connection.py
+++ b/src/threadramp/edge/endpoint_connection.py
@@ -164,7 +164,7 @@
 
         The kernel reports a reset once: behind the bytes that wait, a regular end follows here.
         """
-        self.was_reset = isinstance(error, ConnectionResetError)
+        self.was_reset = self.was_reset or isinstance(error, ConnectionResetError)
         with suppress(OSError):
             if self._peek():
                 self.can_send_rest = False
@@ -235,6 +235,7 @@
     ) -> BoundedResponse:
         response = _Response(sock, debuglevel, method, *self.deadlines(), self.record_end_of_stream)
         response.reader.bytes_read = len(read_ahead)
+        response.reader.was_reset = self.was_reset
         raw = response.fp.detach()
         self.reader = _ResponseReader(
             _PrependedReader(read_ahead, raw) if read_ahead else raw, response.reader
--- a/src/threadramp/edge/exchange.py
+++ b/src/threadramp/edge/exchange.py
@@ -15,7 +15,7 @@
 from threadramp.fleet.clock import steady_s
 from threadramp.platform.headers import REQUEST_ID, read_answer, sent_id
 from threadramp.report.log import log_state
-from threadramp.wire.response_limits import EndlessResponseError, Framing, IncompleteHeadError
+from threadramp.wire.response_limits import EndlessResponseError, IncompleteHeadError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -25,6 +25,7 @@
     from threadramp.edge.endpoint_connection import EndpointConnection
     from threadramp.fleet.model import Endpoint
     from threadramp.platform.headers import AnswerHead
+    from threadramp.wire.response_limits import Framing
 
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: discards undelivered data
 MIN_FINAL_STATUS = 200  # lower ones are interim responses
@@ -103,11 +104,6 @@
         """Return what tells the end of the response whose head was read."""
         return self.connection.response.framing
 
-    @property
-    def is_end_lost(self) -> bool:
-        """Return whether the response has no end, although its connection shows a regular one."""
-        return self.framing is Framing.CLOSE and self.connection.was_reset
-
     def fileno(self) -> int:
         """Return the file descriptor of the socket."""
         return self.connection.sock.fileno()
@@ -272,9 +268,6 @@
         except READ_ERRORS as error:
             self.close()
             raise ExchangeError(True, repr(error), broken=is_connection_error(error)) from error
-        if self.is_end_lost:
-            self.close()
-            raise ExchangeError(True, "the connection was reset", broken=True)
         if self.connection.contains_other_response(body):
             self.close()
             own_body = self.connection.body_before_copy(body)
--- a/src/threadramp/wire/response_limits.py
+++ b/src/threadramp/wire/response_limits.py
@@ -122,6 +122,7 @@
         self.max_bytes: float = MAX_HEAD_BYTES
         self.deadline = math.inf
         self.bytes_read = 0  # of this part; the buffering reader may have read ahead
+        self.was_reset = False  # which a failed send was told, so that no read is told again
 
     def readable(self) -> bool:
         """Return true."""
@@ -143,6 +144,7 @@
 
         :raises EndlessResponseError: if one of them is exceeded
         :raises TimeoutError: if nothing arrived
+        :raises ConnectionResetError: if it ends, and was reset before
         """
         timeout_s = self.sock.gettimeout()
         if timeout_s == 0.0:  # it only looks for surplus bytes
@@ -156,6 +158,8 @@
             size = self._read_within(buffer, left_s, timeout_s)
         else:
             size = self.raw.readinto(buffer)
+        if size == 0 and self.was_reset:
+            raise ConnectionResetError("the connection was reset while the request was sent")
         self._count(size or 0)
         return size
 
@@ -363,12 +367,32 @@
     """
 
     response_type = BoundedResponse
+    was_reset = False
+
+    def connect(self) -> None:
+        """Open the connection."""
+        self.was_reset = False
+        super().connect()
+
+    def send(self, data: bytes) -> None:
+        """Send bytes of the current request; http.client calls it for the head and the body.
+
+        The kernel reports a reset once. urllib3 reads the response even so, and the end of one
+        without a length would look regular.
+        """
+        try:
+            super().send(data)
+        except ConnectionResetError:
+            self.was_reset = True
+            raise
 
     def response_class(
         self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
     ) -> HTTPResponse:
         """Return the object with which http.client reads the next response."""
-        return self.response_type(sock, debuglevel, method, *self.deadlines())
+        response = self.response_type(sock, debuglevel, method, *self.deadlines())
+        response.reader.was_reset = self.was_reset
+        return response
 
     def deadlines(self) -> tuple[float, float]:
         """Return the deadlines of the head and of the body of a response that is read now."""
