--- a/src/threadramp/platform/standins/endpoint.py
+++ b/src/threadramp/platform/standins/endpoint.py
@@ -46,7 +46,8 @@
     Switches that count: ``reject`` says "not run", ``fail`` answers 500, ``impossible`` 422,
     ``cut`` breaks streams off after three events, ``other_id`` answers as if to another request,
     ``unanswered`` carries orders out without an answer. ``load_s`` is the time of a load,
-    ``hold_s`` delays plain answers. While ``marked`` is set, each line names the run that made it,
+    ``hold_s`` delays plain answers. An order with mode ``truncate`` breaks off the streams of its
+    model. While ``marked`` is set, each line names the run that made it,
     and ``made`` keeps what was made.
     """
 
@@ -77,6 +78,7 @@
         self.running = 0
         self.state = "ready"
         self.starts = 0
+        self.truncations: dict[str, int] = {}  # orders by model that broke streams off
         self.orders_before = 0
 
     def start_again(self, born: int = 0) -> None:
@@ -146,6 +148,9 @@
             if order.get("expected", self.count) != self.count:
                 return Response(409)
             self.orders.append(order)
+            if order.get("mode") == "truncate":
+                model = order["model"]
+                self.truncations[model] = self.truncations.get(model, 0) + 1
             self.busy_until = time.monotonic() + self.faults["load_s"]
             threading.Timer(self.faults["load_s"], self._loaded, (order, self.starts)).start()
         if self.use_up("unanswered"):
@@ -182,16 +187,20 @@
         time.sleep(self.faults["hold_s"])
         return Response(200, f"{self.instance} answers {name}".encode(), head)
 
+    def _breaks(self, model: str) -> tuple[int, int]:
+        """Return what changes when the streams of a model break off."""
+        return self.starts, self.truncations.get(model, 0)
+
     def _events(
         self, name: str, model: str, after: int, mark: str, version: int
     ) -> Iterator[bytes]:
         cut = self.use_up("cut")
-        start = self.starts
+        begun = self._breaks(model)
         self.running += 1
         try:
             for number in range(after + 1, self.faults["events"] + 1):
                 time.sleep(self.faults["gap_s"])
-                if self.starts != start:
+                if self._breaks(model) != begun:
                     raise CutOffError
                 lines = []
                 if self.versions[model] != version:
@@ -220,4 +229,4 @@
     }
 
 
-__all__ = ["MadeEvent", "PlatformEngine"]
+__all__ = ["CutOffError", "MadeEvent", "PlatformEngine"]
--- a/src/threadramp/platform/standins/stuttering.py
+++ b/src/threadramp/platform/standins/stuttering.py
@@ -97,9 +97,16 @@
 
     :param behind: address of the endpoint
     :param stutter: none while each answer is given once; may be set at any time
+    :param listen: address at which it listens, by default at a free port
     """
 
-    def __init__(self, behind: str, stutter: Stutter | None = None, seed: int = 1) -> None:
+    def __init__(
+        self,
+        behind: str,
+        stutter: Stutter | None = None,
+        seed: int = 1,
+        listen: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> None:
         self.behind = behind
         self.stutter = stutter
         self.random = Random(seed)
@@ -107,7 +114,7 @@
         self.seconds: list[tuple[str, str]] = []  # target and id of what was answered twice
         self.open: set[socket.socket] = set()
         self.lock = threading.Lock()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.listener = socket.create_server(listen, backlog=128)
         self.listener.settimeout(ACCEPT_S)
         self.accepting = threading.Lock()
         self.closed = False
--- a/tests/platform/test_standin_engine.py
+++ b/tests/platform/test_standin_engine.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from threadramp.platform.standins.endpoint import CutOffError
 from threadramp.standins.server import Request
 
 ORDER = {"op": "version", "model": "m", "version": 2, "holder": "side-0", "fence": 9}
@@ -38,6 +39,19 @@
     assert len(engine.orders) == (status == 202)
 
 
+@pytest.mark.parametrize(("mode", "breaks"), [("truncate", True), ("keep", False)])
+def test_an_order_that_truncates_breaks_running_streams_off(engine, mode, breaks):
+    stream = ask(engine, "p", b"q", x_attempt_id="a", x_model="m").body
+    assert next(stream)
+    order = json.dumps(ORDER | {"mode": mode}).encode()
+    assert ask(engine, "threadramp/order", order).status == 202
+    if breaks:
+        with pytest.raises(CutOffError):
+            next(stream)
+    else:
+        assert len(list(stream)) == 4
+
+
 def test_lines_name_their_run_and_are_kept_while_they_are_marked(engine):
     engine.faults["marked"] = True
     first = sample(engine, "a")
