Test the order and the count of unconfirmed ends

A run whose end is unconfirmed starts before other waiting ones, and only ends in a row behind the same event of the same start of the run count. Both came with the confirmation of ends and had no test of their own.

--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -293,3 +293,26 @@
         table.configuration_revision = 9
         assert table.restart_stalled() == ["a"]
         assert table.next_start() is None
+
+
+# Guards against a whole text that waits for a slot behind samples that have not begun.
+def test_a_text_whose_end_is_unconfirmed_goes_first(table, clock):
+    (late,) = begin(table, order("late", due=9.0))
+    assert table.add_unconfirmed_end(late, late.generation) == 1
+    table.requeue(late, late.generation)  # the engine rejected the request that confirms it
+    clock.at += 1.0
+    table.submit((order("soon", due=2.0),))
+    assert table.next_start() is late
+
+
+def test_unconfirmed_ends_count_behind_the_same_event_only(table):
+    (run,) = begin(table, order("a"))
+    assert [table.add_unconfirmed_end(run, run.generation) for _ in range(2)] == [1, 2]
+    table.add_event(run, run.generation, "text", 1)
+    assert table.add_unconfirmed_end(run, run.generation) == 1
+    table.finish(run, run.generation, RunOutcome.CUT)
+    assert table.add_unconfirmed_end(run, run.generation) == 0
+    table.submit((order("a", after=1, lineage=run.lineage),))
+    assert table.next_start() is run
+    assert table.add_unconfirmed_end(run, run.generation - 1) == 0
+    assert table.add_unconfirmed_end(run, run.generation) == 1
