Take no response for a sample's that is not a signed stream of events

A 200 without the engine's stamp, such as a proxy's own page, ended a text that was to go on after event n as if the engine had nothing to add; callers' streams asked for both before. Found by reading; 3 of 3 cases of the new test failed before.

--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -24,7 +24,7 @@
 from threadramp.edge.exchange import ExchangeError, streamed_response
 from threadramp.edge.job import Ending, Outcome
 from threadramp.edge.start_check import StartState
-from threadramp.platform.headers import read_answer, stream_headers
+from threadramp.platform.headers import is_event_stream, read_answer, stream_headers
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -41,7 +41,6 @@
 MIN_READ_TIMEOUT_S = 0.05
 MAX_RETURNS = 3  # times that a stream is resumed at an endpoint where it was interrupted
 MAX_EMPTY_ENDS = 2  # responses in a row without an event, each ended by a close
-EVENT_STREAM_TYPE = "text/event-stream"
 
 
 class StreamForwarder:
@@ -196,7 +195,7 @@
             self.record_rejection(exchange.endpoint, head.status)
             self.return_count = max(0, self.return_count - 1)  # it was not resumed there
             return None
-        if response.status != 200 or not head.signature or not _is_stream(response):
+        if response.status != 200 or not head.signature or not is_event_stream(response.headers):
             return self._handle_other_response(exchange, response, head)
         self.record_start(exchange.endpoint, self.now())
         self.stream.start(response)
@@ -304,8 +303,4 @@
         )
 
 
-def _is_stream(response: BaseHTTPResponse) -> bool:
-    return response.headers.get("Content-Type", "").startswith(EVENT_STREAM_TYPE)
-
-
 __all__ = ["StreamForwarder"]
--- a/src/threadramp/platform/headers.py
+++ b/src/threadramp/platform/headers.py
@@ -31,6 +31,7 @@
 LOAD_FIGURES_LEAST = 3  # requests running, requests waiting, slots
 LOAD_FIGURES_MOST = 4  # and how long work takes right now, in percent
 LOAD_DIGITS_MOST = 9
+EVENT_STREAM_TYPE = "text/event-stream"
 LAST_RANK = 9  # the least urgent that endpoints know
 OTHER_INSTANCE_STATUS = 421
 REJECTED_STATUSES = (421, 429, 503)
@@ -306,6 +307,11 @@
     )
 
 
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return whether the head of an answer announces a stream of events."""
+    return headers.get("Content-Type", "").startswith(EVENT_STREAM_TYPE)
+
+
 def version_line(line: str) -> int:
     """Return the version that a line of an event names, 0 if it is no such line."""
     name, colon, value = line.partition(":")
@@ -376,6 +382,7 @@
     "caller_of",
     "ends_in_head",
     "holds_head",
+    "is_event_stream",
     "length_guess",
     "named_id",
     "order_headers",
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -17,7 +17,12 @@
     streamed_response,
 )
 from threadramp.lots.scoped_ids import unscoped_id
-from threadramp.platform.headers import OTHER_INSTANCE_STATUS, read_answer, sample_headers
+from threadramp.platform.headers import (
+    OTHER_INSTANCE_STATUS,
+    is_event_stream,
+    read_answer,
+    sample_headers,
+)
 from threadramp.report.log import log_state
 from threadramp.runner.crash_detection import has_crashed
 from threadramp.runner.events import EventReader, OtherResponse
@@ -165,6 +170,10 @@
             exchange.close()
             self._finish(_outcome_of_status(head.status), f"status {head.status}")
             return
+        if not head.signature or not is_event_stream(response.headers):
+            exchange.close()  # of a proxy; it would end a text that is resumed
+            self._finish(RunOutcome.CUT, "not a signed stream of events")
+            return
         self.version = head.version
         self.framing = exchange.framing.value
         self._read_stream(exchange, response)
--- a/tests/runner/test_incomplete_heads.py
+++ b/tests/runner/test_incomplete_heads.py
@@ -55,3 +55,10 @@
 @pytest.mark.parametrize("end", range(1, len(HEAD)))
 def test_a_resumed_sample_is_incomplete_if_its_response_ends_within_the_head(end):
     assert run_resumed_sample(HEAD[:end]) is not RunOutcome.COMPLETE
+
+
+# Guards against a text that is listed without its end, as a proxy answered for its engine.
+@pytest.mark.parametrize("more", ["", "X-Attempt-Id: a\r\n", "Content-Type: text/event-stream\r\n"])
+def test_a_resumed_sample_is_incomplete_if_its_response_is_not_a_signed_stream(more):
+    response = f"HTTP/1.1 200 OK\r\n{more}Content-Length: 0\r\n\r\n".encode()
+    assert run_resumed_sample(response) is not RunOutcome.COMPLETE
