Join saved texts only with the record that they continue

A new owner joins the records of an earlier one by their number of events.

Each record names the lineage of the record before it as a last field, which processes of the version before ignore; their records go by the numbers.

--- a/src/threadramp/lots/checkpoints.py
+++ b/src/threadramp/lots/checkpoints.py
@@ -42,7 +42,7 @@
         self.owned = owned
         self.store = store
         self.incarnation = incarnation
-        self.saved: dict[str, dict[str, tuple[list[str], int]]] = {}
+        self.saved: dict[str, dict[str, tuple[list[str], int, str]]] = {}
         self.keys: dict[str, list[str]] = {}
         self.stopped = threading.Event()
 
@@ -114,16 +114,16 @@
         for name, state in lot.tracker.states.items():
             if not state.is_open or len(state.events) < MIN_EVENTS:
                 continue
-            events, base = saved.get(name, (state.events, 0))
+            events, base, continues = saved.get(name, (state.events, 0, ""))
             if events is not state.events:  # the sample was restarted
-                base = 0
+                base, continues = 0, ""
             if len(state.events) - base < MIN_NEW_EVENTS:
                 continue
-            record = _record(lot.tracker.lot, state, base)
+            record = _record(lot.tracker.lot, state, base, continues)
             size += sum(map(text_bytes, record.events))
             if size > MAX_RECORD_BYTES and records:
                 break
-            saved[name] = (state.events, len(state.events))
+            saved[name] = (state.events, len(state.events), state.lineage)
             records.append(record)
         return records
 
@@ -150,10 +150,12 @@
 
 
 def _continues(held: SavedText, record: SavedText) -> bool:
-    return len(held.events) == record.base and held.inputs == record.inputs
+    """Return whether a record follows a text; one in between may be missing from a listing."""
+    fits = record.continues in ("", held.lineage)
+    return fits and len(held.events) == record.base and held.inputs == record.inputs
 
 
-def _record(lot: Lot, state: SampleState, base: int) -> SavedText:
+def _record(lot: Lot, state: SampleState, base: int, continues: str) -> SavedText:
     return SavedText(
         sample=state.sample.id,
         base=base,
@@ -161,6 +163,7 @@
         versions=tuple(state.versions[base:]),
         lineage=state.lineage,
         inputs=TextInputs.of(lot, state.sample).digest,
+        continues=continues,
     )
 
 
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -118,6 +118,8 @@
     :param versions: of the weights, one for each of ``events``
     :param lineage: names the chain that the events belong to
     :param inputs: digest of the request that they were generated for, empty if it was not recorded
+    :param continues: lineage of the record before, whose events these follow; empty if it was not
+        recorded or there is none
     """
 
     sample: str
@@ -126,6 +128,7 @@
     versions: tuple[int, ...]
     lineage: str
     inputs: bytes = b""
+    continues: str = ""
 
 
 class StoredHead(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/lots/test_checkpoints.py
+++ b/tests/lots/test_checkpoints.py
@@ -155,3 +155,34 @@
     newer = SavedText("a", 0, ("x",), (1,), "L", b"inputs")
     assert decode_texts(encode((older,))) == (SavedText("a", 0, ("x",), (1,), "L"),)
     assert msgpack.decode(encode((newer,)), type=tuple[OlderText, ...]) == (older,)
+
+
+# Guards against a text of two chains: an owner that is being replaced still writes records, and the
+# one with which a restarted sample begins anew is missing from a listing of several pages.
+def test_a_record_does_not_follow_one_from_before_a_restart(store, lot):
+    made = checkpoints(store, lot)
+    grow(lot, 30)
+    made.save(lot)
+    lot.tracker._restart(lot.tracker.states["a"], 0.0)
+    start(lot.tracker, "a", "s1", lineage="L2")
+    for length in (30, 60):
+        new = [f"{length} of L2"] * 30
+        lot.tracker.add_events("a", "s1", length - 30, new, [1] * 30, "L2")
+        made.save(lot)
+    _, second, _ = made.keys["lot"]
+    assert len(made.load("lot")["a"].events) == 60
+    made.remove([second])
+    assert made.load("lot") == {}
+
+
+# Guards against a text that is dropped because another sidecar continued it between two records.
+def test_a_text_that_another_sidecar_continued_is_joined(store, lot):
+    made = checkpoints(store, lot)
+    grow(lot, 30)
+    made.save(lot)
+    lot.tracker.lose_runner("s1", 0.0)
+    start(lot.tracker, "a", "s2", lineage="L2")
+    lot.tracker.add_events("a", "s2", 30, ["x"] * 30, [1] * 30, "L2")
+    made.save(lot)
+    text = made.load("lot")["a"]
+    assert (len(text.events), text.lineage) == (60, "L2")
