Bound pages of results by their size in the answer

A page of results was bounded by the bytes of its texts. JSON writes a line feed, quote or control character with two to six bytes, so a page of such text had up to 3.6 MB where trainers accept one (eight results of 100,000 line feeds or quotes: 1.2 MB).

Before: the three cases of test_a_page_of_text_that_is_escaped_has_a_megabyte_at_most failed.

--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from threadramp.lots.model import text_bytes
+import msgspec
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -136,11 +136,14 @@
 
 
 def first_page(results: Iterable[Result]) -> tuple[Result, ...]:
-    """Return as many results as fit into one answer, at least one if there is one."""
+    """Return as many results as fit into one answer, at least one if there is one.
+
+    Line feeds, quotes and control characters take up to six bytes in the answer.
+    """
     page: list[Result] = []
     size = 0
     for result in results:
-        size += text_bytes(result.text)
+        size += len(msgspec.json.encode(result.text))
         if page and size > MAX_PAGE_BYTES:
             break
         page.append(result)
--- a/tests/core/test_lot_tracker.py
+++ b/tests/core/test_lot_tracker.py
@@ -190,6 +190,15 @@
     assert book.add_events("a", "s1", 1, ["2 of the second"], [1], "L3")
 
 
+# Guards against a page that is larger than trainers accept: line feeds separate the events.
+@pytest.mark.parametrize("text", ["\n" * 100_000, '"' * 100_000, "\x01" * 100_000])
+def test_a_page_of_text_that_is_escaped_has_a_megabyte_at_most(text):
+    results = [Result(name, ResultState.SUCCEEDED, text, (1,), "") for name in "abcdefgh"]
+    page = first_page(results)
+    assert page
+    assert len(results_body(8, 0, page)) <= MAX_VALUE_BYTES
+
+
 # Guards against a text of two chains of events: where a reply repeats events, they were assumed to
 # be the known ones.
 def test_events_that_differ_from_known_ones_restart_the_sample(book):
