Reuse a run only for a request with the same inputs of its text

A sidecar compared model, path and body of two orders with the same id, not their host, organisation and headers, such as the bound of the tokens.

--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -7,6 +7,7 @@
 
 from threadramp.core.lot_tracker import RunOutcome
 from threadramp.fleet.model import Incarnation
+from threadramp.lots.text_inputs import TextInputs
 from threadramp.wire.runner import RunUpdate
 
 if TYPE_CHECKING:
@@ -86,7 +87,8 @@
         The requests are compared as well as the ids, since a caller may reuse an id for another
         request.
         """
-        if _request_key(self.order) != _request_key(order):
+        held = TextInputs.of(self.order, self.order.sample)
+        if held != TextInputs.of(order, order.sample):
             return False
         if order.after and (order.lineage != self.lineage or self.event_count < order.after):
             return False
@@ -110,9 +112,4 @@
         )
 
 
-def _request_key(order: RunOrder) -> tuple[str, str, bytes]:
-    """Return what the text of an order's sample depends on: model, path and body."""
-    return order.model, order.sample.path, order.sample.body
-
-
 __all__ = ["Run"]
