Run a sample again whose complete run has no events

An engine's response that was framed and whole, but without an event, ended a sample's run as complete. Its gateway asked for the sample again, and the sidecar answered with the same complete run each time: the sample never reached an engine again. Seen on real processes with 6 of 6 samples whose first response was cut in its head (2 requests, then only run_ended lines for 30 s). A complete run without events serves no order any more; the new test failed before.

--- a/src/threadramp/runner/run.py
+++ b/src/threadramp/runner/run.py
@@ -94,6 +94,8 @@
             return False
         if self.base > order.after:
             return False
+        if self.outcome is RunOutcome.COMPLETE and not self.event_count:
+            return False  # no text: it is generated once more
         if self.versions and min(self.versions) < order.min_version:
             return False
         return not (order.one_version and len(set(self.versions)) > 1)
--- a/tests/runner/test_runs.py
+++ b/tests/runner/test_runs.py
@@ -316,3 +316,11 @@
     assert table.next_start() is run
     assert table.add_unconfirmed_end(run, run.generation - 1) == 0
     assert table.add_unconfirmed_end(run, run.generation) == 1
+
+
+# Guards against a sample that is never run again, as its sidecar has a complete run without events.
+def test_a_complete_run_without_events_is_not_reused(table):
+    (run,) = begin(table, order("a"))
+    table.finish(run, run.generation, RunOutcome.COMPLETE)
+    assert table.submit((order("a"),)) == {"a": "chain of a"}
+    assert table.next_start().order.sample.id == "a"
