Count no sample as complete whose engine's deadline has passed

An engine stops working on a sample at the deadline that it was given. A run that may finish for a later lot still has the earlier lot's deadline. Such a run is cut now and resumed. Found by the review of what joins texts, not seen.

--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -47,6 +47,7 @@
 # Responses without events in a row, besides the first end behind the last event, after which a text
 # without a length counts as complete: a crash or a cut may end one right behind its head.
 CONFIRMING_ENDS = 2
+MIN_TIME_LEFT_S = 1.0  # for the engine, of a sample that may be given up sooner
 STREAM_IDLE_TIMEOUT_S = 5.0  # a stream without an event is cut; a load of weights takes 0.9 s
 
 
@@ -98,6 +99,7 @@
         self.resumed_after = run.event_count
         self.framing = ""
         self.must_confirm_end = False
+        self.deadline = float("inf")  # at which the engine stops working on it
         self.shutdown: ConnectionShutdown | None = None
 
     def execute(self) -> None:
@@ -187,7 +189,7 @@
         order = self.run.order
         if not self.run.wanted or not self._is_routed_here(order):
             return False
-        left_s = max(1.0, order.give_up_in_s)
+        left_s = max(MIN_TIME_LEFT_S, order.give_up_in_s)
         headers = sample_headers(
             (*order.sample.headers, ("Host", order.host)),
             unscoped_id(order.sample.id),
@@ -198,6 +200,7 @@
             order.organisation,
         )
         self.sent_at = self.clock.now()
+        self.deadline = self.sent_at + left_s
         if not self.engine.send_limit.confirm(self.taken_at, self.sent_at):
             return False
         self.taken_at = None  # a retry is another request
@@ -281,6 +284,10 @@
             exchange.close()
             self._finish(RunOutcome.CUT, "the connection was shut down here")
             return
+        if self.clock.now() >= self.deadline:
+            exchange.close()
+            self._finish(RunOutcome.CUT, "the engine's deadline has passed")
+            return
         if is_unframed:
             exchange.close()
             self._add_unconfirmed_end()
--- a/tests/runner/test_cut_responses.py
+++ b/tests/runner/test_cut_responses.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import pytest
+from msgspec.structs import replace
 
 from tests.runner.cutting_engine import (
     EVENTS,
@@ -23,6 +24,7 @@
 from threadramp.core.lot_tracker import RunOutcome
 from threadramp.fleet.clock import Clock
 from threadramp.report.metrics import Metrics
+from threadramp.runner import sample_run
 from threadramp.runner.sample_run import SampleRun
 
 RESUMED_AFTER = 2
@@ -240,3 +242,14 @@
     assert (first.outcome, second.outcome) == (RunOutcome.COMPLETE, RunOutcome.COMPLETE)
     assert second.events == text_of("long")
     assert cutting.connections == (1 if frame.is_framed else 2)
+
+
+# Guards against a text that ends early since its engine stops working at the deadline it was given.
+def test_a_text_that_ends_after_the_engines_deadline_is_not_complete(engine_of, monkeypatch):
+    monkeypatch.setattr(sample_run, "MIN_TIME_LEFT_S", 0.0)
+    cutting = engine_of(lambda number, after: Plan(Frame.CHUNKED))
+    table = new_table()
+    run = submit(table, "s")
+    run.order = replace(run.order, give_up_in_s=0.0)
+    run_to_end(client_of(cutting), table, run)
+    assert run.outcome is RunOutcome.CUT
