Refuse a gateway's whole answer that has no length

What would be seen: a proxy between a client and its gateway that takes the length off, or a gateway behind one that ends: the client library returned the part of the body that had come as the answer of the call, of a ticket or of a setting, or ended in an error of the decoder.

Gateways state where each whole answer ends, so one without that was cut or altered on the way: it is an UnframedAnswerError, an HTTPError like any other connection that broke. Requests that may be repeated go to the next gateway; calls that must not run twice are asked for again with their ticket. Streams and lots are read to their own end marks, as before.

--- a/src/threadramp/client/http.py
+++ b/src/threadramp/client/http.py
@@ -15,7 +15,11 @@
 from threadramp.report.log import log_state
 from threadramp.wire.headers import REQUEST_ID
 from threadramp.wire.outcomes import Refusal
-from threadramp.wire.response_limits import StreamPool, bounded_pool_manager
+from threadramp.wire.response_limits import (
+    StreamPool,
+    bounded_pool_manager,
+    ends_with_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -37,6 +41,10 @@
     """What came is not the answer to what was asked; the request may have run."""
 
 
+class UnframedAnswerError(HTTPError):
+    """An answer ended with its connection; gateways state where each ends, so it was cut."""
+
+
 class Api:
     """The gateways, behind one name or named one by one.
 
@@ -70,6 +78,7 @@
         """Send one request to one gateway.
 
         :raises ForeignAnswerError: if what came names another request or none
+        :raises UnframedAnswerError: if nothing tells that the answer is whole
         :raises HTTPError: if no answer came
         """
         own = {"Authorization": f"Bearer {self.token}", REQUEST_ID: uuid.uuid4().hex}
@@ -85,6 +94,7 @@
         )
         _check_own(response, sent[REQUEST_ID])
         if not stream:
+            _check_framed(response)
             response.read(cache_content=True)
         return response
 
@@ -127,6 +137,16 @@
     raise ForeignAnswerError(f"the answer to {request_id} names {named}")
 
 
+def _check_framed(response: BaseHTTPResponse) -> None:
+    """Close the connection of an answer whose end nothing but that of its connection tells.
+
+    :raises UnframedAnswerError: if there is no length and there are no chunks
+    """
+    if ends_with_connection(response):
+        response.close()
+        raise UnframedAnswerError(f"status {response.status} without a length")
+
+
 def checked(response: BaseHTTPResponse) -> BaseHTTPResponse:
     """Return the response unless it is a refusal.
 
@@ -146,4 +166,4 @@
     return body.error, body.findings
 
 
-__all__ = ["Api", "ForeignAnswerError", "checked", "refusal_of"]
+__all__ = ["Api", "ForeignAnswerError", "UnframedAnswerError", "checked", "refusal_of"]
--- a/tests/wire/test_cut_responses.py
+++ b/tests/wire/test_cut_responses.py
@@ -343,10 +343,32 @@
         from_sidecar,
         extra=STREAM_HEAD,
     ),
+    "client: answer of a gateway": Case(
+        ask_gateway, ANSWER, ANSWER, echo, errors=CLIENT, may_close=False
+    ),
+    "client: call": Case(
+        lambda address: caller(address).call("bank", "/balance", {}),
+        ANSWER,
+        CallResult(200, ANSWER, "bank-1"),
+        from_gateway,
+        errors=CLIENT,
+        may_close=False,
+    ),
+    "client: call that must not run twice": Case(
+        call_once,
+        ANSWER,
+        CallResult(200, ANSWER, "bank-1"),
+        from_gateway,
+        errors=CLIENT,
+        may_close=False,
+    ),
     "client: stream": Case(chat, STREAM, TEXTS, from_gateway, errors=CLIENT, extra=STREAM_HEAD),
     "client: lot": Case(
         receive_lot, LOT_BODY, tuple(SAMPLES), echo, errors=(*CLIENT, msgspec.DecodeError)
     ),
+    "client: status": Case(
+        read_status, to_json(STATUS), STATUS, echo, errors=CLIENT, may_close=False
+    ),
     "gateway: list of boxes": Case(
         lambda address: BoxListClient(f"http://{address}").leaving(),
         to_json([{"address": "1.2.3.4:5", "state": "leaving"}]),
