Confirm an answer of an endpoint that ended with its connection

What was seen: a sidecar's endpoint that answers without a length and ends meanwhile: the part that had come was the call's answer, kept for resends and sent on under a digest of its own, so that neither gateway nor caller could tell. The kernel closes the connections of a process that was killed as regularly as an answer ends.

Now such an answer counts if it is whole JSON that no cut leaves valid (an object or a list), or if its endpoint still listens afterwards; else its outcome is unknown, as for any broken answer. Streams are read to their end mark, as before. Not detected: an endpoint that goes on and ends one connection early in an answer that is no JSON; only a length or chunks tell that.

--- a/src/threadramp/sidecar/engine.py
+++ b/src/threadramp/sidecar/engine.py
@@ -18,12 +18,13 @@
 )
 
 from threadramp.core.keys import EndpointResponse
+from threadramp.edge.endpoint_probe import EndpointState, probe_without_request
 from threadramp.edge.exchange import is_connection_error
 from threadramp.report.log import log_state
 from threadramp.wire.headers import REQUEST_ID
 from threadramp.wire.late_bytes import TooLateError, body_in_time, drop_what_is_late
 from threadramp.wire.lines import response_lines
-from threadramp.wire.response_limits import BoundedConnection, BoundedPool
+from threadramp.wire.response_limits import BoundedConnection, BoundedPool, ends_with_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -41,6 +42,8 @@
 VERSIONS_PATH = "/v1/weights"
 END_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
+JSON_TYPE = "application/json"
+JSON_BRACKETS = (b"{", b"[")  # a number that is cut is one still
 CLOSE = {"Connection": "close"}
 STATUS_OK = 200
 STATUS_OLD_FENCE = 409
@@ -171,6 +174,8 @@
             response = self._request(line, method, path, headers, body, timeout_s, preload=True)
         self._check_id(response, headers[REQUEST_ID], echoes)
         content_type = response.headers.get("Content-Type", "application/octet-stream")
+        if ends_with_connection(response):
+            self._check_end(content_type, response.data)
         return EndpointResponse(response.status, content_type, response.data)
 
     def stream(self, body: bytes, request_id: str) -> Iterator[Chunk]:
@@ -273,6 +278,21 @@
             return
         self._check_own(request_id, echoed)
 
+    def _check_end(self, content_type: str, body: bytes) -> None:
+        """Let an answer that ended with its connection count only if that was no early end.
+
+        The kernel closes the connections of a process that was killed as regularly.
+
+        :raises BrokenAnswerError: if its JSON is cut, or the endpoint has ended
+        """
+        if content_type.partition(";")[0].strip().lower() == JSON_TYPE:
+            if not _is_whole_json(body):
+                raise BrokenAnswerError("its JSON is cut", broken=True)
+            if body[:1] in JSON_BRACKETS:
+                return
+        if probe_without_request(self.address) is not EndpointState.LISTENS:
+            raise BrokenAnswerError("its endpoint has ended", broken=True)
+
     def _check_own(self, request_id: str, named: str | None) -> None:
         """Let bytes count only if they name the request that was sent.
 
@@ -296,6 +316,14 @@
         raise BrokenAnswerError("the stream has no end mark")
 
 
+def _is_whole_json(body: bytes) -> bool:
+    try:
+        msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 def _held_fence(body: bytes) -> int:
     """Return the number in an engine's refusal of an old order, 0 if it names none."""
     try:
--- a/tests/cutting.py
+++ b/tests/cutting.py
@@ -50,17 +50,21 @@
         self.answer = answer
         self.cut = Cut(Framing.LENGTH, 0, End.CLOSE)
         self.sent = b""  # of the last response
+        self.ends_first = False  # whether it stops listening before a connection ends
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.name = self.listener.getsockname()
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self) -> str:
         """Return where it listens."""
-        host, port = self.listener.getsockname()
+        host, port = self.name
         return f"{host}:{port}"
 
     def close(self) -> None:
         """Accept no more connections."""
+        with suppress(OSError):  # it is closed already
+            self.listener.shutdown(socket.SHUT_RDWR)  # its thread may wait on it still
         self.listener.close()
 
     def _accept(self) -> None:
@@ -76,6 +80,8 @@
             request = read_request(caller)
             self.sent = self.answer(request, cut.framing)[: cut.after]
             caller.sendall(self.sent)
+            if self.ends_first:
+                self.close()
             if cut.end is End.RESET:
                 caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
--- a/tests/sidecar/test_engine.py
+++ b/tests/sidecar/test_engine.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from tests.cutting import Cut, CuttingServer, End, framed
 from tests.stuttering import LATE, SOON, SOON_S, Stutterer, header_of, response
 from threadramp.core.served_versions import Order
 from threadramp.sidecar import engine as engine_module
@@ -18,11 +19,13 @@
     EngineClient,
 )
 from threadramp.wire.headers import REQUEST_ID
+from threadramp.wire.response_limits import Framing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 TIMES = 3
+WHOLE_BYTES = 1_000_000
 WAYS = pytest.mark.parametrize("when", [SOON, LATE])
 
 
@@ -193,3 +196,31 @@
     assert make(answer, LATE).order(Order("m", 1, 1), lambda: False) == (False, 0)
     time.sleep(SOON_S)
     assert seen == []
+
+
+@pytest.mark.parametrize("is_alive", [True, False])
+def test_answer_without_a_length_counts_only_while_its_endpoint_is_there(is_alive) -> None:
+    """The kernel closes the connections of a process that was killed: a part was the answer."""
+    server = CuttingServer(lambda request, framing: framed(framing, b"text, which may be cut", {}))
+    server.cut = Cut(Framing.CLOSE, WHOLE_BYTES, End.CLOSE)
+    server.ends_first = not is_alive
+    if is_alive:
+        assert call(EngineClient(server.address), "r1") == b"text, which may be cut"
+    else:
+        with pytest.raises(BrokenAnswerError) as caught:
+            call(EngineClient(server.address), "r1")
+        assert caught.value.broken
+    server.close()
+
+
+def test_number_in_json_that_may_be_cut_counts_only_while_its_endpoint_is_there() -> None:
+    """A part of a number is a number."""
+    server = CuttingServer(
+        lambda request, framing: framed(framing, b"12345", {"Content-Type": "application/json"})
+    )
+    whole = len(framed(Framing.CLOSE, b"12345", {"Content-Type": "application/json"}))
+    server.cut = Cut(Framing.CLOSE, whole - 2, End.CLOSE)
+    server.ends_first = True
+    with pytest.raises(BrokenAnswerError):
+        call(EngineClient(server.address), "r1")
+    server.close()
--- a/tests/wire/test_cut_responses.py
+++ b/tests/wire/test_cut_responses.py
@@ -316,6 +316,9 @@
 STREAM_HEAD = {"Content-Type": "text/event-stream"}
 ORDER_FAILURES = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT)
 CASES = {
+    "sidecar: answer of a service": Case(
+        call_endpoint, ANSWER, SERVICE_ANSWER, echo, errors=SIDECAR
+    ),
     "sidecar: stream of an engine": Case(
         stream_endpoint, STREAM, TEXTS, errors=SIDECAR, extra=STREAM_HEAD
     ),
