Pass a reset on as a reset in the proxy of the tests

What was seen: behind the proxy a connection that was reset ended regularly, so that no test could tell a broken response from one that ends with its connection.

Causes: the proxy shut both connections down whatever had ended one; and its own resets shut the connection down for writing first, which sends a FIN in front of the reset: the peer reads a regular end. Now a reset goes on as one, and only the reading side is shut down, to wake its thread.

--- a/tests/serve/tcp_proxy.py
+++ b/tests/serve/tcp_proxy.py
@@ -105,7 +105,8 @@
             self._forward(caller, target)
 
     def _forward(self, source: socket.socket, target: socket.socket) -> None:
-        with suppress(OSError):
+        was_reset = False
+        try:
             while chunk := source.recv(CHUNK_BYTES):
                 self._wait_while_held(source, chunk)
                 if source not in self.blackholed:
@@ -114,9 +115,15 @@
                     )
                     target.sendall(chunk)
             self._wait_while_held(source, b"")
+        except ConnectionResetError:
+            was_reset = True
+        except OSError:  # one of the two peers disconnected
+            pass
         if source in self.blackholed:
             return
         for end in (source, target):
+            if was_reset:  # a regular close would make a cut response look complete
+                _reset(end)
             with suppress(OSError):
                 end.shutdown(socket.SHUT_RDWR)
         self.sockets -= {source, target}
@@ -180,7 +187,8 @@
 def _reset(connection: socket.socket) -> None:
     with suppress(OSError):
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-        connection.shutdown(socket.SHUT_RDWR)
+        # Wakes a thread that reads from it and would keep it open; no FIN goes before the reset.
+        connection.shutdown(socket.SHUT_RD)
     connection.close()
 
 
