Load no weights of which a part came, in the stand-in of an engine

The one client that did not go through our bounded responses: a head of the weight store that was cut counted as loaded weights. Evidence: the new test in tests/standins fails without the change.

--- a/src/threadramp/standins/engine.py
+++ b/src/threadramp/standins/engine.py
@@ -17,10 +17,14 @@
 from typing import TYPE_CHECKING, Any, ClassVar
 
 import msgspec
-from urllib3 import PoolManager
 from urllib3.exceptions import HTTPError
 
 from threadramp.standins.server import STANDINS, Request, Response, StandIn
+from threadramp.wire.response_limits import (
+    BoundedPool,
+    bounded_pool_manager,
+    ends_with_connection,
+)
 from threadramp.wire.seal import digest
 
 if TYPE_CHECKING:
@@ -77,7 +81,7 @@
         self.cache: OrderedDict[str, None] = OrderedDict()
         self.counts = {"runs": 0, "tokens": 0, "cache_hits": 0, "orders": 0, "old_orders": 0}
         self.store = options.get("weight_store", "")
-        self.http = PoolManager(retries=False)
+        self.http = bounded_pool_manager(BoundedPool, retries=False)
 
     def faults_changed(self) -> None:
         """Carry out the switches that act at once."""
@@ -132,9 +136,10 @@
             return True
         url = f"{self.store}/weights/{order['model']}/{order['version']}"
         try:
-            return self.http.request("GET", url, timeout=10).status == 200
+            response = self.http.request("GET", url, timeout=10)
         except HTTPError:
             return False
+        return response.status == 200 and not ends_with_connection(response)
 
     def _stream(self, body: dict[str, Any], request_id: str) -> Iterator[bytes]:
         prompt = "\n".join(message["content"] for message in body["messages"])
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -6,10 +6,14 @@
 import msgspec
 import pytest
 
+from tests.cutting import Cut, CuttingServer, End, framed
 from tests.serve.test_one_holder import TAKEOVER_S
 from threadramp.platform.standins.store import PlatformStore, encoded
 from threadramp.standins.engine import ModelEngine
 from threadramp.standins.server import Request
+from threadramp.wire.response_limits import Framing
+
+WHOLE_BYTES = 1_000_000
 
 PATIENCE_S = 20.0
 
@@ -137,3 +141,17 @@
         assert server.timeout > TAKEOVER_S
     finally:
         server.stop()
+
+
+def test_engine_does_not_load_weights_that_were_cut() -> None:
+    """It loaded a part of them, or none, where the store's head or its body was cut."""
+    server = CuttingServer(lambda request, framing: framed(framing, b"weights", {}))
+    engine = ModelEngine({"weight_store": f"http://{server.address}"})
+    order = {"model": "m", "version": 1}
+    server.cut = Cut(Framing.LENGTH, WHOLE_BYTES, End.CLOSE)
+    assert engine._load_weights(order)
+    assert server.sent
+    for after in range(len(server.sent)):
+        server.cut = Cut(Framing.LENGTH, after, End.CLOSE)
+        assert not engine._load_weights(order), after
+    server.close()
--- a/tests/wire/test_cut_responses.py
+++ b/tests/wire/test_cut_responses.py
@@ -497,4 +497,5 @@
     """Return the whole response as the server sends it."""
     server.cut = Cut(framing, WHOLE_BYTES, End.CLOSE)
     case.result(server.address)
+    assert server.sent
     return server.sent
