Judge in one function whether a sample's stream ended early

Change: _ended_early decides, in the same order, whether a stream that ended without an error ended early. No behaviour changes.

--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -271,22 +271,7 @@
             exchange.close()
             self._finish(self._outcome_of_break(is_connection_error(error)), repr(error))
             return
-        if reader.other_response is OtherResponse.WITHIN_EVENT:
-            exchange.close()
-            self.metrics.count("answer_mixed", "within an event")
-            self._finish(RunOutcome.CUT, "another response within an event")
-            return
-        if not reader.is_between_events:
-            exchange.close()
-            self._finish(self._outcome_of_break(True), "the stream ended within an event")
-            return
-        if not self.shutdown.leave():
-            exchange.close()
-            self._finish(RunOutcome.CUT, "the connection was shut down here")
-            return
-        if self.clock.now() >= self.deadline:
-            exchange.close()
-            self._finish(RunOutcome.CUT, "the engine's deadline has passed")
+        if self._ended_early(exchange, reader):
             return
         if is_unframed:
             exchange.close()
@@ -296,6 +281,25 @@
         confirms = " to a request that confirms an earlier end" if self.run.unconfirmed_ends else ""
         self._finish(RunOutcome.COMPLETE, f"end of the response{confirms}")
 
+    def _ended_early(self, exchange: Exchange, reader: EventReader) -> bool:
+        """Cut the run if its stream ended without an error, but not by the engine's last event."""
+        outcome = RunOutcome.CUT
+        if reader.other_response is OtherResponse.WITHIN_EVENT:
+            self.metrics.count("answer_mixed", "within an event")
+            reason = "another response within an event"
+        elif not reader.is_between_events:
+            outcome = self._outcome_of_break(True)
+            reason = "the stream ended within an event"
+        elif not self.shutdown.leave():
+            reason = "the connection was shut down here"
+        elif self.clock.now() >= self.deadline:
+            reason = "the engine's deadline has passed"
+        else:
+            return False
+        exchange.close()
+        self._finish(outcome, reason)
+        return True
+
     def _add_unconfirmed_end(self) -> None:
         """Record the end of a response that ended with its connection.
 
