--- a/tests/runner/test_cut_responses.py
+++ b/tests/runner/test_cut_responses.py
@@ -227,6 +227,7 @@
     half = event_ends("long", 0)[1] if frame is Frame.NONE else 200
 
     def plan(number: int, after: int) -> Plan:
+        cancels.append(first.cancel)
         if number != 1:
             return Plan(Frame.CHUNKED)
         return Plan(frame, half, amid=cancels[0], behind=lambda whole: whole[half:])
@@ -234,9 +235,7 @@
     cutting = engine_of(plan)
     engine, table = client_of(cutting), new_table()
     first = submit(table, "a")
-    cutting.before_end = lambda number: cancels.append(first.cancel)
     start(engine, table, first)
-    cutting.before_end = lambda number: None
     second = submit(table, "long")
     start(engine, table, second)
     assert (first.outcome, second.outcome) == (RunOutcome.COMPLETE, RunOutcome.COMPLETE)
