Take no stream for complete whose two only responses had no events

What callers saw: a stream without a length and without any event looked complete. The first end behind an event is not counted now, as for samples, and a stream without events needs a response that states its end.

--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -40,7 +40,9 @@
 STALL_TIMEOUT_S = 1.2  # loading weights pauses streams for 0.9 s; callers give up after 2 s
 MIN_READ_TIMEOUT_S = 0.05
 MAX_RETURNS = 3  # times that a stream is resumed at an endpoint where it was interrupted
-MAX_EMPTY_ENDS = 2  # responses in a row without an event, each ended by a close
+# Responses without an event in a row, besides the first end behind the last event, after which a
+# stream without a length is complete: a crash or a cut may end one right behind its head.
+CONFIRMING_ENDS = 2
 
 
 class StreamForwarder:
@@ -221,8 +223,9 @@
             if self.watcher.has_disconnected(self.request.socket):
                 raise CallerDisconnectedError
             if self._may_ask_again(endpoint):
-                self.empty_ends = 0 if had_events else self.empty_ends + 1
-                is_complete = self.empty_ends >= MAX_EMPTY_ENDS
+                confirms = self.is_unconfirmed and not had_events and self.stream.last_event > 0
+                self.empty_ends = self.empty_ends + 1 if confirms else 0
+                is_complete = self.empty_ends >= CONFIRMING_ENDS
             else:
                 state = self.check_close(endpoint, events=self.stream.event_count)
                 if state is not StartState.SAME:
--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -255,3 +255,14 @@
     serve_engines(engine)
     read(gateway)
     assert counter.count == len(engine.after)
+
+
+# Guards against a stream without any event that looks complete, as two responses were cut.
+@pytest.mark.parametrize("cut_count", [2, 3])
+def test_responses_that_end_behind_their_heads_are_no_complete_stream(
+    gateway, serve_engines, cut_count
+):
+    gateway.route["resumable"] = True
+    endings = (Ending(0, resets=False, crashes=False),) * cut_count
+    serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
+    assert read(gateway) == (TEXT, True)
