Count the ends of a caller's stream for its last event, and few of empty ones

An endpoint whose responses all ended by a close without an event was asked again without a pause and without end: the review counted 1,208 requests in 3 s for one call. And ends were kept when a response with events broke off, so that one end behind its last event was enough. They are counted for the event now, and three ends of a stream without events count as a failed attempt.

--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -73,7 +73,8 @@
         self.request = request
         self.stream = CallerStream(job, request, closes, self.now)
         self.return_count = 0
-        self.empty_ends = 0
+        self.empty_ends = 0  # besides the first end behind the last event
+        self.ended_after: int | None = None  # the event that they are counted for
         self.is_unconfirmed = False  # whether all events may have been relayed
         self.confirm_at: Endpoint | None = None  # to ask first whether there are more
 
@@ -201,19 +202,17 @@
             return self._handle_other_response(exchange, response, head)
         self.record_start(exchange.endpoint, self.now())
         self.stream.start(response)
-        before = self.stream.last_event
         end = self.stream.relay(exchange, response, self._read_timeout_s)
-        if not self._is_complete(exchange, end, self.stream.last_event > before):
+        if not self._is_complete(exchange, end):
             return None
         self.admission.record_response(exchange.endpoint.incarnation)
         self.access.release_connection(exchange, streamed_response(response))
         self.access.choice.record_success(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
 
-    def _is_complete(self, exchange: Exchange, end: StreamEnd, had_events: bool) -> bool:
+    def _is_complete(self, exchange: Exchange, end: StreamEnd) -> bool:
         """Return whether the stream is complete; if not, it has to be asked for again.
 
-        :param had_events: whether the response that ended had any
         :raises CallerDisconnectedError: if the connection was closed here for that
         :raises StreamBrokenError: if its endpoint crashed and it cannot be asked for again
         """
@@ -223,9 +222,7 @@
             if self.watcher.has_disconnected(self.request.socket):
                 raise CallerDisconnectedError
             if self._may_ask_again(endpoint):
-                confirms = self.is_unconfirmed and not had_events and self.stream.last_event > 0
-                self.empty_ends = self.empty_ends + 1 if confirms else 0
-                is_complete = self.empty_ends >= CONFIRMING_ENDS
+                is_complete = self._is_confirmed(endpoint)
             else:
                 state = self.check_close(endpoint, events=self.stream.event_count)
                 if state is not StartState.SAME:
@@ -252,6 +249,20 @@
             self.is_unconfirmed, self.confirm_at = True, endpoint
         return is_complete
 
+    def _is_confirmed(self, endpoint: Endpoint) -> bool:
+        """Count an end by a close; return whether enough of them are behind the last event.
+
+        :raises StreamBrokenError: if they are ends of a stream without any event
+        """
+        if self.ended_after != self.stream.last_event:
+            self.ended_after, self.empty_ends = self.stream.last_event, 0
+        else:
+            self.empty_ends += 1
+        is_confirmed = self.empty_ends >= CONFIRMING_ENDS
+        if is_confirmed and not self.stream.last_event:
+            raise StreamBrokenError(endpoint.instance, "closed without an event")
+        return is_confirmed
+
     def _may_ask_again(self, endpoint: Endpoint) -> bool:
         """Return whether a stream that this endpoint ended may be asked for again anywhere.
 
--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -266,3 +266,22 @@
     endings = (Ending(0, resets=False, crashes=False),) * cut_count
     serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
     assert read(gateway) == (TEXT, True)
+
+
+# Guards against an endpoint that is asked without a pause and without end for a stream's first event.
+def test_an_endpoint_whose_responses_are_all_empty_is_asked_a_few_times(gateway, serve_engines):
+    gateway.route["resumable"] = True
+    engine = ClosingEngine(0, Framing.CLOSE, (Ending(0),) * 50)
+    serve_engines(engine)
+    assert not read(gateway)[1]
+    assert len(engine.after) <= 8
+
+
+# Guards against ends that are counted for another event than the last one.
+def test_an_end_behind_an_earlier_event_does_not_confirm_a_later_one(gateway, serve_engines):
+    gateway.route["resumable"] = True
+    one_event = len(events(1, 1))
+    endings = (Ending(one_event), Ending(0), Ending(one_event, resets=True), Ending(0), Ending(0))
+    serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
+    body, is_complete = read(gateway)
+    assert not is_complete or body == TEXT
