--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -21,6 +21,7 @@
     from threadramp.lots.model import Lot, Sample
     from threadramp.policy.listing_policy import ListingPolicy
 
+EMPTY_TEXT_PAUSE_S = 0.3  # before a sample whose run had no events is run again
 MAX_CHUNK_BYTES = 400_000  # keeps a stored value below a megabyte
 
 
@@ -448,7 +449,7 @@
         too_old = bool(state.versions) and min(state.versions) < self.lot.min_version
         mixed = self.rules.one_version and len(set(state.versions)) > 1
         if too_old or mixed or not state.events:
-            self._restart(state, now)
+            self._restart(state, now if state.events else now + EMPTY_TEXT_PAUSE_S)
         elif state.sample.reward is None:
             self._stage(state, ResultState.SUCCEEDED, "", now)
         else:
--- a/src/threadramp/edge/streaming.py
+++ b/src/threadramp/edge/streaming.py
@@ -31,7 +31,7 @@
     from urllib3 import BaseHTTPResponse
 
     from threadramp.edge.disconnect_watcher import DisconnectWatcher
-    from threadramp.edge.exchange import Exchange
+    from threadramp.edge.exchange import EndpointResponse, Exchange
     from threadramp.edge.job import Job
     from threadramp.edge.server import CallerRequest
     from threadramp.fleet.model import Endpoint
@@ -39,6 +39,7 @@
 
 STALL_TIMEOUT_S = 1.2  # loading weights pauses streams for 0.9 s; callers give up after 2 s
 MIN_READ_TIMEOUT_S = 0.05
+DEADLINE_MARGIN_S = 0.02  # whole milliseconds are sent, and the endpoint's clock is another one
 MAX_RETURNS = 3  # times that a stream is resumed at an endpoint where it was interrupted
 # Responses without an event in a row, besides the first end behind the last event, after which a
 # stream without a length is complete: a crash or a cut may end one right behind its head.
@@ -76,6 +77,7 @@
         self.empty_ends = 0  # besides the first end behind the last event
         self.ended_after: int | None = None  # the event that they are counted for
         self.is_unconfirmed = False  # whether all events may have been relayed
+        self.complete_response: EndpointResponse | None = None
         self.confirm_at: Endpoint | None = None  # to ask first whether there are more
 
     def headers(self, time_left: float, instance: str) -> dict[str, str]:
@@ -92,7 +94,9 @@
         exchange = self.history.open_exchanges[0]
         try:
             with self.watcher.watching(self.request.socket, exchange):
-                return self._relay(exchange)
+                outcome = self._relay(exchange)
+            self._release_complete(exchange)
+            return outcome
         except CallerDisconnectedError:
             exchange.close()
             return self._end_disconnected()
@@ -104,6 +108,14 @@
             # A later rejection there says nothing of this run.
             self.history.started_at.pop(exchange.endpoint.incarnation, None)
 
+    def _release_complete(self, exchange: Exchange) -> None:
+        """Return the connection of a complete stream to the pool.
+
+        The watcher must not shut it down any more: another request may use it by then.
+        """
+        if self.complete_response is not None:
+            self.access.release_connection(exchange, self.complete_response)
+
     def start_attempt(self) -> Outcome | None:
         """Send to one more endpoint, or again to one where the stream was interrupted or ended."""
         if self.is_unconfirmed and self.watcher.has_disconnected(self.request.socket):
@@ -206,7 +218,7 @@
         if not self._is_complete(exchange, end):
             return None
         self.admission.record_response(exchange.endpoint.incarnation)
-        self.access.release_connection(exchange, streamed_response(response))
+        self.complete_response = streamed_response(response)
         self.access.choice.record_success(exchange.endpoint, head.load, self.now())
         return Outcome(Ending.STREAMED)
 
@@ -214,9 +226,12 @@
         """Return whether the stream is complete; if not, it has to be asked for again.
 
         :raises CallerDisconnectedError: if the connection was closed here for that
-        :raises StreamBrokenError: if its endpoint crashed and it cannot be asked for again
+        :raises StreamBrokenError: if its endpoint crashed and it cannot be asked for again, or
+            stopped at the deadline
         """
         endpoint = exchange.endpoint
+        if self.now() >= self.job.deadline - DEADLINE_MARGIN_S:
+            raise StreamBrokenError(endpoint.instance, f"{end.value} at the deadline")
         is_complete = end is StreamEnd.FRAMED
         if not is_complete:
             if self.watcher.has_disconnected(self.request.socket):
--- a/src/threadramp/runner/sample_run.py
+++ b/src/threadramp/runner/sample_run.py
@@ -47,6 +47,7 @@
 # Responses without events in a row, besides the first end behind the last event, after which a text
 # without a length counts as complete: a crash or a cut may end one right behind its head.
 CONFIRMING_ENDS = 2
+DEADLINE_MARGIN_S = 0.05  # whole milliseconds are sent, and the engine's clock is another one
 MIN_TIME_LEFT_S = 1.0  # for the engine, of a sample that may be given up sooner
 STREAM_IDLE_TIMEOUT_S = 5.0  # a stream without an event is cut; a load of weights takes 0.9 s
 
@@ -200,7 +201,7 @@
             order.organisation,
         )
         self.sent_at = self.clock.now()
-        self.deadline = self.sent_at + left_s
+        self.deadline = self.sent_at + left_s - DEADLINE_MARGIN_S
         if not self.engine.send_limit.confirm(self.taken_at, self.sent_at):
             return False
         self.taken_at = None  # a retry is another request
--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -11,6 +11,7 @@
 
 from tests.edge.closing_engine import EVENT_COUNT, ClosingEngine, Ending, events, framed_size
 from tests.edge.test_streaming import StreamingGateway
+from threadramp.edge import streaming
 from threadramp.edge.job import Ending as OutcomeKind
 from threadramp.fleet.clock import steady_s
 from threadramp.fleet.fleet_view import FleetSnapshot
@@ -267,7 +268,7 @@
     serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
     assert read(gateway) == (TEXT, True)
 
-
+# Guards against an endpoint that is asked without pause or end for the first event of a stream.
 # Guards against an endpoint that is asked without a pause and without end for a stream's first event.
 def test_an_endpoint_whose_responses_are_all_empty_is_asked_a_few_times(gateway, serve_engines):
     gateway.route["resumable"] = True
@@ -285,3 +286,13 @@
     serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
     body, is_complete = read(gateway)
     assert not is_complete or body == TEXT
+
+
+# Guards against a stream that looks complete as its endpoint stopped working at its deadline.
+@pytest.mark.parametrize("framing", list(Framing))
+def test_a_stream_that_ends_at_the_deadline_is_not_complete(
+    gateway, serve_engines, framing, monkeypatch
+):
+    monkeypatch.setattr(streaming, "DEADLINE_MARGIN_S", 60.0)
+    serve_engines(ClosingEngine(0, framing))
+    assert not read(gateway)[1]
