Refuse a request with a malformed header line

A caller's head with a blank before the colon of Content-Length, a folded value, a control character or a name that is no token was served with 200. Cause: cheroot splits a line at its first colon and strips both halves, and keeps only the last line of a folded value. Each line is checked as it was received now (RFC 9112, sections 5 to 5.2, RFC 9110, section 5.5), and a malformed one gets 400 and ends the connection.

--- a/src/threadramp/edge/caller_server.py
+++ b/src/threadramp/edge/caller_server.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import re
 import socket
 import threading
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cheroot.makefile import MakeFile, StreamReader
-from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
 
 from threadramp.edge.connection_pool import is_readable
 from threadramp.edge.exchange import RESET_AT_CLOSE
@@ -23,10 +24,13 @@
 
 if TYPE_CHECKING:
     from cheroot.makefile import StreamWriter
+    from cheroot.server import SizeCheckWrapper
 
     from threadramp.edge.slow_readers import SlowReaders
 
 SINGLE_VALUE_HEADERS = (b"Authorization", b"Host", b"Content-Length")  # as cheroot spells them
+HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n")
+HEAD_ENDS = (b"\r\n", b"")  # the empty line, or the end of the connection
 TOO_LARGE = "431 Request Header Fields Too Large"
 CHEROOT_TOO_LARGE = ("413", "414")  # cheroot's status for a head over the limit
 MAX_LOGGED_TARGET = 200  # characters of the path of a request whose head was refused
@@ -79,9 +83,42 @@
         super().__setitem__(name, value)
 
 
+class _HeaderLines:
+    """The header lines of a request, each with the syntax of RFC 9112, section 5.
+
+    cheroot strips blanks and control characters, and keeps only the last line of a folded value.
+    """
+
+    def __init__(self, rfile: SizeCheckWrapper) -> None:
+        self.rfile = rfile
+
+    def readline(self) -> bytes:
+        """Read one line.
+
+        :raises ValueError: if it is malformed
+        """
+        line = self.rfile.readline()
+        if line not in HEAD_ENDS and not HEADER_LINE.fullmatch(line):
+            raise ValueError("Malformed header line.")
+        return line
+
+
+class _StrictHeaderReader(HeaderReader):
+    """Reads the headers of a request; a malformed line is answered with status 400."""
+
+    def __call__(self, rfile: SizeCheckWrapper, hdict: dict[bytes, bytes]) -> dict[bytes, bytes]:
+        """Read the headers.
+
+        :raises ValueError: if a line is malformed
+        """
+        return super().__call__(_HeaderLines(rfile), hdict)
+
+
 class _CallerHTTPRequest(HTTPRequest):
     """A request whose head is read within the limits of its server."""
 
+    header_reader = _StrictHeaderReader()
+
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
         self.inheaders = _CallerHeaders()
--- a/tests/edge/test_request_bodies.py
+++ b/tests/edge/test_request_bodies.py
@@ -7,6 +7,7 @@
 
 import socket
 from contextlib import closing
+from dataclasses import replace
 
 import pytest
 
@@ -19,6 +20,21 @@
 KNOWN = b"POST %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
 CHUNKS = b"2\r\nab\r\n3\r\ncde\r\n0\r\n"
 ENDS = [b"\r\n", b"X-Trailer: 1\r\nX-Other: 2\r\n\r\n"]
+HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n%b\r\n\r\n"
+SMUGGLED = KNOWN % (b"/smuggled", 1) + b"z"
+MALFORMED_FIELDS = [
+    b"Content-Length : 4",
+    b"Content-Length\t: 4",
+    b"Content-Length: 4\r\nTransfer-Encoding : chunked",
+    b" Content-Length: 4",
+    b"Content-Length:\r\n 4",
+    b"Content-Length: 4\r\nX-A: 1\r\n 2",
+    b"Content-Length: 4\r\nX-A: 1\rTransfer-Encoding: chunked",
+    b"Content-Length: 4\r\nX-A: \0",
+    b"Content-Length: \x0b4",
+    b"Content-Length: 4\r\nX(A): 1",
+    b"Content-Length: 4\r\n: 1",
+]
 
 
 class Server:
@@ -154,3 +170,32 @@
         caller.shutdown(socket.SHUT_WR)
         assert read_until_closed(caller) == b""
     assert not server.served
+
+
+def assert_refused(server: Server, head: bytes, body: bytes) -> None:
+    """Check that a head gets 400, that the connection ends, and that nothing behind it is read."""
+    server.edge.set_limits(replace(LIMITS, idle_s=60.0))  # so that it isn't closed for being idle
+    with closing(server.connect()) as caller:
+        caller.sendall(head + body + SMUGGLED)
+        found = read_until_closed(caller)
+    assert found.startswith(b"HTTP/1.1 400 ")
+    assert found.count(b"HTTP/1.1 ") == 1
+    assert not server.served
+
+
+# A blank before the colon, which another server reads as a header of another name, was accepted.
+@pytest.mark.parametrize("field", MALFORMED_FIELDS)
+def test_a_malformed_header_line_is_refused_with_all_behind_it(server, field):
+    assert_refused(server, HEAD % field, b"abcd")
+
+
+@pytest.mark.parametrize(
+    "field",
+    [b"Content-Length:4", b"content-length: \t4 \t", b'Content-Length: 4\r\nX_a.~!: \xe9\t"b":'],
+)
+def test_a_valid_header_line_is_accepted(server, field):
+    with closing(server.connect()) as caller:
+        caller.sendall(HEAD % field + b"abcd" + KNOWN % (b"/b", 1) + b"z")
+        assert read_response(caller) == b"200"
+        assert read_response(caller) == b"200"
+    assert server.served == [("/a", b"abcd"), ("/b", b"z")]
