Refuse a request unless the end of its body is known

A caller's request with Content-Length: +4 or 0_4 was served with 200 and -4 got 500, after a 100 if the caller waited for one. A length beside Transfer-Encoding: chunked was ignored; chunked given twice, an empty coding, and chunked with HTTP/1.0 were served too. Cause: cheroot takes a length with int(), prefers chunked to a length, accepts any number of them, and ignores them with HTTP/1.0. The strict reading of RFC 9112, sections 6.1 and 6.3, is checked when the headers are read, before a 100: the answer is 400 and the connection ends. Codings that end with anything but chunked got 501 and get 400 now; gzip, chunked is still 501.

--- a/src/threadramp/edge/caller_server.py
+++ b/src/threadramp/edge/caller_server.py
@@ -31,6 +31,8 @@
 SINGLE_VALUE_HEADERS = (b"Authorization", b"Host", b"Content-Length")  # as cheroot spells them
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n")
 HEAD_ENDS = (b"\r\n", b"")  # the empty line, or the end of the connection
+LENGTH = re.compile(rb"[0-9]+")
+CHUNKED = b"chunked"
 TOO_LARGE = "431 Request Header Fields Too Large"
 CHEROOT_TOO_LARGE = ("413", "414")  # cheroot's status for a head over the limit
 MAX_LOGGED_TARGET = 200  # characters of the path of a request whose head was refused
@@ -103,22 +105,32 @@
         return line
 
 
-class _StrictHeaderReader(HeaderReader):
-    """Reads the headers of a request; a malformed line is answered with status 400."""
+def _check_framing(headers: dict[bytes, bytes], version: str) -> None:
+    """Check that the end of the body is known, as in RFC 9112, sections 6.1 and 6.3.
 
-    def __call__(self, rfile: SizeCheckWrapper, hdict: dict[bytes, bytes]) -> dict[bytes, bytes]:
-        """Read the headers.
+    Codings other than chunked are left to cheroot, which answers 501.
 
-        :raises ValueError: if a line is malformed
-        """
-        return super().__call__(_HeaderLines(rfile), hdict)
+    :param version: of HTTP, both in the request and supported here
+    :raises ValueError: if it is not, or if another server may see another end
+    """
+    length = headers.get(b"Content-Length")
+    if length is not None and not LENGTH.fullmatch(length):
+        raise ValueError("Malformed Content-Length header.")
+    encoding = headers.get(b"Transfer-Encoding")
+    if encoding is None:
+        return
+    if length is not None:
+        raise ValueError("Both Content-Length and Transfer-Encoding.")
+    if version != "HTTP/1.1":
+        raise ValueError("Transfer-Encoding before HTTP/1.1.")
+    codings = [coding.strip().lower() for coding in encoding.split(b",")]
+    if codings[-1] != CHUNKED or codings.count(CHUNKED) > 1:
+        raise ValueError("Transfer-Encoding must end with chunked and hold it once.")
 
 
 class _CallerHTTPRequest(HTTPRequest):
     """A request whose head is read within the limits of its server."""
 
-    header_reader = _StrictHeaderReader()
-
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
         self.inheaders = _CallerHeaders()
@@ -134,6 +146,14 @@
         deadline_socket.deadline = None
         self.conn.socket.settimeout(limits.idle_s)  # for each read of the body
 
+    def header_reader(self, rfile: SizeCheckWrapper, headers: dict[bytes, bytes]) -> None:
+        """Read the headers; cheroot answers an error with status 400.
+
+        :raises ValueError: if a line is malformed, or the end of the body is not known
+        """
+        HeaderReader()(_HeaderLines(rfile), headers)
+        _check_framing(headers, self.response_protocol)
+
     def _describe_head(self) -> dict[str, object]:
         """Return how much of the head was read, for the log."""
         return {
--- a/tests/edge/test_request_bodies.py
+++ b/tests/edge/test_request_bodies.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+import threadramp.edge.caller_server as caller_server_module
 from threadramp.edge.server import CallerRequest, EdgeServer
 from threadramp.fleet.clock import steady_s
 from threadramp.fleet.model import CallerLimits
@@ -22,6 +23,14 @@
 ENDS = [b"\r\n", b"X-Trailer: 1\r\nX-Other: 2\r\n\r\n"]
 HEAD = b"POST /a HTTP/1.1\r\nHost: h\r\n%b\r\n\r\n"
 SMUGGLED = KNOWN % (b"/smuggled", 1) + b"z"
+INVALID_LENGTHS = [
+    *(b"+4", b"-4", b"0_4", b"0x4", b"4.0", b"", b"4, 4", b"4,5", b"\xb2"),
+    *(b"4\r\nContent-Length: 4", b"4\r\nContent-Length: 5"),
+]
+CHUNKED_NOT_LAST_OR_TWICE = [
+    *(b"chunked, chunked", b"chunked\r\nTransfer-Encoding: chunked", b"chunked, gzip", b"gzip"),
+    *(b"identity", b"chunked, identity", b"chunked,", b"", b"xchunked", b"chunked;a=b"),
+]
 MALFORMED_FIELDS = [
     b"Content-Length : 4",
     b"Content-Length\t: 4",
@@ -172,6 +181,10 @@
     assert not server.served
 
 
+def framed(value: bytes, rest: bytes = b"") -> bytes:
+    return HEAD % (b"Transfer-Encoding: " + value + rest)
+
+
 def assert_refused(server: Server, head: bytes, body: bytes) -> None:
     """Check that a head gets 400, that the connection ends, and that nothing behind it is read."""
     server.edge.set_limits(replace(LIMITS, idle_s=60.0))  # so that it isn't closed for being idle
@@ -199,3 +212,64 @@
         assert read_response(caller) == b"200"
         assert read_response(caller) == b"200"
     assert server.served == [("/a", b"abcd"), ("/b", b"z")]
+
+
+# A sign or an underscore was accepted, and a negative length got 500.
+@pytest.mark.parametrize("length", INVALID_LENGTHS)
+def test_an_invalid_length_is_refused_with_all_behind_it(server, length):
+    assert_refused(server, HEAD % (b"Content-Length: " + length), b"abcd")
+
+
+# The length was ignored, and the rest of what it counts was read as a request.
+@pytest.mark.parametrize("length", [b"3", b"0", b"100", b"+4"])
+@pytest.mark.parametrize("is_length_first", [False, True])
+def test_a_length_beside_chunked_is_refused_with_all_behind_it(server, length, is_length_first):
+    fields = [b"Transfer-Encoding: chunked", b"Content-Length: " + length]
+    if is_length_first:
+        fields.reverse()
+    assert_refused(server, HEAD % b"\r\n".join(fields), CHUNKS + b"\r\n")
+
+
+# A body was read as chunked or as empty where its end is not known.
+@pytest.mark.parametrize("codings", CHUNKED_NOT_LAST_OR_TWICE)
+def test_a_body_that_is_not_chunked_last_and_once_is_refused(server, codings):
+    assert_refused(server, framed(codings), CHUNKS + b"\r\n")
+
+
+# The coding was ignored, and the body was read as a request.
+def test_a_transfer_encoding_of_http_1_0_is_refused_with_all_behind_it(server):
+    head = framed(b"chunked", b"\r\nConnection: Keep-Alive").replace(b"HTTP/1.1", b"HTTP/1.0")
+    assert_refused(server, head, b"")
+
+
+def test_a_head_that_is_refused_is_logged(server, monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        caller_server_module, "log_state", lambda kind, **fields: logged.append((kind, fields))
+    )
+    assert_refused(server, HEAD % b"Content-Length: -4", b"abcd")
+    refusal = {"status": "400 Bad Request", "request_line_read": True, "target": "/a"}
+    assert logged == [("head_refused", {**refusal, "served_before": 0})]
+
+
+# A caller that waits for 100 got it, and sent a body whose length is not known.
+def test_an_invalid_length_is_refused_before_its_body_is_asked_for(server):
+    assert_refused(server, HEAD % b"Content-Length: -4\r\nExpect: 100-continue", b"")
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "read"),
+    [
+        (HEAD % b"Content-Length: 004", b"abcd", b"abcd"),
+        (HEAD % b"Content-Length: 0", b"", b""),
+        (HEAD % b"X-A: 1", b"", b""),
+        (framed(b"chunked"), CHUNKS + b"\r\n", b"abcde"),
+        (framed(b"\tCHUNKED "), CHUNKS + b"\r\n", b"abcde"),
+    ],
+)
+def test_a_valid_body_is_served_and_so_is_the_request_behind_it(server, head, body, read):
+    with closing(server.connect()) as caller:
+        caller.sendall(head + body + KNOWN % (b"/b", 1) + b"z")
+        assert read_response(caller) == b"200"
+        assert read_response(caller) == b"200"
+    assert server.served == [("/a", read), ("/b", b"z")]
