Hand a lot over with the failed runs of its samples

A trainer's sample that fails on every run got all its attempts again from each gateway that its lot was handed over to: the counts were in the memory of the gateway that stopped. A dead result that was not listed yet was forgotten as well.

Evidence: the new test hands a lot over five times, each time one answer before the sample would be given up (500, maxAttempts 3) or before its dead result is listed (422).

The message of a hand-over has the counts as its last field; a dead sample counts as one without attempts left, and the next gateway lists it. Without that field (a gateway of the version before) counts start from zero, and such a gateway ignores the field; both have a test. No store call is added.

A take-over after a crash still starts from zero.

--- a/src/threadramp/core/lot_tracker.py
+++ b/src/threadramp/core/lot_tracker.py
@@ -16,7 +16,7 @@
 from threadramp.policy.sample_length import LengthEstimator
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from threadramp.lots.model import Lot, Sample
     from threadramp.policy.listing_policy import ListingPolicy
@@ -375,6 +375,32 @@
         self._stage(state, ResultState.DEAD, "", now)
         return True
 
+    def failures(self) -> dict[str, int]:
+        """Return the failed runs of the samples that are not listed and had some.
+
+        A sample that is given up already counts as one whose last attempt failed.
+        """
+        counts: dict[str, int] = {}
+        for name, state in self.states.items():
+            is_dead = state.result is not None and state.result.state is ResultState.DEAD
+            count = self.rules.max_attempts if is_dead else state.failures
+            if count and state.phase is not Phase.LISTED:
+                counts[name] = count
+        return counts
+
+    def restore_failures(self, failures: Mapping[str, int], now: float) -> None:
+        """Continue the counts of another tracker of the lot, before any sample is assigned.
+
+        :param failures: as that tracker's ``failures`` returned them
+        """
+        for name, count in failures.items():
+            state = self.states.get(name)
+            if state is None or state.phase is not Phase.WAITING:
+                continue
+            state.failures = count
+            if count >= self.rules.max_attempts:
+                self._stage(state, ResultState.DEAD, "", now)
+
     def give_up_overdue(self, now: float) -> list[str]:
         """Give up all unfinished samples once the time limit has passed, and return them."""
         if now < self.rules.give_up_at or self.ended:
--- a/src/threadramp/lots/owner.py
+++ b/src/threadramp/lots/owner.py
@@ -24,7 +24,7 @@
 from threadramp.wire.fleet import Adopt
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from threadramp.fleet.clock import Clock
     from threadramp.fleet.fleet_view import Member
@@ -152,13 +152,16 @@
         self.owned.remove(owned.lot_id)
         self.drop(owned, True)
 
-    def adopt(self, stored_lot: StoredLot) -> None:
-        """Take over a lot that its previous owner transferred to this gateway."""
+    def adopt(self, stored_lot: StoredLot, failures: Mapping[str, int]) -> None:
+        """Take over a lot that its previous owner transferred to this gateway.
+
+        :param failures: failed runs by sample, which the previous owner counted
+        """
         me = self.peers.member
         head = stored_lot.stored.head
         if (head.owner, head.incarnation) == (me.name, me.incarnation):
             # The previous owner has released the lot, so it does not count as another owner.
-            self._resume(stored_lot, "a gateway that stops", False, {})
+            self._resume(stored_lot, "a gateway that stops", False, {}, failures)
 
     def take_over(self, stored: StoredHead, may_run_elsewhere: bool = False) -> None:
         """Take over an orphaned lot, from what the store has of it.
@@ -177,7 +180,7 @@
         partial_texts = self.checkpoints.load(stored.lot_id)
         stored_lot = self.journal.load_from_head(stored)
         had_other_owner = may_run_elsewhere or before != me.name
-        self._resume(stored_lot, before, had_other_owner, partial_texts)
+        self._resume(stored_lot, before, had_other_owner, partial_texts, {})
 
     def hand_over(self) -> None:
         """Transfer all open lots to other gateways; returns once all are transferred.
@@ -286,7 +289,8 @@
             return True  # an earlier write of this process was done instead; see the next attempt
         with self.owned.lock:
             stored_lot = StoredLot(owned.stored, owned.tracker.lot, tuple(owned.tracker.listed))
-        ask = Adopt(*self.peers.sender_fields, stored_lot)
+            failures = owned.tracker.failures()
+        ask = Adopt(*self.peers.sender_fields, stored_lot, failures)
         if self.peers.ask(successor.address, ask, HAND_OVER_TIMEOUT_S) is None:
             log_state("successor_unresponsive", lot=owned.lot_id, to=successor.name)
             return False
@@ -406,11 +410,13 @@
         previous_owner: str,
         had_other_owner: bool,
         partial_texts: dict[str, SavedText],
+        failures: Mapping[str, int],
     ) -> None:
         """Start work on a lot that was taken over.
 
         :param previous_owner: name of the previous owner, for the log
         :param had_other_owner: whether another box may still consider itself the owner
+        :param failures: failed runs by sample, as far as they are known
         """
         stored = stored_lot.stored
         lengths = self._lengths_of(stored_lot.lot)
@@ -425,6 +431,7 @@
                 name, text.events, text.versions, text.lineage, TextSource.CHECKPOINT
             )
         ]
+        tracker.restore_failures(failures, self.clock.now())
         if not self.owned.add(OwnedLot(tracker, stored, had_other_owner=had_other_owner)):
             return
         log_state(
@@ -435,6 +442,7 @@
             samples=len(stored_lot.lot.samples),
             revision=stored.revision,
             partial_texts=len(reused),
+            failed_before=len(failures),
         )
         end = self.recent_ends.get(stored.lot_id)
         if end is not None:
--- a/src/threadramp/serve/peer_requests.py
+++ b/src/threadramp/serve/peer_requests.py
@@ -110,7 +110,7 @@
         return LotEnded(runs_here, runs_here)
 
     def _adopt(self, request: Adopt) -> Done:
-        self.owner.adopt(request.kept)
+        self.owner.adopt(request.kept, request.failures)
         return Done()
 
     def _take_up(self, request: TakeUp) -> Done:
--- a/src/threadramp/wire/fleet.py
+++ b/src/threadramp/wire/fleet.py
@@ -219,9 +219,13 @@
 
 
 class Adopt(Ask, frozen=True):
-    """Hand a lot over to the receiver, as it is stored."""
+    """Hand a lot over to the receiver, as it is stored.
+
+    :param failures: failed runs by sample, without the samples that had none
+    """
 
     kept: StoredLot
+    failures: dict[str, int] = {}
 
 
 class Status(Message, frozen=True):
--- a/tests/lots/test_owner.py
+++ b/tests/lots/test_owner.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.stores import MemoryStore
+from threadramp.core.lot_tracker import Phase, RunOutcome
 from threadramp.fleet.fleet_view import Member
 from threadramp.fleet.model import PoolShare, Route, RouteKind
 from threadramp.lots.audit import (
@@ -19,11 +20,22 @@
 )
 from threadramp.lots.checkpoints import TEXT_PREFIX, Checkpoints
 from threadramp.lots.journal import LotJournal
-from threadramp.lots.model import Lot, LotHead, Sample, SavedText, StoredHead, encode
+from threadramp.lots.model import (
+    Lot,
+    LotHead,
+    ResultState,
+    Sample,
+    SavedText,
+    StoredHead,
+    StoredLot,
+    encode,
+)
 from threadramp.lots.owned import OwnedLots
 from threadramp.lots.owner import LotOwner
 from threadramp.lots.text_inputs import TextInputs
 from threadramp.platform.store_model import Put, Transaction
+from threadramp.serve.peer_requests import PeerRequestHandler
+from threadramp.wire.fleet import Adopt, Ask, Done, decode_ask
 
 
 def stored(owner: str, lot_id: str = "lot") -> StoredHead:
@@ -163,3 +175,114 @@
     store.transact(Transaction(puts=(saved_text(first, generated_for, lot),)), repeatable=True)
     successor.take_over(successor.journal.read_head("lot"))
     assert successor.owned.get("lot").tracker.states["a"].events == events
+
+
+class GatewayChain:
+    """Gateways that stop one after the other, each handing its lots over to the next.
+
+    The messages go through their encoding, with each last field removed that a process of the
+    version before does not send.
+
+    :param removed_fields: number of those fields
+    """
+
+    def __init__(self, store: MemoryStore, clock, removed_fields: int = 0) -> None:
+        self.store = store
+        self.clock = clock
+        self.removed_fields = removed_fields
+        self.count = 0
+        self.owner = self._next_owner()
+
+    def hand_over(self) -> None:
+        """Stop the gateway that owns the lots."""
+        leaving, self.owner = self.owner, self._next_owner()
+        leaving.peers.gateways = lambda: [self.owner.peers.member]
+        leaving.peers.sender_fields = (leaving.peers.member.name, "10.0.0.1:1")
+        leaving.peers.ask = self._ask
+        leaving.stopped.set()  # hand over without a pause
+        leaving.hand_over()
+
+    def run(self, outcome: RunOutcome) -> bool:
+        """Let an engine end a run of the sample; false if the sample needs no run."""
+        tracker = self.owner.owned.get("lot").tracker
+        if not tracker.waiting(self.clock.now()):
+            return False
+        tracker.assign("a", "s0")
+        tracker.accepted("a", "s0", "L1")
+        tracker.run_ended("a", "s0", outcome, self.clock.now())
+        return True
+
+    def _next_owner(self) -> LotOwner:
+        self.count += 1
+        return owner_at(f"g{self.count}", self.store, self.clock)
+
+    def _ask(self, address: str, ask: Adopt, timeout_s: float) -> Done:
+        fields = msgspec.msgpack.decode(msgspec.msgpack.encode(ask))
+        kept_fields = fields[: len(fields) - self.removed_fields]
+        received = decode_ask(msgspec.msgpack.encode(kept_fields))
+        return PeerRequestHandler._adopt(SimpleNamespace(owner=self.owner), received)
+
+
+# Guards against gateways of two versions that do not understand each other during a release.
+def test_a_lot_from_a_gateway_of_the_version_before_is_taken_over(clock):
+    chain = chain_with_a_lot(clock, removed_fields=1)
+    chain.run(RunOutcome.FAILED)
+    chain.hand_over()
+    assert chain.owner.owned.get("lot").tracker.states["a"].failures == 0
+    assert chain.run(RunOutcome.FAILED)
+
+
+class AdoptBefore(Ask, frozen=True, tag="Adopt"):
+    """The message as the version before knew it."""
+
+    kept: StoredLot
+
+
+def test_a_gateway_of_the_version_before_reads_the_message_of_a_hand_over():
+    lot = Lot("lot", "host", "/p/", 0, "m", 1, 1, ())
+    kept = StoredLot(stored("g1"), lot, ())
+    sent = msgspec.msgpack.encode(Adopt("g0", "g0:1", kept, {"a": 2}))
+    assert msgspec.msgpack.decode(sent, type=AdoptBefore).kept == kept
+
+
+def chain_with_a_lot(clock, removed_fields: int = 0) -> GatewayChain:
+    chain = GatewayChain(MemoryStore(), clock, removed_fields)
+    sample = Sample("a", "/p", (), b"prompt", 1, "g", None, 0)
+    lot = Lot("lot", "host", "/p/", 0, "m", 1, 1, (sample,))
+    shares = (PoolShare("pool", 1.0),)
+    route = Route("r", "host", "/p/", RouteKind.SAMPLES, shares, 2.0, 1.0, 3, give_up_s=GIVE_UP_S)
+    chain.owner.submit(lot, route, retry_for_s=1.0)
+    return chain
+
+
+# Guards against a failing sample that every hand-over of its lot gives all its attempts again.
+@pytest.mark.parametrize(
+    ("outcome", "runs_before", "allowed_runs"),
+    [(RunOutcome.FAILED, 2, 3), (RunOutcome.IMPOSSIBLE, 1, 1)],
+)
+def test_hand_overs_give_a_failing_sample_no_further_attempts(
+    clock, outcome, runs_before, allowed_runs
+):
+    chain = chain_with_a_lot(clock)
+    runs = 0
+    for _ in range(5):
+        runs += sum(chain.run(outcome) for _ in range(runs_before))
+        chain.hand_over()
+    while chain.run(outcome):
+        runs += 1
+    assert runs == allowed_runs
+    (result,) = chain.owner.owned.get("lot").tracker.next_chunk(clock.now())
+    assert result.state is ResultState.DEAD
+
+
+def test_a_hand_over_counts_failed_runs_but_no_interrupted_ones(clock):
+    chain = chain_with_a_lot(clock)
+    chain.run(RunOutcome.CUT)
+    chain.hand_over()
+    assert chain.run(RunOutcome.FAILED)
+    chain.hand_over()
+    state = chain.owner.owned.get("lot").tracker.states["a"]
+    assert state.phase is Phase.WAITING
+    assert chain.run(RunOutcome.FAILED)
+    assert chain.run(RunOutcome.FAILED)
+    assert not chain.run(RunOutcome.FAILED)
