Drop ended lots from a gateway's memory after their retention

A gateway's memory grew with every lot of its trainers. Only the gateway that removes an expired lot from the store dropped it from its memory, and that is one of the six that scan periodically, rarely the lot's own gateway; later scans no longer list the lot.

Each gateway drops its own expired lots now, by the same limit as the store: ended, and submitted statusS and the margin ago. Readers then go to the store. Open lots stay. This needs no store call.

--- a/src/threadramp/lots/audit.py
+++ b/src/threadramp/lots/audit.py
@@ -57,6 +57,7 @@
         seen: frozenset[tuple[str, str]] = frozenset()
         last = float("-inf")
         while not self.stopped.wait(POLL_INTERVAL_S):
+            self._forget_expired()
             gateways = self._live_incarnations()
             if not self._is_due(seen, gateways, last):
                 seen = gateways
@@ -142,6 +143,22 @@
             self.owned.remove(stored.lot_id)
             log_state("lot_removed", lot=stored.lot_id, revision=stored.revision)
 
+    def _forget_expired(self) -> None:
+        """Drop the expired lots of this gateway from its memory; readers then go to the store.
+
+        Another gateway may be the one that removes them from the store.
+        """
+        limit = self.clock.time_of_day() - self.retention_s
+        with self.owned.lock:
+            expired = [
+                lot_id
+                for lot_id, owned in self.owned.lots.items()
+                if owned.tracker.ended and owned.stored.head.submitted_at <= limit
+            ]
+        for lot_id in expired:
+            self.owned.remove(lot_id)
+            log_state("lot_forgotten", lot=lot_id)
+
     def _live_by_name(self) -> dict[str, Member]:
         """Return the gateways considered live by name, including this one."""
         return {one.name: one for one in self.peers.live_gateways()}
