--- a/tests/edge/test_close_delimited_streams.py
+++ b/tests/edge/test_close_delimited_streams.py
@@ -268,6 +268,7 @@
     serve_engines(ClosingEngine(0, Framing.CLOSE, endings))
     assert read(gateway) == (TEXT, True)
 
+
 # Guards against an endpoint that is asked without pause or end for the first event of a stream.
 # Guards against an endpoint that is asked without a pause and without end for a stream's first event.
 def test_an_endpoint_whose_responses_are_all_empty_is_asked_a_few_times(gateway, serve_engines):
