--- a/src/threadramp/report/metrics.py
+++ b/src/threadramp/report/metrics.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
 from prometheus_client.registry import Collector
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 3_600_000_000
@@ -36,6 +36,12 @@
             ["kind", "label"],
             registry=self.registry,
         )
+        self.values = Gauge(
+            f"{prefix}_current",
+            "Current values by kind and label",
+            ["kind", "label"],
+            registry=self.registry,
+        )
         self.lock = threading.Lock()
         self.latencies: dict[str, HdrHistogram] = {}
 
@@ -43,6 +49,10 @@
         """Add to the counter of a kind and label."""
         self.events.labels(kind, label).inc(amount)
 
+    def show(self, kind: str, label: str, value: Callable[[], float]) -> None:
+        """Report a current value by kind and label, read each time the metrics are asked for."""
+        self.values.labels(kind, label).set_function(value)
+
     def record_latency(self, label: str, seconds: float) -> None:
         """Record the latency of one operation.
 
