Receive callers' requests without a thread, within one limit of memory

Callers saw no answer while 40 others had stopped amid a request, and all of a gateway's callers lost their answers when it was ended for its memory: 12 bodies of 30 MB that stopped a byte short took 391 MB, the same in chunks 662 MB, two endless lines whatever was sent.

Cause: the thread that serves a request also read it, until it was complete, and nothing counted what all requests hold together; what nobody wanted was read as well.

Now the thread that watches the connections receives what arrives, at most 64 KB at once, and hands a request over when its head is complete. A handler asks for the body; if it has not arrived, the request waits without a thread and the handler is called again, so that the route and the key are those in force when the body is there. What is held is counted from the first byte until the answer: a request over the limit gets 503 with Retry-After at once, and nothing of it ran. A body that nobody wants is discarded without being held, after its answer. Connections are bounded by `maxFds` and the memory; for a new one the one that waited longest is closed. Readiness and metrics use the same server with small limits of their own.

--- a/src/threadramp/edge/caller_server.py
+++ b/src/threadramp/edge/caller_server.py
@@ -1,9 +1,4 @@
-"""Enforces limits on the size and duration of request heads from callers.
-
-CherryPy's HTTP server (cheroot) limits neither the total time to receive a request head nor the
-number of threads held by new connections without a request. Both are done here by subclasses of its
-connection and request types.
-"""
+"""Checks the heads of callers' requests, and sends answers to callers that read slowly."""
 
 from __future__ import annotations
 
@@ -13,17 +8,13 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from cheroot.makefile import MakeFile, StreamReader
-from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import HeaderReader
 
-from threadramp.edge.connection_pool import is_readable
 from threadramp.edge.exchange import RESET_AT_CLOSE
-from threadramp.fleet.clock import steady_s
-from threadramp.fleet.model import CallerLimits
 from threadramp.report.log import log_state
+from threadramp.wire.receiving import ReceivingConnection, ReceivingRequest, ReceivingServer
 
 if TYPE_CHECKING:
-    from cheroot.makefile import StreamWriter
     from cheroot.server import SizeCheckWrapper
 
     from threadramp.edge.slow_readers import SlowReaders
@@ -36,41 +27,6 @@
 TOO_LARGE = "431 Request Header Fields Too Large"
 CHEROOT_TOO_LARGE = ("413", "414")  # cheroot's status for a head over the limit
 MAX_LOGGED_TARGET = 200  # characters of the path of a request whose head was refused
-DISCARD_BYTES = 65_536  # read at once from a refused request
-IDLE_MARGIN_S = 1.0  # added to the idle time, as a request may cross our close
-MIN_TIMEOUT_S = 0.001  # a timeout of zero would mean non-blocking
-
-
-class _DeadlineSocket(socket.SocketIO):
-    """Reads from a socket, and not beyond ``deadline`` while that is set."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        super().__init__(sock, "rb")
-        self.sock = sock
-        self.deadline: float | None = None
-
-    def readinto(self, buffer: memoryview) -> int | None:
-        """Read some bytes.
-
-        :raises TimeoutError: if none arrived before the deadline
-        """
-        if self.deadline is not None:
-            self.sock.settimeout(max(MIN_TIMEOUT_S, self.deadline - steady_s()))
-        return super().readinto(buffer)
-
-
-class _DeadlineReader(StreamReader):
-    """Reads a caller's bytes from a socket that has a deadline."""
-
-    def __init__(self, sock: socket.socket, bufsize: int) -> None:
-        self.deadline_socket = _DeadlineSocket(sock)
-        # Bypasses StreamReader's constructor, which would wrap a plain SocketIO.
-        super(StreamReader, self).__init__(self.deadline_socket, bufsize)
-        self.bytes_read = 0
-
-
-def _make_file(sock: socket.socket, mode: str, bufsize: int) -> _DeadlineReader | StreamWriter:
-    return _DeadlineReader(sock, bufsize) if "r" in mode else MakeFile(sock, mode, bufsize)
 
 
 class _CallerHeaders(dict):
@@ -128,24 +84,13 @@
         raise ValueError("Transfer-Encoding must end with chunked and hold it once.")
 
 
-class _CallerHTTPRequest(HTTPRequest):
-    """A request whose head is read within the limits of its server."""
+class _CallerHTTPRequest(ReceivingRequest):
+    """A request whose head is checked strictly."""
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
         self.inheaders = _CallerHeaders()
 
-    def parse_request(self) -> None:
-        """Read the head."""
-        limits = self.server.limits
-        deadline_socket = self.conn.rfile.deadline_socket
-        self.in_head = True
-        deadline_socket.deadline = steady_s() + limits.header_s
-        super().parse_request()  # a timeout here is answered with status 408
-        self.in_head = False
-        deadline_socket.deadline = None
-        self.conn.socket.settimeout(limits.idle_s)  # for each read of the body
-
     def header_reader(self, rfile: SizeCheckWrapper, headers: dict[bytes, bytes]) -> None:
         """Read the headers; cheroot answers an error with status 400.
 
@@ -168,32 +113,20 @@
             if status.startswith(CHEROOT_TOO_LARGE):
                 status = TOO_LARGE
             self.close_connection = True
-            log_state("head_refused", status=status, **self._describe_head())
+            self.conn.may_linger = True
+            self.server.limited_log.log(
+                log_state, "head_refused", status=status, **self._describe_head()
+            )
         super().simple_response(status, msg)
-        if self.in_head:
-            _drain(self.conn.socket)
-
 
-def _drain(sock: socket.socket) -> None:
-    """Read and discard pending bytes: closing with unread bytes would reset the response."""
-    sock.settimeout(MIN_TIMEOUT_S)
-    try:
-        while sock.recv(DISCARD_BYTES):
-            pass
-    except OSError:
-        return  # no more bytes, or the caller has disconnected
 
+class _CallerConnection(ReceivingConnection):
+    """A connection of a caller, who may read answers slowly."""
 
-class _CallerConnection(HTTPConnection):
-    """A connection of a caller, which reads with a deadline."""
-
-    RequestHandlerClass = _CallerHTTPRequest
+    request_class = _CallerHTTPRequest
 
     def __init__(self, server: CallerServer, sock: socket.socket, makefile: object = None) -> None:
-        super().__init__(server, sock, _make_file)
-        self.has_sent_data = False
-        self.served = 0  # requests on this connection that were answered or given up
-        self.arrived_at = 0.0
+        super().__init__(server, sock, makefile)
         self.unsent_lock = threading.Lock()
         self.has_unsent = False
         self.resets = False  # instead of a regular close
@@ -220,6 +153,9 @@
         if not self.defer(False):
             super().close()
 
+    def _end_output(self) -> bool:
+        return not (self.resets or self.is_broken) and super()._end_output()
+
     def _close_kernel_socket(self) -> None:
         """End the connection, as cheroot does; a reset must not follow a regular end."""
         if not self.resets:
@@ -240,26 +176,14 @@
         else:
             self.close()
 
-    def communicate(self) -> bool:
-        """Serve one request; true if the connection stays open."""
-        try:
-            return super().communicate()
-        finally:
-            self.served += 1
-            self.server.request_done()
-
 
-class CallerServer(HTTPServer):
-    """CherryPy's HTTP server, with limits that may be changed while it runs."""
+class CallerServer(ReceivingServer):
+    """A server for callers, with limits that may be changed while it runs."""
 
     ConnectionClass = _CallerConnection
-    limits = CallerLimits()
 
     def __init__(self, *args: object, **options: object) -> None:
         super().__init__(*args, **options)
-        self.active = 0
-        self.is_closing = False
-        self.lock = threading.Lock()
         self.slow_readers: SlowReaders | None = None
 
     def put_conn(self, conn: _CallerConnection) -> None:
@@ -269,36 +193,5 @@
         elif not conn.defer(True):
             super().put_conn(conn)
 
-    def set_limits(self, limits: CallerLimits) -> None:
-        """Apply these limits from now on."""
-        self.limits = limits
-        self.timeout = limits.idle_s + IDLE_MARGIN_S
-        self.max_request_header_size = limits.header_bytes
-
-    def process_conn(self, conn: _CallerConnection) -> None:
-        """Hand a connection to a thread once the caller has sent a byte."""
-        if not conn.has_sent_data and not is_readable(conn.socket.fileno()):
-            self.put_conn(conn)
-            return
-        conn.has_sent_data = True
-        conn.arrived_at = steady_s()  # it may wait for a thread from here on
-        with self.lock:
-            accepted = not self.is_closing
-            self.active += accepted
-        if accepted:
-            super().process_conn(conn)
-        else:
-            conn.close()  # nothing of it was read, so its caller may try another gateway
-
-    def request_done(self) -> None:
-        """Count a connection whose request is done."""
-        with self.lock:
-            self.active -= 1
-
-    def stop_accepting(self) -> None:
-        """From now on close connections on which a request arrives, without reading it."""
-        with self.lock:
-            self.is_closing = True
-
 
 __all__ = ["CallerServer"]
--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -7,7 +7,7 @@
 
 from threadramp.config.findings import FindingsError
 from threadramp.edge.job import Ending, Job, Outcome
-from threadramp.edge.server import BodyTooLongError
+from threadramp.edge.server import BodyTooLongError, NoRoomError
 from threadramp.fleet.model import CallerLimits, RouteKind
 from threadramp.lots.remote_lots import LotUnknownError
 from threadramp.lots.retried_writes import RETRY_FOR_S
@@ -47,6 +47,7 @@
 
 DEFAULT_TIME_S = 10.0  # for a caller that sends no deadline
 START_RETRY_S = 0.5  # a starting process receives the configuration within this time
+NO_ROOM_RETRY_S = 1.0  # by then other requests have ended
 STORE_RETRY_S = 1.0  # outages of the store take seconds
 RETRY_TIME_SHARE = 0.4  # of the time that a trainer waits, spent on submitting its lot
 MAX_RETRY_TIME_S = 5.0  # less than the time between a SIGTERM and a kill
@@ -164,6 +165,8 @@
         except BodyTooLongError as error:
             log_state("body_too_long", request=request_id(request.headers), error=str(error))
             request.respond(413, close=True)
+        except NoRoomError as error:
+            self._refuse(request, 503, NO_ROOM_RETRY_S, str(error))
         except OSError as error:
             log_state("body_not_read", request=request_id(request.headers), error=repr(error))
             request.close_without_response()
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -7,29 +7,32 @@
 
 import socket
 import threading
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from cheroot.errors import MaxSizeExceeded
-from cheroot.server import Gateway, SizeCheckWrapper
+from cheroot.server import Gateway
 from urllib3 import HTTPHeaderDict
 
 from threadramp.edge.caller_server import CallerServer
 from threadramp.edge.slow_readers import SlowReaders, send_now
+from threadramp.policy.request_buffers import DEFAULT_MAX_BYTES
 from threadramp.report.log import log_state
+from threadramp.wire.body_framing import BodyTooLongError
+from threadramp.wire.receiving import DEFAULT_MAX_CONNECTIONS, NoRoomError
+from threadramp.wire.response_limits import process_limits
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from threadramp.fleet.model import CallerLimits
+    from threadramp.report.metrics import Metrics
 
-MAX_IDLE_CONNECTIONS = 1000  # of callers, without a request
 BACKLOG = 256
 # A smaller body is written by the thread of its request: the kernel's buffer takes it at once.
 MAX_DIRECT_BYTES = 16_384
 # Of the kernel for each connection, which doubles it. By default it grows to megabytes for a slow
 # reader, and none of that would be bounded here.
 SEND_BUFFER_BYTES = 32_768
-DISCARD_BYTES = 65_536  # read at once from a body that nobody wants
 DEFAULT_MAX_HELD_BYTES = 40_000_000
 REASONS = {
     200: "OK",
@@ -46,16 +49,11 @@
 }
 
 
-class BodyTooLongError(Exception):
-    """The request body is longer than allowed."""
-
-
 class CallerRequest:
     """One request of a caller, with methods to respond to it."""
 
     def __init__(self, raw) -> None:  # noqa: ANN001 - cheroot's request has no public type
         self.raw = raw
-        self.is_read = not raw.chunked_read  # cheroot discards the rest of a body with a length
         self.method = raw.method.decode("latin-1")
         self.target = raw.uri.decode("latin-1")
         self.headers = HTTPHeaderDict()
@@ -83,59 +81,37 @@
         return self.raw.conn.arrived_at
 
     def read_body(self, limit: int) -> bytes:
-        """Read the complete body.
+        """Return the complete body.
+
+        If it has not arrived, the request waits without a thread and is handled again once it has:
+        call this before anything that must not be done twice.
 
         :param limit: in bytes
+        :raises BodyPending: if it has not arrived; let it pass
         :raises BodyTooLongError: if it is longer than ``limit``
+        :raises NoRoomError: if there is no room for it now
         :raises OSError: if the caller stopped, disconnected or sent malformed chunks before its end
         """
-        length = self.headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > limit:
-            raise BodyTooLongError(f"body of {length} bytes exceeds the limit of {limit}")
-        body = self._read_chunked() if self.raw.chunked_read else self._read_known_length()
-        if len(body) > limit:
-            raise BodyTooLongError(f"body of {len(body)} bytes exceeds the limit of {limit}")
-        return body
-
-    def _read_known_length(self) -> bytes:
-        body = self.raw.rfile.read()
-        if self.raw.rfile.remaining:
-            raise ConnectionError("the caller disconnected before the end of its body")
-        return body
-
-    def _read_chunked(self, size: int | None = None) -> bytes:
-        """Read a chunked body, or the next bytes of it; at its end also the trailers.
-
-        cheroot leaves the line that ends the body, and trailers, for the next request.
-        """
-        try:
-            data = self.raw.rfile.read(size)
-            if self.raw.rfile.closed and not self.is_read:
-                self._read_trailers()
-                self.is_read = True
-        except (MaxSizeExceeded, ValueError) as error:
-            raise OSError(f"the chunked body is incomplete or malformed: {error!r}") from error
-        return data
-
-    def _read_trailers(self) -> None:
-        trailers = SizeCheckWrapper(self.raw.conn.rfile, self.raw.server.limits.header_bytes)
-        while (line := trailers.readline()) != b"\r\n":
-            if not line:
-                raise ConnectionError("the caller disconnected before the end of its body")
-
-    def _discard_body(self) -> None:
-        """Read the rest of a chunked body, which would be taken for the next request.
-
-        The connection is closed instead if the rest is too long or does not arrive.
+        return self.raw.receive_body(limit)
+
+    @property
+    def max_held_bytes(self) -> int:
+        """Return how many bytes may be held of all requests."""
+        return self.raw.server.buffers.max_bytes
+
+    @contextmanager
+    def reserved(self, size: int) -> Iterator[None]:
+        """Have room for bytes that the request needs beyond its body.
+
+        :raises NoRoomError: if there is none
         """
-        left = self.raw.server.limits.body_bytes
+        buffers = self.raw.server.buffers
+        if not buffers.reserve(size):
+            raise NoRoomError(f"no room for {size} bytes")
         try:
-            while not self.is_read and left > 0:
-                left -= len(self._read_chunked(DISCARD_BYTES))
-        except OSError as error:
-            log_state("body_not_discarded", error=repr(error))
-        if not self.is_read:
-            self.raw.close_connection = True
+            yield
+        finally:
+            buffers.unreserve(size)
 
     def respond(
         self,
@@ -199,8 +175,6 @@
         ]
         if close:
             self.raw.close_connection = True
-        if not self.raw.close_connection:
-            self._discard_body()
 
     def close_without_response(self) -> None:
         """Close the connection without a response, as the caller has disconnected."""
@@ -223,6 +197,8 @@
     :param threads: number of requests that are served at once
     :param limits: limits on size and time of requests, until others are set
     :param max_held_bytes: of answers that callers have not read, over all callers
+    :param max_connections: that are open at once; for a further one another is closed
+    :param max_request_bytes: of requests that arrive or are served, over all callers
     """
 
     def __init__(
@@ -232,6 +208,8 @@
         threads: int,
         limits: CallerLimits,
         max_held_bytes: int = DEFAULT_MAX_HELD_BYTES,
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+        max_request_bytes: int = DEFAULT_MAX_BYTES,
     ) -> None:
         host, _, port = address.partition(":")
         self.handle = handle
@@ -242,7 +220,9 @@
         self.server.slow_readers = SlowReaders(max_held_bytes, lambda: self.server.limits.idle_s)
         self.server.set_limits(limits)
         self.server.request_queue_size = BACKLOG
-        self.server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        self.server.max_connections = max_connections
+        self.server.buffers.max_bytes = max_request_bytes
+        self.server.buffers.held_elsewhere = self._held_elsewhere
         self.server.server_name = "threadramp"
         self.server.error_log = _log_server_error
         self.server.prepare()
@@ -251,6 +231,19 @@
         self.thread = threading.Thread(target=self.server.serve, name="http", daemon=True)
         self.thread.start()
 
+    def observe(self, metrics: Metrics, address: str) -> None:
+        """Count refusals in the metrics, and show what requests hold and the open connections.
+
+        :param address: label of this server's address
+        """
+        self.server.count = metrics.count
+        metrics.show("request_bytes", address, lambda: self.server.buffers.held)
+        metrics.show("open_connections", address, lambda: len(self.server.open))
+
+    def _held_elsewhere(self) -> int:
+        """Return the bytes that the process holds of responses and of unread answers."""
+        return process_limits.buffers.held + self.server.slow_readers.held_bytes
+
     @property
     def limits(self) -> CallerLimits:
         """Return the current limits for callers."""
@@ -279,4 +272,4 @@
         log_state("http_error", message=message.strip()[:500])
 
 
-__all__ = ["BodyTooLongError", "CallerRequest", "EdgeServer"]
+__all__ = ["BodyTooLongError", "CallerRequest", "EdgeServer", "NoRoomError"]
--- a/src/threadramp/edge/slow_readers.py
+++ b/src/threadramp/edge/slow_readers.py
@@ -61,6 +61,11 @@
         with self.lock:
             return len(self.unsent)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held for all slow readers."""
+        return sum(len(one.rest) for one in list(self.unsent.values()))
+
     def add(self, sock: socket.socket, rest: memoryview, on_end: Callable[[bool], None]) -> None:
         """Send the rest of an answer as its reader takes it."""
         now = steady_s()
--- a/src/threadramp/platform/settings.py
+++ b/src/threadramp/platform/settings.py
@@ -105,6 +105,7 @@
     :param pool: pool of that endpoint, empty if there is none
     :param heartbeat_s: seconds between two writes of an endpoint's entry
     :param memory_mb: memory limit of a process
+    :param max_fds: descriptors that a process may have open
     :param first_start: whether the whole system starts for the first time
     :param duties: none where the platform takes no such calls
     """
@@ -121,6 +122,7 @@
     pool: str = ""
     heartbeat_s: float = 1.2
     memory_mb: int = 256
+    max_fds: int = 4096
     first_start: bool = False
     duties: DutySettings | None = None
 
@@ -166,6 +168,7 @@
             pool=str(self.table.get("backend") or ""),
             heartbeat_s=self._number(self.table, "heartbeatMs", 1200.0, "") / 1000,
             memory_mb=int(self._number(self._table("limits"), "memoryMb", 256, "limits.")),
+            max_fds=int(self._number(self._table("limits"), "maxFds", 4096, "limits.")),
             first_start=bool(self.table.get("bootstrap", False)),
             duties=self._duties(),
         )
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -53,7 +53,9 @@
 from threadramp.policy.crash_tracker import CrashTracker
 from threadramp.policy.endpoint_choice import CHOICES
 from threadramp.policy.listing_policy import LISTINGS
+from threadramp.policy.open_connections import PROBE_BYTES, PROBE_CONNECTIONS, max_connections
 from threadramp.policy.reader_buffers import max_held_bytes
+from threadramp.policy.request_buffers import max_request_bytes
 from threadramp.policy.retries import RetryBudget
 from threadramp.policy.sample_order import ORDERS
 from threadramp.policy.true_time import TrueTime
@@ -117,11 +119,20 @@
             HTTP_THREADS,
             limits,
             max_held_bytes(settings.memory_mb),
+            max_connections(settings.max_fds, settings.memory_mb),
+            max_request_bytes(settings.memory_mb),
         )
+        self.caller_server.observe(self.metrics, "callers")
         # After the server for callers: whoever got an answer about readiness may connect to that.
         self.readiness_server = EdgeServer(
-            settings.ready, self.handler.serve_ready, READY_THREADS, limits
+            settings.ready,
+            self.handler.serve_ready,
+            READY_THREADS,
+            CallerLimits(body_bytes=0),
+            max_connections=PROBE_CONNECTIONS,
+            max_request_bytes=PROBE_BYTES,
         )
+        self.readiness_server.observe(self.metrics, "readiness")
         self.fleet_view.operator.listeners.append(self._apply_caller_limits)
         self._apply_caller_limits()
         self.metrics_server = serve_metrics(settings.ip, self.metrics)
--- a/src/threadramp/serve/metrics_server.py
+++ b/src/threadramp/serve/metrics_server.py
@@ -6,6 +6,7 @@
 
 from threadramp.edge.server import EdgeServer
 from threadramp.fleet.model import CallerLimits
+from threadramp.policy.open_connections import PROBE_BYTES, PROBE_CONNECTIONS
 
 if TYPE_CHECKING:
     from threadramp.edge.server import CallerRequest
@@ -25,7 +26,16 @@
         else:
             request.respond(404)
 
-    return EdgeServer(f"{ip}:{METRICS_PORT}", respond, THREADS, CallerLimits())
+    server = EdgeServer(
+        f"{ip}:{METRICS_PORT}",
+        respond,
+        THREADS,
+        CallerLimits(body_bytes=0),
+        max_connections=PROBE_CONNECTIONS,
+        max_request_bytes=PROBE_BYTES,
+    )
+    server.observe(metrics, "metrics")
+    return server
 
 
 __all__ = ["METRICS_PATH", "METRICS_PORT", "serve_metrics"]
