Bound the memory that lots take while they are stored and afterwards

Callers saw a gateway ended for its memory when trainers handed in many lots of legal size at once, or a lot of very many small samples.

Cause: a lot is held several times while it is decoded and stored, each sample of a few bytes takes kilobytes, and nothing bounded the samples of all lots that a process owns.

A lot now reserves what its strings, objects and copies take, in the same limit as the requests; without room it gets 503 with Retry-After before it is decoded, and 413 if it could never fit. Another lot is refused with 503 while the lots that are owned take their eighth of the memory; one lot is always accepted in calm, and a repeat of an owned one too.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -29,6 +29,7 @@
     results_body,
 )
 from threadramp.policy.callers import Caller, identify_caller
+from threadramp.policy.request_buffers import DEFAULT_MAX_LOT_BYTES, LOT_COPIES, decoded_bytes
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -60,6 +61,7 @@
     """Handles requests of callers and trainers.
 
     :param max_key_age_s: seconds after which the known API keys are too old to be trusted
+    :param max_lot_bytes: of the samples of all lots that this process owns
     """
 
     def __init__(
@@ -72,7 +74,9 @@
         metrics: Metrics,
         clock: Clock,
         max_key_age_s: float = math.inf,
+        max_lot_bytes: int = DEFAULT_MAX_LOT_BYTES,
     ) -> None:
+        self.max_lot_bytes = max_lot_bytes
         self.max_key_age_s = max_key_age_s
         self.fleet_view = fleet_view
         self.forwarder = forwarder
@@ -244,12 +248,35 @@
         if request.method != "POST" or not lot_id:
             request.respond(400, body=b"a lot is handed in by POST, with an id")
             return
+        decoded = decoded_bytes(body)
+        if decoded > request.max_held_bytes:
+            log_state("lot_too_large", lot=lot_id, decoded_bytes=decoded)
+            request.respond(413, body=b"the lot has too many samples", close=True)
+            return
+        try:
+            with request.reserved(LOT_COPIES * len(body) + decoded):
+                self._store_lot(request, route, body, identity)
+        except NoRoomError as error:
+            self.metrics.count("lot", "no_room")
+            self._refuse(request, 503, NO_ROOM_RETRY_S, str(error))
+
+    def _store_lot(
+        self, request: CallerRequest, route: Route, body: bytes, identity: Caller
+    ) -> None:
+        """Store a lot.
+
+        :raises NoRoomError: if this process holds too much of other lots
+        """
+        lot_id = request_id(request.headers)
         try:
             lot = read_lot(lot_id, request.host, request.path, body, identity.organisation)
         except FindingsError as error:
             log_state("lot_unreadable", lot=lot_id, findings=[str(f) for f in error.findings])
             request.respond(400, body=str(error).encode())
             return
+        held = self.owner.owned.body_bytes(but=lot.id)
+        if held and held + lot.body_bytes > self.max_lot_bytes:
+            raise NoRoomError(f"{held} bytes of lots are held of {self.max_lot_bytes}")
         try:
             self.owner.submit(lot, route, _retry_time_s(request))
         except StoreRefusedError as error:
--- a/src/threadramp/lots/model.py
+++ b/src/threadramp/lots/model.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from threadramp.policy.request_buffers import OBJECT_BYTES
+
 DEFAULT_RANK = 5  # what engines assume for a request without a priority
 
 
@@ -56,6 +58,14 @@
     samples: tuple[Sample, ...]
     organisation: str | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Return about how many bytes the samples take in memory."""
+        return sum(
+            OBJECT_BYTES + len(one.body) + (0 if one.reward is None else len(one.reward.body))
+            for one in self.samples
+        )
+
 
 class ResultState(Enum):
     """How a sample ended."""
--- a/src/threadramp/lots/owned.py
+++ b/src/threadramp/lots/owned.py
@@ -4,6 +4,7 @@
 
 import threading
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -44,6 +45,11 @@
         """Return the lot's id."""
         return self.stored.lot_id
 
+    @cached_property
+    def body_bytes(self) -> int:
+        """Return the bytes of the lot's samples."""
+        return self.tracker.lot.body_bytes
+
     def find_unresolved(self, matches: Callable[[HeadChange], bool]) -> HeadChange | None:
         """Return an unresolved write that is to be sent again unchanged, none if there is none."""
         return next((one for one in self.unresolved.values() if matches(one)), None)
@@ -107,6 +113,11 @@
         found.sort(key=lambda owned: owned.tracker.rules.due)
         return found
 
+    def body_bytes(self, but: str) -> int:
+        """Return the bytes of the samples of all lots but one."""
+        with self.lock:
+            return sum(one.body_bytes for name, one in self.lots.items() if name != but)
+
     def notify_readers(self) -> None:
         """Wake the readers that wait for results."""
         with self.lock:
--- a/src/threadramp/serve/gateway.py
+++ b/src/threadramp/serve/gateway.py
@@ -55,7 +55,7 @@
 from threadramp.policy.listing_policy import LISTINGS
 from threadramp.policy.open_connections import PROBE_BYTES, PROBE_CONNECTIONS, max_connections
 from threadramp.policy.reader_buffers import max_held_bytes
-from threadramp.policy.request_buffers import max_request_bytes
+from threadramp.policy.request_buffers import max_lot_bytes, max_request_bytes
 from threadramp.policy.retries import RetryBudget
 from threadramp.policy.sample_order import ORDERS
 from threadramp.policy.true_time import TrueTime
@@ -382,6 +382,7 @@
             self.metrics,
             clock,
             self.settings.bounds.keys_within_s,
+            max_lot_bytes(self.settings.memory_mb),
         )
 
     def _renewal_interval_s(self) -> float:
