Receive requests of the own interface without a thread, within a limit

Callers of `threadramp gateway` and `threadramp sidecar` saw the same as those on the platform: 100 bodies of 4 MB held each thread and took 605 MB where 256 are allowed, in chunks 900 MB, and endless lines had no end.

Cause: CherryPy reads a body in the thread of its request, and the rest of an unwanted chunked one without a limit for a line.

The own interface uses the same server now; `read_body` lets a request wait for its body, and the handler is called again. The limits are new settings: `memory_mb` (256) and `max_connections` (1024). CherryPy closes a streamed response whose request is given up before it has an iterator, which raised; the subclass names an empty one.

--- a/src/threadramp/config/settings.py
+++ b/src/threadramp/config/settings.py
@@ -60,6 +60,8 @@
     :param seeds: sync addresses of some sidecars, from which a gateway that starts while the
         key-value service is out learns the configuration
     :param max_body_bytes: longest request body that is read
+    :param memory_mb: memory limit of the process, by which requests that arrive are bounded
+    :param max_connections: open at once; for a further one the one that waited longest is closed
     :param max_step_samples: most samples that one step may ask for
     """
 
@@ -77,6 +79,8 @@
     key_writes_per_s: float = 50.0
     seeds: tuple[str, ...] = ()
     max_body_bytes: int = 4_194_304
+    memory_mb: int = 256
+    max_connections: int = 1024
     max_step_samples: int = 8192
 
 
@@ -94,6 +98,9 @@
         weight store's rate is not exceeded; 0 for a small fleet
     :param stop_grace_s: longest wait for running work at a planned stop
     :param buffer_grace_s: longest wait for buffered samples to be fetched at a planned stop
+    :param max_body_bytes: longest request body that is read
+    :param memory_mb: memory limit of the process, by which requests that arrive are bounded
+    :param max_connections: open at once; for a further one the one that waited longest is closed
     """
 
     endpoint: str
@@ -111,6 +118,8 @@
     stop_grace_s: float = 60.0
     buffer_grace_s: float = 30.0
     max_body_bytes: int = 4_194_304
+    memory_mb: int = 256
+    max_connections: int = 1024
 
 
 @dataclass(frozen=True)
--- a/src/threadramp/gateway/daemon.py
+++ b/src/threadramp/gateway/daemon.py
@@ -16,7 +16,7 @@
 from threadramp.gateway.steps import Steps
 from threadramp.report.log import log_state
 from threadramp.report.stall_monitor import StallMonitor
-from threadramp.wire.http import open_requests, start_http, stop_http
+from threadramp.wire.http import InterfaceLimits, open_requests, start_http, stop_http
 
 if TYPE_CHECKING:
     from threadramp.config.settings import Settings
@@ -50,7 +50,8 @@
         steps = Steps(self.state)
         root = gateway_root(self.state, calls, binder, settler, steps)
         own = self.settings
-        start_http(root, own.listen, own.threads)
+        limits = InterfaceLimits(own.max_body_bytes, own.memory_mb, own.max_connections)
+        start_http(root, own.listen, own.threads, limits, self.state.metrics.count)
         self.background.start()
         StallMonitor().start()
         log_state("gateway_started", gateway=own.name)
--- a/src/threadramp/gateway/resources.py
+++ b/src/threadramp/gateway/resources.py
@@ -16,7 +16,7 @@
 from threadramp.gateway.state import now
 from threadramp.gateway.status import fleet_status
 from threadramp.wire import headers
-from threadramp.wire.http import answer_bytes, answer_json, edge, header, read_body
+from threadramp.wire.http import answer_bytes, answer_json, arrived_at, edge, header, read_body
 from threadramp.wire.lots import AckRequest, StepRequest
 from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError, bad_request
 
@@ -137,7 +137,7 @@
         return self._run("PUT", pool, path)
 
     def _run(self, method: str, pool: str, path: tuple[str, ...]) -> bytes | Iterator[bytes]:
-        arrived = now()
+        arrived = arrived_at()
         self.gate.check(CALLER, OPERATOR)
         body = read_body(self.state.settings.max_body_bytes)
         read = {name: header(name) for name in READ_HEADERS if header(name)}
--- a/src/threadramp/sidecar/daemon.py
+++ b/src/threadramp/sidecar/daemon.py
@@ -18,7 +18,7 @@
 from threadramp.sidecar.resources import sidecar_root
 from threadramp.sidecar.rollouts import RolloutRunner
 from threadramp.sidecar.state import SidecarState, now
-from threadramp.wire.http import start_http, stop_http
+from threadramp.wire.http import InterfaceLimits, start_http, stop_http
 from threadramp.wire.seal import Seal
 from threadramp.wire.sync import SyncServer
 
@@ -57,7 +57,9 @@
         signal.signal(signal.SIGTERM, lambda *_: self.stop.set())
         signal.signal(signal.SIGINT, lambda *_: self.stop.set())
         root = sidecar_root(self.state, self.seal, self.runner)
-        start_http(root, self.settings.listen_http, self.settings.threads)
+        own = self.settings
+        limits = InterfaceLimits(own.max_body_bytes, own.memory_mb, own.max_connections)
+        start_http(root, own.listen_http, own.threads, limits, self.state.metrics.count)
         server = SyncServer(self.settings.listen_sync, self.seal, self._handle, SYNC_THREADS)
         self.rollouts.start()
         self.reconciler.start()
--- a/src/threadramp/wire/http.py
+++ b/src/threadramp/wire/http.py
@@ -5,32 +5,72 @@
 import functools
 import inspect
 import threading
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import cherrypy
 import msgspec
+from cherrypy._cpwsgi import AppResponse
 
 from threadramp.config.findings import FindingsError
+from threadramp.fleet.model import CallerLimits
+from threadramp.policy.request_buffers import max_request_bytes
 from threadramp.report.log import log_state
+from threadramp.wire.body_framing import BodyTooLongError
 from threadramp.wire.headers import OUTCOME, REFUSAL, REQUEST_ID
-from threadramp.wire.outcomes import Outcome, Reason, Refusal, RefusedError, bad_request
+from threadramp.wire.outcomes import (
+    DEFAULT_RETRY_AFTER_S,
+    Outcome,
+    Reason,
+    Refusal,
+    RefusedError,
+    bad_request,
+)
+from threadramp.wire.receiving import NoRoomError
 from threadramp.wire.unread import WholeRequestServer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 MAX_HEADER_BYTES = 16_384
 SOCKET_QUEUE = 256
+HEAD_S = 10.0
+IDLE_S = 10.0
 SHUTDOWN_TIMEOUT_S = 1  # the daemon has waited for open requests before
-MAX_DISCARDED_BYTES = 16 * 1024 * 1024
-BLOCK_BYTES = 65_536
 JSON_TYPE = "application/json"
 
 
-def start_http(root: object, listen: str, threads: int) -> None:
+class _Response(AppResponse):
+    """A response that can be closed before it has a body, as when its request is still awaited."""
+
+    iter_response: Iterable[bytes] = ()
+
+
+@dataclass(frozen=True)
+class InterfaceLimits:
+    """What the requests to this process may take together.
+
+    :param body_bytes: of the longest body
+    :param memory_mb: memory limit of the process
+    :param connections: that are open at once; for a further one another is closed
+    """
+
+    body_bytes: int
+    memory_mb: int
+    connections: int
+
+
+def start_http(
+    root: object,
+    listen: str,
+    threads: int,
+    limits: InterfaceLimits,
+    count: Callable[[str, str], None],
+) -> None:
     """Serve ``root`` in this process.
 
     :param listen: ``ip:port``
+    :param count: increments a counter by kind and label
     """
     host, _, port = listen.partition(":")
     cherrypy.config.update(
@@ -58,9 +98,15 @@
             "tools.named_answers.on": True,
         }
     }
-    cherrypy.tree.mount(root, "/", config)
+    application = cherrypy.tree.mount(root, "/", config)
+    application.wsgiapp.response_class = _Response
     cherrypy.log.access_log.disabled = True
-    cherrypy.server.instance = WholeRequestServer(cherrypy.server)
+    server = WholeRequestServer(cherrypy.server)
+    server.set_limits(CallerLimits(MAX_HEADER_BYTES, limits.body_bytes, HEAD_S, IDLE_S))
+    server.buffers.max_bytes = max_request_bytes(limits.memory_mb)
+    server.max_connections = limits.connections
+    server.count = count
+    cherrypy.server.instance = server
     cherrypy.engine.start()
 
 
@@ -99,8 +145,8 @@
 
 
 def open_requests() -> int:
-    """Return how many requests are open."""
-    return cherrypy.tools.open_requests.count
+    """Return how many requests are open, or wait for their bodies."""
+    return max(cherrypy.tools.open_requests.count, cherrypy.server.instance.active)
 
 
 def stop_http() -> None:
@@ -111,17 +157,27 @@
 def read_body(limit: int) -> bytes:
     """Read the request's body.
 
+    If it has not arrived, the handler is called again once it has: call this before anything that
+    must not be done twice.
+
     :param limit: maximum length in bytes
-    :raises RefusedError: if it is longer
+    :raises BodyPending: if it has not arrived; let it pass
+    :raises RefusedError: if it is longer, incomplete or malformed, or there is no room for it now
     """
-    length = cherrypy.request.headers.get("Content-Length")
-    if length is not None and int(length) > limit:
-        _discard(int(length))
-        raise _too_large(limit)
-    body = cherrypy.request.rfile.read(limit + 1 if length is None else int(length))
-    if len(body) > limit:
-        raise _too_large(limit)
-    return body
+    try:
+        return cherrypy.request.rfile.receive(limit)
+    except BodyTooLongError as error:
+        raise _too_large(limit) from error
+    except NoRoomError as error:
+        refusal = Refusal.not_run(Reason.OVERLOADED, str(error), DEFAULT_RETRY_AFTER_S)
+        raise RefusedError(refusal) from error
+    except OSError as error:
+        raise bad_request("body", str(error)) from error
+
+
+def arrived_at() -> float:
+    """Return the time on the steady clock at which the first bytes of the request had arrived."""
+    return cherrypy.request.rfile.arrived_at
 
 
 def header(name: str, default: str = "") -> str:
@@ -195,13 +251,6 @@
     return msgspec.json.encode({"error": refusal}).decode()
 
 
-def _discard(length: int) -> None:
-    """Read and discard the body, so that the sender reads the refusal instead of a reset."""
-    left = min(length, MAX_DISCARDED_BYTES)
-    while left > 0 and (block := cherrypy.request.rfile.read(min(left, BLOCK_BYTES))):
-        left -= len(block)
-
-
 def _too_large(limit: int) -> RefusedError:
     cherrypy.response.headers["Connection"] = "close"  # the body may not be read completely
     message = f"the body is longer than {limit} bytes"
@@ -209,9 +258,11 @@
 
 
 __all__ = [
+    "InterfaceLimits",
     "answer_bytes",
     "answer_json",
     "answer_refusal",
+    "arrived_at",
     "edge",
     "header",
     "open_requests",
