Log few lines of bodies that were not read, and count them

A crowd whose bodies stop brought about a line for each of them. They are limited like the other lines of refused requests now, and counted as `answer` by kind.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -30,6 +30,7 @@
 )
 from threadramp.policy.callers import Caller, identify_caller
 from threadramp.policy.request_buffers import DEFAULT_MAX_LOT_BYTES, LOT_COPIES, decoded_bytes
+from threadramp.report.limited_log import LimitedLog
 from threadramp.report.log import log_state
 
 if TYPE_CHECKING:
@@ -86,6 +87,7 @@
         self.metrics = metrics
         self.clock = clock
         self.stopping = False
+        self.limited_log = LimitedLog()
 
     def handle(self, request: CallerRequest) -> None:
         """Handle a request; an unexpected error is logged and answered with status 500."""
@@ -167,15 +169,21 @@
         try:
             return request.read_body(limits.body_bytes)
         except BodyTooLongError as error:
-            log_state("body_too_long", request=request_id(request.headers), error=str(error))
+            self._log_body(request, "body_too_long", error)
             request.respond(413, close=True)
         except NoRoomError as error:
             self._refuse(request, 503, NO_ROOM_RETRY_S, str(error))
         except OSError as error:
-            log_state("body_not_read", request=request_id(request.headers), error=repr(error))
+            self._log_body(request, "body_not_read", error)
             request.close_without_response()
         return None
 
+    def _log_body(self, request: CallerRequest, kind: str, error: Exception) -> None:
+        """Log and count that a body was not read; a crowd of callers may bring this about."""
+        self.metrics.count("answer", kind)
+        name = request_id(request.headers)
+        self.limited_log.log(log_state, kind, request=name, error=repr(error))
+
     def _forward(
         self, request: CallerRequest, route: Route, body: bytes, started: float, identity: Caller
     ) -> None:
