Name what a newcomer would stop at in the receiving of requests

No change of behaviour: a property had the name of another limit, the time to return had two constants, and `len` stood for a function that discards.

--- a/src/threadramp/edge/handler.py
+++ b/src/threadramp/edge/handler.py
@@ -32,6 +32,7 @@
 from threadramp.policy.request_buffers import DEFAULT_MAX_LOT_BYTES, LOT_COPIES, decoded_bytes
 from threadramp.report.limited_log import LimitedLog
 from threadramp.report.log import log_state
+from threadramp.wire.receiving import RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -49,7 +50,6 @@
 
 DEFAULT_TIME_S = 10.0  # for a caller that sends no deadline
 START_RETRY_S = 0.5  # a starting process receives the configuration within this time
-NO_ROOM_RETRY_S = 1.0  # by then other requests have ended
 STORE_RETRY_S = 1.0  # outages of the store take seconds
 RETRY_TIME_SHARE = 0.4  # of the time that a trainer waits, spent on submitting its lot
 MAX_RETRY_TIME_S = 5.0  # less than the time between a SIGTERM and a kill
@@ -172,7 +172,7 @@
             self._log_body(request, "body_too_long", error)
             request.respond(413, close=True)
         except NoRoomError as error:
-            self._refuse(request, 503, NO_ROOM_RETRY_S, str(error))
+            self._refuse(request, 503, RETRY_S, str(error))
         except OSError as error:
             self._log_body(request, "body_not_read", error)
             request.close_without_response()
@@ -257,7 +257,7 @@
             request.respond(400, body=b"a lot is handed in by POST, with an id")
             return
         decoded = decoded_bytes(body)
-        if decoded > request.max_held_bytes:
+        if decoded > request.max_request_bytes:
             log_state("lot_too_large", lot=lot_id, decoded_bytes=decoded)
             request.respond(413, body=b"the lot has too many samples", close=True)
             return
@@ -266,7 +266,7 @@
                 self._store_lot(request, route, body, identity)
         except NoRoomError as error:
             self.metrics.count("lot", "no_room")
-            self._refuse(request, 503, NO_ROOM_RETRY_S, str(error))
+            self._refuse(request, 503, RETRY_S, str(error))
 
     def _store_lot(
         self, request: CallerRequest, route: Route, body: bytes, identity: Caller
--- a/src/threadramp/edge/server.py
+++ b/src/threadramp/edge/server.py
@@ -95,7 +95,7 @@
         return self.raw.receive_body(limit)
 
     @property
-    def max_held_bytes(self) -> int:
+    def max_request_bytes(self) -> int:
         """Return how many bytes may be held of all requests."""
         return self.raw.server.buffers.max_bytes
 
--- a/src/threadramp/wire/receiving.py
+++ b/src/threadramp/wire/receiving.py
@@ -208,6 +208,13 @@
 
     It belongs to one thread at a time: to the one that watches the connections, while it is
     registered there, or to the one that serves its request.
+
+    :ivar phase: what is received next
+    :ivar request: the request that waits for its body, none while no request waits
+    :ivar held: what is counted of the request, whether it arrives or is served
+    :ivar has_begun: whether bytes of a request have arrived that was not answered
+    :ivar served: requests on this connection that were answered or given up
+    :ivar may_linger: whether more bytes may arrive after the last response
     """
 
     request_class: type[ReceivingRequest] = ReceivingRequest
@@ -216,16 +223,16 @@
         super().__init__(server, sock, _make_file)
         self.RequestHandlerClass = self._next_request
         self.phase = Phase.HEAD
-        self.request: ReceivingRequest | None = None  # that waits for its body
+        self.request: ReceivingRequest | None = None
         self.decoder: Decoder | None = None
         self.body = io.BytesIO()
         self.body_error: Exception | None = None
         self.held = HeldRequest()
         self.waiting = WaitingConnection(steady_s(), self.held)
-        self.has_begun = False  # whether bytes of a request have arrived that was not answered
+        self.has_begun = False
         self.arrived_at = 0.0
-        self.served = 0  # requests on this connection that were answered or given up
-        self.may_linger = False  # whether bytes may arrive after the last response
+        self.served = 0
+        self.may_linger = False
         self.is_open = True
         server.open.add(self)
 
@@ -296,7 +303,7 @@
 
     def _advance_rest(self) -> bool:
         try:
-            self.decoder.feed(self.rfile.buffer, len)
+            self.decoder.feed(self.rfile.buffer, _discard)
         except (BodyTooLongError, FramingError) as error:
             self.server.limited_log.log(log_state, "body_not_discarded", error=repr(error))
             self.end()
@@ -357,7 +364,7 @@
         """Return the body; see ``ReceivingRequest.receive_body``."""
         if self.decoder is None:
             decoder = new_decoder()
-            left = getattr(decoder, "left", 0)
+            left = getattr(decoder, "left", 0)  # of a chunked body nothing is known yet
             if not self.server.buffers.can_fit(left):
                 self.server.record_refusal("no room", self)
                 raise NoRoomError(f"no room for a body of {left} bytes")
@@ -380,7 +387,7 @@
             return False
         try:
             self.decoder = self.decoder or new_decoder()
-            self.decoder.feed(self.rfile.buffer, len)
+            self.decoder.feed(self.rfile.buffer, _discard)
         except (BodyTooLongError, FramingError):
             return False
         self.may_linger = not self.decoder.is_complete
@@ -445,6 +452,10 @@
         super().close()
 
 
+def _discard(data: bytes) -> None:
+    """Take bytes of a body that nobody wants."""
+
+
 def _make_file(sock: socket.socket, mode: str, bufsize: int) -> object:
     return ReceivedInput() if "r" in mode else MakeFile(sock, mode, bufsize)
 
