--- a/tests/serve/test_soak.py
+++ b/tests/serve/test_soak.py
@@ -9,7 +9,7 @@
 from tests.serve.soak import Soak
 
 SECONDS = float(os.environ.get("SOAK_S", "12"))
-FAILED_SEEDS = (2, 3, 55)  # the last one accepted no lot, see KNOWN-RED.txt
+FAILED_SEEDS = (2, 3, 23, 55)  # the last two accepted no lot, see KNOWN-RED.txt
 SEEDS = sorted({*range(1, 1 + int(os.environ.get("SOAK_SEEDS", "2"))), *FAILED_SEEDS})
 
 
