Exit with 2, and end all processes, when a case of the review cannot run

Cause: an unexpected exception ended a script with 1, as if a rule were broken, and the time limit left processes running.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -82,6 +82,7 @@
     """A machine with one process of ours."""
 
     _numbers = iter(range(1, 250))
+    processes: list[subprocess.Popen] = []  # all that were started
 
     def __init__(self, folder: Path, role: str, name: str, store: str, **settings) -> None:
         self.role, self.name = role, name
@@ -118,6 +119,7 @@
                 env={**kept, "THREADRAMP_NODE_FILE": str(self.file),
                      "PYTHONPATH": str(ROOT / "target" / "deps")},
             )  # fmt: skip
+        Box.processes.append(self.process)
 
     def signal(self, number: int) -> None:
         """Send a signal to the process."""
@@ -352,6 +354,14 @@
     return found
 
 
+def _give_up() -> None:
+    """End all processes and exit, since the case takes too long."""
+    for process in Box.processes:
+        if process.poll() is None:
+            process.kill()
+    os._exit(EXIT_NOT_RUN)
+
+
 def main(case, folder: Path) -> None:
     """Run a case and exit as its script has to: 1 if the rule was broken, 0 if it held, else 2.
 
@@ -365,14 +375,14 @@
     def note(text: str) -> None:
         rows.append(f"{time.monotonic() - begun:8.3f} s  {text}")
 
-    watchdog = threading.Timer(115.0, lambda: os._exit(EXIT_NOT_RUN))
+    watchdog = threading.Timer(115.0, _give_up)
     watchdog.daemon = True
     watchdog.start()
     try:
         broken = case(trouble, note)
         code = EXIT_BROKEN if broken else EXIT_HELD
         rows += [f"BROKEN: {one}" for one in broken] or ["the rule held"]
-    except (NotRunError, OSError) as error:
+    except Exception as error:  # whatever it is, it shows nothing of the rule
         code = EXIT_NOT_RUN
         rows.append(f"could not run: {error!r}")
     (folder / "record.txt").write_text("\n".join(rows) + "\n", encoding="utf-8")
